--- /dev/null
+++ b/molehill/interface.py
@@ -0,0 +1,187 @@
+"""Types that pass between the decision module and whatever carries callbacks (bench or real relay).
+
+All times are whole nanoseconds of one clock that only advances; ids are given back as they came.
+Nothing here decides: an absent setting is left as None and read by the module.
+"""
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Optional
+
+
+class Effect(Enum):
+    RERUNNABLE = "rerunnable"   # may run again
+    TICKETED = "ticketed"       # carries a mark by which a repeat is known for a while
+    EXCLUSIVE = "exclusive"     # must never run twice
+
+
+class Result(Enum):
+    FULFILLED = "fulfilled"
+    ERROR = "error"             # answered with an error; may have run
+    FULL = "full"               # turned away unseen
+    TIMEOUT = "timeout"         # no answer in time; may have run
+    NO_CONNECT = "no_connect"   # no connection; never ran
+    RESET = "reset"             # connection broke; may have run
+    CANCELLED = "cancelled"     # called off; may have run
+    NOT_SENT = "not_sent"       # never left the relay
+
+
+class Condition(Enum):
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Scope(Enum):
+    UPDATE = "update"           # changed entries only
+    WHOLE = "whole"             # the complete list
+    RESTORED = "restored"       # the complete list as last held, perhaps old
+    FAILED = "failed"           # asking failed or the subscription broke
+
+
+@dataclass(slots=True)
+class Category:
+    effect: Effect
+    goal: int                   # wanted within this span
+    abandon: int                # given up after this span
+    payoff: float
+    late_share: float           # share of the payoff left at the abandon time (or the floor when halving)
+    window: int                 # ticketed: how long a repeat is dropped
+    same_zone: bool             # ticketed: only hosts of the first launch's zone drop repeats
+    all_hosts: bool             # ticketed: every host of the destination drops repeats
+    ordered: bool               # callbacks of one key go in turn
+
+
+@dataclass(slots=True)
+class Tenant:
+    share: float
+    quota: Optional[float]      # callbacks a second over all relays within its share
+
+
+@dataclass(slots=True)
+class Kind:
+    apart: bool                 # hosts of a destination are separate routes
+    per_call: int               # callbacks in one call at most
+
+
+@dataclass(slots=True)
+class Settings:
+    categories: list[Category]
+    tenants: list[Tenant] = field(default_factory=list)
+    kinds: list[Kind] = field(default_factory=list)
+    zone_fees: list[float] = field(default_factory=list)
+    relays: int = 1
+    slots: int = 1              # calls out at once
+    max_held: Optional[int] = None
+    max_launches: int = 1
+    may_probe: bool = False
+    tells_return: bool = False  # clients receive the time to come back
+    max_return: int = 0         # the longest such time a client keeps to
+    list_on_request: bool = False
+    halving: bool = False       # the payoff falls by half a goal time; else evenly to late_share
+    over_share_payoff: float = 1.0
+    units_are_rates: bool = False
+    report_left: Optional[int] = None    # position of the share of the allowance that is left
+    report_limit: Optional[int] = None   # position of the limit in calls a second
+    fall_span: Optional[int] = None
+    fall_multiple: Optional[float] = None
+    cold_from: Optional[float] = None
+    ramp_time: Optional[int] = None
+    settle: int = 0             # rest of a key after a launch that may still run
+
+
+@dataclass(slots=True)
+class HostEntry:
+    host: int
+    zone: int
+    kind: int
+    destination: int
+    condition: Condition
+    units: float
+
+
+@dataclass(slots=True)
+class ListNews:
+    scope: Scope
+    entries: list[HostEntry]
+
+
+@dataclass(slots=True)
+class NewCallback:
+    callback: int
+    category: int
+    tenant: int
+    key: Optional[str]
+    abandon_at: int
+    destination: int
+
+
+@dataclass(slots=True)
+class Outcome:
+    callback: int
+    launch: int
+    host: int
+    result: Result
+    took: int
+    wait: int                   # told wait, 0 for none
+    closed: bool
+    report: Optional[list[float]]
+
+
+@dataclass(slots=True)
+class ProbeResult:
+    host: int
+    result: Result
+    took: int
+    report: Optional[list[float]]
+
+
+@dataclass(slots=True)
+class Timer:
+    token: str
+
+
+@dataclass(slots=True)
+class Withdrawn:
+    callback: int
+
+
+# Actions
+
+
+@dataclass(slots=True)
+class Launch:
+    callback: int
+    host: int
+    time_out: int
+
+
+@dataclass(slots=True)
+class Deny:
+    callback: int
+    come_back: int              # 0 for no guidance
+
+
+@dataclass(slots=True)
+class Scrap:
+    callback: int
+
+
+@dataclass(slots=True)
+class Wake:
+    span: int
+    token: str
+
+
+@dataclass(slots=True)
+class Probe:
+    host: int
+
+
+@dataclass(slots=True)
+class FollowList:
+    pass
+
+
+@dataclass(slots=True)
+class Note:
+    text: str
