Read refusals as shut only when nothing else came for three seconds

Cause: destinations with an allowance that several relays fill refused three rounds in a row and were closed. Also covers: destinations kept full by other relays. Could harm: a shut destination is noticed seconds later.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -74,6 +74,7 @@
         self.starved = {}         # destinations that only lack a slot
         self.ask_tries = 0
         self.quota = [[0.0, 0] for _ in settings.tenants]
+        self.last = ""
         self.typical = None       # smoothed latency over all routes, for routes not yet known
 
     # Entry
@@ -250,7 +251,7 @@
     def _judge(self, h, dest, sent, result, took, wait):
         """The limiter's and the host's answer to one call. A call of several callbacks is judged once."""
         lim, now = self.h_route[h], self.now
-        lim.used = now
+        lim.used, self.last = now, result.value
         if result is Result.NOT_SENT or result is Result.CANCELLED:
             return
         if result is Result.FULL:
@@ -258,12 +259,13 @@
             dest["sick"] = True
             lim.paused = max(lim.paused, now + (wait or PAUSE))
             self._at(lim.paused, "dest", self.h_dest[h])
-            if sent >= self.h_told[h]:
-                self.h_full[h] += 1
-            self.h_told[h] = now
-            # Shut, not merely full: refused in each of three rounds, or told to stay away for longer than any
-            # allowance takes to refill. Covers a shut destination and one that other relays keep full.
-            if self.h_full[h] >= FULL_ROUNDS or wait > LONG_WAIT or self.h_state[h] is not OPEN:
+            if self.h_full[h] == 0:
+                self.h_told[h] = now
+            self.h_full[h] += 1
+            # Shut, not merely full: nothing but refusals for a while, or told to stay away for longer than any
+            # allowance takes to refill. One that other relays keep full lets some call through in that time.
+            if self.h_full[h] >= FULL_ROUNDS and now - self.h_told[h] > LONG_WAIT or wait > LONG_WAIT \
+                    or self.h_state[h] is CLOSED:
                 self._close(h)
             return
         good = result is Result.FULFILLED
@@ -309,7 +311,7 @@
 
     def _close(self, h):
         if self.h_state[h] is OPEN:
-            self._note(f"host {self.h_id[h]} closed after failures")
+            self._note(f"host {self.h_id[h]} closed after {self.last}")
         if self.h_state[h] is not CLOSED:
             self.h_since[h] = self.now
         self.h_state[h] = CLOSED
@@ -565,7 +567,7 @@
         self.actions.append(it.Note(text))
 
 
-FULL_ROUNDS = 3                   # refusals in a row, each of a call sent after the one before was told
+FULL_ROUNDS = 4                   # refusals in a row, over LONG_WAIT, that read as shut
 LONG_WAIT = 3 * SECOND            # longer than any span in which an allowance plausibly refills
 SAFETY = 0.7                      # of the returning budget is used: other relays' shares are not known
 LEAST_RATE = 0.5                  # calls a second a host is thought to manage when nothing is known of it
