Let a failure while ramping restart the ramp instead of closing the host

Also covers: partial failures. Could harm: a host still mostly failing is fed at the ramp's first rate.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -306,8 +306,10 @@
         if good and self.h_state[h] is CLOSED and sent >= self.h_since[h]:
             self.h_state[h], self.h_back[h], self.h_bad[h], self.h_full[h] = RAMP, now, 0.0, 0
             self._note(f"host {self.h_id[h]} answers again, fed slowly")
-        elif not good and (self.h_bad[h] > 0.5 or self.h_state[h] is not OPEN):
+        elif not good and (self.h_bad[h] > 0.5 or self.h_state[h] is CLOSED):
             self._close(h)
+        elif not good and self.h_state[h] is RAMP:
+            self.h_back[h] = now              # a part of its calls still fail: as cold as at its return
 
     def _close(self, h):
         if self.h_state[h] is OPEN:
