Ignore time-outs that the abandon time cut short when judging a host

Also covers any short-lived callback at a slow destination. Could harm: where all callbacks live shorter than the learnt time-out, silence is noticed by resets only.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -227,7 +227,7 @@
             self.dirty[self.h_dest[h]] = True
         if not call[3] or result is Result.FULL and event.wait:
             call[3] = True
-            self._judge(h, dest, call[2], result, event.took, event.wait)
+            self._judge(h, dest, call[2], call[4], result, event.took, event.wait)
         self._report(h, event.report)
         if result in RAN:
             if not callback.bound:
@@ -248,12 +248,14 @@
         else:
             self._move(callback, QUEUED)
 
-    def _judge(self, h, dest, sent, result, took, wait):
+    def _judge(self, h, dest, sent, call_span, result, took, wait):
         """The limiter's and the host's answer to one call. A call of several callbacks is judged once."""
         lim, now = self.h_route[h], self.now
         lim.used, self.last = now, result.value
         if result is Result.NOT_SENT or result is Result.CANCELLED:
             return
+        if result is Result.TIMEOUT and took < call_span:
+            return                            # cut short by its abandon time: says nothing of the host
         if result is Result.FULL:
             lim.limit, lim.started, lim.sick = max(MIN_LIMIT, lim.limit / 2), False, True
             dest["sick"] = True
@@ -532,7 +534,7 @@
         if self.now - lim.used > FORGET and lim.out == 0:
             lim.__init__(self.now)
         lim.used = self.now
-        call = [h, 0, self.now, False]
+        call = [h, 0, self.now, False, self._time_out(lim, first)]
         callback = first
         while callback is not None and call[1] < self.h_kind[h].per_call:
             if callback is not first and callback.bound and callback.row.same_zone \
@@ -543,7 +545,8 @@
             callback.call, callback.sent = call, self.now
             callback.launches += 1
             call[1] += 1
-            self.actions.append(it.Launch(callback.id, self.h_id[h], self._time_out(lim, callback)))
+            self.actions.append(it.Launch(callback.id, self.h_id[h],
+                                          max(1, min(call[4], callback.due - self.now))))
             callback = self._head(dest) if self.h_state[h] is not CLOSED else None
         self.out += 1
         dest["out"] += 1
@@ -555,15 +558,13 @@
 
     def _time_out(self, lim, callback):
         """Learnt as TCP learns it, doubled while nothing comes; what may not be repeated waits to the end."""
-        left = callback.due - self.now
         if callback.row.effect is Effect.EXCLUSIVE:
-            return left
+            return callback.due - self.now
         if lim.smooth is None:
             span = 6 * self.typical if self.typical else callback.row.goal
         else:
             span = lim.smooth + 6 * lim.dev
-        span = max(span, LEAST_TIME_OUT) << lim.back_off
-        return max(1, min(span, left))
+        return max(span, LEAST_TIME_OUT) << lim.back_off
 
     def _note(self, text):
         self.actions.append(it.Note(text))
