Try a trial right after a good probe and spare a ramp single failures

Cause: after a good probe the trial still waited for the budget's gap, and each single failure restarted a ramp of ten seconds.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -310,8 +310,8 @@
             self._note(f"host {self.h_id[h]} answers again, fed slowly")
         elif not good and (self.h_bad[h] > 0.5 or self.h_state[h] is CLOSED):
             self._close(h)
-        elif not good and self.h_state[h] is RAMP:
-            self.h_back[h] = now              # a part of its calls still fail: as cold as at its return
+        elif self.h_state[h] is RAMP and self.h_bad[h] > 0.4:
+            self.h_back[h] = now              # many of its calls still fail: as cold as at its return
 
     def _close(self, h):
         if self.h_state[h] is OPEN:
@@ -353,7 +353,7 @@
         self.h_out[h] -= 1
         self.dirty[self.h_dest[h]] = True
         if event.result is Result.FULFILLED:
-            self.h_probe[h] = True
+            self.h_probe[h], self.h_next[h] = True, self.now
         else:
             self.h_probe[h] = False
             self._close(h)
