Learn a pace at refusals and bound it by told rates, beside the window

Cause: at allowances latency stays flat, so the window grows until refused, again and again, and each refusal spends one of the callback's launches (the design page names this trouble). Also covers: allowances shared with many relays, lowered allowances, refused calls that use up the allowance. Could harm: after an outage with few calls the pace starts low and creeps up.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -37,12 +37,14 @@
 class Limiter:
     """The design's limiter, one a route: a fractional limit, calls out, a recent best and a pause."""
     __slots__ = ("limit", "out", "smooth", "dev", "now_best", "last_best", "window_at", "paused", "started", "sick",
-                 "back_off", "used", "rate", "pace", "next")
+                 "back_off", "used", "told", "pace", "credit", "credit_at", "count", "count_at", "served")
 
     def __init__(self, now):
         self.limit, self.out, self.started, self.sick = START_LIMIT, 0, True, False
         self.smooth, self.dev, self.now_best, self.last_best, self.window_at = None, 0, None, None, now
-        self.paused, self.back_off, self.used, self.rate, self.pace, self.next = 0, 0, now, None, None, 0
+        self.paused, self.back_off, self.used = 0, 0, now
+        self.told, self.pace, self.credit, self.credit_at = 0.0, 0.0, 0.0, now   # calls a second; 0: not known
+        self.count, self.count_at, self.served = 0, now, 0.0
 
 
 START_LIMIT = 2.0                 # the design's start, and its minimum of 1 below
@@ -261,6 +263,11 @@
             dest["sick"] = True
             lim.paused = max(lim.paused, now + (wait or PAUSE))
             self._at(lim.paused, "dest", self.h_dest[h])
+            # Refused while answers came at their usual pace: an allowance, not a queue, and latency will not show it.
+            # The rate served lately becomes a crawl delay beside the window, and creeps up with each good answer.
+            seen = max(lim.served, lim.count * SECOND / max(SECOND, now - lim.count_at))
+            lim.pace = max(LEAST_PACE, PACE_CUT * (min(seen, lim.pace) if lim.pace else seen))
+            lim.credit = min(lim.credit, 0.0)
             if self.h_full[h] == 0:
                 self.h_told[h] = now
             self.h_full[h] += 1
@@ -274,6 +281,11 @@
         if good:
             self.h_full[h] = 0
             lim.back_off = 0
+            lim.count += 1
+            if now - lim.count_at >= RATE_SPAN:
+                lim.served, lim.count, lim.count_at = lim.count * SECOND / (now - lim.count_at), 0, now
+            if lim.pace:
+                lim.pace += PACE_STEP
             smooth = lim.smooth
             # Smoothed as TCP smooths round trips, since single answers here have tails longer than any tolerance.
             if smooth is None:
@@ -363,7 +375,7 @@
         if report is not None and at is not None and at < len(report) and report[at] > 0:
             for other in self.dests[self.h_dest[h]]["hosts"]:
                 if self.h_route[other] is self.h_route[h]:
-                    self.h_units[other] = report[at]
+                    self.h_units[other] = self.h_route[h].told = report[at]
 
     # The list
 
@@ -395,7 +407,7 @@
             if h is None:
                 h = self._add(entry)
             if self.set.units_are_rates:
-                self.h_units[h] = entry.units
+                self.h_units[h] = self.h_route[h].told = entry.units
             self._listed(h, entry.condition is it.Condition.UP)
 
     def _add(self, entry):
@@ -492,7 +504,7 @@
             if callback.bound and callback.row.same_zone and callback.row.effect is Effect.TICKETED \
                     and self.h_zone[h] != callback.zone:
                 continue
-            if lim.paused > now or lim.out >= int(lim.limit):
+            if lim.paused > now or lim.out >= int(lim.limit) or not self._paced(lim, h):
                 continue
             if self.h_state[h] is not OPEN:
                 if self.h_next[h] > now:
@@ -528,12 +540,26 @@
                 return h
         return rooms[-1][0]
 
+    def _paced(self, lim, h):
+        """Whether the crawl delay allows a call now; a told rate bounds what was learnt from refusals."""
+        rate = min(lim.pace, lim.told) if lim.pace and lim.told else lim.pace or lim.told
+        if not rate:
+            return True
+        now = self.now
+        lim.credit = min(max(1.0, rate * PACE_DEPTH), lim.credit + rate * (now - lim.credit_at) / SECOND)
+        lim.credit_at = now
+        if lim.credit >= 1.0:
+            return True
+        self._at(now + int((1.0 - lim.credit) / rate * SECOND) + 1, "dest", self.h_dest[h])
+        return False
+
     def _send(self, dest, h, first):
         """One call: the callback and, where the kind takes several, the next ones of the same destination."""
         lim = self.h_route[h]
         if self.now - lim.used > FORGET and lim.out == 0:
             lim.__init__(self.now)
         lim.used = self.now
+        lim.credit -= 1.0
         call = [h, 0, self.now, False, self._time_out(lim, first)]
         callback = first
         while callback is not None and call[1] < self.h_kind[h].per_call:
@@ -570,6 +596,11 @@
         self.actions.append(it.Note(text))
 
 
+PACE_CUT = 0.9                    # the design's cut, applied to the rate seen when a refusal comes
+PACE_STEP = 0.1                   # calls a second a good answer: about a tenth of a small allowance in ten answers
+PACE_DEPTH = 0.3                  # seconds of the pace that may go at once: the least depth a limiter plausibly has
+LEAST_PACE = 0.5                  # calls a second: one call in two seconds still learns that there is room
+RATE_SPAN = 2 * SECOND            # over which the served rate is taken: longer than any span an allowance is counted in
 FULL_ROUNDS = 4                   # refusals in a row, over LONG_WAIT, that read as shut
 LONG_WAIT = 3 * SECOND            # longer than any span in which an allowance plausibly refills
 SAFETY = 0.7                      # of the returning budget is used: other relays' shares are not known
