--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -126,8 +126,10 @@
     def _move(self, callback, state):
         """Every change of a callback's state."""
         before, callback.state = callback.state, state
+        dest = self._dest(callback.dest)
+        dest["waiting"] += (state is QUEUED) - (before is QUEUED)
         if state is QUEUED:
-            lanes = self._dest(callback.dest)["lanes"]
+            lanes = dest["lanes"]
             self.serial += 1
             # A launch that failed gives way by a second, so that one callback does not spend all its launches on
             # trials of a destination that is down.
@@ -151,6 +153,7 @@
         callback.state = TURN
         if callback.due <= self.now:
             return self._give_up(callback)
+        self._make_room()
         self._at(callback.due, "due", callback.id)
         if key is None:
             return self._move(callback, QUEUED)
@@ -158,6 +161,20 @@
         line.append(callback)
         self._next_turn(key)
 
+    def _make_room(self):
+        """Callbacks of a destination that does not take them must not fill the relay, or newcomers for healthy ones
+        are turned away at its door: while it is nearly full, the longest queue gives up its oldest at once."""
+        limit = self.set.max_held
+        if limit is None or len(self.held) < limit - limit // 16:
+            return
+        longest = None
+        for dest in self.dests.values():
+            if longest is None or dest["waiting"] > longest["waiting"]:
+                longest = dest
+        callback = self._head(longest) if longest is not None else None
+        if callback is not None:
+            self._give_up(callback, SECOND)
+
     def _over_share(self, tenant):
         """A bucket a tenant at this relay's even part of the tenant's quota; beyond it the payoff is small."""
         quota, bucket = self.set.tenants[tenant].quota, self.quota[tenant]
@@ -382,7 +399,7 @@
     def _dest(self, number):
         dest = self.dests.get(number)
         if dest is None:
-            dest = self.dests[number] = {"hosts": [], "out": 0, "sick": False, "lim": Limiter(self.now),
+            dest = self.dests[number] = {"hosts": [], "out": 0, "sick": False, "lim": Limiter(self.now), "waiting": 0,
                                          "lanes": [[] for _ in range(2 * len(self.set.categories))]}
         return dest
 
