Count callbacks waiting for their turn in the queue and shed the least worth

Cause: the queue given way from was measured without ordered callbacks behind others of their key, and the head, the most urgent one, was given up in place of the one worth least.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -15,6 +15,7 @@
 # States of a callback. TURN: an earlier one of its key is not over; QUEUED: may be launched; OUT: a launch has no
 # outcome yet; OVER: it has its final answer.
 TURN, QUEUED, OUT, OVER = "turn", "queued", "out", "over"
+WAITING = (TURN, QUEUED)
 # States of a host. OPEN: fed by the window alone; CLOSED: one trial at a time; RAMP: back, fed under the budget.
 OPEN, CLOSED, RAMP = "open", "closed", "ramp"
 
@@ -127,7 +128,7 @@
         """Every change of a callback's state."""
         before, callback.state = callback.state, state
         dest = self._dest(callback.dest)
-        dest["waiting"] += (state is QUEUED) - (before is QUEUED)
+        dest["waiting"] += (state in WAITING) - (before in WAITING)
         if state is QUEUED:
             lanes = dest["lanes"]
             self.serial += 1
@@ -150,7 +151,7 @@
         callback = Callback(new, row, 2 * new.category + over, payoff)
         callback.key = key
         self.held[callback.id] = callback
-        callback.state = TURN
+        self._move(callback, TURN)
         if callback.due <= self.now:
             return self._give_up(callback)
         self._make_room()
@@ -171,9 +172,12 @@
         for dest in self.dests.values():
             if longest is None or dest["waiting"] > longest["waiting"]:
                 longest = dest
-        callback = self._head(longest) if longest is not None else None
-        if callback is not None:
-            self._give_up(callback, SECOND)
+        least = None
+        for callback in self._heads(longest):
+            if least is None or self._worth(callback, self.now) < self._worth(least, self.now):
+                least = callback
+        if least is not None:
+            self._give_up(least, SECOND)
 
     def _over_share(self, tenant):
         """A bucket a tenant at this relay's even part of the tenant's quota; beyond it the payoff is small."""
@@ -481,9 +485,9 @@
                 return
             self._send(dest, h, callback)
 
-    def _head(self, dest):
-        """The callback whose delay by the look-ahead would lose the most payoff, among the lanes' heads."""
-        best, best_loss = None, -1.0
+    def _heads(self, dest):
+        """The oldest of each lane; what may not be launched any more is given up on the way."""
+        heads = []
         for lane in dest["lanes"]:
             while lane:
                 callback = lane[0][2]
@@ -493,11 +497,17 @@
                 if callback.state is QUEUED:
                     self._give_up(callback)
             if lane:
-                callback = lane[0][2]
-                loss = self._worth(callback, self.now) - self._worth(callback, self.now + LOOK_AHEAD)
-                loss += 1e-3 * callback.payoff
-                if loss > best_loss:
-                    best, best_loss = callback, loss
+                heads.append(lane[0][2])
+        return heads
+
+    def _head(self, dest):
+        """The callback whose delay by the look-ahead would lose the most payoff, among the lanes' heads."""
+        best, best_loss = None, -1.0
+        for callback in self._heads(dest):
+            loss = self._worth(callback, self.now) - self._worth(callback, self.now + LOOK_AHEAD)
+            loss += 1e-3 * callback.payoff
+            if loss > best_loss:
+                best, best_loss = callback, loss
         return best
 
     def _worth(self, callback, at):
