--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -300,9 +300,6 @@
             return
         good = result is Result.FULFILLED
         if good:
-            if dest["waiting"]:
-                dest["every"] += (min(now - dest["last"], SECOND) - dest["every"]) // 8
-            dest["last"] = now
             self.h_full[h] = 0
             lim.back_off = 0
             lim.count += 1
@@ -406,7 +403,7 @@
     def _dest(self, number):
         dest = self.dests.get(number)
         if dest is None:
-            dest = self.dests[number] = {"hosts": [], "out": 0, "sick": False, "lim": Limiter(self.now), "waiting": 0, "every": 0, "last": 0,
+            dest = self.dests[number] = {"hosts": [], "out": 0, "sick": False, "lim": Limiter(self.now), "waiting": 0,
                                          "lanes": [[] for _ in range(2 * len(self.set.categories))]}
         return dest
 
@@ -504,11 +501,10 @@
         return heads
 
     def _head(self, dest):
-        """The callback that would lose the most payoff by waiting for the rest of the queue, of the lanes' heads."""
+        """The callback whose delay by the look-ahead would lose the most payoff, among the lanes' heads."""
         best, best_loss = None, -1.0
-        ahead = self.now + min(max(dest["waiting"] * dest["every"], LOOK_AHEAD), MOST_AHEAD)
         for callback in self._heads(dest):
-            loss = self._worth(callback, self.now) - self._worth(callback, ahead)
+            loss = self._worth(callback, self.now) - self._worth(callback, self.now + LOOK_AHEAD)
             loss += 1e-3 * callback.payoff
             if loss > best_loss:
                 best, best_loss = callback, loss
@@ -637,5 +633,4 @@
 SAFETY = 0.7                      # of the returning budget is used: other relays' shares are not known
 LEAST_RATE = 0.5                  # calls a second a host is thought to manage when nothing is known of it
 LOOK_AHEAD = SECOND               # about one round of a short queue
-MOST_AHEAD = 10 * SECOND          # a longer queue is thinned by goal times and shedding before it is served
 LEAST_TIME_OUT = SECOND           # below this a new connection's handshakes would read as silence
