--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -51,7 +51,7 @@
 START_LIMIT = 2.0                 # the design's start, and its minimum of 1 below
 MIN_LIMIT = 1.0
 CUT = 0.9                         # the design's answer to a slow answer
-TOLERANCE = 3.0                   # the design's default; its tighter values misread long tails even when smoothed
+TOLERANCE = 2.0                   # the design's default; its tighter values misread long tails even when smoothed
 BASELINE = 5 * SECOND             # the design's baseline window
 PAUSE = 300_000_000               # open in the design (1 s there): a quarter of its default costs less than idling
 FORGET = 180 * SECOND             # "some minutes" after which an idle destination's state is dropped
@@ -313,7 +313,7 @@
                 lim.smooth, lim.dev = took, took // 2
             else:
                 lim.dev += (abs(took - smooth) - lim.dev) // 4
-                lim.smooth += (took - smooth) // 8
+                lim.smooth += (took - smooth) // 16
             self.typical = lim.smooth if self.typical is None else self.typical + (lim.smooth - self.typical) // 16
             if now - lim.window_at > BASELINE:
                 lim.last_best = lim.now_best if now - lim.window_at <= 2 * BASELINE else None
