--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -313,7 +313,7 @@
                 lim.smooth, lim.dev = took, took // 2
             else:
                 lim.dev += (abs(took - smooth) - lim.dev) // 4
-                lim.smooth += (took - smooth) // 16
+                lim.smooth += (took - smooth) // 8
             self.typical = lim.smooth if self.typical is None else self.typical + (lim.smooth - self.typical) // 16
             if now - lim.window_at > BASELINE:
                 lim.last_best = lim.now_best if now - lim.window_at <= 2 * BASELINE else None
