--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -327,7 +327,7 @@
             lim.limit = min(lim.limit + (1.0 if lim.started else 1.0 / lim.limit), float(self.set.slots))
             lim.sick = dest["sick"] = False
         if result is Result.TIMEOUT:
-            lim.back_off = min(lim.back_off + 1, 3)
+            lim.back_off = min(lim.back_off + 1, 2)
         self._health(h, good, sent)
 
     # Health of a host
@@ -630,7 +630,7 @@
 RATE_SPAN = 2 * SECOND            # over which the served rate is taken: longer than any span an allowance is counted in
 FULL_ROUNDS = 4                   # refusals in a row, over LONG_WAIT, that read as shut
 LONG_WAIT = 3 * SECOND            # longer than any span in which an allowance plausibly refills
-SAFETY = 0.7                      # of the returning budget is used: other relays' shares are not known
+SAFETY = 1.2                      # peaks seen are below what a host can do, so more than one of the budget is safe
 LEAST_RATE = 0.5                  # calls a second a host is thought to manage when nothing is known of it
 LOOK_AHEAD = SECOND               # about one round of a short queue
 LEAST_TIME_OUT = SECOND           # below this a new connection's handshakes would read as silence
