Tighten the module and give zone-bound callbacks lanes of their own

Cause: a callback whose repeat is known in one zone only stood at the head of its lane and blocked all others of its destination while that zone's routes were closed. Also covers drained zones. The rest is the same behaviour in fewer lines; over-share callbacks, key rests and tickets that run out are handled at their moment.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -11,76 +11,56 @@
 from molehill.interface import Effect, Result
 
 SECOND = 1_000_000_000
-
-# States of a callback. TURN: an earlier one of its key is not over; QUEUED: may be launched; OUT: a launch has no
-# outcome yet; OVER: it has its final answer.
+# States of a callback. TURN: an earlier one of its key is not over, or the key rests; QUEUED: may be launched;
+# OUT: a launch has no outcome yet; OVER: it has its final answer.
 TURN, QUEUED, OUT, OVER = "turn", "queued", "out", "over"
 WAITING = (TURN, QUEUED)
 # States of a host. OPEN: fed by the window alone; CLOSED: one trial at a time; RAMP: back, fed under the budget.
 OPEN, CLOSED, RAMP = "open", "closed", "ramp"
-
-RAN = frozenset((Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED))        # may have run
-DOUBT = frozenset((Result.TIMEOUT, Result.RESET, Result.CANCELLED))                    # may run still
+MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+MAY_RUN_STILL = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
 
 class Callback:
-    __slots__ = ("id", "row", "lane", "key", "due", "goal", "dest", "state", "payoff", "launches", "bound",
-                 "zone", "ticket", "call", "sent")
-
-    def __init__(self, new, row, lane, payoff):
-        self.id, self.row, self.lane, self.key = new.callback, row, lane, new.key
+    def __init__(self, new, row, payoff, lane):
+        self.id, self.row, self.payoff, self.lane, self.key = new.callback, row, payoff, lane, None
         self.due, self.goal = new.abandon_at, new.abandon_at - row.abandon + row.goal
-        self.dest, self.state, self.payoff = new.destination, None, payoff
-        self.launches, self.bound, self.zone = 0, False, None   # bound: a launch may have run
-        self.ticket, self.call, self.sent = 0, None, 0          # ticket: until when a repeat is known
+        self.dest, self.state, self.launches = new.destination, None, 0
+        self.call, self.sent = None, 0        # the call it is out in, and since when
+        self.bound, self.ticket = None, 0     # zone of the first launch that may have run; until when it is known
 
 
 class Limiter:
-    """The design's limiter, one a route: a fractional limit, calls out, a recent best and a pause."""
-    __slots__ = ("limit", "out", "smooth", "dev", "now_best", "last_best", "window_at", "paused", "started", "sick",
-                 "back_off", "used", "told", "pace", "credit", "credit_at", "count", "count_at", "served")
+    """The design's limiter, one a route: fractional limit, calls out, recent best, pause; and the crawl delay."""
+    START, LEAST = 2.0, 1.0                   # the design's figures
 
     def __init__(self, now):
-        self.limit, self.out, self.started, self.sick = START_LIMIT, 0, True, False
-        self.smooth, self.dev, self.now_best, self.last_best, self.window_at = None, 0, None, None, now
-        self.paused, self.back_off, self.used = 0, 0, now
-        self.told, self.pace, self.credit, self.credit_at = 0.0, 0.0, 0.0, now   # calls a second; 0: not known
+        self.limit, self.out, self.fresh, self.paused, self.used = self.START, 0, True, 0, now
+        self.smooth, self.dev, self.back_off = None, 0, 0
+        self.now_best, self.last_best, self.window_at = None, None, now
+        self.pace, self.told, self.credit, self.credit_at = 0.0, 0.0, 0.0, now     # calls a second; 0: not known
         self.count, self.count_at, self.served = 0, now, 0.0
 
 
-START_LIMIT = 2.0                 # the design's start, and its minimum of 1 below
-MIN_LIMIT = 1.0
-CUT = 0.9                         # the design's answer to a slow answer
-TOLERANCE = 2.0                   # the design's default; its tighter values misread long tails even when smoothed
-BASELINE = 5 * SECOND             # the design's baseline window
-PAUSE = 300_000_000               # open in the design (1 s there): a quarter of its default costs less than idling
-FORGET = 180 * SECOND             # "some minutes" after which an idle destination's state is dropped
+class Destination:
+    def __init__(self, now):
+        self.hosts, self.out, self.sick, self.limiter, self.waiting, self.lanes = [], 0, False, Limiter(now), 0, {}
 
 
 class Relay:
     def __init__(self, settings, seed):
-        self.set = settings
-        self.random = Random(seed).random
-        self.now = 0
-        self.actions = []
-        self.held = {}            # callbacks that are not over, and those over with a launch out
-        self.hosts = {}           # host id -> dense index into the arrays below
-        self.h_id, self.h_zone, self.h_kind, self.h_dest, self.h_up, self.h_units = [], [], [], [], [], []
-        self.h_route, self.h_out, self.h_state, self.h_bad, self.h_full, self.h_told = [], [], [], [], [], []
-        self.h_next, self.h_back, self.h_done, self.h_count, self.h_since, self.h_probe = [], [], [], [], [], []
-        self.dests = {}           # destination -> its hosts, calls out, sickness, lanes of waiting callbacks
-        self.keys = {}            # key -> callbacks in the order taken
-        self.rests = {}           # key -> until when it rests
-        self.timers, self.wake_at, self.serial = [], None, 0
-        self.out = 0
-        self.dirty = {}
-        self.starved = {}         # destinations that only lack a slot
-        self.ask_tries = 0
-        self.quota = [[0.0, 0] for _ in settings.tenants]
-        self.last = ""
-        self.typical = None       # smoothed latency over all routes, for routes not yet known
-
-    # Entry
+        self.set, self.random, self.now, self.actions = settings, Random(seed).random, 0, []
+        self.held = {}                        # callbacks that are not over, and those over with a launch out
+        self.dests, self.keys, self.rests, self.out = {}, {}, {}, 0
+        self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
+        self.timers, self.wake_at, self.serial, self.ask_tries = [], None, 0, 0
+        self.quota = [[0.0, None] for _ in settings.tenants]
+        self.typical = None                   # smoothed latency over all routes, for routes not yet known
+        self.hosts = {}                       # host id -> index into the arrays below
+        self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route = [], [], [], [], [], []
+        self.h_out, self.h_state, self.h_bad, self.h_full, self.h_full_at = [], [], [], [], []
+        self.h_next, self.h_since, self.h_probed = [], [], []     # next call at; in its state since; a probe was good
+        self.h_peak, self.h_count, self.h_count_at = [], [], []   # calls served a second at best, and the count for it
 
     def step(self, now, events):
         self.now, self.actions = now, []
@@ -108,76 +88,54 @@
         heappush(self.timers, (when, self.serial, what, ref))
 
     def _ring(self):
-        timers = self.timers
-        while timers and timers[0][0] <= self.now:
-            _, _, what, ref = heappop(timers)
-            if what == "due":
+        while self.timers and self.timers[0][0] <= self.now:
+            _, _, what, ref = heappop(self.timers)
+            if what == "callback":
                 callback = self.held.get(ref)
-                if callback is not None and callback.state in (TURN, QUEUED):
+                if callback is not None and callback.state in WAITING and not self._may_launch(callback):
                     self._give_up(callback)
             elif what == "dest":
                 self.dirty[ref] = True
             elif what == "key":
                 self._next_turn(ref)
-            elif what == "ask":
+            else:
                 self.actions.append(it.FollowList())
 
-    # The callback's state machine
+    # A callback's way
 
     def _move(self, callback, state):
         """Every change of a callback's state."""
         before, callback.state = callback.state, state
         dest = self._dest(callback.dest)
-        dest["waiting"] += (state in WAITING) - (before in WAITING)
+        dest.waiting += (state in WAITING) - (before in WAITING)
         if state is QUEUED:
-            lanes = dest["lanes"]
             self.serial += 1
             # A launch that failed gives way by a second, so that one callback does not spend all its launches on
             # trials of a destination that is down.
-            heappush(lanes[callback.lane], (callback.goal + callback.launches * SECOND, self.serial, callback))
+            heappush(dest.lanes.setdefault((callback.lane, callback.bound), []),
+                     (callback.goal + callback.launches * SECOND, self.serial, callback))
             self.dirty[callback.dest] = True
-        if state is OVER and before is not OVER:
+        elif state is OVER and before is not OVER:
             if callback.call is None:
                 del self.held[callback.id]
-            if callback.key is not None:
-                self._next_turn(callback.key)
+            self._next_turn(callback.key)
 
     def _taken(self, new):
-        row = self.set.categories[new.category]
-        payoff, over = row.payoff, 0
-        if self.set.tenants and new.tenant < len(self.set.tenants) and self._over_share(new.tenant):
-            payoff, over = payoff * self.set.over_share_payoff, 1
-        key = new.key if row.ordered else None
-        callback = Callback(new, row, 2 * new.category + over, payoff)
-        callback.key = key
+        row, payoff, over = self.set.categories[new.category], 1.0, False
+        if new.tenant < len(self.quota) and self._over_share(new.tenant):
+            payoff, over = self.set.over_share_payoff, True
+        callback = Callback(new, row, payoff * row.payoff, (new.category, over))
         self.held[callback.id] = callback
         self._move(callback, TURN)
         if callback.due <= self.now:
             return self._give_up(callback)
         self._make_room()
-        self._at(callback.due, "due", callback.id)
-        if key is None:
+        self._at(callback.due, "callback", callback.id)
+        if new.key is None or not row.ordered:
             return self._move(callback, QUEUED)
-        line = self.keys.setdefault(key, [])
-        line.append(callback)
-        self._next_turn(key)
-
-    def _make_room(self):
-        """Callbacks of a destination that does not take them must not fill the relay, or newcomers for healthy ones
-        are turned away at its door: while it is nearly full, the longest queue gives up its oldest at once."""
-        limit = self.set.max_held
-        if limit is None or len(self.held) < limit - limit // 16:
-            return
-        longest = None
-        for dest in self.dests.values():
-            if longest is None or dest["waiting"] > longest["waiting"]:
-                longest = dest
-        least = None
-        for callback in self._heads(longest):
-            if least is None or self._worth(callback, self.now) < self._worth(least, self.now):
-                least = callback
-        if least is not None:
-            self._give_up(least, SECOND)
+        callback.key = new.key
+        self.keys.setdefault(new.key, []).append(callback)
+        self._next_turn(new.key)
 
     def _over_share(self, tenant):
         """A bucket a tenant at this relay's even part of the tenant's quota; beyond it the payoff is small."""
@@ -185,48 +143,52 @@
         if not quota:
             return False
         rate = quota / self.set.relays
-        # Depth of two seconds: a clump inside the share should not read as beyond it.
-        bucket[0] = min(2.0 * rate, bucket[0] + rate * (self.now - bucket[1]) / SECOND) if bucket[1] else 2.0 * rate
+        depth = 2.0 * rate                    # two seconds: a clump inside the share should not read as beyond it
+        bucket[0] = depth if bucket[1] is None else min(depth, bucket[0] + rate * (self.now - bucket[1]) / SECOND)
         bucket[1] = self.now
-        if bucket[0] < 1.0:
-            return True
-        bucket[0] -= 1.0
-        return False
+        bucket[0] -= bucket[0] >= 1.0 and 1.0
+        return bucket[0] < 1.0
+
+    def _make_room(self):
+        """Callbacks for a destination that does not take them must not fill the relay, or newcomers for healthy ones
+        are turned away at its door: while it is nearly full, the longest queue gives up its least worth at once."""
+        limit = self.set.max_held
+        if limit is None or len(self.held) < limit - limit // 16:    # a sixteenth: what may come in one batch
+            return
+        longest = max(self.dests.values(), key=lambda dest: dest.waiting)
+        heads = self._heads(longest)
+        if heads:
+            self._give_up(min(heads, key=lambda callback: self._worth(callback, self.now)))
 
     def _next_turn(self, key):
         """Order: the oldest of a key goes once all before it are over, have no launch out, and the key has rested."""
         line = self.keys.get(key)
+        if line is None:
+            return
         while line and line[0].state is OVER and line[0].call is None:
             line.pop(0)
-        if not line:
-            self.keys.pop(key, None)
-            if self.rests.get(key, 0) <= self.now:
-                self.rests.pop(key, None)
-            return
-        first = line[0]
-        if first.state is TURN:
-            rest = self.rests.get(key, 0)
-            if rest > self.now:
-                self._at(rest, "key", key)
-            else:
-                self._move(first, QUEUED)
+        rested = self.rests.get(key, 0) <= self.now
+        if line and rested and line[0].state is TURN:
+            self._move(line[0], QUEUED)
+        elif not line and rested:
+            del self.keys[key]
+            self.rests.pop(key, None)
 
     def _may_launch(self, callback):
         """Rule 2: whether the category allows another launch at all, now."""
         if callback.launches >= self.set.max_launches or callback.due <= self.now:
             return False
-        if not callback.bound or callback.row.effect is Effect.RERUNNABLE:
-            return True
-        return callback.row.effect is Effect.TICKETED and self.now < callback.ticket
+        effect = callback.row.effect
+        return callback.bound is None or effect is Effect.RERUNNABLE or \
+            effect is Effect.TICKETED and self.now < callback.ticket
 
-    def _give_up(self, callback, come_back=0):
+    def _give_up(self, callback):
         """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
-        row = callback.row
-        harmless = (not callback.bound or row.effect is Effect.RERUNNABLE
-                    or row.effect is Effect.TICKETED and row.all_hosts)
-        if harmless and self.now < callback.due:
-            span = min(come_back, self.set.max_return) if self.set.tells_return else 0
-            self.actions.append(it.Deny(callback.id, span))
+        effect = callback.row.effect
+        if self.now < callback.due and (callback.bound is None or effect is Effect.RERUNNABLE
+                                        or effect is Effect.TICKETED and callback.row.all_hosts):
+            back = min(COME_BACK, self.set.max_return) if self.set.tells_return else 0
+            self.actions.append(it.Deny(callback.id, back))
         else:
             self.actions.append(it.Scrap(callback.id))
         self._move(callback, OVER)
@@ -237,146 +199,138 @@
         callback = self.held.get(event.callback)
         if callback is None or callback.call is None:
             return
-        call, result = callback.call, event.result
-        callback.call = None
-        host, h = event.host, call[0]
-        call[1] -= 1
+        call, result, callback.call = callback.call, event.result, None
+        h = call[0]
         dest = self.dests[self.h_dest[h]]
+        call[1] -= 1
         if call[1] == 0:
             self.out -= 1
-            dest["out"] -= 1
+            dest.out -= 1
             self.h_out[h] -= 1
             self.h_route[h].out -= 1
             self.dirty[self.h_dest[h]] = True
-        if not call[3] or result is Result.FULL and event.wait:
-            call[3] = True
-            self._judge(h, dest, call[2], call[4], result, event.took, event.wait)
-        self._report(h, event.report)
-        if result in RAN:
-            if not callback.bound:
-                callback.bound, callback.zone = True, self.h_zone[h]
-                callback.ticket = callback.sent + callback.row.window
-            if result in DOUBT and callback.key is not None:
+        if not call[3] or event.wait:
+            call[3] = True                    # a call of several callbacks is judged once
+            self._judge(h, dest, call, event)
+        self._told_rate(h, event.report)
+        if result in MAY_HAVE_RUN:
+            if callback.bound is None:
+                callback.bound, callback.ticket = self.h_zone[h], callback.sent + callback.row.window
+                if callback.row.effect is Effect.TICKETED:
+                    self._at(callback.ticket, "callback", callback.id)
+            if result in MAY_RUN_STILL and callback.key is not None:
                 self.rests[callback.key] = self.now + self.set.settle
+                self._at(self.rests[callback.key], "key", callback.key)
         if callback.state is OVER or event.closed:
             self._move(callback, OVER)
-            self.held.pop(event.callback, None)
-            if callback.key is not None:
-                self._next_turn(callback.key)
+            self.held.pop(callback.id, None)
+            self._next_turn(callback.key)
         elif not self._may_launch(callback):
             self._give_up(callback)
-        elif callback.key is not None and self.rests.get(callback.key, 0) > self.now:
+        elif callback.key is None:
+            self._move(callback, QUEUED)
+        else:
             self._move(callback, TURN)
             self._next_turn(callback.key)
-        else:
-            self._move(callback, QUEUED)
 
-    def _judge(self, h, dest, sent, call_span, result, took, wait):
-        """The limiter's and the host's answer to one call. A call of several callbacks is judged once."""
-        lim, now = self.h_route[h], self.now
-        lim.used, self.last = now, result.value
-        if result is Result.NOT_SENT or result is Result.CANCELLED:
-            return
-        if result is Result.TIMEOUT and took < call_span:
-            return                            # cut short by its abandon time: says nothing of the host
+    def _judge(self, h, dest, call, event):
+        lim, now, result = self.h_route[h], self.now, event.result
+        lim.used = now
+        if result in (Result.NOT_SENT, Result.CANCELLED) or result is Result.TIMEOUT and event.took < call[4]:
+            return                            # not the host's doing; a time-out cut by an abandon time says nothing
         if result is Result.FULL:
-            lim.limit, lim.started, lim.sick = max(MIN_LIMIT, lim.limit / 2), False, True
-            dest["sick"] = True
-            lim.paused = max(lim.paused, now + (wait or PAUSE))
-            self._at(lim.paused, "dest", self.h_dest[h])
-            # Refused while answers came at their usual pace: an allowance, not a queue, and latency will not show it.
-            # The rate served lately becomes a crawl delay beside the window, and creeps up with each good answer.
-            seen = max(lim.served, lim.count * SECOND / max(SECOND, now - lim.count_at))
-            lim.pace = max(LEAST_PACE, PACE_CUT * (min(seen, lim.pace) if lim.pace else seen))
-            lim.credit = min(lim.credit, 0.0)
-            if self.h_full[h] == 0:
-                self.h_told[h] = now
-            self.h_full[h] += 1
-            # Shut, not merely full: nothing but refusals for a while, or told to stay away for longer than any
-            # allowance takes to refill. One that other relays keep full lets some call through in that time.
-            if self.h_full[h] >= FULL_ROUNDS and now - self.h_told[h] > LONG_WAIT or wait > LONG_WAIT \
-                    or self.h_state[h] is CLOSED:
-                self._close(h)
-            return
+            return self._refused(h, dest, lim, event.wait)
         good = result is Result.FULFILLED
+        slow = not good
         if good:
-            self.h_full[h] = 0
-            lim.back_off = 0
+            slow = self._latency(lim, event.took) > TOLERANCE
+            lim.back_off = self.h_full[h] = 0
             lim.count += 1
             if now - lim.count_at >= RATE_SPAN:
                 lim.served, lim.count, lim.count_at = lim.count * SECOND / (now - lim.count_at), 0, now
             if lim.pace:
                 lim.pace += PACE_STEP
-            smooth = lim.smooth
-            # Smoothed as TCP smooths round trips, since single answers here have tails longer than any tolerance.
-            if smooth is None:
-                lim.smooth, lim.dev = took, took // 2
-            else:
-                lim.dev += (abs(took - smooth) - lim.dev) // 4
-                lim.smooth += (took - smooth) // 8
-            self.typical = lim.smooth if self.typical is None else self.typical + (lim.smooth - self.typical) // 16
-            if now - lim.window_at > BASELINE:
-                lim.last_best = lim.now_best if now - lim.window_at <= 2 * BASELINE else None
-                lim.now_best, lim.window_at = None, now
-            lim.now_best = lim.smooth if lim.now_best is None else min(lim.now_best, lim.smooth)
-            best = lim.now_best if lim.last_best is None else min(lim.now_best, lim.last_best)
-        if not good or lim.smooth > TOLERANCE * best:
-            lim.limit, lim.started, lim.sick = max(MIN_LIMIT, lim.limit * CUT), False, True
-            dest["sick"] = True
+        if slow:
+            lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit * CUT), False, True
         else:
-            lim.limit = min(lim.limit + (1.0 if lim.started else 1.0 / lim.limit), float(self.set.slots))
-            lim.sick = dest["sick"] = False
+            lim.limit, dest.sick = min(lim.limit + (1.0 if lim.fresh else 1.0 / lim.limit), self.set.slots), False
         if result is Result.TIMEOUT:
-            lim.back_off = min(lim.back_off + 1, 2)
-        self._health(h, good, sent)
+            lim.back_off = min(lim.back_off + 1, MOST_BACK_OFF)
+        self._health(h, good, call[2], result)
+
+    def _latency(self, lim, took):
+        """How many times the recent best the latency is. Smoothed as TCP smooths round trips, best and present alike:
+        single answers here have tails far beyond any tolerance, and categories differ."""
+        lim.dev += (abs(took - lim.smooth) - lim.dev) // 4 if lim.smooth else took // 2
+        lim.smooth = lim.smooth + (took - lim.smooth) // 8 if lim.smooth else took
+        self.typical = self.typical + (lim.smooth - self.typical) // 16 if self.typical else lim.smooth
+        if self.now - lim.window_at > BASELINE:
+            lim.last_best = lim.now_best if self.now - lim.window_at <= 2 * BASELINE else None
+            lim.now_best, lim.window_at = None, self.now
+        lim.now_best = min(lim.smooth, lim.now_best or lim.smooth)
+        return lim.smooth / max(1, min(lim.now_best, lim.last_best or lim.now_best))
+
+    def _refused(self, h, dest, lim, wait):
+        now = self.now
+        lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit / 2), False, True
+        lim.paused = max(lim.paused, now + (wait or PAUSE))
+        self._at(lim.paused, "dest", self.h_dest[h])
+        # Refused while latency is flat: an allowance, not a queue, and the window would run into it again and again.
+        # The rate served lately becomes the guide's crawl delay beside the window; good answers lift it.
+        seen = max(lim.served, lim.count * SECOND / max(SECOND, now - lim.count_at))
+        lim.pace = max(LEAST_PACE, CUT * (min(seen, lim.pace) if lim.pace else seen))
+        lim.credit = min(lim.credit, 0.0)
+        # Shut, not merely full: nothing but refusals for a while, or told to stay away for longer than an allowance
+        # takes to refill. A destination that other relays keep full lets some call through in that time.
+        self.h_full_at[h] = self.h_full_at[h] if self.h_full[h] else now
+        self.h_full[h] += 1
+        if self.h_full[h] >= FULL_ROUNDS and now - self.h_full_at[h] > LONG_WAIT or wait > LONG_WAIT \
+                or self.h_state[h] is CLOSED:
+            self._close(h, Result.FULL)
+
+    def _told_rate(self, h, report):
+        at = self.set.report_limit
+        if report is not None and at is not None and at < len(report) and report[at] > 0:
+            self.h_route[h].told = report[at]
 
     # Health of a host
 
-    def _health(self, h, good, sent):
+    def _health(self, h, good, sent, result):
         now = self.now
         if good:
-            self._served(h)
-        # Share of failures, smoothed: three in a row close a host, single errors among answers do not.
-        self.h_bad[h] += ((0.0 if good else 1.0) - self.h_bad[h]) * 0.25
+            if now - self.h_count_at[h] > RATE_SPAN:
+                rate = self.h_count[h] * SECOND / (now - self.h_count_at[h])
+                self.h_peak[h] = max(rate, self.h_peak[h] * 0.95)     # forgotten by half in about half a minute
+                self.h_count[h], self.h_count_at[h] = 0, now
+            self.h_count[h] += 1
+        self.h_bad[h] += ((0.0 if good else 1.0) - self.h_bad[h]) * BAD_GAIN
         if good and self.h_state[h] is CLOSED and sent >= self.h_since[h]:
-            self.h_state[h], self.h_back[h], self.h_bad[h], self.h_full[h] = RAMP, now, 0.0, 0
-            self._note(f"host {self.h_id[h]} answers again, fed slowly")
-        elif not good and (self.h_bad[h] > 0.5 or self.h_state[h] is CLOSED):
-            self._close(h)
-        elif self.h_state[h] is RAMP and self.h_bad[h] > 0.4:
-            self.h_back[h] = now              # many of its calls still fail: as cold as at its return
-
-    def _close(self, h):
+            self.h_state[h], self.h_since[h], self.h_bad[h], self.h_full[h] = RAMP, now, 0.0, 0
+            self.actions.append(it.Note(f"host {self.h_id[h]} answers again, fed slowly"))
+        elif not good and (self.h_bad[h] > MOSTLY_BAD or self.h_state[h] is CLOSED):
+            self._close(h, result)
+        elif self.h_state[h] is RAMP and self.h_bad[h] > OFTEN_BAD:
+            self.h_since[h] = now             # many of its calls still fail: as cold as at its return
+
+    def _close(self, h, result):
         if self.h_state[h] is OPEN:
-            self._note(f"host {self.h_id[h]} closed after {self.last}")
+            self.actions.append(it.Note(f"host {self.h_id[h]} closed: {result.value}"))
         if self.h_state[h] is not CLOSED:
-            self.h_since[h] = self.now
-        self.h_state[h] = CLOSED
+            self.h_state[h], self.h_since[h] = CLOSED, self.now
         self.h_next[h] = max(self.h_next[h], self.now + self._gap(h))
         self._at(self.h_next[h], "dest", self.h_dest[h])
 
-    def _served(self, h):
-        """Calls served a second, the largest of the last spans, as what the host can do for this relay."""
-        if self.now - self.h_count[h][0] > 2 * SECOND:
-            rate = self.h_count[h][1] * SECOND / (self.now - self.h_count[h][0])
-            self.h_done[h] = max(rate, self.h_done[h] * 0.95)
-            self.h_count[h] = [self.now, 0]
-        self.h_count[h][1] += 1
-
     def _gap(self, h):
-        """Between two calls to a host that was away: the budget of the returning rule, as if all relays fed it."""
-        s = self.set
+        """Rule 4. Between two calls to a host that was away: the returning budget, as if all relays fed it alike."""
+        s, lim, dest = self.set, self.h_route[h], self.dests[self.h_dest[h]]
         if not s.fall_multiple or not s.cold_from:
             return SECOND
         warm = 0.0
         if self.h_state[h] is RAMP and s.ramp_time:
-            warm = min(1.0, (self.now - self.h_back[h]) / s.ramp_time)
-        can = self.h_done[h]
-        if self.h_units[h] > 0:
-            share = 1 if self.h_route[h] is not self.dests[self.h_dest[h]]["lim"] else \
-                max(1, len(self.dests[self.h_dest[h]]["hosts"]))
-            can = max(can, self.h_units[h] / s.relays / share)
-        rate = SAFETY * s.fall_multiple * (s.cold_from + (1.0 - s.cold_from) * warm) * max(can, LEAST_RATE)
+            warm = min(1.0, (self.now - self.h_since[h]) / s.ramp_time)
+        sharing = s.relays * (max(1, len(dest.hosts)) if lim is dest.limiter else 1)
+        can = max(self.h_peak[h], lim.told / sharing, LEAST_RATE)
+        rate = BUDGET * s.fall_multiple * (s.cold_from + (1.0 - s.cold_from) * warm) * can
         return min(int(SECOND / rate), 2 * SECOND)
 
     def _probed(self, event):
@@ -385,69 +339,56 @@
             return
         self.h_out[h] -= 1
         self.dirty[self.h_dest[h]] = True
-        if event.result is Result.FULFILLED:
-            self.h_probe[h], self.h_next[h] = True, self.now
+        self.h_probed[h] = event.result is Result.FULFILLED
+        if self.h_probed[h]:
+            self.h_next[h] = self.now
         else:
-            self.h_probe[h] = False
-            self._close(h)
-
-    def _report(self, h, report):
-        at = self.set.report_limit
-        if report is not None and at is not None and at < len(report) and report[at] > 0:
-            for other in self.dests[self.h_dest[h]]["hosts"]:
-                if self.h_route[other] is self.h_route[h]:
-                    self.h_units[other] = self.h_route[h].told = report[at]
+            self._close(h, event.result)
 
     # The list
 
     def _dest(self, number):
-        dest = self.dests.get(number)
-        if dest is None:
-            dest = self.dests[number] = {"hosts": [], "out": 0, "sick": False, "lim": Limiter(self.now), "waiting": 0,
-                                         "lanes": [[] for _ in range(2 * len(self.set.categories))]}
-        return dest
+        if number not in self.dests:
+            self.dests[number] = Destination(self.now)
+        return self.dests[number]
 
     def _news(self, news):
         if news.scope is it.Scope.FAILED:
             # Asked again after a growing, jittered pause: the list may be overloaded by everybody asking.
             self.ask_tries = min(self.ask_tries + 1, 5)
-            self._at(self.now + int(SECOND * 0.25 * 2 ** self.ask_tries * (0.5 + self.random())), "ask", 0)
-            return
-        if news.scope is it.Scope.RESTORED:
-            if self.set.list_on_request:
-                self.actions.append(it.FollowList())
-        else:
+            return self._at(self.now + int(SECOND * 0.25 * 2 ** self.ask_tries * (0.5 + self.random())), "ask", 0)
+        if news.scope is not it.Scope.RESTORED:
             self.ask_tries = 0
+        elif self.set.list_on_request:
+            self.actions.append(it.FollowList())
         if news.scope is not it.Scope.UPDATE:
             named = {entry.host: True for entry in news.entries}
-            for host in self.hosts:
+            for host, h in self.hosts.items():
                 if host not in named:
-                    self._listed(self.hosts[host], False)
+                    self._listed(h, False)
         for entry in news.entries:
-            h = self.hosts.get(entry.host)
-            if h is None:
-                h = self._add(entry)
+            h = self._add(entry) if entry.host not in self.hosts else self.hosts[entry.host]
             if self.set.units_are_rates:
-                self.h_units[h] = self.h_route[h].told = entry.units
+                self.h_route[h].told = entry.units
             self._listed(h, entry.condition is it.Condition.UP)
 
     def _add(self, entry):
         h = self.hosts[entry.host] = len(self.h_id)
         kind = self.set.kinds[entry.kind] if entry.kind < len(self.set.kinds) else it.Kind(False, 1)
-        dest = self._dest(entry.destination)
-        for array, value in ((self.h_id, entry.host), (self.h_zone, entry.zone), (self.h_kind, kind),
-                             (self.h_dest, entry.destination), (self.h_up, False), (self.h_units, 0.0),
-                             (self.h_route, Limiter(self.now) if kind.apart else dest["lim"]), (self.h_out, 0),
-                             (self.h_state, OPEN), (self.h_bad, 0.0), (self.h_full, 0), (self.h_told, 0),
-                             (self.h_next, 0), (self.h_back, 0), (self.h_done, 0.0), (self.h_count, [self.now, 0]),
-                             (self.h_since, 0), (self.h_probe, False)):
+        route = Limiter(self.now) if kind.apart else self._dest(entry.destination).limiter
+        for array, value in ((self.h_id, entry.host), (self.h_zone, entry.zone), (self.h_size, kind.per_call),
+                             (self.h_dest, entry.destination), (self.h_up, False), (self.h_route, route),
+                             (self.h_out, 0), (self.h_state, OPEN), (self.h_bad, 0.0), (self.h_full, 0),
+                             (self.h_full_at, 0), (self.h_next, 0), (self.h_since, 0), (self.h_probed, False),
+                             (self.h_peak, 0.0), (self.h_count, 0), (self.h_count_at, self.now)):
             array.append(value)
         return h
 
     def _listed(self, h, up):
+        """Rule 3: a host that drains or is gone gets nothing new from this moment."""
         if self.h_up[h] != up:
             self.h_up[h] = up
-            hosts = self.dests[self.h_dest[h]]["hosts"]
+            hosts = self._dest(self.h_dest[h]).hosts
             if up:
                 hosts.append(h)
             else:
@@ -460,154 +401,125 @@
         dirty, self.dirty = self.dirty, {}
         for number in dirty:
             self.starved.pop(number, None)
-        for number in sorted(self.starved, key=self.starved.get) if self.out < self.set.slots else []:
-            del self.starved[number]
-            self._launch_dest(number)
-        for number in dirty:
-            self._launch_dest(number)
-        self.dirty = {}
+        for number in list(self.starved) + list(dirty):    # those that lacked a slot first, longest waiting first
+            if self.out >= self.set.slots:
+                self.starved[number] = True
+            else:
+                self.starved.pop(number, None)
+                self._launch_dest(number)
 
     def _launch_dest(self, number):
         dest = self._dest(number)
-        while True:
-            callback = self._head(dest)
-            if callback is None or not dest["hosts"]:
-                return
-            if self.out >= self.set.slots:
-                self.starved[number] = self.now
-                return
-            # The slot share: three quarters of the slots while healthy, half while sick, one at least.
-            share = max(1, self.set.slots * (2 if dest["sick"] else 3) // 4)
-            if dest["out"] >= share:
+        # The slot share: three quarters of the slots while healthy, half while sick, one at least.
+        while dest.hosts and dest.out < max(1, self.set.slots * (2 if dest.sick else 3) // 4):
+            for callback in self._heads(dest):
+                h = self._pick(dest, callback)
+                if h is not None or callback.bound is None:
+                    break                     # only those bound to a zone may be without a route that others have
+            else:
                 return
-            h = self._pick(dest, callback)
             if h is None:
                 return
+            if self.out >= self.set.slots:
+                self.starved[number] = True
+                return
             self._send(dest, h, callback)
 
     def _heads(self, dest):
-        """The oldest of each lane; what may not be launched any more is given up on the way."""
+        """The oldest of each lane, first the one whose delay by the look-ahead loses the most payoff."""
         heads = []
-        for lane in dest["lanes"]:
-            while lane:
-                callback = lane[0][2]
-                if callback.state is QUEUED and self._may_launch(callback):
-                    break
-                heappop(lane)
+        for lane in dest.lanes.values():
+            while lane and (lane[0][2].state is not QUEUED or not self._may_launch(lane[0][2])):
+                callback = heappop(lane)[2]
                 if callback.state is QUEUED:
                     self._give_up(callback)
             if lane:
-                heads.append(lane[0][2])
-        return heads
-
-    def _head(self, dest):
-        """The callback whose delay by the look-ahead would lose the most payoff, among the lanes' heads."""
-        best, best_loss = None, -1.0
-        for callback in self._heads(dest):
-            loss = self._worth(callback, self.now) - self._worth(callback, self.now + LOOK_AHEAD)
-            loss += 1e-3 * callback.payoff
-            if loss > best_loss:
-                best, best_loss = callback, loss
-        return best
+                callback = lane[0][2]
+                loss = self._worth(callback, self.now) - self._worth(callback, self.now + LOOK_AHEAD)
+                heads.append((-loss - 1e-3 * callback.payoff, lane[0][1], callback))
+        return [callback for _, _, callback in sorted(heads)]
 
     def _worth(self, callback, at):
-        row = callback.row
-        late = at - callback.goal
-        if late <= 0:
-            return callback.payoff
-        if at >= callback.due:
-            return 0.0
+        row, late = callback.row, at - callback.goal
+        if late <= 0 or at >= callback.due:
+            return callback.payoff if late <= 0 else 0.0
         if self.set.halving:
             return callback.payoff * max(row.late_share, 0.5 ** (late / row.goal) if row.goal else 0.0)
-        span = row.abandon - row.goal
-        return callback.payoff * (1.0 - (1.0 - row.late_share) * late / span if span > 0 else row.late_share)
+        return callback.payoff * (1.0 - (1.0 - row.late_share) * late / max(1, row.abandon - row.goal))
 
     def _pick(self, dest, callback):
         """One host at random, odds in step with its room; a dearer zone only when no cheaper one has room."""
-        now, fees = self.now, self.set.zone_fees
-        rooms, total, fee = [], 0.0, None
-        for h in dest["hosts"]:
+        now, fees, rooms, total, least = self.now, self.set.zone_fees, [], 0.0, None
+        tied = callback.bound is not None and callback.row.effect is Effect.TICKETED and not callback.row.all_hosts
+        for h in dest.hosts:
             lim = self.h_route[h]
-            if callback.bound and callback.row.same_zone and callback.row.effect is Effect.TICKETED \
-                    and self.h_zone[h] != callback.zone:
-                continue
-            if lim.paused > now or lim.out >= int(lim.limit) or not self._paced(lim, h):
+            if tied and self.h_zone[h] != callback.bound or lim.paused > now or lim.out >= int(lim.limit) \
+                    or not self._paced(lim, h) or self.h_state[h] is not OPEN and not self._may_try(h):
                 continue
-            if self.h_state[h] is not OPEN:
-                if self.h_next[h] > now:
-                    self._at(self.h_next[h], "dest", self.h_dest[h])
-                    continue
-                if self.h_state[h] is CLOSED:
-                    if self.h_out[h] > 0:
-                        continue
-                    if self.set.may_probe and not self.h_probe[h]:
-                        # Silence costs a probe, not a slot and a callback's launch.
-                        self.h_out[h] += 1
-                        self.h_next[h] = now + self._gap(h)
-                        self.actions.append(it.Probe(self.h_id[h]))
-                        continue
-                elif now - self.h_back[h] >= (self.set.ramp_time or 0):
-                    self.h_state[h] = OPEN
-            cost = 0.0
-            if lim is not dest["lim"] and self.h_zone[h] < len(fees):
-                cost = fees[self.h_zone[h]]
-            if fee is None or cost < fee:
-                rooms, total, fee = [], 0.0, cost
-            elif cost > fee:
-                continue
-            share = lim.limit if lim is not dest["lim"] else lim.limit / len(dest["hosts"])
-            room = max(share - self.h_out[h], 0.25) * (1.0 - self.h_bad[h])
-            total += room
-            rooms.append((h, total))
-        if not rooms:
-            return None
-        drawn = self.random() * total
-        for h, upto in rooms:
-            if drawn < upto:
-                return h
-        return rooms[-1][0]
+            apart = lim is not dest.limiter
+            fee = fees[self.h_zone[h]] if apart and self.h_zone[h] < len(fees) else 0.0
+            if least is None or fee < least:
+                rooms, total, least = [], 0.0, fee
+            if fee == least:
+                share = lim.limit if apart else lim.limit / len(dest.hosts)
+                total += max(share - self.h_out[h], 0.25) * (1.0 - self.h_bad[h])
+                rooms.append((total, h))
+        drawn = self.random() * total if rooms else 0.0
+        return next((h for upto, h in rooms if drawn < upto), None)
 
     def _paced(self, lim, h):
         """Whether the crawl delay allows a call now; a told rate bounds what was learnt from refusals."""
         rate = min(lim.pace, lim.told) if lim.pace and lim.told else lim.pace or lim.told
         if not rate:
             return True
-        now = self.now
-        lim.credit = min(max(1.0, rate * PACE_DEPTH), lim.credit + rate * (now - lim.credit_at) / SECOND)
-        lim.credit_at = now
-        if lim.credit >= 1.0:
+        lim.credit += rate * (self.now - lim.credit_at) / SECOND
+        lim.credit, lim.credit_at = min(max(1.0, rate * PACE_DEPTH), lim.credit), self.now
+        if lim.credit < 1.0:
+            self._at(self.now + int((1.0 - lim.credit) / rate * SECOND) + 1, "dest", self.h_dest[h])
+        return lim.credit >= 1.0
+
+    def _may_try(self, h):
+        """Whether a host that was away may get a call now: by a trial or probe, then under the returning budget."""
+        if self.h_next[h] > self.now:
+            self._at(self.h_next[h], "dest", self.h_dest[h])
+            return False
+        if self.h_state[h] is RAMP:
+            if self.now - self.h_since[h] >= (self.set.ramp_time or 0):
+                self.h_state[h] = OPEN
             return True
-        self._at(now + int((1.0 - lim.credit) / rate * SECOND) + 1, "dest", self.h_dest[h])
-        return False
+        if self.h_out[h] == 0 and self.set.may_probe and not self.h_probed[h]:
+            # Silence costs a probe, not a slot and one of a callback's launches.
+            self.h_out[h] += 1
+            self.h_next[h] = self.now + self._gap(h)
+            self.actions.append(it.Probe(self.h_id[h]))
+        return self.h_out[h] == 0
 
-    def _send(self, dest, h, first):
+    def _send(self, dest, h, callback):
         """One call: the callback and, where the kind takes several, the next ones of the same destination."""
-        lim = self.h_route[h]
-        if self.now - lim.used > FORGET and lim.out == 0:
-            lim.__init__(self.now)
-        lim.used = self.now
-        lim.credit -= 1.0
-        call = [h, 0, self.now, False, self._time_out(lim, first)]
-        callback = first
-        while callback is not None and call[1] < self.h_kind[h].per_call:
-            if callback is not first and callback.bound and callback.row.same_zone \
-                    and callback.zone != self.h_zone[h]:
-                break
-            heappop(dest["lanes"][callback.lane])
+        lim, now = self.h_route[h], self.now
+        if now - lim.used > FORGET and lim.out == 0 and lim.paused <= now:
+            told = lim.told
+            lim.__init__(now)
+            lim.told = told
+        call = [h, 0, now, False, self._time_out(lim, callback)]     # host, callbacks out, sent, judged, time-out
+        while callback is not None and call[1] < self.h_size[h]:
+            heappop(dest.lanes[callback.lane, callback.bound])
             self._move(callback, OUT)
-            callback.call, callback.sent = call, self.now
+            callback.call, callback.sent = call, now
             callback.launches += 1
             call[1] += 1
-            self.actions.append(it.Launch(callback.id, self.h_id[h],
-                                          max(1, min(call[4], callback.due - self.now))))
-            callback = self._head(dest) if self.h_state[h] is not CLOSED else None
+            self.actions.append(it.Launch(callback.id, self.h_id[h], min(call[4], callback.due - now)))
+            fit = [c for c in self._heads(dest) if c.bound is None or c.bound == self.h_zone[h]] \
+                if call[1] < self.h_size[h] and self.h_state[h] is not CLOSED else []
+            callback = fit[0] if fit else None
+        lim.used = now
+        lim.credit -= 1.0
         self.out += 1
-        dest["out"] += 1
+        dest.out += 1
         self.h_out[h] += 1
         lim.out += 1
         if self.h_state[h] is not OPEN:
-            self.h_next[h] = self.now + self._gap(h)
-            self.h_probe[h] = False
+            self.h_next[h], self.h_probed[h] = now + self._gap(h), False
 
     def _time_out(self, lim, callback):
         """Learnt as TCP learns it, doubled while nothing comes; what may not be repeated waits to the end."""
@@ -616,21 +528,26 @@
         if lim.smooth is None:
             span = 6 * self.typical if self.typical else callback.row.goal
         else:
-            span = lim.smooth + 6 * lim.dev
+            span = lim.smooth + 6 * lim.dev   # four in TCP; tails are longer here
         return max(span, LEAST_TIME_OUT) << lim.back_off
 
-    def _note(self, text):
-        self.actions.append(it.Note(text))
 
-
-PACE_CUT = 0.9                    # the design's cut, applied to the rate seen when a refusal comes
-PACE_STEP = 0.1                   # calls a second a good answer: about a tenth of a small allowance in ten answers
+CUT = 0.9                         # the design's answer to a slow answer
+TOLERANCE = 2.0                   # the design's default; 3, and smoothing over 16 answers, gained nothing
+BASELINE = 5 * SECOND             # the design's baseline window
+PAUSE = SECOND * 3 // 10          # where a refusal tells no wait; 1 s idles much of an allowance of a few a second
+FORGET = 180 * SECOND             # "some minutes" after which an idle destination's state is dropped
+PACE_STEP = 0.1                   # calls a second for a good answer: a small allowance is regained in seconds
 PACE_DEPTH = 0.3                  # seconds of the pace that may go at once: the least depth a limiter plausibly has
 LEAST_PACE = 0.5                  # calls a second: one call in two seconds still learns that there is room
-RATE_SPAN = 2 * SECOND            # over which the served rate is taken: longer than any span an allowance is counted in
+RATE_SPAN = 2 * SECOND            # over which a served rate is taken: no shorter than spans allowances count in
+BAD_GAIN = 0.25                   # with the next line: three failures in a row close a host, single ones do not
+MOSTLY_BAD, OFTEN_BAD = 0.5, 0.4  # share of failures that closes; that keeps a ramp at its start (two in a row)
+MOST_BACK_OFF = 2                 # doublings of a time-out: more keeps a trial out long after the host is back
 FULL_ROUNDS = 4                   # refusals in a row, over LONG_WAIT, that read as shut
 LONG_WAIT = 3 * SECOND            # longer than any span in which an allowance plausibly refills
-SAFETY = 1.2                      # peaks seen are below what a host can do, so more than one of the budget is safe
+BUDGET = 1.2                      # peaks seen lie below what a host can do, so more than one budget is safe
 LEAST_RATE = 0.5                  # calls a second a host is thought to manage when nothing is known of it
 LOOK_AHEAD = SECOND               # about one round of a short queue
 LEAST_TIME_OUT = SECOND           # below this a new connection's handshakes would read as silence
+COME_BACK = SECOND                # what a denied client is told: about the time a queue needs to thin
