Put constants beside their code and mend the over-share bucket

Cause: the bucket took a callback for over share when it held less than two; the adapter now reads the told limit out of a report by its field's name.

--- a/molehill/benchlink/__main__.py
+++ b/molehill/benchlink/__main__.py
@@ -14,6 +14,7 @@
         self.lines = lines
         self.number = 0            # of the line read last
         self.instances: dict[int, Relay] = {}
+        self.places: dict[int, int | None] = {}    # where an instance's reports hold the told limit
         self.tables: dict[int, list[it.HostEntry]] = {}
 
     def next_line(self) -> str:
@@ -31,7 +32,7 @@
         self.tables[codec.whole(buffer)] = rows
 
     def batch(self, now: int) -> str:
-        """Reads events up to 'commit' and gives the reply. Events go to their instance in order of arrival."""
+        """Reads events up to 'commit' and gives the reply; each instance gets its own in order of arrival."""
         pending: dict[int, list] = {}
         out: list[str] = []
 
@@ -60,9 +61,10 @@
                 if len(parts) < 3:
                     raise codec.WireError("'launch' lacks values")
                 self.instances[number] = Relay(codec.settings(parts[3:]), codec.whole(parts[2]))
+                self.places[number] = codec.limit_place(parts[3:])
                 pending[number] = []
                 continue
-            if name not in codec.EVENTS and name not in codec.UNUSED and name not in ("power_off", "sync"):
+            if name not in codec.EVENTS and name not in codec.UNUSED and name not in ("power_off", "sync", "reply"):
                 raise codec.WireError(f"unknown event '{name}'")
             if number not in self.instances:
                 if name == "power_off":
@@ -70,7 +72,7 @@
                 raise codec.WireError(f"instance {number} has not been launched")
             events = pending.setdefault(number, [])
             if name == "power_off":
-                del self.instances[number], pending[number]
+                del self.instances[number], pending[number], self.places[number]
             elif name == "sync":
                 if len(parts) < 3:
                     raise codec.WireError("'sync' lacks values")
@@ -81,6 +83,10 @@
                         raise codec.WireError("'sync' names a table that was not declared")
                     rows = self.tables[codec.whole(parts[3])]
                 events.append(it.ListNews(scope, rows))
+            elif name == "reply":
+                if len(parts) < 9:
+                    raise codec.WireError("'reply' lacks values")
+                events.append(codec.outcome(parts[2:], self.places[number]))
             elif name not in codec.UNUSED:
                 least, read = codec.EVENTS[name]
                 values = parts[2:]
--- a/molehill/benchlink/codec.py
+++ b/molehill/benchlink/codec.py
@@ -1,4 +1,4 @@
-"""The bench's text wire, both ways. It translates and nothing else: see molehill/interface.py for the types."""
+"""The bench's text wire, both ways. It translates and nothing else; molehill/interface.py has the types."""
 import re
 
 from molehill import interface as it
@@ -62,13 +62,15 @@
         raise WireError(f"'{text}' is not one of {', '.join(table)}") from None
 
 
-def report(text: str):
-    return maybe(text, lambda row: [real(value) for value in row.split(",")], None)
+def told_rate(p: list[str], at: int, place) -> float:
+    """The report's limit in calls a second: 'place' is its position among the settings' fields, if they have it."""
+    values = p[at].split(",") if place is not None and len(p) > at and p[at] != "-" else []
+    return real(values[place]) if len(values) > (place or 0) else 0.0
 
 
 def entry(parts: list[str]) -> it.HostEntry:
-    return it.HostEntry(whole(parts[0]), maybe(parts[1], whole, 0), maybe(parts[2], whole, 0), whole(parts[3]),
-                        named(parts[4], CONDITIONS), maybe(parts[5], real, 0.0))
+    return it.HostEntry(whole(parts[0]), maybe(parts[1], whole, 0), maybe(parts[2], whole, 0),
+                        whole(parts[3]), named(parts[4], CONDITIONS), maybe(parts[5], real, 0.0))
 
 
 def new_callback(p: list[str]) -> it.NewCallback:
@@ -76,26 +78,35 @@
                           nanos(p[4]), whole(p[6]))
 
 
-def outcome(p: list[str]) -> it.Outcome:
+def outcome(p: list[str], place) -> it.Outcome:
     result = named(p[3], RESULTS)
     note = maybe(p[1], whole, 0)
     return it.Outcome(whole(p[0]), whole(p[5]), whole(p[6]), result, nanos(p[2]),
                       note * 10 ** NS_DIGITS if result is it.Result.FULL else 0,
-                      p[4] == "1", report(p[7]) if len(p) > 7 else None)
+                      p[4] == "1", told_rate(p, 7, place))
 
 
 def probed(p: list[str]) -> it.ProbeResult:
-    return it.ProbeResult(whole(p[0]), named(p[1], RESULTS), nanos(p[2]), report(p[3]) if len(p) > 3 else None)
+    return it.ProbeResult(whole(p[0]), named(p[1], RESULTS), nanos(p[2]))
 
 
 # event name -> fewest values after the instance, how they are read
-EVENTS = {"new_request": (7, new_callback), "reply": (7, outcome), "probe_result": (3, probed),
+EVENTS = {"new_request": (7, new_callback), "probe_result": (3, probed),
           "timer": (1, lambda p: it.Timer(p[0])), "dropped": (1, lambda p: it.Withdrawn(whole(p[0])))}
 UNUSED = {"whisper", "ack_first"}     # peers and streams: not used by this kind of system
 
 
+def limit_place(pairs: list[str]):
+    """Where reports hold the limit in calls a second, if they do."""
+    for pair in pairs:
+        if pair.startswith("telemetry.fields="):
+            fields = pair.partition("=")[2].split(",")
+            return fields.index("x1") if "x1" in fields else None
+    return None
+
+
 def settings(pairs: list[str]) -> it.Settings:
-    """The pairs of the launch message; unknown keys are passed over, absent ones left to the type's defaults."""
+    """The pairs of the launch message; unknown keys are passed over, absent ones left to the defaults."""
     given = {}
     for pair in pairs:
         path, eq, value = pair.partition("=")
@@ -128,7 +139,6 @@
     apart, per_call = row("extra.kindApart"), row("extra.perCall")
     kinds = [it.Kind(n < len(apart) and flag(apart[n]), whole(per_call[n]) if n < len(per_call) else 1)
              for n in range(max(len(apart), len(per_call)))]
-    fields = row("telemetry.fields") if given.get("telemetry.how") in ("piggyback", "pull") else []
     return it.Settings(
         categories=categories, tenants=tenants, kinds=kinds,
         zone_fees=[real(fee) for fee in row("extra.feeByZone")],
@@ -140,8 +150,6 @@
         halving=given.get("extra.fades") == "halving",
         over_share_payoff=get("overShareWorth", real, 1.0),
         units_are_rates=given.get("weightSource") in ("nominal", "rough"),
-        report_left=fields.index("x0") if "x0" in fields else None,
-        report_limit=fields.index("x1") if "x1" in fields else None,
         fall_span=get("guarantees.fallMs", nanos, None),
         fall_multiple=get("guarantees.tipMultiple", real, None),
         cold_from=get("guarantees.coldFrom", real, None),
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -80,8 +80,6 @@
     halving: bool = False       # the payoff falls by half a goal time; else evenly to late_share
     over_share_payoff: float = 1.0
     units_are_rates: bool = False
-    report_left: Optional[int] = None    # position of the share of the allowance that is left
-    report_limit: Optional[int] = None   # position of the limit in calls a second
     fall_span: Optional[int] = None
     fall_multiple: Optional[float] = None
     cold_from: Optional[float] = None
@@ -124,7 +122,7 @@
     took: int
     wait: int                   # told wait, 0 for none
     closed: bool
-    report: Optional[list[float]]
+    told_rate: float = 0.0      # the limit that the answer tells, calls a second from all relays; 0: none
 
 
 @dataclass(slots=True)
@@ -132,7 +130,6 @@
     host: int
     result: Result
     took: int
-    report: Optional[list[float]]
 
 
 @dataclass(slots=True)
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -1,7 +1,7 @@
-"""The decisions of a molehill relay: which callback is launched where and when, repeated, held, denied or scrapped.
+"""The decisions of a molehill relay: which callback is launched where and when, repeated, denied or scrapped.
 
-Called as `relay = Relay(settings, seed)`, then `actions = relay.step(now, events)` once a batch, with all that has
-come in by `now`; the types of both lists stand in molehill/interface.py. No clock, no input or output of its own.
+Called as `relay = Relay(settings, seed)`, then `actions = relay.step(now, events)` once a batch with all that
+came in by `now`; the types of both lists stand in molehill/interface.py. It has no clock, input or output.
 docs/design.md tells what is kept of the design page, what was changed, and when each exception acts.
 """
 from heapq import heappop, heappush
@@ -11,11 +11,11 @@
 from molehill.interface import Effect, Result
 
 SECOND = 1_000_000_000
-# States of a callback. TURN: an earlier one of its key is not over, or the key rests; QUEUED: may be launched;
-# OUT: a launch has no outcome yet; OVER: it has its final answer.
+# A callback. TURN: an earlier one of its key is not over, or the key rests; QUEUED: may be launched; OUT: a
+# launch has no outcome yet; OVER: it has its final answer.
 TURN, QUEUED, OUT, OVER = "turn", "queued", "out", "over"
 WAITING = (TURN, QUEUED)
-# States of a host. OPEN: fed by the window alone; CLOSED: one trial at a time; RAMP: back, fed under the budget.
+# A host. OPEN: fed by the window alone; CLOSED: one trial at a time; RAMP: back, fed under the budget.
 OPEN, CLOSED, RAMP = "open", "closed", "ramp"
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 MAY_RUN_STILL = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
@@ -27,24 +27,25 @@
         self.due, self.goal = new.abandon_at, new.abandon_at - row.abandon + row.goal
         self.dest, self.state, self.launches = new.destination, None, 0
         self.call, self.sent = None, 0        # the call it is out in, and since when
-        self.bound, self.ticket = None, 0     # zone of the first launch that may have run; until when it is known
+        self.bound, self.ticket = None, 0     # zone of the first launch that may have run; known until then
 
 
 class Limiter:
-    """The design's limiter, one a route: fractional limit, calls out, recent best, pause; and the crawl delay."""
+    """The design's limiter, one a route: limit, calls out, recent best, pause; beside it the crawl delay."""
     START, LEAST = 2.0, 1.0                   # the design's figures
 
     def __init__(self, now):
         self.limit, self.out, self.fresh, self.paused, self.used = self.START, 0, True, 0, now
         self.smooth, self.dev, self.back_off = None, 0, 0
         self.now_best, self.last_best, self.window_at = None, None, now
-        self.pace, self.told, self.credit, self.credit_at = 0.0, 0.0, 0.0, now     # calls a second; 0: not known
+        self.pace, self.told, self.credit, self.credit_at = 0.0, 0.0, 0.0, now    # calls a second; 0: unknown
         self.count, self.count_at, self.served = 0, now, 0.0
 
 
 class Destination:
     def __init__(self, now):
-        self.hosts, self.out, self.sick, self.limiter, self.waiting, self.lanes = [], 0, False, Limiter(now), 0, {}
+        self.hosts, self.lanes, self.limiter = [], {}, Limiter(now)
+        self.out, self.waiting, self.sick = 0, 0, False
 
 
 class Relay:
@@ -54,13 +55,12 @@
         self.dests, self.keys, self.rests, self.out = {}, {}, {}, 0
         self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
         self.timers, self.wake_at, self.serial, self.ask_tries = [], None, 0, 0
-        self.quota = [[0.0, None] for _ in settings.tenants]
-        self.typical = None                   # smoothed latency over all routes, for routes not yet known
+        self.quota = [[float("inf"), None] for _ in settings.tenants]
         self.hosts = {}                       # host id -> index into the arrays below
         self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route = [], [], [], [], [], []
         self.h_out, self.h_state, self.h_bad, self.h_full, self.h_full_at = [], [], [], [], []
-        self.h_next, self.h_since, self.h_probed = [], [], []     # next call at; in its state since; a probe was good
-        self.h_peak, self.h_count, self.h_count_at = [], [], []   # calls served a second at best, and the count for it
+        self.h_next, self.h_since, self.h_probed = [], [], []     # next call at; state since; probed well
+        self.h_peak, self.h_count, self.h_count_at = [], [], []   # most calls served a second, its count
 
     def step(self, now, events):
         self.now, self.actions = now, []
@@ -110,8 +110,8 @@
         dest.waiting += (state in WAITING) - (before in WAITING)
         if state is QUEUED:
             self.serial += 1
-            # A launch that failed gives way by a second, so that one callback does not spend all its launches on
-            # trials of a destination that is down.
+            # Danger: one callback spends all its launches on trials of a destination that is down. A failed
+            # launch gives way by a second.
             heappush(dest.lanes.setdefault((callback.lane, callback.bound), []),
                      (callback.goal + callback.launches * SECOND, self.serial, callback))
             self.dirty[callback.dest] = True
@@ -138,20 +138,21 @@
         self._next_turn(new.key)
 
     def _over_share(self, tenant):
-        """A bucket a tenant at this relay's even part of the tenant's quota; beyond it the payoff is small."""
+        """A bucket a tenant, at an even part of its quota; beyond it the payoff is small."""
         quota, bucket = self.set.tenants[tenant].quota, self.quota[tenant]
         if not quota:
             return False
         rate = quota / self.set.relays
-        depth = 2.0 * rate                    # two seconds: a clump inside the share should not read as beyond it
-        bucket[0] = depth if bucket[1] is None else min(depth, bucket[0] + rate * (self.now - bucket[1]) / SECOND)
-        bucket[1] = self.now
-        bucket[0] -= bucket[0] >= 1.0 and 1.0
-        return bucket[0] < 1.0
+        depth = 2.0 * rate                    # two seconds: room for a clump inside the share
+        since = self.now if bucket[1] is None else bucket[1]
+        bucket[:] = min(depth, bucket[0] + rate * (self.now - since) / SECOND), self.now
+        over = bucket[0] < 1.0
+        bucket[0] -= 0.0 if over else 1.0
+        return over
 
     def _make_room(self):
-        """Callbacks for a destination that does not take them must not fill the relay, or newcomers for healthy ones
-        are turned away at its door: while it is nearly full, the longest queue gives up its least worth at once."""
+        """Danger: callbacks for a sick destination fill the relay, and newcomers for healthy ones are turned away
+        at its door. While it is nearly full, the longest queue gives up its least worth at once."""
         limit = self.set.max_held
         if limit is None or len(self.held) < limit - limit // 16:    # a sixteenth: what may come in one batch
             return
@@ -161,7 +162,7 @@
             self._give_up(min(heads, key=lambda callback: self._worth(callback, self.now)))
 
     def _next_turn(self, key):
-        """Order: the oldest of a key goes once all before it are over, have no launch out, and the key has rested."""
+        """Rule 5: a key's oldest goes once all before it are over, with no launch out, and the key rested."""
         line = self.keys.get(key)
         if line is None:
             return
@@ -182,12 +183,14 @@
         return callback.bound is None or effect is Effect.RERUNNABLE or \
             effect is Effect.TICKETED and self.now < callback.ticket
 
+    COME_BACK = SECOND  # what a denied client is told: about the time a queue needs to thin
+
     def _give_up(self, callback):
         """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
         effect = callback.row.effect
         if self.now < callback.due and (callback.bound is None or effect is Effect.RERUNNABLE
                                         or effect is Effect.TICKETED and callback.row.all_hosts):
-            back = min(COME_BACK, self.set.max_return) if self.set.tells_return else 0
+            back = min(self.COME_BACK, self.set.max_return) if self.set.tells_return else 0
             self.actions.append(it.Deny(callback.id, back))
         else:
             self.actions.append(it.Scrap(callback.id))
@@ -212,7 +215,8 @@
         if not call[3] or event.wait:
             call[3] = True                    # a call of several callbacks is judged once
             self._judge(h, dest, call, event)
-        self._told_rate(h, event.report)
+        if event.told_rate > 0:
+            self.h_route[h].told = event.told_rate
         if result in MAY_HAVE_RUN:
             if callback.bound is None:
                 callback.bound, callback.ticket = self.h_zone[h], callback.sent + callback.row.window
@@ -233,83 +237,94 @@
             self._move(callback, TURN)
             self._next_turn(callback.key)
 
+    CUT = 0.9  # the design's answer to a slow answer
+    TOLERANCE = 2.0  # the design's default; 3, and smoothing over 16 answers, gained nothing
+    PACE_STEP = 0.1  # calls a second for a good answer: a small allowance is regained in seconds
+    RATE_SPAN = 2 * SECOND  # for served rates: no shorter than spans that allowances count in
+    MOST_BACK_OFF = 2  # doublings of a time-out: with more a trial outlasts the trouble
+
     def _judge(self, h, dest, call, event):
         lim, now, result = self.h_route[h], self.now, event.result
         lim.used = now
         if result in (Result.NOT_SENT, Result.CANCELLED) or result is Result.TIMEOUT and event.took < call[4]:
-            return                            # not the host's doing; a time-out cut by an abandon time says nothing
+            return                            # a time-out cut by an abandon time tells nothing of the host
         if result is Result.FULL:
             return self._refused(h, dest, lim, event.wait)
         good = result is Result.FULFILLED
         slow = not good
         if good:
-            slow = self._latency(lim, event.took) > TOLERANCE
+            slow = self._latency(lim, event.took) > self.TOLERANCE
             lim.back_off = self.h_full[h] = 0
             lim.count += 1
-            if now - lim.count_at >= RATE_SPAN:
+            if now - lim.count_at >= self.RATE_SPAN:
                 lim.served, lim.count, lim.count_at = lim.count * SECOND / (now - lim.count_at), 0, now
             if lim.pace:
-                lim.pace += PACE_STEP
+                lim.pace += self.PACE_STEP
         if slow:
-            lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit * CUT), False, True
+            lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit * self.CUT), False, True
         else:
-            lim.limit, dest.sick = min(lim.limit + (1.0 if lim.fresh else 1.0 / lim.limit), self.set.slots), False
+            grown = lim.limit + (1.0 if lim.fresh else 1.0 / lim.limit)
+            lim.limit, dest.sick = min(grown, self.set.slots), False
         if result is Result.TIMEOUT:
-            lim.back_off = min(lim.back_off + 1, MOST_BACK_OFF)
+            lim.back_off = min(lim.back_off + 1, self.MOST_BACK_OFF)
         self._health(h, good, call[2], result)
 
+    BASELINE = 5 * SECOND  # the design's baseline window
+
     def _latency(self, lim, took):
-        """How many times the recent best the latency is. Smoothed as TCP smooths round trips, best and present alike:
-        single answers here have tails far beyond any tolerance, and categories differ."""
+        """How many times the recent best the latency is. Both are smoothed as TCP smooths round trips: single
+        answers here have tails far beyond any tolerance, and categories differ."""
         lim.dev += (abs(took - lim.smooth) - lim.dev) // 4 if lim.smooth else took // 2
         lim.smooth = lim.smooth + (took - lim.smooth) // 8 if lim.smooth else took
-        self.typical = self.typical + (lim.smooth - self.typical) // 16 if self.typical else lim.smooth
-        if self.now - lim.window_at > BASELINE:
-            lim.last_best = lim.now_best if self.now - lim.window_at <= 2 * BASELINE else None
+        if self.now - lim.window_at > self.BASELINE:
+            lim.last_best = lim.now_best if self.now - lim.window_at <= 2 * self.BASELINE else None
             lim.now_best, lim.window_at = None, self.now
         lim.now_best = min(lim.smooth, lim.now_best or lim.smooth)
         return lim.smooth / max(1, min(lim.now_best, lim.last_best or lim.now_best))
 
+    PAUSE = SECOND * 3 // 10  # where a refusal tells no wait; 1 s idles much of a small allowance
+    LEAST_PACE = 0.5  # calls a second: one call in two seconds still learns that there is room
+    FULL_ROUNDS = 4  # refusals in a row, over LONG_WAIT, that read as shut
+    LONG_WAIT = 3 * SECOND  # longer than any span in which an allowance plausibly refills
+
     def _refused(self, h, dest, lim, wait):
         now = self.now
         lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit / 2), False, True
-        lim.paused = max(lim.paused, now + (wait or PAUSE))
+        lim.paused = max(lim.paused, now + (wait or self.PAUSE))
         self._at(lim.paused, "dest", self.h_dest[h])
-        # Refused while latency is flat: an allowance, not a queue, and the window would run into it again and again.
-        # The rate served lately becomes the guide's crawl delay beside the window; good answers lift it.
+        # Danger: at an allowance latency stays flat, and the window would run into it again and again. The
+        # rate served lately becomes the guide's crawl delay beside the window; good answers lift it.
         seen = max(lim.served, lim.count * SECOND / max(SECOND, now - lim.count_at))
-        lim.pace = max(LEAST_PACE, CUT * (min(seen, lim.pace) if lim.pace else seen))
+        lim.pace = max(self.LEAST_PACE, self.CUT * (min(seen, lim.pace) if lim.pace else seen))
         lim.credit = min(lim.credit, 0.0)
-        # Shut, not merely full: nothing but refusals for a while, or told to stay away for longer than an allowance
-        # takes to refill. A destination that other relays keep full lets some call through in that time.
+        # Shut, not merely full: nothing but refusals for a while, or told to stay away for longer than an
+        # allowance takes to refill. One that other relays keep full lets some call through in that time.
         self.h_full_at[h] = self.h_full_at[h] if self.h_full[h] else now
         self.h_full[h] += 1
-        if self.h_full[h] >= FULL_ROUNDS and now - self.h_full_at[h] > LONG_WAIT or wait > LONG_WAIT \
+        if self.h_full[h] >= self.FULL_ROUNDS and now - self.h_full_at[h] > self.LONG_WAIT or wait > self.LONG_WAIT \
                 or self.h_state[h] is CLOSED:
             self._close(h, Result.FULL)
 
-    def _told_rate(self, h, report):
-        at = self.set.report_limit
-        if report is not None and at is not None and at < len(report) and report[at] > 0:
-            self.h_route[h].told = report[at]
-
     # Health of a host
 
+    BAD_GAIN = 0.25  # with the next line: three failures in a row close, single ones do not
+    MOSTLY_BAD, OFTEN_BAD = 0.5, 0.4  # share of failures that closes; that holds a ramp back (two in a row)
+
     def _health(self, h, good, sent, result):
         now = self.now
         if good:
-            if now - self.h_count_at[h] > RATE_SPAN:
+            if now - self.h_count_at[h] > self.RATE_SPAN:
                 rate = self.h_count[h] * SECOND / (now - self.h_count_at[h])
-                self.h_peak[h] = max(rate, self.h_peak[h] * 0.95)     # forgotten by half in about half a minute
+                self.h_peak[h] = max(rate, self.h_peak[h] * 0.95)   # halves in half a minute
                 self.h_count[h], self.h_count_at[h] = 0, now
             self.h_count[h] += 1
-        self.h_bad[h] += ((0.0 if good else 1.0) - self.h_bad[h]) * BAD_GAIN
+        self.h_bad[h] += ((0.0 if good else 1.0) - self.h_bad[h]) * self.BAD_GAIN
         if good and self.h_state[h] is CLOSED and sent >= self.h_since[h]:
             self.h_state[h], self.h_since[h], self.h_bad[h], self.h_full[h] = RAMP, now, 0.0, 0
             self.actions.append(it.Note(f"host {self.h_id[h]} answers again, fed slowly"))
-        elif not good and (self.h_bad[h] > MOSTLY_BAD or self.h_state[h] is CLOSED):
+        elif not good and (self.h_bad[h] > self.MOSTLY_BAD or self.h_state[h] is CLOSED):
             self._close(h, result)
-        elif self.h_state[h] is RAMP and self.h_bad[h] > OFTEN_BAD:
+        elif self.h_state[h] is RAMP and self.h_bad[h] > self.OFTEN_BAD:
             self.h_since[h] = now             # many of its calls still fail: as cold as at its return
 
     def _close(self, h, result):
@@ -320,8 +335,11 @@
         self.h_next[h] = max(self.h_next[h], self.now + self._gap(h))
         self._at(self.h_next[h], "dest", self.h_dest[h])
 
+    BUDGET = 1.2  # peaks seen lie below what a host can do, so more than one budget is safe
+    LEAST_RATE = 0.5  # calls a second a host is thought to manage when nothing is known of it
+
     def _gap(self, h):
-        """Rule 4. Between two calls to a host that was away: the returning budget, as if all relays fed it alike."""
+        """Rule 4: the span between two calls to a host that was away, as if all relays fed it alike."""
         s, lim, dest = self.set, self.h_route[h], self.dests[self.h_dest[h]]
         if not s.fall_multiple or not s.cold_from:
             return SECOND
@@ -329,14 +347,12 @@
         if self.h_state[h] is RAMP and s.ramp_time:
             warm = min(1.0, (self.now - self.h_since[h]) / s.ramp_time)
         sharing = s.relays * (max(1, len(dest.hosts)) if lim is dest.limiter else 1)
-        can = max(self.h_peak[h], lim.told / sharing, LEAST_RATE)
-        rate = BUDGET * s.fall_multiple * (s.cold_from + (1.0 - s.cold_from) * warm) * can
+        can = max(self.h_peak[h], lim.told / sharing, self.LEAST_RATE)
+        rate = self.BUDGET * s.fall_multiple * (s.cold_from + (1.0 - s.cold_from) * warm) * can
         return min(int(SECOND / rate), 2 * SECOND)
 
     def _probed(self, event):
-        h = self.hosts.get(event.host)
-        if h is None:
-            return
+        h = self.hosts[event.host]
         self.h_out[h] -= 1
         self.dirty[self.h_dest[h]] = True
         self.h_probed[h] = event.result is Result.FULFILLED
@@ -352,11 +368,13 @@
             self.dests[number] = Destination(self.now)
         return self.dests[number]
 
+    ASK_AGAIN = SECOND // 4  # doubled first, so half a second: a list call that failed may just be slow
+
     def _news(self, news):
         if news.scope is it.Scope.FAILED:
             # Asked again after a growing, jittered pause: the list may be overloaded by everybody asking.
             self.ask_tries = min(self.ask_tries + 1, 5)
-            return self._at(self.now + int(SECOND * 0.25 * 2 ** self.ask_tries * (0.5 + self.random())), "ask", 0)
+            return self._at(self.now + int(self.ASK_AGAIN * 2 ** self.ask_tries * (0.5 + self.random())), "ask", 0)
         if news.scope is not it.Scope.RESTORED:
             self.ask_tries = 0
         elif self.set.list_on_request:
@@ -401,7 +419,7 @@
         dirty, self.dirty = self.dirty, {}
         for number in dirty:
             self.starved.pop(number, None)
-        for number in list(self.starved) + list(dirty):    # those that lacked a slot first, longest waiting first
+        for number in list(self.starved) + list(dirty):    # those that lacked a slot first
             if self.out >= self.set.slots:
                 self.starved[number] = True
             else:
@@ -415,7 +433,7 @@
             for callback in self._heads(dest):
                 h = self._pick(dest, callback)
                 if h is not None or callback.bound is None:
-                    break                     # only those bound to a zone may be without a route that others have
+                    break                     # only one bound to a zone may lack a route that others have
             else:
                 return
             if h is None:
@@ -425,6 +443,8 @@
                 return
             self._send(dest, h, callback)
 
+    LOOK_AHEAD = SECOND  # about one round of a short queue
+
     def _heads(self, dest):
         """The oldest of each lane, first the one whose delay by the look-ahead loses the most payoff."""
         heads = []
@@ -435,7 +455,7 @@
                     self._give_up(callback)
             if lane:
                 callback = lane[0][2]
-                loss = self._worth(callback, self.now) - self._worth(callback, self.now + LOOK_AHEAD)
+                loss = self._worth(callback, self.now) - self._worth(callback, self.now + self.LOOK_AHEAD)
                 heads.append((-loss - 1e-3 * callback.payoff, lane[0][1], callback))
         return [callback for _, _, callback in sorted(heads)]
 
@@ -450,7 +470,8 @@
     def _pick(self, dest, callback):
         """One host at random, odds in step with its room; a dearer zone only when no cheaper one has room."""
         now, fees, rooms, total, least = self.now, self.set.zone_fees, [], 0.0, None
-        tied = callback.bound is not None and callback.row.effect is Effect.TICKETED and not callback.row.all_hosts
+        row = callback.row
+        tied = callback.bound is not None and row.effect is Effect.TICKETED and not row.all_hosts
         for h in dest.hosts:
             lim = self.h_route[h]
             if tied and self.h_zone[h] != callback.bound or lim.paused > now or lim.out >= int(lim.limit) \
@@ -467,19 +488,21 @@
         drawn = self.random() * total if rooms else 0.0
         return next((h for upto, h in rooms if drawn < upto), None)
 
+    PACE_DEPTH = 0.3  # seconds of the pace that may go at once: a limiter has at least that depth
+
     def _paced(self, lim, h):
         """Whether the crawl delay allows a call now; a told rate bounds what was learnt from refusals."""
         rate = min(lim.pace, lim.told) if lim.pace and lim.told else lim.pace or lim.told
         if not rate:
             return True
         lim.credit += rate * (self.now - lim.credit_at) / SECOND
-        lim.credit, lim.credit_at = min(max(1.0, rate * PACE_DEPTH), lim.credit), self.now
+        lim.credit, lim.credit_at = min(max(1.0, rate * self.PACE_DEPTH), lim.credit), self.now
         if lim.credit < 1.0:
             self._at(self.now + int((1.0 - lim.credit) / rate * SECOND) + 1, "dest", self.h_dest[h])
         return lim.credit >= 1.0
 
     def _may_try(self, h):
-        """Whether a host that was away may get a call now: by a trial or probe, then under the returning budget."""
+        """Whether a host that was away may get a call now: a trial or probe, then under the budget."""
         if self.h_next[h] > self.now:
             self._at(self.h_next[h], "dest", self.h_dest[h])
             return False
@@ -494,14 +517,16 @@
             self.actions.append(it.Probe(self.h_id[h]))
         return self.h_out[h] == 0
 
+    FORGET = 180 * SECOND  # "some minutes" after which an idle destination's state is dropped
+
     def _send(self, dest, h, callback):
         """One call: the callback and, where the kind takes several, the next ones of the same destination."""
         lim, now = self.h_route[h], self.now
-        if now - lim.used > FORGET and lim.out == 0 and lim.paused <= now:
+        if now - lim.used > self.FORGET and lim.out == 0 and lim.paused <= now:
             told = lim.told
             lim.__init__(now)
             lim.told = told
-        call = [h, 0, now, False, self._time_out(lim, callback)]     # host, callbacks out, sent, judged, time-out
+        call = [h, 0, now, False, self._time_out(lim, callback)]   # host, callbacks out, sent, judged, cap
         while callback is not None and call[1] < self.h_size[h]:
             heappop(dest.lanes[callback.lane, callback.bound])
             self._move(callback, OUT)
@@ -521,33 +546,11 @@
         if self.h_state[h] is not OPEN:
             self.h_next[h], self.h_probed[h] = now + self._gap(h), False
 
+    LEAST_TIME_OUT = SECOND  # below this a new connection's handshakes would read as silence
+
     def _time_out(self, lim, callback):
         """Learnt as TCP learns it, doubled while nothing comes; what may not be repeated waits to the end."""
         if callback.row.effect is Effect.EXCLUSIVE:
             return callback.due - self.now
-        if lim.smooth is None:
-            span = 6 * self.typical if self.typical else callback.row.goal
-        else:
-            span = lim.smooth + 6 * lim.dev   # four in TCP; tails are longer here
-        return max(span, LEAST_TIME_OUT) << lim.back_off
-
-
-CUT = 0.9                         # the design's answer to a slow answer
-TOLERANCE = 2.0                   # the design's default; 3, and smoothing over 16 answers, gained nothing
-BASELINE = 5 * SECOND             # the design's baseline window
-PAUSE = SECOND * 3 // 10          # where a refusal tells no wait; 1 s idles much of an allowance of a few a second
-FORGET = 180 * SECOND             # "some minutes" after which an idle destination's state is dropped
-PACE_STEP = 0.1                   # calls a second for a good answer: a small allowance is regained in seconds
-PACE_DEPTH = 0.3                  # seconds of the pace that may go at once: the least depth a limiter plausibly has
-LEAST_PACE = 0.5                  # calls a second: one call in two seconds still learns that there is room
-RATE_SPAN = 2 * SECOND            # over which a served rate is taken: no shorter than spans allowances count in
-BAD_GAIN = 0.25                   # with the next line: three failures in a row close a host, single ones do not
-MOSTLY_BAD, OFTEN_BAD = 0.5, 0.4  # share of failures that closes; that keeps a ramp at its start (two in a row)
-MOST_BACK_OFF = 2                 # doublings of a time-out: more keeps a trial out long after the host is back
-FULL_ROUNDS = 4                   # refusals in a row, over LONG_WAIT, that read as shut
-LONG_WAIT = 3 * SECOND            # longer than any span in which an allowance plausibly refills
-BUDGET = 1.2                      # peaks seen lie below what a host can do, so more than one budget is safe
-LEAST_RATE = 0.5                  # calls a second a host is thought to manage when nothing is known of it
-LOOK_AHEAD = SECOND               # about one round of a short queue
-LEAST_TIME_OUT = SECOND           # below this a new connection's handshakes would read as silence
-COME_BACK = SECOND                # what a denied client is told: about the time a queue needs to thin
+        span = lim.smooth + 6 * lim.dev if lim.smooth else callback.row.goal    # 4 in TCP; tails are longer here
+        return max(span, self.LEAST_TIME_OUT) << lim.back_off
