--- a/molehill/benchlink/__main__.py
+++ b/molehill/benchlink/__main__.py
@@ -64,7 +64,7 @@
                 self.places[number] = codec.limit_place(parts[3:])
                 pending[number] = []
                 continue
-            if name not in codec.EVENTS and name not in codec.UNUSED and name not in ("power_off", "sync", "reply"):
+            if name not in codec.EVENTS and name not in codec.UNUSED | {"power_off", "sync", "reply"}:
                 raise codec.WireError(f"unknown event '{name}'")
             if number not in self.instances:
                 if name == "power_off":
--- a/molehill/benchlink/codec.py
+++ b/molehill/benchlink/codec.py
@@ -63,7 +63,7 @@
 
 
 def told_rate(p: list[str], at: int, place) -> float:
-    """The report's limit in calls a second: 'place' is its position among the settings' fields, if they have it."""
+    """The report's limit in calls a second, at its place among the settings' fields if they have it."""
     values = p[at].split(",") if place is not None and len(p) > at and p[at] != "-" else []
     return real(values[place]) if len(values) > (place or 0) else 0.0
 
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -34,11 +34,11 @@
     """The design's limiter, one a route: limit, calls out, recent best, pause; beside it the crawl delay."""
     START, LEAST = 2.0, 1.0                   # the design's figures
 
-    def __init__(self, now):
+    def __init__(self, now, told=0.0):
         self.limit, self.out, self.fresh, self.paused, self.used = self.START, 0, True, 0, now
         self.smooth, self.dev, self.back_off = None, 0, 0
         self.now_best, self.last_best, self.window_at = None, None, now
-        self.pace, self.told, self.credit, self.credit_at = 0.0, 0.0, 0.0, now    # calls a second; 0: unknown
+        self.pace, self.told, self.credit, self.credit_at = 0.0, told, 0.0, now    # calls a second; 0: unknown
         self.count, self.count_at, self.served = 0, now, 0.0
 
 
@@ -105,6 +105,8 @@
 
     def _move(self, callback, state):
         """Every change of a callback's state."""
+        if state is TURN and callback.key is None:
+            state = QUEUED
         before, callback.state = callback.state, state
         dest = self._dest(callback.dest)
         dest.waiting += (state in WAITING) - (before in WAITING)
@@ -126,16 +128,15 @@
             payoff, over = self.set.over_share_payoff, True
         callback = Callback(new, row, payoff * row.payoff, (new.category, over))
         self.held[callback.id] = callback
+        if row.ordered and new.key is not None:
+            callback.key = new.key
+            self.keys.setdefault(new.key, []).append(callback)
         self._move(callback, TURN)
         if callback.due <= self.now:
             return self._give_up(callback)
         self._make_room()
         self._at(callback.due, "callback", callback.id)
-        if new.key is None or not row.ordered:
-            return self._move(callback, QUEUED)
-        callback.key = new.key
-        self.keys.setdefault(new.key, []).append(callback)
-        self._next_turn(new.key)
+        self._next_turn(callback.key)
 
     def _over_share(self, tenant):
         """A bucket a tenant, at an even part of its quota; beyond it the payoff is small."""
@@ -151,8 +152,8 @@
         return over
 
     def _make_room(self):
-        """Danger: callbacks for a sick destination fill the relay, and newcomers for healthy ones are turned away
-        at its door. While it is nearly full, the longest queue gives up its least worth at once."""
+        """Danger: callbacks for a sick destination fill the relay, and newcomers for healthy ones are turned
+        away at its door. While it is nearly full, the longest queue gives up its least worth at once."""
         limit = self.set.max_held
         if limit is None or len(self.held) < limit - limit // 16:    # a sixteenth: what may come in one batch
             return
@@ -231,8 +232,6 @@
             self._next_turn(callback.key)
         elif not self._may_launch(callback):
             self._give_up(callback)
-        elif callback.key is None:
-            self._move(callback, QUEUED)
         else:
             self._move(callback, TURN)
             self._next_turn(callback.key)
@@ -301,8 +300,8 @@
         # allowance takes to refill. One that other relays keep full lets some call through in that time.
         self.h_full_at[h] = self.h_full_at[h] if self.h_full[h] else now
         self.h_full[h] += 1
-        if self.h_full[h] >= self.FULL_ROUNDS and now - self.h_full_at[h] > self.LONG_WAIT or wait > self.LONG_WAIT \
-                or self.h_state[h] is CLOSED:
+        long = max(wait, now - self.h_full_at[h] if self.h_full[h] >= self.FULL_ROUNDS else 0) > self.LONG_WAIT
+        if long or self.h_state[h] is CLOSED:
             self._close(h, Result.FULL)
 
     # Health of a host
@@ -374,7 +373,8 @@
         if news.scope is it.Scope.FAILED:
             # Asked again after a growing, jittered pause: the list may be overloaded by everybody asking.
             self.ask_tries = min(self.ask_tries + 1, 5)
-            return self._at(self.now + int(self.ASK_AGAIN * 2 ** self.ask_tries * (0.5 + self.random())), "ask", 0)
+            pause = int(self.ASK_AGAIN * 2 ** self.ask_tries * (0.5 + self.random()))
+            return self._at(self.now + pause, "ask", 0)
         if news.scope is not it.Scope.RESTORED:
             self.ask_tries = 0
         elif self.set.list_on_request:
@@ -523,9 +523,7 @@
         """One call: the callback and, where the kind takes several, the next ones of the same destination."""
         lim, now = self.h_route[h], self.now
         if now - lim.used > self.FORGET and lim.out == 0 and lim.paused <= now:
-            told = lim.told
-            lim.__init__(now)
-            lim.told = told
+            lim.__init__(now, lim.told)
         call = [h, 0, now, False, self._time_out(lim, callback)]   # host, callbacks out, sent, judged, cap
         while callback is not None and call[1] < self.h_size[h]:
             heappop(dest.lanes[callback.lane, callback.bound])
@@ -552,5 +550,5 @@
         """Learnt as TCP learns it, doubled while nothing comes; what may not be repeated waits to the end."""
         if callback.row.effect is Effect.EXCLUSIVE:
             return callback.due - self.now
-        span = lim.smooth + 6 * lim.dev if lim.smooth else callback.row.goal    # 4 in TCP; tails are longer here
+        span = lim.smooth + 6 * lim.dev if lim.smooth else callback.row.goal   # TCP: 4
         return max(span, self.LEAST_TIME_OUT) << lim.back_off
