Try one cut a round instead of one an answer

Cause supposed: the smoothed latency stays high for many answers, each of which cuts, so windows collapse under long tails.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -36,6 +36,7 @@
 
     def __init__(self, now, told=0.0):
         self.limit, self.out, self.fresh, self.paused, self.used = self.START, 0, True, 0, now
+        self.cut_at = now
         self.smooth, self.dev, self.back_off = None, 0, 0
         self.now_best, self.last_best, self.window_at = None, None, now
         self.pace, self.told, self.credit, self.credit_at = 0.0, told, 0.0, now    # calls a second; 0: unknown
@@ -260,7 +261,11 @@
             if lim.pace:
                 lim.pace += self.PACE_STEP
         if slow:
-            lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit * self.CUT), False, True
+            # Danger: a smoothed latency stays high for many answers. Cut once a round, as TCP does: calls launched
+            # before a cut can't tell of its effect.
+            if call[2] >= lim.cut_at:
+                lim.limit, lim.cut_at = max(lim.LEAST, lim.limit * self.CUT), now
+            lim.fresh, dest.sick = False, True
         else:
             grown = lim.limit + (1.0 if lim.fresh else 1.0 / lim.limit)
             lim.limit, dest.sick = min(grown, self.set.slots), False
