--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -36,7 +36,6 @@
 
     def __init__(self, now, told=0.0):
         self.limit, self.out, self.fresh, self.paused, self.used = self.START, 0, True, 0, now
-        self.cut_at = now
         self.smooth, self.dev, self.back_off = None, 0, 0
         self.now_best, self.last_best, self.window_at = None, None, now
         self.pace, self.told, self.credit, self.credit_at = 0.0, told, 0.0, now    # calls a second; 0: unknown
@@ -253,7 +252,9 @@
         good = result is Result.FULFILLED
         slow = not good
         if good:
-            slow = self._latency(lim, event.took) > self.TOLERANCE
+            # Danger: tails far beyond any tolerance read as slowdowns. Slow is what is slow itself and in the mean.
+            best = self._best(lim, event.took)
+            slow = min(event.took, lim.smooth) > self.TOLERANCE * best
             lim.back_off = self.h_full[h] = 0
             lim.count += 1
             if now - lim.count_at >= self.RATE_SPAN:
@@ -261,11 +262,7 @@
             if lim.pace:
                 lim.pace += self.PACE_STEP
         if slow:
-            # Danger: a smoothed latency stays high for many answers. Cut once a round, as TCP does: calls launched
-            # before a cut can't tell of its effect.
-            if call[2] >= lim.cut_at:
-                lim.limit, lim.cut_at = max(lim.LEAST, lim.limit * self.CUT), now
-            lim.fresh, dest.sick = False, True
+            lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit * self.CUT), False, True
         else:
             grown = lim.limit + (1.0 if lim.fresh else 1.0 / lim.limit)
             lim.limit, dest.sick = min(grown, self.set.slots), False
@@ -275,16 +272,15 @@
 
     BASELINE = 5 * SECOND  # the design's baseline window
 
-    def _latency(self, lim, took):
-        """How many times the recent best the latency is. Both are smoothed as TCP smooths round trips: single
-        answers here have tails far beyond any tolerance, and categories differ."""
+    def _best(self, lim, took):
+        """The least of the latency, smoothed as TCP smooths round trips, in this baseline window and the last."""
         lim.dev += (abs(took - lim.smooth) - lim.dev) // 4 if lim.smooth else took // 2
         lim.smooth = lim.smooth + (took - lim.smooth) // 8 if lim.smooth else took
         if self.now - lim.window_at > self.BASELINE:
             lim.last_best = lim.now_best if self.now - lim.window_at <= 2 * self.BASELINE else None
             lim.now_best, lim.window_at = None, self.now
         lim.now_best = min(lim.smooth, lim.now_best or lim.smooth)
-        return lim.smooth / max(1, min(lim.now_best, lim.last_best or lim.now_best))
+        return min(lim.now_best, lim.last_best or lim.now_best)
 
     PAUSE = SECOND * 3 // 10  # where a refusal tells no wait; 1 s idles much of a small allowance
     LEAST_PACE = 0.5  # calls a second: one call in two seconds still learns that there is room
