--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -475,7 +475,10 @@
         tied = callback.bound is not None and row.effect is Effect.TICKETED and not row.all_hosts
         for h in dest.hosts:
             lim = self.h_route[h]
-            if tied and self.h_zone[h] != callback.bound or lim.paused > now or lim.out >= int(lim.limit) \
+            # Danger: small calls spend an allowance counted in calls. The window's upper half is for full ones.
+            small = self.h_size[h] > 1 and sum(map(len, dest.lanes.values())) < self.h_size[h]
+            if tied and self.h_zone[h] != callback.bound or lim.paused > now \
+                    or lim.out >= int(lim.limit / 2 + 0.5 if small else lim.limit) \
                     or not self._paced(lim, h) or self.h_state[h] is not OPEN and not self._may_try(h):
                 continue
             apart = lim is not dest.limiter
