Start the pace's credit anew at a refusal, and test the six rules

Cause, found by a plain test of an untold refusal: credit was counted down with each call while no pace was known, so the first refusal at a busy destination put it in debt. Tests: seeded random runs against a ledger of the six rules, and plain cases for each defence.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -296,7 +296,7 @@
         # rate served lately becomes the guide's crawl delay beside the window; good answers lift it.
         seen = max(lim.served, lim.count * SECOND / max(SECOND, now - lim.count_at))
         lim.pace = max(self.LEAST_PACE, self.CUT * (min(seen, lim.pace) if lim.pace else seen))
-        lim.credit = min(lim.credit, 0.0)
+        lim.credit, lim.credit_at = 0.0, now
         # Shut, not merely full: nothing but refusals for a while, or told to stay away for longer than an
         # allowance takes to refill. One that other relays keep full lets some call through in that time.
         self.h_full_at[h] = self.h_full_at[h] if self.h_full[h] else now
@@ -498,6 +498,7 @@
         """Whether the crawl delay allows a call now; a told rate bounds what was learnt from refusals."""
         rate = min(lim.pace, lim.told) if lim.pace and lim.told else lim.pace or lim.told
         if not rate:
+            lim.credit, lim.credit_at = 1.0, self.now
             return True
         lim.credit += rate * (self.now - lim.credit_at) / SECOND
         lim.credit, lim.credit_at = min(max(1.0, rate * self.PACE_DEPTH), lim.credit), self.now
--- /dev/null
+++ b/tests/ledger.py
@@ -0,0 +1,151 @@
+"""A world of its own around one relay: it plays what it is told and checks the six rules after every batch."""
+from molehill import interface as it
+from molehill.policy import Relay
+
+MS = 1_000_000
+SECOND = 1000 * MS
+R = it.Result
+MAY_HAVE_RUN = (R.ERROR, R.TIMEOUT, R.RESET, R.CANCELLED)
+
+
+def category(effect="rerunnable", goal=1000, abandon=5000, payoff=1.0, window=3000, same_zone=False, ordered=False):
+    return it.Category(it.Effect(effect), goal * MS, abandon * MS, payoff, 0.5, window * MS, same_zone,
+                       not same_zone, ordered)
+
+
+def settings(**given):
+    base = dict(categories=[category()], kinds=[it.Kind(False, 1)], slots=8, max_launches=6, relays=2, max_held=200,
+                tells_return=True, max_return=2 * SECOND, fall_span=1500 * MS, fall_multiple=2.0, cold_from=0.2,
+                ramp_time=10 * SECOND, settle=100 * MS)
+    return it.Settings(**{**base, **given})
+
+
+class World:
+    """Hosts are (id, zone, kind, destination)."""
+
+    def __init__(self, given, hosts=((1, 0, 0, 1), (2, 1, 0, 1)), seed=7):
+        self.set, self.table, self.now, self.seed, self.serial = given, {h[0]: h for h in hosts}, SECOND, seed, 0
+        self.start([it.HostEntry(*h, it.Condition.UP, 1.0) for h in hosts])
+
+    def start(self, entries):
+        """A relay killed and started anew knows nothing but its list."""
+        self.relay = Relay(self.set, self.seed)
+        self.open, self.out, self.final, self.sent, self.waits, self.rests = {}, {}, {}, [], {}, {}
+        self.up, self.fails, self.shut, self.probes, self.notes = {}, {}, {}, [], []
+        self.asked = 0
+        self.step([self.news(it.Scope.RESTORED, entries)])
+
+    def news(self, scope, entries):
+        if scope is not it.Scope.UPDATE:
+            self.up = {}
+        self.up.update({e.host: e.condition is it.Condition.UP for e in entries})
+        return it.ListNews(scope, list(entries))
+
+    def route(self, host):
+        _, _, kind, destination = self.table[host]
+        return host if self.set.kinds[kind].apart else -destination
+
+    def take(self, cat=0, destination=1, key=None, tenant=0, abandon=None):
+        self.serial += 1
+        row = self.set.categories[cat]
+        due = self.now + (row.abandon if abandon is None else abandon)
+        self.open[self.serial] = dict(row=row, key=key if row.ordered else None, due=due, launches=[])
+        self.step([it.NewCallback(self.serial, cat, tenant, key, due, destination)])
+        return self.serial
+
+    def outcome(self, number, result, wait=0):
+        """The outcome of the launch that a callback has out."""
+        host, sent, _ = self.out.pop(number)
+        entry = self.open.get(number)
+        if result in MAY_HAVE_RUN and entry is not None:
+            entry.setdefault("bound", (sent, self.table[host][1]))
+        if result in (R.TIMEOUT, R.RESET, R.CANCELLED) and entry is not None and entry["key"]:
+            self.rests[entry["key"]] = self.now + self.set.settle
+        if result is R.FULFILLED:
+            self.fails[host] = 0
+            if number in self.open:
+                self.final[number] = self.open.pop(number)
+        elif result not in (R.FULL, R.CANCELLED) and (result is not R.TIMEOUT or entry and entry["due"] > self.now):
+            self.fails[host] = self.fails.get(host, 0) + 1
+            if self.fails[host] == 4:
+                self.shut[host] = self.now
+        if result is R.FULL and wait:
+            route = self.route(host)
+            self.waits[route] = max(self.waits.get(route, 0), self.now + wait)
+        attempts = len(entry["launches"]) - 1 if entry else 0
+        return it.Outcome(number, attempts, host, result, self.now - sent, wait if result is R.FULL else 0,
+                          number in self.final)
+
+    def answer(self, number, result=R.FULFILLED, wait=0):
+        self.step([self.outcome(number, result, wait)])
+
+    def advance(self, span):
+        """Time passes; launches past their time-out end in silence, and the relay's own timers ring."""
+        until = self.now + span
+        while self.now < until:
+            nexts = [end for _, _, end in self.out.values()] + [self.wake or until]
+            self.now = min(until, max(self.now + 1, min(nexts)))
+            late = [n for n, (_, _, end) in self.out.items() if end <= self.now]
+            events = [self.outcome(n, R.TIMEOUT) for n in late]
+            self.step(events + [it.Timer("wake")])
+
+    def step(self, events=()):
+        self.wake = None if any(type(e) is it.Timer for e in events) else getattr(self, "wake", None)
+        for action in self.relay.step(self.now, list(events)):
+            getattr(self, "on_" + type(action).__name__.lower())(action)
+        for number, entry in self.open.items():
+            assert entry["due"] > self.now, f"rule 1: {number} has no final answer in time"
+        share = max(1, self.set.slots * 3 // 4)
+        for destination in {h[3] for h in self.table.values()}:
+            calls = {(h, sent) for h, sent, _ in self.out.values() if self.table[h][3] == destination}
+            assert len(calls) <= share, "the slot share is kept"
+
+    def on_wake(self, action):
+        assert action.span > 0
+        self.wake = min(self.wake or self.now + action.span, self.now + action.span)
+
+    def on_note(self, action):
+        self.notes.append(action.text)
+
+    def on_followlist(self, _):
+        self.asked += 1
+
+    def on_probe(self, action):
+        assert self.set.may_probe and self.up.get(action.host), "probes only where allowed, to a listed host"
+        self.probes.append(action.host)
+
+    def on_launch(self, action):
+        number, host, now = action.callback, action.host, self.now
+        assert number in self.open and number not in self.out, "rules 1, 2: open, and none out"
+        entry = self.open[number]
+        row = entry["row"]
+        assert entry["due"] > now and len(entry["launches"]) < self.set.max_launches and action.time_out > 0
+        if "bound" in entry:
+            sent, zone = entry["bound"]
+            assert row.effect is not it.Effect.EXCLUSIVE, "rule 2: an exclusive callback that may have run"
+            if row.effect is it.Effect.TICKETED:
+                assert now <= sent + row.window, "rule 2: a repeat after the window"
+                assert row.all_hosts or self.table[host][1] == zone, "rule 2: a repeat out of scope"
+        assert self.up.get(host), "rule 3: new work for a host that drains or is gone"
+        if self.fails.get(host, 0) >= 4 and self.set.kinds[self.table[host][2]].per_call == 1:
+            trials = [h for h, sent, _ in self.out.values() if h == host and sent >= self.shut[host]]
+            assert not trials, "rule 4: one trial at a time"
+        assert self.waits.get(self.route(host), 0) <= now, "rule 6: a told wait"
+        if entry["key"]:
+            assert self.rests.get(entry["key"], 0) <= now, "rule 5: a key that rests"
+            for other, earlier in list(self.open.items()) + [(n, self.final[n]) for n in self.out if n in self.final]:
+                assert other >= number or earlier["key"] != entry["key"], "rule 5: out of turn"
+        entry["launches"].append(host)
+        self.out[number] = (host, now, min(now + action.time_out, entry["due"]))
+        self.sent.append((now, host))
+
+    def on_deny(self, action):
+        entry = self.open[action.callback]
+        row = entry["row"]
+        assert action.callback not in self.out, "rule 2: denied with a launch out"
+        assert "bound" not in entry or row.effect is it.Effect.RERUNNABLE or (
+            row.effect is it.Effect.TICKETED and row.all_hosts), "rule 2: denied though it may have run"
+        self.final[action.callback] = self.open.pop(action.callback)
+
+    def on_scrap(self, action):
+        self.final[action.callback] = self.open.pop(action.callback)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,12 +1,163 @@
+"""Plain cases: what each rule and each defence is there for, on the module alone."""
+import pytest
+
 from molehill import interface as it
-from molehill.policy import Relay
+from tests.ledger import MS, R, SECOND, World, category, settings
+
+
+def feed(world, every, span, result=R.FULFILLED, took=50, **callback):
+    """A callback each `every` ms for `span` ms; each launch is answered after `took` ms. Gives the launches made."""
+    before = len(world.sent)
+    for _ in range(span // every):
+        world.take(**callback)
+        world.advance(min(took, every) * MS)
+        for number in sorted(n for n, (_, sent, _) in world.out.items() if sent + took * MS <= world.now):
+            if number in world.out:
+                world.answer(number, result)
+        world.advance(max(0, every - took) * MS)
+    return world.sent[before:]
+
+
+def test_window_grows_on_good_answers_and_halves_with_a_pause_on_a_refusal():
+    world = World(settings(slots=100), hosts=((1, 0, 0, 1),))
+    for _ in range(40):
+        world.take()
+    assert len(world.out) == 2
+    for _ in range(6):
+        world.answer(min(world.out))
+    assert len(world.out) == 8                 # one more for each good answer until the first slowdown
+    world.answer(min(world.out), R.FULL, 500 * MS)
+    sent = len(world.sent)
+    world.advance(499 * MS)
+    assert len(world.sent) == sent
+    assert world.relay.h_route[0].limit == 4.0
+
+
+def test_a_latency_that_stays_over_twice_the_best_cuts_the_window_and_an_old_best_expires():
+    world = World(settings(slots=100, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
+    feed(world, 100, 4000, took=50)
+    limiter = world.relay.h_route[0]
+    grown = limiter.limit
+    feed(world, 300, 6000, took=290)
+    cut = limiter.limit
+    assert cut < grown / 2
+    feed(world, 300, 15000, took=290)
+    assert limiter.limit > cut + 2
+
+
+def test_slot_share_leaves_slots_for_other_destinations_while_one_hangs():
+    world = World(settings(slots=4), hosts=((1, 0, 0, 1), (2, 0, 0, 2)))
+    for _ in range(20):
+        world.take()
+    world.advance(300 * MS)
+    assert sum(1 for host, _, _ in world.out.values() if host == 1) <= 3
+    number = world.take(destination=2)
+    assert number in world.out
+
+
+@pytest.mark.parametrize("effect,result,again", [
+    ("rerunnable", R.TIMEOUT, True), ("ticketed", R.ERROR, True), ("exclusive", R.NO_CONNECT, True),
+    ("exclusive", R.FULL, True), ("exclusive", R.ERROR, False), ("exclusive", R.RESET, False)])
+def test_a_repeat_only_where_the_category_allows(effect, result, again):
+    world = World(settings(categories=[category(effect, abandon=9000, window=9000)]))
+    number = world.take()
+    world.answer(number, result)
+    world.advance(2100 * MS)                   # past the pause and the first pace after a refusal
+    assert (number in world.out) == again and (number in world.open) == again
+
+
+def test_a_ticket_that_ran_out_ends_the_callback_at_once():
+    world = World(settings(categories=[category("ticketed", window=1000, abandon=9000)]), hosts=((1, 0, 0, 1),))
+    number = world.take()
+    world.advance(100 * MS)
+    world.step([world.news(it.Scope.WHOLE, [])])
+    world.answer(number, R.ERROR)
+    world.advance(950 * MS)
+    assert number in world.final
+
+
+def test_a_callback_bound_to_a_zone_does_not_block_the_others():
+    rows = [category("ticketed", window=4000, same_zone=True)]
+    world = World(settings(categories=rows, kinds=[it.Kind(True, 1)]), hosts=((1, 0, 0, 1), (2, 1, 0, 1)))
+    bound = world.take()
+    zone_host = world.out[bound][0]
+    world.step([world.news(it.Scope.UPDATE, [it.HostEntry(zone_host, zone_host - 1, 0, 1, it.Condition.DRAINING, 1.0)])])
+    world.answer(bound, R.ERROR)
+    other = world.take()
+    assert bound not in world.out and other in world.out
+
+
+def test_a_returning_host_is_fed_under_the_budget():
+    world = World(settings(slots=40, categories=[category(abandon=20000)]), hosts=((1, 0, 0, 1),))
+    feed(world, 100, 8000)
+    feed(world, 100, 6000, result=R.NO_CONNECT)
+    assert any("closed" in note for note in world.notes)
+    back = world.now
+    launches = [when for when, _ in feed(world, 100, 12000)]
+    for start in launches:
+        cold = min(1.0, 0.2 + 0.8 * max(0, start + 1500 * MS - back) / (10 * SECOND))
+        in_span = sum(1 for when in launches if start <= when < start + 1500 * MS)
+        assert cold == 1.0 or in_span <= 2.0 * cold * 12.5 * 1.5 + 1    # fed ten a second before, of the dozen it can do
+    assert len(launches) > 60                  # and it is fed again
+
+
+def test_a_hung_host_is_probed_without_spending_callbacks():
+    world = World(settings(may_probe=True), hosts=((1, 0, 0, 1),))
+    feed(world, 100, 2000)
+    feed(world, 100, 3000, result=R.NO_CONNECT)
+    launches = len(feed(world, 100, 2000))
+    assert world.probes and launches == 0
+    world.step([it.ProbeResult(1, R.FULFILLED, 5)])
+    assert len(world.out) == 1
+
+
+def test_refusals_teach_a_pace_below_the_allowance():
+    world = World(settings(slots=40, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
+    allowance, refused, served = [], 0, 0
+    for _ in range(1500):                      # thirty seconds of a destination that takes five calls a second
+        world.take()
+        world.advance(20 * MS)
+        for number in sorted(n for n, (_, sent, _) in world.out.items() if sent + 20 * MS <= world.now):
+            allowance = [t for t in allowance if t > world.now - SECOND]
+            if len(allowance) < 5:
+                allowance.append(world.now)
+                served += 1
+                world.answer(number)
+            elif number in world.out:
+                refused += 1
+                world.answer(number, R.FULL)
+    assert served > 100 and refused < served / 3
+
+
+def test_a_full_relay_gives_way_for_callbacks_of_healthy_destinations():
+    world = World(settings(max_held=40, slots=20), hosts=((1, 0, 0, 1), (2, 0, 0, 2)))
+    for _ in range(60):
+        world.take(destination=1)              # nothing answers there
+    number = world.take(destination=2)
+    assert len(world.open) <= 40 and number in world.out
+
+
+def test_time_outs_cut_by_the_abandon_time_are_not_held_against_the_host():
+    world = World(settings(), hosts=((1, 0, 0, 1),))
+    feed(world, 100, 2000)
+    for _ in range(12):
+        world.take(abandon=40 * MS)
+        world.advance(60 * MS)
+    assert not world.notes
+
 
-MS = 1_000_000
+def test_a_list_call_that_fails_is_made_again_later():
+    world = World(settings(list_on_request=True))
+    assert world.asked == 1
+    world.step([it.ListNews(it.Scope.FAILED, [])])
+    assert world.asked == 1
+    world.advance(SECOND)
+    assert world.asked == 2
 
 
-def test_a_callback_is_launched_and_answered():
-    category = it.Category(it.Effect.RERUNNABLE, 1000 * MS, 5000 * MS, 1.0, 0.0, 0, False, False, False)
-    relay = Relay(it.Settings([category], kinds=[it.Kind(False, 1)], slots=4, max_launches=3), 1)
-    entry = it.HostEntry(7, 0, 0, 1, it.Condition.UP, 1.0)
-    actions = relay.step(0, [it.ListNews(it.Scope.RESTORED, [entry]), it.NewCallback(5, 0, 0, None, 5000 * MS, 1)])
-    assert [(a.callback, a.host) for a in actions if type(a) is it.Launch] == [(5, 7)]
+def test_callbacks_fill_a_call_of_a_kind_that_takes_several():
+    world = World(settings(kinds=[it.Kind(False, 5)], slots=4), hosts=((1, 0, 0, 1),))
+    for _ in range(12):
+        world.take()
+    world.answer(min(world.out))
+    assert len(world.out) == 10 and world.relay.out == 2 and world.relay.dests[1].waiting == 1
