Try rates over eight calls, unclipped spans between trials and ramps from a good probe

Cause: eleven relays each probed and tried both hosts of a small destination within a second of its return.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -59,7 +59,7 @@
         self.hosts = {}                       # host id -> index into the arrays below
         self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route = [], [], [], [], [], []
         self.h_out, self.h_state, self.h_bad, self.h_full, self.h_full_at = [], [], [], [], []
-        self.h_next, self.h_since, self.h_probed = [], [], []     # next call at; state since; probed well
+        self.h_next, self.h_since = [], []                        # next call at; in its state since
         self.h_peak, self.h_count, self.h_count_at = [], [], []   # most calls served a second, its count
 
     def step(self, now, events):
@@ -307,26 +307,31 @@
 
     # Health of a host
 
+    ENOUGH = 8  # calls behind a served rate: fewer say more of chance than of the host
     BAD_GAIN = 0.25  # with the next line: three failures in a row close, single ones do not
     MOSTLY_BAD, OFTEN_BAD = 0.5, 0.4  # share of failures that closes; that holds a ramp back (two in a row)
 
     def _health(self, h, good, sent, result):
         now = self.now
         if good:
-            if now - self.h_count_at[h] > self.RATE_SPAN:
+            if self.h_count[h] >= self.ENOUGH and now - self.h_count_at[h] > self.RATE_SPAN:
                 rate = self.h_count[h] * SECOND / (now - self.h_count_at[h])
                 self.h_peak[h] = max(rate, self.h_peak[h] * 0.95)   # halves in half a minute
                 self.h_count[h], self.h_count_at[h] = 0, now
             self.h_count[h] += 1
         self.h_bad[h] += ((0.0 if good else 1.0) - self.h_bad[h]) * self.BAD_GAIN
         if good and self.h_state[h] is CLOSED and sent >= self.h_since[h]:
-            self.h_state[h], self.h_since[h], self.h_bad[h], self.h_full[h] = RAMP, now, 0.0, 0
-            self.actions.append(it.Note(f"host {self.h_id[h]} answers again, fed slowly"))
+            self._back(h, 0.0)
         elif not good and (self.h_bad[h] > self.MOSTLY_BAD or self.h_state[h] is CLOSED):
             self._close(h, result)
         elif self.h_state[h] is RAMP and self.h_bad[h] > self.OFTEN_BAD:
             self.h_since[h] = now             # many of its calls still fail: as cold as at its return
 
+    def _back(self, h, bad):
+        self.h_state[h], self.h_since[h], self.h_bad[h], self.h_full[h] = RAMP, self.now, bad, 0
+        self.h_next[h] = self.now + self._gap(h)
+        self.actions.append(it.Note(f"host {self.h_id[h]} answers again, fed slowly"))
+
     def _close(self, h, result):
         if self.h_state[h] is OPEN:
             self.actions.append(it.Note(f"host {self.h_id[h]} closed: {result.value}"))
@@ -349,17 +354,16 @@
         sharing = s.relays * (max(1, len(dest.hosts)) if lim is dest.limiter else 1)
         can = max(self.h_peak[h], lim.told / sharing, self.LEAST_RATE)
         rate = self.BUDGET * s.fall_multiple * (s.cold_from + (1.0 - s.cold_from) * warm) * can
-        return min(int(SECOND / rate), 2 * SECOND)
+        return int(min(SECOND / rate, (s.ramp_time or SECOND) / 2))
 
     def _probed(self, event):
         h = self.hosts[event.host]
         self.h_out[h] -= 1
         self.dirty[self.h_dest[h]] = True
-        self.h_probed[h] = event.result is Result.FULFILLED
-        if self.h_probed[h]:
-            self.h_next[h] = self.now
-        else:
+        if event.result is not Result.FULFILLED:
             self._close(h, event.result)
+        elif self.h_state[h] is CLOSED:
+            self._back(h, self.MOSTLY_BAD)    # a probe may see less than a call: the first failure closes again
 
     # The list
 
@@ -398,7 +402,7 @@
         for array, value in ((self.h_id, entry.host), (self.h_zone, entry.zone), (self.h_size, kind.per_call),
                              (self.h_dest, entry.destination), (self.h_up, False), (self.h_route, route),
                              (self.h_out, 0), (self.h_state, OPEN), (self.h_bad, 0.0), (self.h_full, 0),
-                             (self.h_full_at, 0), (self.h_next, 0), (self.h_since, 0), (self.h_probed, False),
+                             (self.h_full_at, 0), (self.h_next, 0), (self.h_since, 0),
                              (self.h_peak, 0.0), (self.h_count, 0), (self.h_count_at, self.now)):
             array.append(value)
         return h
@@ -515,7 +519,7 @@
             if self.now - self.h_since[h] >= (self.set.ramp_time or 0):
                 self.h_state[h] = OPEN
             return True
-        if self.h_out[h] == 0 and self.set.may_probe and not self.h_probed[h]:
+        if self.h_out[h] == 0 and self.set.may_probe:
             # Silence costs a probe, not a slot and one of a callback's launches.
             self.h_out[h] += 1
             self.h_next[h] = self.now + self._gap(h)
@@ -547,7 +551,7 @@
         self.h_out[h] += 1
         lim.out += 1
         if self.h_state[h] is not OPEN:
-            self.h_next[h], self.h_probed[h] = now + self._gap(h), False
+            self.h_next[h] = now + self._gap(h)
 
     LEAST_TIME_OUT = SECOND  # below this a new connection's handshakes would read as silence
 
