--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -307,14 +307,13 @@
 
     # Health of a host
 
-    ENOUGH = 8  # calls behind a served rate: fewer say more of chance than of the host
     BAD_GAIN = 0.25  # with the next line: three failures in a row close, single ones do not
     MOSTLY_BAD, OFTEN_BAD = 0.5, 0.4  # share of failures that closes; that holds a ramp back (two in a row)
 
     def _health(self, h, good, sent, result):
         now = self.now
         if good:
-            if self.h_count[h] >= self.ENOUGH and now - self.h_count_at[h] > self.RATE_SPAN:
+            if now - self.h_count_at[h] > self.RATE_SPAN:
                 rate = self.h_count[h] * SECOND / (now - self.h_count_at[h])
                 self.h_peak[h] = max(rate, self.h_peak[h] * 0.95)   # halves in half a minute
                 self.h_count[h], self.h_count_at[h] = 0, now
