After a good probe, close again at the second failure

Cause: a third of all calls reset everywhere, and the first failure after a probe closed the host again.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -362,7 +362,7 @@
         if event.result is not Result.FULFILLED:
             self._close(h, event.result)
         elif self.h_state[h] is CLOSED:
-            self._back(h, self.MOSTLY_BAD)    # a probe may see less than a call: the first failure closes again
+            self._back(h, self.BAD_GAIN)      # a probe may see less than a call: two failures close again
 
     # The list
 
