Close the whole route on a long told wait and spread trials by chance

Cause: a shut destination told every relay the moment of its opening; only the host that answered was closed, the other stayed open, and ten relays came back within the same hundredth of a second. Also covers synchronised trials after any outage. Could harm: a trial comes up to half a span later.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -302,8 +302,9 @@
         self.h_full_at[h] = self.h_full_at[h] if self.h_full[h] else now
         self.h_full[h] += 1
         long = max(wait, now - self.h_full_at[h] if self.h_full[h] >= self.FULL_ROUNDS else 0) > self.LONG_WAIT
-        if long or self.h_state[h] is CLOSED:
-            self._close(h, Result.FULL)
+        for other in dest.hosts if long else [h] if self.h_state[h] is CLOSED else []:
+            if self.h_route[other] is lim:
+                self._close(other, Result.FULL)
 
     # Health of a host
 
@@ -312,12 +313,11 @@
 
     def _health(self, h, good, sent, result):
         now = self.now
-        if good:
-            if now - self.h_count_at[h] > self.RATE_SPAN:
-                rate = self.h_count[h] * SECOND / (now - self.h_count_at[h])
-                self.h_peak[h] = max(rate, self.h_peak[h] * 0.95)   # halves in half a minute
-                self.h_count[h], self.h_count_at[h] = 0, now
-            self.h_count[h] += 1
+        self.h_count[h] += good
+        if now - self.h_count_at[h] >= self.RATE_SPAN:
+            rate = self.h_count[h] * SECOND / (now - self.h_count_at[h])
+            self.h_peak[h] = max(rate, self.h_peak[h] * 0.95)       # halves in half a minute
+            self.h_count[h], self.h_count_at[h] = 0, now
         self.h_bad[h] += ((0.0 if good else 1.0) - self.h_bad[h]) * self.BAD_GAIN
         if good and self.h_state[h] is CLOSED and sent >= self.h_since[h]:
             self._back(h, 0.0)
@@ -336,7 +336,9 @@
             self.actions.append(it.Note(f"host {self.h_id[h]} closed: {result.value}"))
         if self.h_state[h] is not CLOSED:
             self.h_state[h], self.h_since[h] = CLOSED, self.now
-        self.h_next[h] = max(self.h_next[h], self.now + self._gap(h))
+        # Danger: all relays are told the same end of a wait and come back in the same moment. Each draws its own.
+        start = max(self.now, self.h_route[h].paused)
+        self.h_next[h] = max(self.h_next[h], start + int(self._gap(h) * (0.5 + self.random())))
         self._at(self.h_next[h], "dest", self.h_dest[h])
 
     BUDGET = 1.2  # peaks seen lie below what a host can do, so more than one budget is safe
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -108,9 +108,24 @@
     launches = len(feed(world, 100, 2000))
     assert world.probes and launches == 0
     world.step([it.ProbeResult(1, R.FULFILLED, 5)])
+    world.advance(SECOND)
     assert len(world.out) == 1
 
 
+def test_relays_told_the_same_wait_do_not_return_in_the_same_moment():
+    firsts = []
+    for seed in range(8):
+        world = World(settings(relays=8), seed=seed)
+        world.answer(world.take(), R.FULL, 4 * SECOND)
+        before = len(world.sent)
+        while len(world.sent) == before:
+            world.take(abandon=8 * SECOND)
+            world.advance(10 * MS)
+        firsts.append(world.now)
+        assert any("closed" in note for note in world.notes)
+    assert max(firsts) - min(firsts) > SECOND
+
+
 def test_refusals_teach_a_pace_below_the_allowance():
     world = World(settings(slots=40, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
     allowance, refused, served = [], 0, 0
