--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -309,7 +309,7 @@
     # Health of a host
 
     BAD_GAIN = 0.25  # with the next line: three failures in a row close, single ones do not
-    MOSTLY_BAD, OFTEN_BAD = 0.5, 0.4  # share of failures that closes; that holds a ramp back (two in a row)
+    MOSTLY_BAD = 0.5  # share of failures that closes
 
     def _health(self, h, good, sent, result):
         now = self.now
@@ -323,8 +323,6 @@
             self._back(h, 0.0)
         elif not good and (self.h_bad[h] > self.MOSTLY_BAD or self.h_state[h] is CLOSED):
             self._close(h, result)
-        elif self.h_state[h] is RAMP and self.h_bad[h] > self.OFTEN_BAD:
-            self.h_since[h] = now             # many of its calls still fail: as cold as at its return
 
     def _back(self, h, bad):
         self.h_state[h], self.h_since[h], self.h_bad[h], self.h_full[h] = RAMP, self.now, bad, 0
