--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -55,6 +55,7 @@
         self.dests, self.keys, self.rests, self.out = {}, {}, {}, 0
         self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
         self.timers, self.wake_at, self.serial, self.ask_tries = [], None, 0, 0
+        self.quota = [[float("inf"), None] for _ in settings.tenants]
         self.hosts = {}                       # host id -> index into the arrays below
         self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route = [], [], [], [], [], []
         self.h_out, self.h_state, self.h_bad, self.h_full, self.h_full_at = [], [], [], [], []
@@ -122,8 +123,10 @@
             self._next_turn(callback.key)
 
     def _taken(self, new):
-        row = self.set.categories[new.category]
-        callback = Callback(new, row, row.payoff, new.category)
+        row, payoff, over = self.set.categories[new.category], 1.0, False
+        if new.tenant < len(self.quota) and self._over_share(new.tenant):
+            payoff, over = self.set.over_share_payoff, True
+        callback = Callback(new, row, payoff * row.payoff, (new.category, over))
         self.held[callback.id] = callback
         if row.ordered and new.key is not None:
             callback.key = new.key
@@ -135,6 +138,19 @@
         self._at(callback.due, "callback", callback.id)
         self._next_turn(callback.key)
 
+    def _over_share(self, tenant):
+        """A bucket a tenant, at an even part of its quota; beyond it the payoff is small."""
+        quota, bucket = self.set.tenants[tenant].quota, self.quota[tenant]
+        if not quota:
+            return False
+        rate = quota / self.set.relays
+        depth = 2.0 * rate                    # two seconds: room for a clump inside the share
+        since = self.now if bucket[1] is None else bucket[1]
+        bucket[:] = min(depth, bucket[0] + rate * (self.now - since) / SECOND), self.now
+        over = bucket[0] < 1.0
+        bucket[0] -= 0.0 if over else 1.0
+        return over
+
     def _make_room(self):
         """Danger: callbacks for a sick destination fill the relay, and newcomers for healthy ones are turned
         away at its door. While it is nearly full, the longest queue gives up its least worth at once."""
