Halve once for a call refused whole, lanes apart for zone-tied callbacks only

Cause: each callback of a refused call halved the window anew and cut the pace anew. Told waits are still heeded from every one of them.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -27,7 +27,7 @@
         self.due, self.goal = new.abandon_at, new.abandon_at - row.abandon + row.goal
         self.dest, self.state, self.launches = new.destination, None, 0
         self.call, self.sent = None, 0        # the call it is out in, and since when
-        self.bound, self.ticket = None, 0     # zone of the first launch that may have run; known until then
+        self.ran, self.zone, self.ticket = False, None, 0    # may have run; known in that zone alone, until then
 
 
 class Limiter:
@@ -55,7 +55,7 @@
         self.dests, self.keys, self.rests, self.out = {}, {}, {}, 0
         self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
         self.timers, self.wake_at, self.serial, self.ask_tries = [], None, 0, 0
-        self.quota = [[float("inf"), None] for _ in settings.tenants]
+        self.quota = [[float("inf"), 0] for _ in settings.tenants]
         self.hosts = {}                       # host id -> index into the arrays below
         self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route = [], [], [], [], [], []
         self.h_out, self.h_state, self.h_bad, self.h_full, self.h_full_at = [], [], [], [], []
@@ -114,7 +114,7 @@
             self.serial += 1
             # Danger: one callback spends all its launches on trials of a destination that is down. A failed
             # launch gives way by a second.
-            heappush(dest.lanes.setdefault((callback.lane, callback.bound), []),
+            heappush(dest.lanes.setdefault((callback.lane, callback.zone), []),
                      (callback.goal + callback.launches * SECOND, self.serial, callback))
             self.dirty[callback.dest] = True
         elif state is OVER and before is not OVER:
@@ -145,10 +145,9 @@
             return False
         rate = quota / self.set.relays
         depth = 2.0 * rate                    # two seconds: room for a clump inside the share
-        since = self.now if bucket[1] is None else bucket[1]
-        bucket[:] = min(depth, bucket[0] + rate * (self.now - since) / SECOND), self.now
+        bucket[:] = min(depth, bucket[0] + rate * (self.now - bucket[1]) / SECOND), self.now
         over = bucket[0] < 1.0
-        bucket[0] -= 0.0 if over else 1.0
+        bucket[0] -= not over
         return over
 
     def _make_room(self):
@@ -181,7 +180,7 @@
         if callback.launches >= self.set.max_launches or callback.due <= self.now:
             return False
         effect = callback.row.effect
-        return callback.bound is None or effect is Effect.RERUNNABLE or \
+        return not callback.ran or effect is Effect.RERUNNABLE or \
             effect is Effect.TICKETED and self.now < callback.ticket
 
     COME_BACK = SECOND  # what a denied client is told: about the time a queue needs to thin
@@ -189,7 +188,7 @@
     def _give_up(self, callback):
         """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
         effect = callback.row.effect
-        if self.now < callback.due and (callback.bound is None or effect is Effect.RERUNNABLE
+        if self.now < callback.due and (not callback.ran or effect is Effect.RERUNNABLE
                                         or effect is Effect.TICKETED and callback.row.all_hosts):
             back = min(self.COME_BACK, self.set.max_return) if self.set.tells_return else 0
             self.actions.append(it.Deny(callback.id, back))
@@ -213,16 +212,18 @@
             self.h_out[h] -= 1
             self.h_route[h].out -= 1
             self.dirty[self.h_dest[h]] = True
-        if not call[3] or event.wait:
+        self.h_route[h].paused = max(self.h_route[h].paused, self.now + event.wait)    # rule 6
+        if not call[3]:
             call[3] = True                    # a call of several callbacks is judged once
             self._judge(h, dest, call, event)
         if event.told_rate > 0:
             self.h_route[h].told = event.told_rate
         if result in MAY_HAVE_RUN:
-            if callback.bound is None:
-                callback.bound, callback.ticket = self.h_zone[h], callback.sent + callback.row.window
-                if callback.row.effect is Effect.TICKETED:
-                    self._at(callback.ticket, "callback", callback.id)
+            if not callback.ran and callback.row.effect is Effect.TICKETED:
+                callback.ticket = callback.sent + callback.row.window
+                callback.zone = None if callback.row.all_hosts else self.h_zone[h]
+                self._at(callback.ticket, "callback", callback.id)
+            callback.ran = True
             if result in MAY_RUN_STILL and callback.key is not None:
                 self.rests[callback.key] = self.now + self.set.settle
                 self._at(self.rests[callback.key], "key", callback.key)
@@ -249,10 +250,9 @@
             return                            # a time-out cut by an abandon time tells nothing of the host
         if result is Result.FULL:
             return self._refused(h, dest, lim, event.wait)
-        good = result is Result.FULFILLED
-        slow = not good
+        slow = not (good := result is Result.FULFILLED)
         if good:
-            # Danger: tails far beyond any tolerance read as slowdowns. Slow is what is slow itself and in the mean.
+            # Danger: tails far beyond any tolerance read as slow. Slow is what is slow itself and in the mean.
             best = self._best(lim, event.took)
             slow = min(event.took, lim.smooth) > self.TOLERANCE * best
             lim.back_off = self.h_full[h] = 0
@@ -290,7 +290,7 @@
     def _refused(self, h, dest, lim, wait):
         now = self.now
         lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit / 2), False, True
-        lim.paused = max(lim.paused, now + (wait or self.PAUSE))
+        lim.paused = max(lim.paused, now + (0 if wait else self.PAUSE))
         self._at(lim.paused, "dest", self.h_dest[h])
         # Danger: at an allowance latency stays flat, and the window would run into it again and again. The
         # rate served lately becomes the guide's crawl delay beside the window; good answers lift it.
@@ -308,8 +308,7 @@
 
     # Health of a host
 
-    BAD_GAIN = 0.25  # with the next line: three failures in a row close, single ones do not
-    MOSTLY_BAD = 0.5  # share of failures that closes
+    BAD_GAIN, MOSTLY_BAD = 0.25, 0.5  # smoothing and share of failures that closes: three in a row, no fewer
 
     def _health(self, h, good, sent, result):
         now = self.now
@@ -334,7 +333,7 @@
             self.actions.append(it.Note(f"host {self.h_id[h]} closed: {result.value}"))
         if self.h_state[h] is not CLOSED:
             self.h_state[h], self.h_since[h] = CLOSED, self.now
-        # Danger: all relays are told the same end of a wait and come back in the same moment. Each draws its own.
+        # Danger: all relays are told the same end of a wait and come back at once. Each draws a moment of its own.
         start = max(self.now, self.h_route[h].paused)
         self.h_next[h] = max(self.h_next[h], start + int(self._gap(h) * (0.5 + self.random())))
         self._at(self.h_next[h], "dest", self.h_dest[h])
@@ -420,31 +419,24 @@
     # Launching
 
     def _launch_all(self):
-        dirty, self.dirty = self.dirty, {}
+        dirty, self.dirty = {**self.starved, **self.dirty}, {}    # those that lacked a slot first
         for number in dirty:
             self.starved.pop(number, None)
-        for number in list(self.starved) + list(dirty):    # those that lacked a slot first
+            self._launch_dest(number)
             if self.out >= self.set.slots:
                 self.starved[number] = True
-            else:
-                self.starved.pop(number, None)
-                self._launch_dest(number)
 
     def _launch_dest(self, number):
         dest = self._dest(number)
         # The slot share: three quarters of the slots while healthy, half while sick, one at least.
-        while dest.hosts and dest.out < max(1, self.set.slots * (2 if dest.sick else 3) // 4):
+        while dest.out < max(1, self.set.slots * (2 if dest.sick else 3) // 4) and self.out < self.set.slots:
+            h = None
             for callback in self._heads(dest):
                 h = self._pick(dest, callback)
-                if h is not None or callback.bound is None:
+                if h is not None or callback.zone is None:
                     break                     # only one bound to a zone may lack a route that others have
-            else:
-                return
             if h is None:
                 return
-            if self.out >= self.set.slots:
-                self.starved[number] = True
-                return
             self._send(dest, h, callback)
 
     LOOK_AHEAD = SECOND  # about one round of a short queue
@@ -474,13 +466,11 @@
     def _pick(self, dest, callback):
         """One host at random, odds in step with its room; a dearer zone only when no cheaper one has room."""
         now, fees, rooms, total, least = self.now, self.set.zone_fees, [], 0.0, None
-        row = callback.row
-        tied = callback.bound is not None and row.effect is Effect.TICKETED and not row.all_hosts
         for h in dest.hosts:
             lim = self.h_route[h]
-            # Danger: small calls spend an allowance counted in calls. The window's upper half is for full ones.
+            # Danger: small calls spend an allowance counted in calls. The window's upper half is for full ones
             small = self.h_size[h] > 1 and sum(map(len, dest.lanes.values())) < self.h_size[h]
-            if tied and self.h_zone[h] != callback.bound or lim.paused > now \
+            if callback.zone not in (None, self.h_zone[h]) or lim.paused > now \
                     or lim.out >= int(lim.limit / 2 + 0.5 if small else lim.limit) \
                     or not self._paced(lim, h) or self.h_state[h] is not OPEN and not self._may_try(h):
                 continue
@@ -534,13 +524,13 @@
             lim.__init__(now, lim.told)
         call = [h, 0, now, False, self._time_out(lim, callback)]   # host, callbacks out, sent, judged, cap
         while callback is not None and call[1] < self.h_size[h]:
-            heappop(dest.lanes[callback.lane, callback.bound])
+            heappop(dest.lanes[callback.lane, callback.zone])
             self._move(callback, OUT)
             callback.call, callback.sent = call, now
             callback.launches += 1
             call[1] += 1
             self.actions.append(it.Launch(callback.id, self.h_id[h], min(call[4], callback.due - now)))
-            fit = [c for c in self._heads(dest) if c.bound is None or c.bound == self.h_zone[h]] \
+            fit = [c for c in self._heads(dest) if c.zone in (None, self.h_zone[h])] \
                 if call[1] < self.h_size[h] and self.h_state[h] is not CLOSED else []
             callback = fit[0] if fit else None
         lim.used = now
