--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -27,7 +27,7 @@
         self.due, self.goal = new.abandon_at, new.abandon_at - row.abandon + row.goal
         self.dest, self.state, self.launches = new.destination, None, 0
         self.call, self.sent = None, 0        # the call it is out in, and since when
-        self.ran, self.zone, self.ticket = False, None, 0    # may have run; known in that zone alone, until then
+        self.ran, self.zone, self.ticket = False, None, 0    # may have run; known there, until then
 
 
 class Limiter:
@@ -38,7 +38,7 @@
         self.limit, self.out, self.fresh, self.paused, self.used = self.START, 0, True, 0, now
         self.smooth, self.dev, self.back_off = None, 0, 0
         self.now_best, self.last_best, self.window_at = None, None, now
-        self.pace, self.told, self.credit, self.credit_at = 0.0, told, 0.0, now    # calls a second; 0: unknown
+        self.pace, self.told, self.credit, self.credit_at = 0.0, told, 0.0, now   # calls a second; 0: none
         self.count, self.count_at, self.served = 0, now, 0.0
 
 
@@ -252,7 +252,7 @@
             return self._refused(h, dest, lim, event.wait)
         slow = not (good := result is Result.FULFILLED)
         if good:
-            # Danger: tails far beyond any tolerance read as slow. Slow is what is slow itself and in the mean.
+            # Danger: tails beyond any tolerance read as slow. Slow is what is slow itself and in the mean.
             best = self._best(lim, event.took)
             slow = min(event.took, lim.smooth) > self.TOLERANCE * best
             lim.back_off = self.h_full[h] = 0
@@ -273,7 +273,7 @@
     BASELINE = 5 * SECOND  # the design's baseline window
 
     def _best(self, lim, took):
-        """The least of the latency, smoothed as TCP smooths round trips, in this baseline window and the last."""
+        """The least latency, smoothed as TCP smooths round trips, in this baseline window and the last."""
         lim.dev += (abs(took - lim.smooth) - lim.dev) // 4 if lim.smooth else took // 2
         lim.smooth = lim.smooth + (took - lim.smooth) // 8 if lim.smooth else took
         if self.now - lim.window_at > self.BASELINE:
@@ -283,6 +283,7 @@
         return min(lim.now_best, lim.last_best or lim.now_best)
 
     PAUSE = SECOND * 3 // 10  # where a refusal tells no wait; 1 s idles much of a small allowance
+    PACE_CUT = 0.7  # of the rate seen: 0.9 meets the allowance again within a second where several relays share it
     LEAST_PACE = 0.5  # calls a second: one call in two seconds still learns that there is room
     FULL_ROUNDS = 4  # refusals in a row, over LONG_WAIT, that read as shut
     LONG_WAIT = 3 * SECOND  # longer than any span in which an allowance plausibly refills
@@ -295,13 +296,14 @@
         # Danger: at an allowance latency stays flat, and the window would run into it again and again. The
         # rate served lately becomes the guide's crawl delay beside the window; good answers lift it.
         seen = max(lim.served, lim.count * SECOND / max(SECOND, now - lim.count_at))
-        lim.pace = max(self.LEAST_PACE, self.CUT * (min(seen, lim.pace) if lim.pace else seen))
+        lim.pace = max(self.LEAST_PACE, self.PACE_CUT * (min(seen, lim.pace) if lim.pace else seen))
         lim.credit, lim.credit_at = 0.0, now
         # Shut, not merely full: nothing but refusals for a while, or told to stay away for longer than an
         # allowance takes to refill. One that other relays keep full lets some call through in that time.
         self.h_full_at[h] = self.h_full_at[h] if self.h_full[h] else now
         self.h_full[h] += 1
-        long = max(wait, now - self.h_full_at[h] if self.h_full[h] >= self.FULL_ROUNDS else 0) > self.LONG_WAIT
+        since = now - self.h_full_at[h] if self.h_full[h] >= self.FULL_ROUNDS else 0
+        long = max(wait, since) > self.LONG_WAIT
         for other in dest.hosts if long else [h] if self.h_state[h] is CLOSED else []:
             if self.h_route[other] is lim:
                 self._close(other, Result.FULL)
@@ -333,7 +335,7 @@
             self.actions.append(it.Note(f"host {self.h_id[h]} closed: {result.value}"))
         if self.h_state[h] is not CLOSED:
             self.h_state[h], self.h_since[h] = CLOSED, self.now
-        # Danger: all relays are told the same end of a wait and come back at once. Each draws a moment of its own.
+        # Danger: relays told the same end of a wait come back at once. Each draws a moment of its own.
         start = max(self.now, self.h_route[h].paused)
         self.h_next[h] = max(self.h_next[h], start + int(self._gap(h) * (0.5 + self.random())))
         self._at(self.h_next[h], "dest", self.h_dest[h])
@@ -468,7 +470,7 @@
         now, fees, rooms, total, least = self.now, self.set.zone_fees, [], 0.0, None
         for h in dest.hosts:
             lim = self.h_route[h]
-            # Danger: small calls spend an allowance counted in calls. The window's upper half is for full ones
+            # Danger: small calls spend an allowance counted in calls. The upper half is for full ones.
             small = self.h_size[h] > 1 and sum(map(len, dest.lanes.values())) < self.h_size[h]
             if callback.zone not in (None, self.h_zone[h]) or lim.paused > now \
                     or lim.out >= int(lim.limit / 2 + 0.5 if small else lim.limit) \
