--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -213,8 +213,8 @@
             self.h_route[h].out -= 1
             self.dirty[self.h_dest[h]] = True
         self.h_route[h].paused = max(self.h_route[h].paused, self.now + event.wait)    # rule 6
-        if not call[3]:
-            call[3] = True                    # a call of several callbacks is judged once
+        if not call[3] or result is Result.FULL:
+            call[3] = True                    # a call of several is judged once, but each refusal counts
             self._judge(h, dest, call, event)
         if event.told_rate > 0:
             self.h_route[h].told = event.told_rate
@@ -283,7 +283,6 @@
         return min(lim.now_best, lim.last_best or lim.now_best)
 
     PAUSE = SECOND * 3 // 10  # where a refusal tells no wait; 1 s idles much of a small allowance
-    PACE_CUT = 0.7  # of the rate seen: 0.9 meets the allowance again within a second where several relays share it
     LEAST_PACE = 0.5  # calls a second: one call in two seconds still learns that there is room
     FULL_ROUNDS = 4  # refusals in a row, over LONG_WAIT, that read as shut
     LONG_WAIT = 3 * SECOND  # longer than any span in which an allowance plausibly refills
@@ -296,7 +295,7 @@
         # Danger: at an allowance latency stays flat, and the window would run into it again and again. The
         # rate served lately becomes the guide's crawl delay beside the window; good answers lift it.
         seen = max(lim.served, lim.count * SECOND / max(SECOND, now - lim.count_at))
-        lim.pace = max(self.LEAST_PACE, self.PACE_CUT * (min(seen, lim.pace) if lim.pace else seen))
+        lim.pace = max(self.LEAST_PACE, self.CUT * (min(seen, lim.pace) if lim.pace else seen))
         lim.credit, lim.credit_at = 0.0, now
         # Shut, not merely full: nothing but refusals for a while, or told to stay away for longer than an
         # allowance takes to refill. One that other relays keep full lets some call through in that time.
