--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -114,7 +114,7 @@
             self.serial += 1
             # Danger: one callback spends all its launches on trials of a destination that is down. A failed
             # launch gives way by a second.
-            heappush(dest.lanes.setdefault((callback.lane, callback.zone), []),
+            heappush(dest.lanes.setdefault((callback.lane, callback.ran, callback.zone), []),
                      (callback.goal + callback.launches * SECOND, self.serial, callback))
             self.dirty[callback.dest] = True
         elif state is OVER and before is not OVER:
@@ -525,7 +525,7 @@
             lim.__init__(now, lim.told)
         call = [h, 0, now, False, self._time_out(lim, callback)]   # host, callbacks out, sent, judged, cap
         while callback is not None and call[1] < self.h_size[h]:
-            heappop(dest.lanes[callback.lane, callback.zone])
+            heappop(dest.lanes[callback.lane, callback.ran, callback.zone])
             self._move(callback, OUT)
             callback.call, callback.sent = call, now
             callback.launches += 1
