--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -114,7 +114,7 @@
             self.serial += 1
             # Danger: one callback spends all its launches on trials of a destination that is down. A failed
             # launch gives way by a second.
-            heappush(dest.lanes.setdefault((callback.lane, callback.zone), []),
+            heappush(dest.lanes.setdefault((callback.lane, callback.ran, callback.zone), []),
                      (callback.goal + callback.launches * SECOND, self.serial, callback))
             self.dirty[callback.dest] = True
         elif state is OVER and before is not OVER:
@@ -213,8 +213,8 @@
             self.h_route[h].out -= 1
             self.dirty[self.h_dest[h]] = True
         self.h_route[h].paused = max(self.h_route[h].paused, self.now + event.wait)    # rule 6
-        if not call[3] or result is Result.FULL:
-            call[3] = True                    # a call of several is judged once, but each refusal counts
+        if not call[3] or event.wait:
+            call[3] = True                    # a call of several is judged once, but each told wait counts
             self._judge(h, dest, call, event)
         if event.told_rate > 0:
             self.h_route[h].told = event.told_rate
@@ -420,8 +420,8 @@
     # Launching
 
     def _launch_all(self):
-        dirty, self.dirty = self.dirty, {}
-        for number in [n for n in self.starved if n not in dirty] + list(dirty):    # the longest without a slot first
+        dirty, self.dirty = {**self.starved, **self.dirty}, {}    # those that lacked a slot first
+        for number in dirty:
             self.starved.pop(number, None)
             self._launch_dest(number)
             if self.out >= self.set.slots:
@@ -525,7 +525,7 @@
             lim.__init__(now, lim.told)
         call = [h, 0, now, False, self._time_out(lim, callback)]   # host, callbacks out, sent, judged, cap
         while callback is not None and call[1] < self.h_size[h]:
-            heappop(dest.lanes[callback.lane, callback.zone])
+            heappop(dest.lanes[callback.lane, callback.ran, callback.zone])
             self._move(callback, OUT)
             callback.call, callback.sent = call, now
             callback.launches += 1
