--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -56,6 +56,8 @@
         self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
         self.timers, self.wake_at, self.serial, self.ask_tries = [], None, 0, 0
         self.quota = [[float("inf"), 0] for _ in settings.tenants]
+        self.on = {it.Outcome: self._outcome, it.NewCallback: self._taken, it.ProbeResult: self._probed,
+                   it.ListNews: self._news, it.Withdrawn: self._withdrawn}
         self.hosts = {}                       # host id -> index into the arrays below
         self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route = [], [], [], [], [], []
         self.h_out, self.h_state, self.h_bad, self.h_full, self.h_full_at = [], [], [], [], []
@@ -65,18 +67,9 @@
     def step(self, now, events):
         self.now, self.actions = now, []
         for event in events:
-            kind = type(event)
-            if kind is it.Outcome:
-                self._outcome(event)
-            elif kind is it.NewCallback:
-                self._taken(event)
-            elif kind is it.ProbeResult:
-                self._probed(event)
-            elif kind is it.ListNews:
-                self._news(event)
-            elif kind is it.Withdrawn and event.callback in self.held:
-                self._move(self.held[event.callback], OVER)
-        self._ring()
+            if type(event) in self.on:
+                self.on[type(event)](event)
+        self._ring()                          # what a timer was set for is found by the clock
         self._launch_all()
         if self.timers and (self.wake_at is None or self.timers[0][0] < self.wake_at or self.wake_at <= now):
             self.wake_at = max(self.timers[0][0], now + 1)
@@ -138,6 +131,10 @@
         self._at(callback.due, "callback", callback.id)
         self._next_turn(callback.key)
 
+    def _withdrawn(self, event):
+        if event.callback in self.held:
+            self._move(self.held[event.callback], OVER)
+
     def _over_share(self, tenant):
         """A bucket a tenant, at an even part of its quota; beyond it the payoff is small."""
         quota, bucket = self.set.tenants[tenant].quota, self.quota[tenant]
@@ -163,16 +160,14 @@
 
     def _next_turn(self, key):
         """Rule 5: a key's oldest goes once all before it are over, with no launch out, and the key rested."""
-        line = self.keys.get(key)
-        if line is None:
-            return
+        line = self.keys.get(key, [])
         while line and line[0].state is OVER and line[0].call is None:
             line.pop(0)
         rested = self.rests.get(key, 0) <= self.now
         if line and rested and line[0].state is TURN:
             self._move(line[0], QUEUED)
         elif not line and rested:
-            del self.keys[key]
+            self.keys.pop(key, None)
             self.rests.pop(key, None)
 
     def _may_launch(self, callback):
@@ -207,8 +202,7 @@
         dest = self.dests[self.h_dest[h]]
         call[1] -= 1
         if call[1] == 0:
-            self.out -= 1
-            dest.out -= 1
+            self.out, dest.out = self.out - 1, dest.out - 1
             self.h_out[h] -= 1
             self.h_route[h].out -= 1
             self.dirty[self.h_dest[h]] = True
@@ -347,12 +341,10 @@
         s, lim, dest = self.set, self.h_route[h], self.dests[self.h_dest[h]]
         if not s.fall_multiple or not s.cold_from:
             return SECOND
-        warm = 0.0
-        if self.h_state[h] is RAMP and s.ramp_time:
-            warm = min(1.0, (self.now - self.h_since[h]) / s.ramp_time)
+        warm = (self.now - self.h_since[h]) / s.ramp_time if self.h_state[h] is RAMP and s.ramp_time else 0.0
         sharing = s.relays * (max(1, len(dest.hosts)) if lim is dest.limiter else 1)
         can = max(self.h_peak[h], lim.told / sharing, self.LEAST_RATE)
-        rate = self.BUDGET * s.fall_multiple * (s.cold_from + (1.0 - s.cold_from) * warm) * can
+        rate = self.BUDGET * s.fall_multiple * (s.cold_from + (1.0 - s.cold_from) * min(1.0, warm)) * can
         return int(min(SECOND / rate, (s.ramp_time or SECOND) / 2))
 
     def _probed(self, event):
@@ -379,9 +371,8 @@
             self.ask_tries = min(self.ask_tries + 1, 5)
             pause = int(self.ASK_AGAIN * 2 ** self.ask_tries * (0.5 + self.random()))
             return self._at(self.now + pause, "ask", 0)
-        if news.scope is not it.Scope.RESTORED:
-            self.ask_tries = 0
-        elif self.set.list_on_request:
+        self.ask_tries = 0
+        if news.scope is it.Scope.RESTORED and self.set.list_on_request:
             self.actions.append(it.FollowList())
         if news.scope is not it.Scope.UPDATE:
             named = {entry.host: True for entry in news.entries}
@@ -411,10 +402,7 @@
         if self.h_up[h] != up:
             self.h_up[h] = up
             hosts = self._dest(self.h_dest[h]).hosts
-            if up:
-                hosts.append(h)
-            else:
-                hosts.remove(h)
+            (hosts.append if up else hosts.remove)(h)
             self.dirty[self.h_dest[h]] = True
 
     # Launching
@@ -534,12 +522,9 @@
             fit = [c for c in self._heads(dest) if c.zone in (None, self.h_zone[h])] \
                 if call[1] < self.h_size[h] and self.h_state[h] is not CLOSED else []
             callback = fit[0] if fit else None
-        lim.used = now
-        lim.credit -= 1.0
-        self.out += 1
-        dest.out += 1
+        lim.used, lim.credit = now, lim.credit - 1.0
+        self.out, dest.out, lim.out = self.out + 1, dest.out + 1, lim.out + 1
         self.h_out[h] += 1
-        lim.out += 1
         if self.h_state[h] is not OPEN:
             self.h_next[h] = now + self._gap(h)
 
