Short of slots, give them to the destination with most payoff for a slot's time

Acts only while some destination lacked a slot. Also covers hot relays, slow destinations and bursts.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -64,20 +64,13 @@
         self.h_next, self.h_since = [], []                        # next call at; in its state since
         self.h_peak, self.h_count, self.h_count_at = [], [], []   # most calls served a second, its count
 
-    BEAT = SECOND // 4  # between wakes while calls are out: a pause shorter than that hardly shows in latency
-
     def step(self, now, events):
-        # Danger: a relay that stood still reads answers late and takes its own pause for slow destinations. A wake
-        # that comes late tells how long; covers pauses of the process and a starved machine.
-        self.stall = max(0, now - self.wake_at) if self.wake_at is not None else 0
         self.now, self.actions = now, []
         for event in events:
             if type(event) in self.on:
                 self.on[type(event)](event)
         self._ring()                          # what a timer was set for is found by the clock
         self._launch_all()
-        if self.out and (not self.timers or self.timers[0][0] > now + self.BEAT):
-            self._at(now + self.BEAT, "beat", 0)
         if self.timers and (self.wake_at is None or self.timers[0][0] < self.wake_at or self.wake_at <= now):
             self.wake_at = max(self.timers[0][0], now + 1)
             self.actions.append(it.Wake(self.wake_at - now, "wake"))
@@ -98,7 +91,7 @@
                 self.dirty[ref] = True
             elif what == "key":
                 self._next_turn(ref)
-            elif what == "ask":
+            else:
                 self.actions.append(it.FollowList())
 
     # A callback's way
@@ -185,12 +178,14 @@
         return not callback.ran or effect is Effect.RERUNNABLE or \
             effect is Effect.TICKETED and self.now < callback.ticket
 
+    COME_BACK = SECOND  # what a denied client is told: about the time a queue needs to thin
+
     def _give_up(self, callback):
         """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
         effect = callback.row.effect
         if self.now < callback.due and (not callback.ran or effect is Effect.RERUNNABLE
                                         or effect is Effect.TICKETED and callback.row.all_hosts):
-            back = min(SECOND, self.set.max_return) if self.set.tells_return else 0    # a queue thins by then
+            back = min(self.COME_BACK, self.set.max_return) if self.set.tells_return else 0
             self.actions.append(it.Deny(callback.id, back))
         else:
             self.actions.append(it.Scrap(callback.id))
@@ -240,6 +235,7 @@
     TOLERANCE = 2.0  # the design's default; 3, and smoothing over 16 answers, gained nothing
     PACE_STEP = 0.1  # calls a second for a good answer: a small allowance is regained in seconds
     RATE_SPAN = 2 * SECOND  # for served rates: no shorter than spans that allowances count in
+    MOST_BACK_OFF = 2  # doublings of a time-out: with more a trial outlasts the trouble
 
     def _judge(self, h, dest, call, event):
         lim, now, result = self.h_route[h], self.now, event.result
@@ -251,9 +247,8 @@
         slow = not (good := result is Result.FULFILLED)
         if good:
             # Danger: tails beyond any tolerance read as slow. Slow is what is slow itself and in the mean.
-            took = max(event.took - self.stall, min(event.took, lim.smooth or event.took))
-            best = self._best(lim, took)
-            slow = min(took, lim.smooth) > self.TOLERANCE * best
+            best = self._best(lim, event.took)
+            slow = min(event.took, lim.smooth) > self.TOLERANCE * best
             lim.back_off = self.h_full[h] = 0
             lim.count += 1
             if now - lim.count_at >= self.RATE_SPAN:
@@ -266,7 +261,7 @@
             grown = lim.limit + (1.0 if lim.fresh else 1.0 / lim.limit)
             lim.limit, dest.sick = min(grown, self.set.slots), False
         if result is Result.TIMEOUT:
-            lim.back_off = min(lim.back_off + 1, 2)    # doublings: with more a trial outlasts the trouble
+            lim.back_off = min(lim.back_off + 1, self.MOST_BACK_OFF)
         self._health(h, good, call[2], result)
 
     BASELINE = 5 * SECOND  # the design's baseline window
@@ -413,8 +408,8 @@
     # Launching
 
     def _launch_all(self):
-        dirty, self.dirty = {**self.starved, **self.dirty}, {}    # those that lacked a slot first
-        for number in dirty:
+        dirty, self.dirty = {**self.starved, **self.dirty}, {}
+        for number in sorted(dirty, key=self._urgency, reverse=True) if self.starved else dirty:
             self.starved.pop(number, None)
             self._launch_dest(number)
             if self.out >= self.set.slots:
@@ -433,8 +428,10 @@
                 return
             self._send(dest, h, callback)
 
+    LOOK_AHEAD = SECOND  # about one round of a short queue
+
     def _heads(self, dest):
-        """The oldest of each lane, first the one whose delay by a second, a short queue, loses most payoff."""
+        """The oldest of each lane, first the one whose delay by the look-ahead loses the most payoff."""
         heads = []
         for lane in dest.lanes.values():
             while lane and (lane[0][2].state is not QUEUED or not self._may_launch(lane[0][2])):
@@ -443,10 +440,16 @@
                     self._give_up(callback)
             if lane:
                 callback = lane[0][2]
-                loss = self._worth(callback, self.now) - self._worth(callback, self.now + SECOND)
+                loss = self._worth(callback, self.now) - self._worth(callback, self.now + self.LOOK_AHEAD)
                 heads.append((-loss - 1e-3 * callback.payoff, lane[0][1], callback))
         return [callback for _, _, callback in sorted(heads)]
 
+    def _urgency(self, number):
+        """Where slots are what is short: the payoff that a destination's first callback has, over a slot's time."""
+        dest = self._dest(number)
+        heads = self._heads(dest)[:1] if self.out < self.set.slots else []
+        return sum(self._worth(callback, self.now) for callback in heads) / (dest.limiter.smooth or SECOND)
+
     def _worth(self, callback, at):
         row, late = callback.row, at - callback.goal
         if late <= 0 or at >= callback.due:
