--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -178,14 +178,12 @@
         return not callback.ran or effect is Effect.RERUNNABLE or \
             effect is Effect.TICKETED and self.now < callback.ticket
 
-    COME_BACK = SECOND  # what a denied client is told: about the time a queue needs to thin
-
     def _give_up(self, callback):
         """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
         effect = callback.row.effect
         if self.now < callback.due and (not callback.ran or effect is Effect.RERUNNABLE
                                         or effect is Effect.TICKETED and callback.row.all_hosts):
-            back = min(self.COME_BACK, self.set.max_return) if self.set.tells_return else 0
+            back = min(SECOND, self.set.max_return) if self.set.tells_return else 0    # a queue thins by then
             self.actions.append(it.Deny(callback.id, back))
         else:
             self.actions.append(it.Scrap(callback.id))
@@ -235,7 +233,6 @@
     TOLERANCE = 2.0  # the design's default; 3, and smoothing over 16 answers, gained nothing
     PACE_STEP = 0.1  # calls a second for a good answer: a small allowance is regained in seconds
     RATE_SPAN = 2 * SECOND  # for served rates: no shorter than spans that allowances count in
-    MOST_BACK_OFF = 2  # doublings of a time-out: with more a trial outlasts the trouble
 
     def _judge(self, h, dest, call, event):
         lim, now, result = self.h_route[h], self.now, event.result
@@ -261,7 +258,7 @@
             grown = lim.limit + (1.0 if lim.fresh else 1.0 / lim.limit)
             lim.limit, dest.sick = min(grown, self.set.slots), False
         if result is Result.TIMEOUT:
-            lim.back_off = min(lim.back_off + 1, self.MOST_BACK_OFF)
+            lim.back_off = min(lim.back_off + 1, 2)    # doublings: with more a trial outlasts the trouble
         self._health(h, good, call[2], result)
 
     BASELINE = 5 * SECOND  # the design's baseline window
@@ -447,8 +444,8 @@
     def _urgency(self, number):
         """Where slots are what is short: the payoff that a destination's first callback has, over a slot's time."""
         dest = self._dest(number)
-        heads = self._heads(dest)[:1] if self.out < self.set.slots else []
-        return sum(self._worth(callback, self.now) for callback in heads) / (dest.limiter.smooth or SECOND)
+        heads = self._heads(dest) if dest.hosts and self.out < self.set.slots else []
+        return self._worth(heads[0], self.now) / (self.h_route[dest.hosts[0]].smooth or SECOND) if heads else 0.0
 
     def _worth(self, callback, at):
         row, late = callback.row, at - callback.goal
