--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -442,10 +442,10 @@
         return [callback for _, _, callback in sorted(heads)]
 
     def _urgency(self, number):
-        """Where slots are what is short: the payoff that a destination's first callback has, over a slot's time."""
-        dest = self._dest(number)
-        heads = self._heads(dest) if dest.hosts and self.out < self.set.slots else []
-        return self._worth(heads[0], self.now) / (self.h_route[dest.hosts[0]].smooth or SECOND) if heads else 0.0
+        """Danger: short of slots, slow destinations take most of their time. So: payoff for a slot's time."""
+        to = self._dest(number)
+        heads = self._heads(to) if to.hosts and self.out < self.set.slots else []
+        return self._worth(heads[0], self.now) / (self.h_route[to.hosts[0]].smooth or SECOND) if heads else 0
 
     def _worth(self, callback, at):
         row, late = callback.row, at - callback.goal
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -158,6 +158,16 @@
     assert served > 100 and refused < served / 3
 
 
+def test_short_of_slots_the_quick_destination_goes_first():
+    world = World(settings(slots=2, categories=[category(abandon=30000)]), hosts=((1, 0, 0, 1), (2, 0, 0, 2)))
+    feed(world, 900, 4500, took=800, destination=1)
+    feed(world, 100, 1000, took=50, destination=2)
+    numbers = [world.take(destination=d) for d in (1, 2, 1, 2, 1, 2)]
+    world.advance(50 * MS)
+    world.answer(next(n for n in numbers if n in world.out and world.out[n][0] == 2))
+    assert [host for host, _, _ in world.out.values()].count(2) == 1
+
+
 def test_a_full_relay_gives_way_for_callbacks_of_healthy_destinations():
     world = World(settings(max_held=40, slots=20), hosts=((1, 0, 0, 1), (2, 0, 0, 2)))
     for _ in range(60):
