Count failures that come from everywhere less against each host

The share of failures over all calls now raises the share at which a host closes. Also covers a bad network near the relay, and many faults at once. Could harm: in a wide real outage each host closes a call or two later.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -54,7 +54,7 @@
         self.held = {}                        # callbacks that are not over, and those over with a launch out
         self.dests, self.keys, self.rests, self.out = {}, {}, {}, 0
         self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
-        self.timers, self.wake_at, self.serial, self.ask_tries = [], None, 0, 0
+        self.timers, self.wake_at, self.serial, self.ask_tries, self.bad = [], None, 0, 0, 0.0
         self.quota = [[float("inf"), 0] for _ in settings.tenants]
         self.on = {it.Outcome: self._outcome, it.NewCallback: self._taken, it.ProbeResult: self._probed,
                    it.ListNews: self._news, it.Withdrawn: self._withdrawn}
@@ -189,8 +189,6 @@
             self.actions.append(it.Scrap(callback.id))
         self._move(callback, OVER)
 
-    # What comes back
-
     def _outcome(self, event):
         callback = self.held.get(event.callback)
         if callback is None or callback.call is None:
@@ -310,9 +308,10 @@
             self.h_peak[h] = max(rate, self.h_peak[h] * 0.95)       # halves in half a minute
             self.h_count[h], self.h_count_at[h] = 0, now
         self.h_bad[h] += ((0.0 if good else 1.0) - self.h_bad[h]) * self.BAD_GAIN
+        self.bad += ((0.0 if good else 1.0) - self.bad) / 64   # what fails everywhere is no host's doing
         if good and self.h_state[h] is CLOSED and sent >= self.h_since[h]:
             self._back(h, 0.0)
-        elif not good and (self.h_bad[h] > self.MOSTLY_BAD or self.h_state[h] is CLOSED):
+        elif not good and (self.h_bad[h] > self.MOSTLY_BAD + self.bad / 2 or self.h_state[h] is CLOSED):
             self._close(h, result)
 
     def _back(self, h, bad):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -205,3 +205,13 @@
         world.take()
     world.answer(min(world.out))
     assert len(world.out) == 10 and world.relay.out == 2 and world.relay.dests[1].waiting == 1
+
+
+@pytest.mark.parametrize("everywhere,closed", [(0.0, True), (0.6, False)])
+def test_what_fails_everywhere_counts_less_against_one_host(everywhere, closed):
+    world = World(settings(), hosts=((1, 0, 0, 1),))
+    world.relay.bad = everywhere               # the share of all calls that failed lately
+    for _ in range(4):
+        world.answer(world.take(), R.RESET)
+        world.relay.bad = everywhere
+    assert any("closed" in note for note in world.notes) == closed
