--- a/molehill/benchlink/__main__.py
+++ b/molehill/benchlink/__main__.py
@@ -36,13 +36,6 @@
         pending: dict[int, list] = {}
         out: list[str] = []
 
-        def play(number):
-            try:
-                out.extend(codec.action_line(number, a)
-                            for a in self.instances[number].step(now, pending.pop(number)))
-            except Exception as error:  # the module broke: the wire has a word for that
-                out.append(f"crash {number} {type(error).__name__}: {' '.join(str(error).split())}\n")
-
         while True:
             line = self.next_line()
             if not line:
@@ -93,8 +86,12 @@
                 if len(values) < least:
                     raise codec.WireError(f"'{name}' lacks values")
                 events.append(read(values))
-        for number in list(pending):
-            play(number)
+        for number, events in pending.items():
+            try:
+                actions = self.instances[number].step(now, events)
+                out.extend(codec.action_line(number, action) for action in actions)
+            except Exception as error:  # the module broke: the wire has a word for that
+                out.append(f"crash {number} {type(error).__name__}: {' '.join(str(error).split())}\n")
         return "".join(out)
 
     def run(self, write, flush) -> None:
@@ -116,10 +113,7 @@
     host = Host(sys.stdin)
     try:
         host.run(sys.stdout.write, sys.stdout.flush)
-    except codec.WireError as error:
-        print(f"benchlink: line {host.number}: {error}", file=sys.stderr)
-        return 2
-    except (UnicodeDecodeError, BrokenPipeError) as error:
+    except (codec.WireError, UnicodeDecodeError, BrokenPipeError) as error:
         print(f"benchlink: line {host.number}: {error}", file=sys.stderr)
         return 2
     return 0
