--- /dev/null
+++ b/molehill/__main__.py
@@ -0,0 +1,117 @@
+"""One relay on sockets: wires configuration, log, core and network together, and ends in order on SIGTERM."""
+import gc
+import os
+import signal
+import socket
+import sys
+import time
+
+from molehill import config as configuration
+from molehill import holds
+from molehill.core import events as ev
+from molehill.core.reducer import Core
+from molehill.net.clients import Clients
+from molehill.net.discovery import Discovery
+from molehill.net.engine import Engine
+from molehill.net.hosts import Hosts
+from molehill.net.log import Sink, logger
+from molehill.net.notices import Notices
+from molehill.net.scheduler import MS, READ, Scheduler
+from molehill.net.stream import Budget
+from molehill.policy import Relay
+from molehill.store import Store
+
+# After SIGTERM: new connections come for 0.4 s at most, and SIGKILL no sooner than at 3.7 s.
+LISTEN_ON, TURN_AWAY, END = 1000 * MS, 600 * MS, 3300 * MS
+LAST_WORDS = 200 * MS              # for answers and notices that are under way at the end
+STANDING = 8                       # descriptors beside sockets: standard streams, log twice, poll and spare ones
+OUTGOING = 4                       # beside calls: discovery, notices, and one to spare for each
+
+
+def make_clock():
+    """Wall time that only advances: read once, then carried on by the monotonic clock."""
+    base = time.time_ns() - time.monotonic_ns()
+    return lambda: base + time.monotonic_ns()
+
+
+def log_room(config) -> tuple[int, int]:
+    """Bytes for the log's files together, and for what may be owed at once.
+
+    A rewrite stands beside the log, so what is owed takes two fifths at most; on a disk of memory the files and
+    what is held count together, so an eighth of the memory is the most that is owed at once.
+    """
+    files = min(config.disk * 15 // 16, config.memory * 5 // 16)
+    return files, files * 2 // 5
+
+
+class Process:
+    def __init__(self, config, clock):
+        self.config, self.sink = config, Sink()
+        self.log = logger(self.sink, config.name)
+        holds.report = lambda name, count, facts: self.log.error("broken invariant", name=name, count=count,
+                                                                 **{f"fact_{k}": v for k, v in facts.items()})
+        self.scheduler = Scheduler(clock)
+        budget = Budget(config.sockets - STANDING)
+        outgoing = min(config.settings.slots + OUTGOING, config.sockets // 2)
+        files, owed = log_room(config)
+        self.store = Store(config.state, files)
+        self.core = Core(config.settings, config.seed, Relay, owed)
+        count = self.store.replay(self.core.load)
+        self.log.info("log read", records=count, held=len(self.core.held), cut=self.store.cut)
+        self.engine = engine = Engine(self.scheduler, self.core, self.store, self.log, config.period)
+        self.clients = engine.clients = Clients(self.scheduler, config, budget, engine.post, outgoing)
+        self.hosts = engine.hosts = Hosts(self.scheduler, config, budget, engine.post, self.core.may_send, 2)
+        self.notices = engine.notices = Notices(self.scheduler, config, budget, engine.post)
+        self.discovery = engine.discovery = Discovery(self.scheduler, config, budget, engine.post)
+
+    def run(self) -> None:
+        self.clients.listen()
+        self.watch_signals()
+        self.discovery.begin()
+        self.engine.post(ev.Begin())
+        self.engine.keep_flushing(self.sink)
+        self.clients.ready = True
+        self.log.info("ready", listen="%s:%d" % self.config.listen)
+        gc.freeze()
+        self.scheduler.run()
+        self.store.close()
+        self.log.info("ended", held=len(self.core.held), out=self.hosts.out, broken=holds.counts)
+        self.sink.flush()
+
+    def watch_signals(self) -> None:
+        self.wake, write = socket.socketpair()
+        for side in (self.wake, write):
+            side.setblocking(False)
+        self.write = write
+        signal.set_wakeup_fd(write.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+        self.scheduler.spawn(self.on_signal)
+
+    def on_signal(self) -> None:
+        self.scheduler.wait(self.wake.fileno(), READ)
+        now = self.scheduler.clock()
+        self.log.info("stopping", held=len(self.core.held), out=self.hosts.out)
+        self.engine.post(ev.Stop(now + END))
+        self.scheduler.at(now + TURN_AWAY, setattr, self.clients, "closing", True)
+        self.scheduler.at(now + LISTEN_ON, self.clients.stop_listening)
+        self.scheduler.sleep(now + END)
+        until = now + END + LAST_WORDS
+        while self.scheduler.clock() < until and (self.clients.busy() or self.notices.waiting):
+            self.scheduler.sleep(self.scheduler.clock() + 5 * MS)
+        self.scheduler.stopped = True
+
+
+def main() -> int:
+    try:
+        config = configuration.load(os.environ)
+    except configuration.ConfigError as error:
+        print(f"molehill: {error}", file=sys.stderr)
+        return 2
+    Process(config, make_clock()).run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/molehill/benchlink/__main__.py
+++ b/molehill/benchlink/__main__.py
@@ -2,7 +2,7 @@
 import gc
 import sys
 
-from molehill import interface as it
+from molehill import config, interface as it
 from molehill.benchlink import codec
 from molehill.policy import Relay
 
@@ -53,8 +53,9 @@
             if name == "launch":
                 if len(parts) < 3:
                     raise codec.WireError("'launch' lacks values")
-                self.instances[number] = Relay(codec.settings(parts[3:]), codec.whole(parts[2]))
-                self.places[number] = codec.limit_place(parts[3:])
+                given = codec.pairs(parts[3:])
+                self.instances[number] = Relay(config.settings(given), codec.whole(parts[2]))
+                self.places[number] = config.limit_place(given)
                 pending[number] = []
                 continue
             if name not in codec.EVENTS and name not in codec.UNUSED | {"power_off", "sync", "reply"}:
@@ -113,7 +114,7 @@
     host = Host(sys.stdin)
     try:
         host.run(sys.stdout.write, sys.stdout.flush)
-    except (codec.WireError, UnicodeDecodeError, BrokenPipeError) as error:
+    except (config.ConfigError, UnicodeDecodeError, BrokenPipeError) as error:
         print(f"benchlink: line {host.number}: {error}", file=sys.stderr)
         return 2
     return 0
--- /dev/null
+++ b/molehill/config.py
@@ -0,0 +1,237 @@
+"""Configuration: read, checked and given defaults in this one place, for the relay and for the bench's adapter.
+
+A message about a faulty value names its key: `settings.allowed.connIdleMs: 'x' is not a time`.
+"""
+import json
+import re
+from dataclasses import dataclass, replace
+
+from molehill import interface as it
+
+EFFECTS = {"idempotent": it.Effect.RERUNNABLE, "deduplicated": it.Effect.TICKETED,
+           "at_most_once": it.Effect.EXCLUSIVE}
+NS_DIGITS = 6                  # a millisecond holds 10^6 nanoseconds
+MS = 10 ** NS_DIGITS
+NUMBER = re.compile(r"(-?)([0-9]{1,30})(?:\.([0-9]{0,30}))?(?:[eE]([+-]?[0-9]{1,3}))?$", re.ASCII)
+
+
+class ConfigError(Exception):
+    """A value that can't be used; the text names the key."""
+
+
+def nanos(text: str, digits: int = NS_DIGITS) -> int:
+    """Milliseconds (10^digits ns) as text to whole nanoseconds, exactly; what lies below a nanosecond is cut."""
+    found = NUMBER.match(text)
+    if not found:
+        raise ConfigError(f"'{text}' is not a time")
+    sign, whole_part, part, power = found.groups()
+    part = part or ""
+    shift = digits - len(part) + int(power or 0)
+    number = int(whole_part + part)
+    value = number * 10 ** shift if shift >= 0 else number // 10 ** -shift
+    return -value if sign else value
+
+
+def whole(text: str) -> int:
+    try:
+        return int(text)
+    except ValueError:
+        raise ConfigError(f"'{text}' is not a whole number") from None
+
+
+def real(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        raise ConfigError(f"'{text}' is not a number") from None
+
+
+def named(text: str, table: dict):
+    try:
+        return table[text]
+    except KeyError:
+        raise ConfigError(f"'{text}' is not one of {', '.join(table)}") from None
+
+
+def flag(text: str) -> bool:
+    return text in ("true", "1")
+
+
+def flat(value, path: str = "") -> dict[str, str]:
+    """Nested JSON as the bench's path=value pairs: rows of scalars by commas, rows of objects by count."""
+    if isinstance(value, dict):
+        return {key: text for name, part in value.items()
+                for key, text in flat(part, f"{path}.{name}" if path else name).items()}
+    if isinstance(value, list) and any(isinstance(part, (dict, list)) for part in value):
+        pairs = {f"{path}.count": str(len(value))}
+        for n, part in enumerate(value):
+            pairs.update(flat(part, f"{path}.{n}"))
+        return pairs
+    if isinstance(value, list):
+        return {path: ",".join(scalar(part) for part in value)}
+    return {path: scalar(value)}
+
+
+def scalar(value) -> str:
+    return "-" if value is None else ("false", "true")[value] if isinstance(value, bool) else str(value)
+
+
+class Reader:
+    """Values by path; absent ones ('-' or empty) get the default."""
+
+    def __init__(self, given: dict[str, str], prefix: str = ""):
+        self.given, self.prefix = given, prefix
+
+    def get(self, path, read, absent):
+        text = self.given.get(path, "")
+        if text in ("", "-"):
+            return absent
+        try:
+            return read(text)
+        except ConfigError as error:
+            raise ConfigError(f"{self.prefix}{path}: {error}") from None
+
+    def row(self, path, read=str):
+        return self.get(path, lambda text: [read(part) for part in text.split(",")], [])
+
+
+def settings(given: dict[str, str], prefix: str = "") -> it.Settings:
+    """What the module goes by; unknown keys are passed over, absent ones left to the defaults."""
+    reader = Reader(given, prefix)
+    get, row = reader.get, reader.row
+    categories = []
+    for n in range(get("grades.count", whole, 0)):
+        at = f"grades.{n}."
+        scope = given.get(at + "dedupScope", "")
+        categories.append(it.Category(
+            get(at + "semantics", lambda text: named(text, EFFECTS), it.Effect.EXCLUSIVE),
+            get(at + "aimMs", nanos, 0), get(at + "deadlineMs", nanos, 0), get(at + "worth", real, 1.0),
+            get(at + "lateShare", real, 0.0), get(at + "dedupWindowMs", nanos, 0),
+            scope == "zone", scope == "all", get(at + "serialByKey", flag, False)))
+    tenants = [it.Tenant(get(f"parties.{n}.share", real, 0.0), get(f"parties.{n}.quotaPerS", real, None))
+               for n in range(get("parties.count", whole, 0))]
+    apart, per_call = row("extra.kindApart", flag), row("extra.perCall", whole)
+    kinds = [it.Kind(n < len(apart) and apart[n], max(1, per_call[n]) if n < len(per_call) else 1)
+             for n in range(max(len(apart), len(per_call)))]
+    return it.Settings(
+        categories=categories, tenants=tenants, kinds=kinds, zone_fees=row("extra.feeByZone", real),
+        relays=get("balancers", whole, 1), slots=get("extra.maxCalls", whole, 1),
+        max_held=get("allowed.maxOpen", whole, None), max_launches=get("allowed.maxAttempts", whole, 1),
+        tells_return=get("allowed.retryAfter", flag, False),
+        max_return=get("allowed.maxRetryAfterMs", nanos, 0),
+        list_on_request=given.get("discovery") == "on_request",
+        halving=given.get("extra.fades") == "halving",
+        over_share_payoff=get("overShareWorth", real, 1.0),
+        units_are_rates=given.get("weightSource") in ("nominal", "rough"),
+        fall_span=get("guarantees.fallMs", nanos, None),
+        fall_multiple=get("guarantees.tipMultiple", real, None),
+        cold_from=get("guarantees.coldFrom", real, None),
+        ramp_time=get("guarantees.rampTimeMs", nanos, None),
+        connection_idle=get("allowed.connIdleMs", nanos, 0),
+        settle=get("guarantees.settleAfterDoubtMs", nanos, 0))
+
+
+def limit_place(given: dict[str, str]):
+    """Where reports hold the limit in calls a second, if they do."""
+    fields = given.get("telemetry.fields", "").split(",")
+    return fields.index("x1") if "x1" in fields else None
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    state: str
+    seed: int
+    settings: it.Settings
+    categories: dict[str, int]     # by the name that a client gives
+    tenants: dict[str, int]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    known: dict                    # the list as last had, in discovery's form
+    period: int                    # least span between two steps of the module
+    connect_time_out: int
+    tells_limit: bool              # answers tell a limit in calls a second
+    sockets: int
+    disk: int                      # bytes
+    memory: int
+
+
+CONNECT_TIME_OUT = 1500 * MS   # where no setting tells: the users' figure on all their deployments
+PERIOD = 5 * MS                # likewise
+SOCKETS, DISK_MB, MEMORY_MB = 1024, 3, 192    # likewise: the most on scored days, so never too much
+LEAST_SOCKETS = 32             # standard streams, log, discovery, notices, a listener and a few of each side
+
+
+def address(text, key: str) -> tuple[str, int]:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{key}: '{text}' is not ADDRESS:PORT")
+    return host.strip("[]"), int(port)
+
+
+def load(environ) -> Config:
+    """The file that ROUTER_CONFIG names; single values of it may also come from the environment, which wins."""
+    path = environ.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG: not set; it names the configuration file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            given = json.load(file, parse_float=str)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"ROUTER_CONFIG: {path}: {error}") from None
+    if not isinstance(given, dict):
+        raise ConfigError(f"ROUTER_CONFIG: {path}: not an object")
+    return check(given, environ)
+
+
+def part(given: dict, key: str) -> dict:
+    value = given.get(key, {})
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key}: not an object")
+    return value
+
+
+def check(given: dict, environ) -> Config:
+    nested, limits, known = part(given, "settings"), part(given, "limits"), part(given, "known")
+    pairs = flat(nested)
+    reader, limit = Reader(pairs, "settings."), Reader(flat(limits), "limits.")
+    made = settings(pairs, "settings.")
+    if not made.categories:
+        raise ConfigError("settings.grades: no class of message is given")
+    state = environ.get("ROUTER_STATE") or given.get("state")
+    if not state:
+        raise ConfigError("ROUTER_STATE: not set; it names the folder that lasts")
+    seed = str(given.get("seed", "0"))
+    try:
+        seed = int(seed, 16)
+    except ValueError:
+        raise ConfigError(f"seed: '{seed}' is not a hex number") from None
+    sockets = limit.get("sockets", whole, SOCKETS)
+    if sockets < LEAST_SOCKETS:
+        raise ConfigError(f"limits.sockets: {sockets} is under the {LEAST_SOCKETS} that a relay needs")
+    disk, memory = limit.get("disk_mb", real, DISK_MB), limit.get("memory_mb", real, MEMORY_MB)
+    for key, value in (("disk_mb", disk), ("memory_mb", memory)):
+        if not 0 < value < 1e9:
+            raise ConfigError(f"limits.{key}: {value} is not a size in megabytes")
+    return Config(
+        name=environ.get("ROUTER_NAME") or str(given.get("name", "relay")),
+        listen=address(environ.get("ROUTER_LISTEN") or given.get("listen"), "ROUTER_LISTEN"),
+        discovery=address(environ.get("ROUTER_DISCOVERY") or given.get("discovery"), "ROUTER_DISCOVERY"),
+        state=state, seed=seed,
+        settings=replace(made, list_on_request=True),       # on sockets the list never comes unasked
+        categories=names(nested, "grades"), tenants=names(nested, "parties"),
+        zones=names(nested, "azs"), kinds=names(nested, "machineTypes"), known=known,
+        period=reader.get("periodMs", nanos, PERIOD),
+        connect_time_out=reader.get("allowed.connectTimeoutMs", nanos, CONNECT_TIME_OUT),
+        tells_limit=limit_place(pairs) is not None and pairs.get("telemetry.how") == "piggyback",
+        sockets=sockets, disk=int(disk * 1_000_000), memory=int(memory * 1_000_000))
+
+
+def names(nested: dict, key: str) -> dict[str, int]:
+    rows = nested.get(key) or []
+    if not isinstance(rows, list):
+        raise ConfigError(f"settings.{key}: not a list")
+    found = [str(row.get("name", "")) if isinstance(row, dict) else str(row) for row in rows]
+    return {name: n for n, name in enumerate(found)}
--- /dev/null
+++ b/molehill/core/events.py
@@ -0,0 +1,160 @@
+"""What the reducer is told and what it asks for. Times are whole nanoseconds of the relay's one clock."""
+from dataclasses import dataclass, field
+from typing import Optional
+
+from molehill import interface as it
+
+
+@dataclass(slots=True)
+class Fresh:
+    """A callback as a client hands it in."""
+    id: str
+    category: int
+    tenant: int
+    key: Optional[str]
+    destination: int
+    due: int
+    mark: Optional[str]            # the idempotency key, passed on unchanged
+    body: bytes
+
+
+@dataclass(slots=True)
+class Host:
+    id: str
+    address: tuple[str, int]
+    zone: int
+    kind: int
+    destination: int
+    condition: it.Condition
+    units: float
+
+
+@dataclass(slots=True)
+class End:
+    """What became of one callback of a call."""
+    id: str
+    result: it.Result
+    wait: int = 0
+    closed: bool = False
+    spent: bool = False
+
+
+# Events
+
+
+@dataclass(slots=True)
+class Begin:                       # the log has been read: take up what is owed
+    pass
+
+
+@dataclass(slots=True)
+class Arrived:
+    client: object                 # whom to answer; given back as it came
+    fresh: Fresh
+
+
+@dataclass(slots=True)
+class Heard:                       # the answer that it is taken on has been written to the client
+    id: str
+
+
+@dataclass(slots=True)
+class Unheard:                     # that client was gone before
+    id: str
+    client: object
+
+
+@dataclass(slots=True)
+class Unlogged:                    # the log would not take these records
+    records: list
+
+
+@dataclass(slots=True)
+class Ended:
+    call: int
+    took: int
+    ends: list[End]
+    told_rate: float = 0.0
+
+
+@dataclass(slots=True)
+class Noticed:                     # the platform has the notices for these
+    ids: list[str]
+
+
+@dataclass(slots=True)
+class Listed:
+    scope: it.Scope
+    hosts: list[Host] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Step:                        # time for the module to look at what has come in
+    pass
+
+
+@dataclass(slots=True)
+class Stop:                        # the process ends at that time
+    at: int
+
+
+# Effects
+
+
+@dataclass(slots=True)
+class Append:
+    record: dict
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Answer:
+    client: object
+    id: str
+    status: int
+    wait: int = 0
+
+
+@dataclass(slots=True)
+class Member:
+    id: str
+    mark: Optional[str]
+    body: bytes
+    until: int                     # given up at that time
+
+
+@dataclass(slots=True)
+class Call:
+    number: int
+    host: str
+    address: tuple[str, int]
+    bundle: bool                   # whether this kind of host takes several callbacks a call
+    members: list[Member]
+
+
+@dataclass(slots=True)
+class Abort:                       # close a call's connection; nothing more is told of it
+    call: int
+
+
+@dataclass(slots=True)
+class Notify:
+    id: str
+    denied: bool
+    wait: int
+
+
+@dataclass(slots=True)
+class Watch:
+    pass
+
+
+@dataclass(slots=True)
+class CloseIdle:
+    host: str
+
+
+@dataclass(slots=True)
+class Say:                         # a log line
+    text: str
+    facts: dict = field(default_factory=dict)
--- /dev/null
+++ b/molehill/core/reducer.py
@@ -0,0 +1,440 @@
+"""All state of a relay but its decisions, and the one place where it changes: an event in, effects out.
+
+No input, output or clock here. Effects are to be carried out in order. The module in molehill/policy.py is driven
+by `Step` events with all that came in since the last one; what it asks for comes out as effects, held back only
+where a call may not go yet: its client has not heard that the callback is taken on, or an earlier callback of its
+key ended by a notice that the platform has not answered.
+"""
+from collections import OrderedDict
+from heapq import heappop, heappush
+
+from molehill import interface as it
+from molehill.core import events as ev
+from molehill.holds import holds
+from molehill.interface import Result
+
+MS = 1_000_000
+# A callback. ARRIVED: read, the module has not seen it; TAKEN: in the log, 202 asked for; HELD: the client has
+# heard; OWED: ended, its notice not answered yet; OVER: nothing is owed.
+ARRIVED, TAKEN, HELD, OWED, OVER = "arrived", "taken", "held", "owed", "over"
+NEXT = {None: (ARRIVED, HELD, OWED), ARRIVED: (TAKEN, OVER), TAKEN: (HELD, OWED, OVER), HELD: (OWED, OVER),
+        OWED: (OVER,), OVER: ()}
+MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+MAY_RUN_STILL = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+TAKEN_ON, DENIED, FAILED = 202, 503, 500       # answers to clients
+RECORD_ROOM = 600      # bytes of the log for a callback beside its own text: fixed fields, launches, its end
+
+
+class Callback:
+    __slots__ = ("id", "category", "tenant", "key", "destination", "due", "mark", "body", "state", "clients",
+                 "launches", "ran_at", "ran_zone", "call", "sent", "denied", "wait", "room")
+
+    def __init__(self, fresh):
+        self.id, self.category, self.tenant, self.key = fresh.id, fresh.category, fresh.tenant, fresh.key
+        self.destination, self.due, self.mark, self.body = fresh.destination, fresh.due, fresh.mark, fresh.body
+        self.state, self.clients, self.call = None, [], None
+        self.launches, self.ran_at, self.ran_zone = 0, None, None
+        self.sent, self.denied, self.wait = None, False, 0     # sent: when the launch that is out went
+        self.room = RECORD_ROOM + 2 * (len(self.id) + len(self.key or "") + len(self.mark or "")) + len(self.body)
+
+
+class Out:
+    """A call that is parked or out."""
+    __slots__ = ("number", "host", "spans", "ids", "sent")
+
+    def __init__(self, number, host, spans):
+        self.number, self.host, self.spans, self.sent = number, host, spans, None
+        self.ids = [number for number, _ in spans]
+
+
+class Core:
+    DONE_KEPT = 4096               # ids lately over, by which a request sent again is known: minutes of traffic
+
+    def __init__(self, settings, seed, make_module, log_room):
+        self.set, self.seed, self.make_module, self.log_room = settings, seed, make_module, log_room
+        self.module, self.inbox, self.now, self.effects = make_module(settings, seed), [], 0, []
+        self.held: dict[str, Callback] = {}           # in the order in which they were handed in
+        self.used, self.open = 0, 0                   # log bytes taken up; callbacks the module has
+        self.done: OrderedDict[str, bool] = OrderedDict()
+        self.calls, self.parked, self.serial = {}, {}, 0
+        self.owed_keys: dict[str, int] = {}
+        self.rests: dict[str, int] = {}
+        self.hosts: dict[str, ev.Host] = {}
+        self.waits: dict[object, int] = {}            # route -> end of a told wait
+        self.guards, self.wake_at, self.stop_at = [], None, None
+        self.on = {ev.Begin: self._begin, ev.Arrived: self._arrived, ev.Heard: self._heard,
+                   ev.Unheard: self._unheard, ev.Unlogged: self._unlogged, ev.Ended: self._ended,
+                   ev.Noticed: self._noticed, ev.Listed: self._listed, ev.Step: self._step, ev.Stop: self._stop}
+
+    def reduce(self, now, event):
+        self.now, self.effects = max(now, self.now), []
+        self.on[type(event)](event)
+        return self.effects
+
+    def next_step(self):
+        """When the module is to be stepped though nothing comes in; None: not before something does."""
+        times = [when for when in (self.wake_at, self.guards[0][0] if self.guards else None) if when is not None]
+        times += [self._parked_until(out) for out in self.parked.values()]
+        return min(times, default=None)
+
+    # The log
+
+    def _log(self, kind, body=b"", **fields):
+        self.effects.append(ev.Append({"k": kind, **fields}, body))
+
+    def load(self, record, body):
+        """One record of the log, as it is read again at a start; later ones override."""
+        kind = record["k"]
+        if kind == "taken":
+            fresh = ev.Fresh(record["id"], record["category"], record["tenant"], record["key"],
+                             record["destination"], record["due"], record["mark"], body)
+            callback = self.held[fresh.id] = Callback(fresh)
+            callback.launches, callback.ran_at = record.get("launches", 0), record.get("ran_at")
+            callback.ran_zone = record.get("ran_zone")
+            self._move(callback, HELD)
+        elif kind == "launch":
+            for callback in self._known(record["ids"]):
+                callback.launches += 1
+                callback.sent = record["at"], record["zone"]
+        elif kind == "end":
+            for callback in self._known(number for number, _, _ in record["ends"]):
+                result, over = next((Result(r), o) for number, r, o in record["ends"] if number == callback.id)
+                self._settle_launch(callback, result, record["at"])
+                if over:
+                    self._move(callback, OVER)
+        elif kind == "owed":
+            for callback in self._known([record["id"]]):
+                callback.denied, callback.wait = record["denied"], record["wait"]
+                if callback.state is HELD:
+                    self._move(callback, OWED)
+        elif kind == "over":
+            for callback in self._known(record["ids"]):
+                self._move(callback, OVER)
+        elif kind == "rest":
+            self.rests[record["key"]] = record["until"]
+
+    def _known(self, ids):
+        return [self.held[number] for number in ids if number in self.held]
+
+    def snapshot(self):
+        """The records that say all that is owed now; a log of just these replaces a longer one."""
+        for key, until in self.rests.items():
+            yield {"k": "rest", "key": key, "until": until}, b""
+        for c in self.held.values():
+            if c.state is ARRIVED:
+                continue
+            out = c.sent is not None
+            yield {"k": "taken", "id": c.id, "category": c.category, "tenant": c.tenant, "key": c.key,
+                   "destination": c.destination, "due": c.due, "mark": c.mark, "launches": c.launches - out,
+                   "ran_at": c.ran_at, "ran_zone": c.ran_zone}, c.body
+            if out:
+                yield {"k": "launch", "ids": [c.id], "at": c.sent[0], "zone": c.sent[1]}, b""
+            if c.state is OWED:
+                yield {"k": "owed", "id": c.id, "denied": c.denied, "wait": c.wait}, b""
+
+    # Callbacks
+
+    def _move(self, callback, state):
+        """Every change of a callback's state."""
+        before = callback.state
+        holds(state in NEXT[before], "callback_state", id=callback.id, before=before, after=state)
+        callback.state = state
+        if before is None:
+            self.used += callback.room
+        self.open += (state in (ARRIVED, TAKEN, HELD)) - (before in (ARRIVED, TAKEN, HELD))
+        key = callback.key
+        if state is OWED and key is not None:
+            self.owed_keys[key] = self.owed_keys.get(key, 0) + 1
+        if before is OWED and key is not None:
+            self.owed_keys[key] -= 1
+            if not self.owed_keys[key]:
+                del self.owed_keys[key]
+        if state in (OWED, OVER) and callback.body:
+            self.used -= len(callback.body)
+            callback.room, callback.body = callback.room - len(callback.body), b""
+        if state is OVER:
+            self.used -= callback.room
+            del self.held[callback.id]
+            self.done[callback.id] = True
+            while len(self.done) > self.DONE_KEPT:
+                self.done.popitem(last=False)
+
+    GUARD = 150 * MS               # half of what the rules leave between the abandon time and a lost callback
+
+    def _arrived(self, event):
+        fresh = event.fresh
+        known = self.held.get(fresh.id)
+        if known is not None and known.state in (ARRIVED, TAKEN):
+            known.clients.append(event.client)         # sent again on a new connection: both get the answer
+            if known.state is TAKEN:
+                self.effects.append(ev.Answer(event.client, fresh.id, TAKEN_ON))
+        elif known is not None or fresh.id in self.done:
+            self.effects.append(ev.Answer(event.client, fresh.id, TAKEN_ON))
+        else:
+            callback = Callback(fresh)
+            if self.set.max_held is not None and self.open >= self.set.max_held \
+                    or self.used + callback.room > self.log_room:
+                self.effects.append(ev.Answer(event.client, fresh.id, DENIED))
+                return
+            self.held[fresh.id] = callback
+            callback.clients.append(event.client)
+            self._move(callback, ARRIVED)
+            self._hand_over(callback)
+
+    def _hand_over(self, c):
+        """Tells the module of a callback, with all that an earlier process or module did with it."""
+        rests = self.rests.get(c.key, 0) if c.key is not None else 0
+        self.inbox.append(it.NewCallback(c.id, c.category, c.tenant, c.key, c.due, c.destination,
+                                         c.launches, c.ran_at, c.ran_zone, rests if rests > self.now else 0))
+        heappush(self.guards, (c.due + self.GUARD, c.id))
+
+    def _heard(self, event):
+        callback = self.held.get(event.id)
+        if callback is not None and callback.state is TAKEN:
+            callback.clients.clear()
+            self._move(callback, HELD)
+            self._release()
+
+    def _unheard(self, event):
+        callback = self.held.get(event.id)
+        if callback is None or callback.state is not TAKEN:
+            return
+        if event.client in callback.clients:
+            callback.clients.remove(event.client)
+        if not callback.clients:
+            self._withdraw(callback)
+
+    def _withdraw(self, callback):
+        """Nobody was told that it is taken on: it is the client's again."""
+        self.inbox.append(it.Withdrawn(callback.id))
+        self._log("over", ids=[callback.id])
+        self._move(callback, OVER)
+        for out in list(self.parked.values()):
+            if callback.id in out.ids:
+                self._unpark(out, [callback.id])
+        self._release()
+
+    def _unlogged(self, event):
+        """What could not be written: callbacks not taken on after all, launches that do not go."""
+        for record in event.records:
+            if record["k"] == "taken" and record["id"] in self.held:
+                callback = self.held[record["id"]]
+                for client in callback.clients:
+                    self.effects.append(ev.Answer(client, callback.id, DENIED))
+                self._withdraw(callback)
+            elif record["k"] == "launch":
+                out = self.calls.get(record["call"])
+                if out is not None:
+                    self._ended(ev.Ended(out.number, 0, [ev.End(i, Result.NOT_SENT) for i in out.ids]))
+
+    # Calls
+
+    def _end_callback(self, callback, denied, wait):
+        """A final answer that is not a delivery."""
+        if callback.state is ARRIVED:
+            for client in callback.clients:
+                self.effects.append(ev.Answer(client, callback.id, DENIED if denied else FAILED, wait))
+            self._move(callback, OVER)
+            return
+        callback.denied, callback.wait = denied, wait
+        self._log("owed", id=callback.id, denied=denied, wait=wait)
+        self._move(callback, OWED)
+        self.effects.append(ev.Notify(callback.id, denied, wait))
+
+    def _step(self, _):
+        now, batch, self.inbox = self.now, self.inbox, []
+        self._ring(batch)
+        if self.wake_at is not None and self.wake_at <= now:
+            self.wake_at = None
+            batch.append(it.Timer("wake"))
+        try:
+            actions = self.module.step(now, batch)
+        except Exception as error:     # the module broke: it is made anew as after a restart, what is held stays
+            holds(False, "module_step", error=repr(error))
+            return self._start_again()
+        ended = {a.callback for a in actions if type(a) in (it.Deny, it.Scrap)}
+        for event in batch:
+            callback = self.held.get(event.callback) if type(event) is it.NewCallback else None
+            if callback is not None and callback.state is ARRIVED and callback.id not in ended:
+                c = callback
+                self._log("taken", c.body, id=c.id, category=c.category, tenant=c.tenant, key=c.key,
+                          destination=c.destination, due=c.due, mark=c.mark)
+                self._move(c, TAKEN)
+                self.effects += [ev.Answer(client, c.id, TAKEN_ON) for client in c.clients]
+        groups = {}
+        for action in actions:
+            if type(action) is it.Launch:
+                groups.setdefault(action.host, []).append((action.callback, action.time_out))
+            elif type(action) is it.Wake:
+                self.wake_at = now + action.span
+            elif type(action) is it.FollowList:
+                self.effects.append(ev.Watch())
+            elif type(action) is it.CloseIdle:
+                self.effects.append(ev.CloseIdle(action.host))
+            elif type(action) is it.Note:
+                self.effects.append(ev.Say(action.text))
+            elif action.callback in self.held:
+                self._end_callback(self.held[action.callback], type(action) is it.Deny,
+                                   action.come_back if type(action) is it.Deny else 0)
+        for host, launches in groups.items():
+            size = self._per_call(self.hosts[host])
+            for at in range(0, len(launches), size):
+                self.serial += 1
+                self.parked[self.serial] = Out(self.serial, host, launches[at:at + size])
+        self._release()
+
+    def _per_call(self, host):
+        return self.set.kinds[host.kind].per_call if host.kind < len(self.set.kinds) else 1
+
+    def _ring(self, batch):
+        """Parked calls whose time is up, and callbacks past their time that the module has not ended."""
+        for out in list(self.parked.values()):
+            if self._parked_until(out) <= self.now:
+                self._unpark(out, list(out.ids))
+        batch += self.inbox
+        self.inbox = []
+        while self.guards and self.guards[0][0] <= self.now:
+            callback = self.held.get(heappop(self.guards)[1])
+            if callback is not None and callback.state in (TAKEN, HELD):
+                holds(False, "ended_in_time", id=callback.id, out=callback.call is not None)
+                self._end_callback(callback, False, 0)
+                batch.append(it.Withdrawn(callback.id))
+
+    def _parked_until(self, out):
+        return min((self.held[number].due for number in out.ids if number in self.held), default=0)
+
+    def _blocked(self, callback):
+        return callback.state is TAKEN or callback.key in self.owed_keys
+
+    def _release(self):
+        """Sends off the parked calls that may go now."""
+        for out in list(self.parked.values()):
+            if not any(self._blocked(callback) for callback in self._known(out.ids)):
+                self._go(out)
+
+    def _go(self, out):
+        host = self.hosts[out.host]
+        ready = [c.id for c in self._known(out.ids) if c.state is HELD] if self.may_send(out.host) else []
+        self._unpark(out, [number for number in out.ids if number not in ready])
+        if not out.ids:
+            return
+        del self.parked[out.number]
+        self.calls[out.number], out.sent, members = out, self.now, []
+        for number, span in out.spans:
+            if number in out.ids:
+                c = self.held[number]
+                c.call, c.sent, c.launches = out.number, (self.now, host.zone), c.launches + 1
+                members.append(ev.Member(c.id, c.mark, c.body, min(self.now + span, c.due)))
+        self._log("launch", ids=[m.id for m in members], at=self.now, zone=host.zone, call=out.number)
+        several = self._per_call(host) > 1
+        self.effects.append(ev.Call(out.number, host.id, host.address, several, members))
+
+    def _route(self, host):
+        apart = host.kind < len(self.set.kinds) and self.set.kinds[host.kind].apart
+        return host.id if apart else host.destination
+
+    def may_send(self, host):
+        """Whether something new may still go there: asked once more just before a call's first byte."""
+        entry = self.hosts[host]
+        return entry.condition is it.Condition.UP and self.waits.get(self._route(entry), 0) <= self.now
+
+    def _unpark(self, out, ids):
+        """Launches that never left the relay."""
+        self.inbox += [it.Outcome(number, 0, out.host, Result.NOT_SENT, 0, 0, False) for number in ids]
+        out.ids = [number for number in out.ids if number not in ids]
+        if not out.ids:
+            self.parked.pop(out.number, None)
+
+    def _settle_launch(self, callback, result, at):
+        """What a launch's outcome leaves behind for later ones and for other callbacks of the key."""
+        sent, callback.sent, callback.call = callback.sent, None, None
+        if sent is not None and result in MAY_HAVE_RUN and callback.ran_at is None:
+            callback.ran_at, callback.ran_zone = sent
+        if result in MAY_RUN_STILL and callback.key is not None and self.set.settle:
+            self.rests[callback.key] = max(self.rests.get(callback.key, 0), at + self.set.settle)
+
+    def _ended(self, event):
+        out = self.calls.get(event.call)
+        if not holds(out is not None, "end_of_a_call_that_is_out", call=event.call):
+            return
+        ends = [end for end in event.ends if end.id in out.ids]
+        holds(len(ends) == len(event.ends), "one_outcome_each", call=event.call)
+        out.ids = [number for number in out.ids if all(end.id != number for end in ends)]
+        if not out.ids:
+            del self.calls[event.call]
+        host, ended = self.hosts[out.host], []
+        for end in ends:
+            if end.wait:
+                route = self._route(host)
+                self.waits[route] = max(self.waits.get(route, 0), self.now + end.wait)
+            callback, closed = self.held.get(end.id), end.closed
+            if callback is not None and callback.call == out.number:
+                self._settle_launch(callback, end.result, self.now)
+                ended.append([end.id, end.result.value, closed and callback.state is not OWED])
+                launches = callback.launches
+                if closed and callback.state is not OWED:
+                    self._move(callback, OVER)
+            else:
+                closed, launches = True, 1
+            self.inbox.append(it.Outcome(end.id, launches - 1, out.host, end.result, event.took, end.wait,
+                                         closed, event.told_rate, end.spent))
+        if ended:
+            self._log("end", ends=ended, at=self.now)
+        self._release()
+        if len(self.rests) > 2 * len(self.held) + 64:
+            self.rests = {key: until for key, until in self.rests.items() if until > self.now}
+
+    def _noticed(self, event):
+        ids = [c.id for c in self._known(event.ids) if c.state is OWED]
+        for number in ids:
+            self._move(self.held[number], OVER)
+        if ids:
+            self._log("over", ids=ids)
+            self._release()
+
+    # The list, the start and the end
+
+    def _listed(self, event):
+        if event.scope is not it.Scope.FAILED:
+            if event.scope is not it.Scope.UPDATE:
+                for host in self.hosts.values():
+                    host.condition = it.Condition.GONE
+            for host in event.hosts:
+                self.hosts[host.id] = host
+            gone = [h.id for h in event.hosts if h.condition is it.Condition.GONE]
+            self.effects += [ev.CloseIdle(host) for host in gone]
+        self.inbox.append(it.ListNews(event.scope, [
+            it.HostEntry(h.id, h.zone, h.kind, h.destination, h.condition, h.units) for h in event.hosts]))
+
+    def _begin(self, _):
+        """After a start: launches that were out when the process ended may have run; all that is owed goes on."""
+        for callback in self.held.values():
+            if callback.sent is not None:
+                self._settle_launch(callback, Result.RESET, self.now)
+            if callback.state is OWED:
+                self.effects.append(ev.Notify(callback.id, callback.denied, callback.wait))
+            else:
+                self._hand_over(callback)
+
+    def _start_again(self):
+        """The same after the module broke, with this process's calls given up first."""
+        for out in self.calls.values():
+            self.effects.append(ev.Abort(out.number))
+        ends = [c for c in self.held.values() if c.call is not None]
+        for callback in ends:
+            self._settle_launch(callback, Result.RESET, self.now)
+        if ends:
+            self._log("end", ends=[[c.id, Result.RESET.value, False] for c in ends], at=self.now)
+        self.calls, self.parked, self.inbox, self.wake_at, self.guards = {}, {}, [], None, []
+        self.seed += 1
+        self.module = self.make_module(self.set, self.seed)
+        self._listed(ev.Listed(it.Scope.RESTORED, list(self.hosts.values())))
+        for callback in self.held.values():
+            if callback.state is not OWED:
+                self._hand_over(callback)
+        if self.stop_at is not None:
+            self.inbox.append(it.Stopping(self.stop_at))
+
+    def _stop(self, event):
+        self.stop_at = event.at
+        self.inbox.append(it.Stopping(event.at))
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -3,9 +3,12 @@
 All times are whole nanoseconds of one clock that only advances; ids are given back as they came.
 Nothing here decides: an absent setting is left as None and read by the module.
 """
+# Ids of callbacks and hosts are whatever the carrier has: numbers on the bench's wire, text on sockets.
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Optional
+from typing import Optional, Union
+
+Id = Union[int, str]
 
 
 class Effect(Enum):
@@ -89,7 +92,7 @@
 
 @dataclass(slots=True)
 class HostEntry:
-    host: int
+    host: Id
     zone: int
     kind: int
     destination: int
@@ -105,24 +108,29 @@
 
 @dataclass(slots=True)
 class NewCallback:
-    callback: int
+    callback: Id
     category: int
     tenant: int
     key: Optional[str]
     abandon_at: int
     destination: int
+    launches: int = 0           # from here on: what an earlier process of this relay did with it
+    ran_at: Optional[int] = None    # when the first launch that may have run was sent
+    ran_zone: Optional[int] = None  # where that was
+    rests_until: int = 0        # until when its key rests
 
 
 @dataclass(slots=True)
 class Outcome:
-    callback: int
+    callback: Id
     launch: int
-    host: int
+    host: Id
     result: Result
     took: int
     wait: int                   # told wait, 0 for none
     closed: bool
     told_rate: float = 0.0      # the limit that the answer tells, calls a second from all relays; 0: none
+    spent: bool = False         # the host says that it has had all its launches
 
 
 @dataclass(slots=True)
@@ -132,7 +140,12 @@
 
 @dataclass(slots=True)
 class Withdrawn:
-    callback: int
+    callback: Id
+
+
+@dataclass(slots=True)
+class Stopping:                 # the relay ends at that time; what it holds is taken up again after its restart
+    at: int
 
 
 # Actions
@@ -140,20 +153,20 @@
 
 @dataclass(slots=True)
 class Launch:
-    callback: int
-    host: int
+    callback: Id
+    host: Id
     time_out: int
 
 
 @dataclass(slots=True)
 class Deny:
-    callback: int
+    callback: Id
     come_back: int              # 0 for no guidance
 
 
 @dataclass(slots=True)
 class Scrap:
-    callback: int
+    callback: Id
 
 
 @dataclass(slots=True)
@@ -164,7 +177,7 @@
 
 @dataclass(slots=True)
 class CloseIdle:                # closes this relay's idle connections to the host
-    host: int
+    host: Id
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/molehill/net/clients.py
@@ -0,0 +1,222 @@
+"""The client side: takes connections, reads requests, answers them."""
+import errno
+import socket
+
+from molehill.core import events as ev
+from molehill.net import http
+from molehill.net.scheduler import READ
+from molehill.net.stream import Broken, Late, Stream
+
+MS = 1_000_000
+SECOND = 1000 * MS
+READ_WITHIN = 10 * SECOND          # a request that has begun; clients give up their wait long before
+WRITE_WITHIN = SECOND              # an answer is a few bytes: a client that does not take them is gone
+LINGER = 200 * MS                  # what a client still sends after an error is read away so that it sees the answer
+BACKLOG = 1024
+LONGEST = 24 * 3600 * SECOND       # no deadline is taken as further off: keeps figures sane
+TEXT_MOST = 1024                   # of ids and keys; they are held and logged
+
+
+class Conn:
+    """A client's connection; `ask` is the id of the request that waits for its answer."""
+
+    def __init__(self, stream):
+        self.stream, self.task, self.ask, self.reply = stream, None, None, None
+
+
+class Clients:
+    def __init__(self, scheduler, config, budget, post, spare):
+        self.scheduler, self.config, self.budget, self.post, self.spare = scheduler, config, budget, post, spare
+        self.clock, self.conns, self.ready, self.closing = scheduler.clock, {}, False, False
+        self.listener, self.taken, self.malformed = None, 0, 0
+        budget.idlers.append(self.close_idlest)
+
+    def listen(self) -> None:
+        family = socket.AF_INET6 if ":" in self.config.listen[0] else socket.AF_INET
+        self.listener = socket.socket(family, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(self.config.listen)
+        self.listener.listen(BACKLOG)
+        self.listener.setblocking(False)
+        self.budget.take("listener")
+        self.scheduler.spawn(self.accept)
+
+    PAUSE = 20 * MS                    # between looks at the budget while no connection can be taken
+
+    def accept(self) -> None:
+        while self.listener is not None:
+            if not self.budget.take("client", self.spare):
+                self.scheduler.sleep(self.clock() + self.PAUSE)
+                continue
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as error:
+                self.budget.give("client")
+                if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK):
+                    self.scheduler.wait(self.listener.fileno(), READ)
+                elif error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self.close_idlest()
+                    self.scheduler.sleep(self.clock() + self.PAUSE)
+                continue
+            self.open(sock)
+
+    def open(self, sock) -> Conn:
+        """Serves a connection whose place in the budget is taken."""
+        conn = Conn(Stream(self.scheduler, sock, "client", self.budget, answers=False))
+        self.conns[conn] = True
+        conn.stream.idle_since = self.clock()
+        conn.task = self.scheduler.spawn(self.serve, conn)
+        return conn
+
+    def close_idlest(self) -> bool:
+        """Makes room: closes the connection that has stood idle longest between two requests."""
+        idle = [c for c in self.conns if c.stream.idle_since and c.stream.open]
+        if idle:
+            min(idle, key=lambda c: c.stream.idle_since).stream.close()
+        return bool(idle)
+
+    def serve(self, conn) -> None:
+        stream = conn.stream
+        try:
+            while self.exchange(conn):
+                pass
+        except (Broken, Late):
+            pass
+        finally:
+            self.conns.pop(conn, None)
+            stream.close()
+
+    def exchange(self, conn) -> bool:
+        """One request and its answer; whether the connection goes on."""
+        stream = conn.stream
+        try:
+            if not len(stream.buffer):
+                stream.idle_since = self.clock()
+                stream.read(None)
+            stream.idle_since = 0
+            until = self.clock() + READ_WITHIN
+            head = stream.head(until)
+            length = head.length or 0
+            if head.headers.get("expect", "").lower() == "100-continue" and len(stream.buffer) < length:
+                stream.send(b"HTTP/1.1 100 Continue\r\n\r\n", until)
+            body = stream.body(head, until) if length else b""
+            status, headers, text = self.route(conn, head, body)
+        except http.Malformed as error:
+            self.malformed += 1
+            stream.send(http.answer(error.status, body=str(error).encode(), close=True),
+                        self.clock() + WRITE_WITHIN)
+            stream.sock.shutdown(socket.SHUT_WR)
+            until = self.clock() + LINGER
+            while True:
+                stream.buffer.take(len(stream.buffer))
+                stream.read(until)
+        close = not head.keep or self.closing
+        data = http.answer(status, headers, text, close)
+        if conn.ask is None:
+            stream.send(data, self.clock() + WRITE_WITHIN)
+        else:
+            self.tell(conn, data)
+        return not close
+
+    def route(self, conn, head, body):
+        method, target, _ = head.first
+        path = target.partition("?")[0]
+        if path == "/health/ready":
+            return (200 if self.ready else 503), (), b""
+        if path == "/health/live":
+            return 200, (), b""
+        if path != "/api":
+            return 404, (), b""
+        if method != "POST":
+            return 405, (("Allow", "POST"),), b""
+        if not self.ready:
+            return 503, (), b""
+        fresh = self.fresh(head.headers, body)
+        self.taken += 1
+        conn.ask, conn.reply = fresh.id, None
+        self.post(ev.Arrived(conn, fresh))
+        while conn.reply is None:          # no time-out: the core answers every request that it was told of
+            self.scheduler.wait()
+        status, wait = conn.reply
+        return status, ((("Retry-After", seconds(wait)),) if wait else ()), b""
+
+    def answer(self, effect) -> None:
+        """The core's answer to a request."""
+        conn = effect.client
+        conn.reply = (effect.status, effect.wait)
+        self.scheduler.resume(conn.task)
+
+    def tell(self, conn, data) -> None:
+        """Writes the answer; the core learns whether the client was still there for one that it is taken on."""
+        ask, conn.ask, told = conn.ask, None, conn.reply[0] == 202
+        try:
+            if not conn.stream.quiet() and not len(conn.stream.buffer):
+                raise Broken("gone before its answer")
+            conn.stream.send(data, self.clock() + WRITE_WITHIN)
+        except (Broken, Late):
+            if told:
+                self.post(ev.Unheard(ask, conn))
+            raise
+        if told:
+            self.post(ev.Heard(ask))
+
+    def fresh(self, headers, body) -> ev.Fresh:
+        """Checks what a client hands in; raises Malformed with what is wrong."""
+        ident, kind = headers.get("req-id", ""), headers.get("req-kind", "")
+        if not ident or len(ident) > TEXT_MOST or not http.printable(ident) or " " in ident:
+            raise http.Malformed(400, "Req-Id is missing or not an id")
+        if kind not in self.config.categories:
+            raise http.Malformed(400, "Req-Kind is not a class that is served here")
+        category = self.config.categories[kind]
+        row = self.config.settings.categories[category]
+        destination = None
+        for part in headers.get("x-consignee", "").replace(";", ",").split(","):
+            name, _, value = part.strip().partition("=")
+            destination = number(value) if name == "dest" else destination
+        if destination is None:
+            raise http.Malformed(400, "X-Consignee tells no dest")
+        span = row.abandon
+        if "req-deadline-ms" in headers:
+            given = number(headers["req-deadline-ms"])
+            if given is None:
+                raise http.Malformed(400, "Req-Deadline-Ms is not a whole number")
+            span = min(given * MS, LONGEST)
+        key = http.cookie(headers, "subject") if row.ordered else None
+        mark = headers.get("idempotency-key")
+        for text in (key, mark):
+            if text is not None and (len(text) > TEXT_MOST or not http.printable(text)):
+                raise http.Malformed(400, "a key that is too long or not printable")
+        tenant = self.config.tenants.get(headers.get("req-owner", ""), 0)
+        return ev.Fresh(ident, category, tenant, key or None, destination, self.clock() + span, mark, body)
+
+    # The end
+
+    def stop_listening(self) -> None:
+        """Takes what still waits to be accepted; then new connections are refused."""
+        listener, self.listener = self.listener, None
+        if listener is None:
+            return
+        while self.budget.take("client", self.spare):
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                self.budget.give("client")
+                break
+            self.open(sock)
+        self.scheduler.cut(listener.fileno())
+        listener.close()
+        self.budget.give("listener")
+
+    def busy(self) -> int:
+        """Connections with a request that is being read or not answered yet."""
+        return sum(1 for conn in self.conns if not conn.stream.idle_since or len(conn.stream.buffer))
+
+
+def number(text: str):
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= 15 else None
+
+
+def seconds(span: int) -> str:
+    """Nanoseconds as decimal seconds, rounded up to a millisecond."""
+    millis = -(-span // MS)
+    return f"{millis // 1000}.{millis % 1000:03d}"
--- /dev/null
+++ b/molehill/net/http.py
@@ -0,0 +1,121 @@
+"""HTTP/1.1 heads: an incremental, bounded parser for both sides, and a writer."""
+from dataclasses import dataclass
+from typing import Optional
+
+HEAD_MOST = 16 * 1024              # ample for the few short headers of the protocol
+BODY_MOST = 64 * 1024              # the protocol's bound
+REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
+           405: "Method Not Allowed", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable",
+           505: "HTTP Version Not Supported"}
+TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+
+
+class Malformed(Exception):
+    def __init__(self, status: int, text: str):
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Head:
+    first: tuple[str, str, str]    # method, target, version; or version, status, reason
+    headers: dict[str, str]
+    keep: bool                     # the connection may carry another message
+    length: Optional[int]          # of the body; None where no header tells it
+
+    @property
+    def status(self) -> int:
+        return int(self.first[1])
+
+
+class Parser:
+    """Finds one head after another in a buffer, each time looking only at bytes that are new."""
+
+    def __init__(self, buffer, answers: bool):
+        self.buffer, self.answers, self.seen = buffer, answers, 0
+
+    def head(self) -> Optional[Head]:
+        """The next head once it is whole, else None; raises Malformed."""
+        buffer = self.buffer
+        while not self.answers and buffer.peek(2) == b"\r\n":
+            buffer.take(2)             # empty lines before a request are passed over
+            self.seen = 0
+        end = buffer.find(b"\r\n\r\n", max(0, self.seen - 3))
+        if end < 0:
+            self.seen = len(buffer)
+            if self.seen > HEAD_MOST:
+                raise Malformed(431, "the head is too long")
+            return None
+        self.seen = 0
+        if end > HEAD_MOST:
+            raise Malformed(431, "the head is too long")
+        return self._read(buffer.take(end + 4)[:-4])
+
+    def _read(self, raw: bytes) -> Head:
+        if b"\0" in raw or b"\n" in raw.replace(b"\r\n", b"") or b"\r" in raw.replace(b"\r\n", b""):
+            raise Malformed(400, "a stray control byte in the head")
+        lines = raw.decode("latin-1").split("\r\n")
+        first = tuple(lines[0].split(" ", 2))
+        if self.answers:
+            first = first if len(first) == 3 else (*first, "")
+            version, rest = first[0], first[1:]
+            if len(rest) != 2 or len(rest[0]) != 3 or not (rest[0].isascii() and rest[0].isdigit()):
+                raise Malformed(400, "not a status line")
+        else:
+            if len(first) != 3 or not first[0] or not first[1]:
+                raise Malformed(400, "not a request line")
+            version = first[2]
+        if version not in ("HTTP/1.1", "HTTP/1.0"):
+            raise Malformed(505 if version.startswith("HTTP/") else 400, "not a version that is spoken here")
+        headers: dict[str, str] = {}
+        for line in lines[1:]:
+            name, colon, value = line.partition(":")
+            if not colon or not name or not TOKEN.issuperset(name.encode("latin-1")):
+                raise Malformed(400, "a line that is no header")
+            name, value = name.lower(), value.strip(" \t")
+            if name in headers and name == "content-length" and headers[name] != value:
+                raise Malformed(400, "two lengths")
+            headers[name] = f"{headers[name]}, {value}" if name in headers and name != "content-length" else value
+        if "transfer-encoding" in headers:
+            raise Malformed(501, "no transfer encodings here")
+        said = headers.get("connection", "").lower()
+        keep = "close" not in said and (version == "HTTP/1.1" or "keep-alive" in said)
+        return Head(first, headers, keep, self._length(headers))
+
+    @staticmethod
+    def _length(headers) -> Optional[int]:
+        text = headers.get("content-length")
+        if text is None:
+            return None
+        if not (text.isascii() and text.isdigit()) or len(text) > 12:
+            raise Malformed(400, "not a length")
+        if int(text) > BODY_MOST:
+            raise Malformed(413, "the body is too long")
+        return int(text)
+
+
+def printable(text: str) -> bool:
+    return text.isascii() and text.isprintable()
+
+
+def cookie(headers: dict[str, str], name: str) -> Optional[str]:
+    for part in headers.get("cookie", "").replace(",", ";").split(";"):
+        key, eq, value = part.strip().partition("=")
+        if eq and key == name:
+            return value.strip('"')
+    return None
+
+
+def _lines(first: str, headers, body: bytes) -> bytes:
+    lines = [first, *(f"{name}: {value}" for name, value in headers), f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
+def request(method: str, target: str, host: str, headers=(), body: bytes = b"") -> bytes:
+    return _lines(f"{method} {target} HTTP/1.1", [("Host", host), *headers], body)
+
+
+def answer(status: int, headers=(), body: bytes = b"", close: bool = False) -> bytes:
+    ending = [("Connection", "close")] if close else []
+    return _lines(f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", [*headers, *ending], body)
--- /dev/null
+++ b/molehill/net/notices.py
@@ -0,0 +1,69 @@
+"""Notices to the platform: each is sent again until it is answered."""
+import json
+
+from molehill.core import events as ev
+from molehill.net import http
+from molehill.net.stream import Broken, Late, connected
+
+MS = 1_000_000
+BATCH = 200                        # notices in one request: under 64 KiB with the longest ids
+FIRST_WITHIN = 120 * MS            # an answer comes at once; a lost request is sent again inside the rules' 300 ms
+LONGEST = 2000 * MS                # between tries while the platform does not answer
+IDLE = 2000 * MS                   # a connection that stood longer is not used again
+
+
+class Notices:
+    def __init__(self, scheduler, config, budget, post):
+        self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
+        self.clock, self.waiting, self.task, self.stream = scheduler.clock, {}, None, None
+
+    def notify(self, effect) -> None:
+        self.waiting[effect.id] = effect
+        if self.task is None:
+            self.task = self.scheduler.spawn(self._send_all)
+
+    def _send_all(self) -> None:
+        tries = 0
+        while self.waiting:
+            batch = list(self.waiting.values())[:BATCH]
+            span = min(FIRST_WITHIN << min(tries, 8), LONGEST)
+            began = self.clock()
+            try:
+                self._post(batch, began + span)
+            except (Broken, Late, http.Malformed):
+                self._close()
+                tries += 1
+                if tries > 1:          # the first failure may be a kept connection's: at once on a new one
+                    self.scheduler.sleep(max(self.clock(), began + span // 2))
+                continue
+            tries = 0
+            for notice in batch:
+                del self.waiting[notice.id]
+            self.post(ev.Noticed([notice.id for notice in batch]))
+        self.task = None
+
+    def _post(self, batch, until) -> None:
+        if self.stream is not None and (self.clock() - self.stream.idle_since > IDLE or not self.stream.quiet()):
+            self._close()
+        if self.stream is None:
+            self.stream = connected(self.scheduler, self.config.discovery, "notices", self.budget, until)
+        rows = []
+        for notice in batch:
+            row = {"ref": notice.id, "result": "bounced" if notice.denied else "dead"}
+            if notice.denied and notice.wait:
+                row["wait_ms"] = -(-notice.wait // MS)
+            rows.append(json.dumps(row, separators=(",", ":")) + "\n")
+        data = http.request("POST", "/v2/finals", "%s:%d" % self.config.discovery, (), "".join(rows).encode())
+        self.stream.send(data, until)
+        head = self.stream.head(until)
+        self.stream.body(head, until) if head.status != 204 else None
+        if head.status != 204:
+            raise Broken(f"status {head.status}")
+        self.stream.idle_since = self.clock()
+        if not head.keep:
+            self._close()
+
+    def _close(self) -> None:
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
--- /dev/null
+++ b/molehill/net/scheduler.py
@@ -0,0 +1,113 @@
+"""Tasks as greenlets over select.poll: one loop, one waiter a descriptor, timers on a heap.
+
+A task runs until it waits. Whatever escapes a task is counted and logged, and ends that task alone.
+"""
+import select
+from collections import deque
+from heapq import heappop, heappush
+
+from greenlet import GreenletExit, getcurrent, greenlet
+
+from molehill.holds import holds
+
+READ, WRITE = select.POLLIN, select.POLLOUT
+READY, LATE, CUT = "ready", "late", "cut"      # what a wait gives: the descriptor moved, time is up, taken away
+MS = 1_000_000
+
+
+class Waiter:
+    __slots__ = ("task", "fd", "live")
+
+    def __init__(self, task, fd):
+        self.task, self.fd, self.live = task, fd, True
+
+
+class Scheduler:
+    def __init__(self, clock, make_poll=select.poll):
+        self.clock, self.poll = clock, make_poll()
+        self.ready, self.timers, self.serial = deque(), [], 0
+        self.waiting: dict[int, Waiter] = {}
+        self.stopped, self.hub = False, getcurrent()
+
+    def spawn(self, work, *args):
+        task = greenlet(self._run_task, parent=self.hub)
+        self.ready.append((task, (work, args)))
+        return task
+
+    def _run_task(self, job):
+        work, args = job
+        try:
+            work(*args)
+        except GreenletExit:
+            pass
+        except Exception as error:
+            holds(False, "task", work=getattr(work, "__qualname__", str(work)), error=repr(error))
+
+    def at(self, when, work, *args):
+        """Calls work(*args) in the loop itself at that time; it may not wait."""
+        self.serial += 1
+        heappush(self.timers, (when, self.serial, work, args))
+
+    def wait(self, fd=None, mask=0, until=None):
+        """Parks the current task until its descriptor is ready, the time is up, or `resume` is called on it."""
+        waiter = Waiter(getcurrent(), fd)
+        if fd is not None:
+            holds(fd not in self.waiting, "one_waiter_a_descriptor", fd=fd)
+            self.waiting[fd] = waiter
+            self.poll.register(fd, mask)
+        waiter.task.waiter = waiter
+        if until is not None:
+            self.at(until, self._wake, waiter, LATE)
+        return self.hub.switch()
+
+    def sleep(self, until):
+        return self.wait(until=until)
+
+    def _wake(self, waiter, value):
+        if not waiter.live:
+            return
+        waiter.live = False
+        if waiter.fd is not None and self.waiting.get(waiter.fd) is waiter:
+            del self.waiting[waiter.fd]
+            self.poll.unregister(waiter.fd)
+        self.ready.append((waiter.task, value))
+
+    def resume(self, task, value=READY):
+        """Ends the wait that a task is in, if it is in one."""
+        waiter = getattr(task, "waiter", None)
+        if waiter is not None:
+            self._wake(waiter, value)
+
+    def cut(self, fd):
+        """Ends the wait on a descriptor that is about to be closed."""
+        waiter = self.waiting.get(fd)
+        if waiter is not None:
+            self._wake(waiter, CUT)
+
+    LONGEST = 1000 * MS            # a loop that has nothing to do still looks at the clock once a second
+
+    def run(self):
+        while not self.stopped:
+            self.turn()
+
+    def turn(self, block=True):
+        """One round: due timers, then descriptors, then every task that is ready."""
+        now = self.clock()
+        while self.timers and self.timers[0][0] <= now:
+            _, _, work, args = heappop(self.timers)
+            try:
+                work(*args)
+            except Exception as error:
+                holds(False, "timer", work=getattr(work, "__qualname__", str(work)), error=repr(error))
+        span = self.LONGEST
+        if self.ready or not block:
+            span = 0
+        elif self.timers:
+            span = max(0, min(span, self.timers[0][0] - now))
+        for fd, _ in self.poll.poll(-(-span // MS)):
+            waiter = self.waiting.get(fd)
+            if waiter is not None:
+                self._wake(waiter, READY)
+        for _ in range(len(self.ready)):
+            task, value = self.ready.popleft()
+            task.switch(value)
--- /dev/null
+++ b/molehill/net/stream.py
@@ -0,0 +1,161 @@
+"""One TCP connection for the tasks: connect, read into its buffer, write all; and the budget of sockets."""
+import errno
+import socket
+
+from molehill.net.buffer import Buffer
+from molehill.net.http import BODY_MOST, HEAD_MOST, Parser
+from molehill.net.scheduler import CUT, READ, READY, WRITE
+
+
+class Broken(Exception):
+    """The connection is of no more use: closed, reset, or cut by this side."""
+
+
+class Late(Exception):
+    """The time that was given is up."""
+
+
+class Budget:
+    """Counts the descriptors of each kind. A kind that is short may have idle ones of other kinds closed."""
+
+    def __init__(self, most: int):
+        self.most, self.used = most, {}
+        self.idlers = []               # functions that close one idle connection and tell whether they did
+
+    def total(self) -> int:
+        return sum(self.used.values())
+
+    def take(self, kind: str, spare: int = 0) -> bool:
+        """One more of that kind, leaving `spare` free for others."""
+        while self.total() + 1 + spare > self.most:
+            if not any(idler() for idler in self.idlers):
+                return False
+        self.used[kind] = self.used.get(kind, 0) + 1
+        return True
+
+    def give(self, kind: str) -> None:
+        self.used[kind] -= 1
+
+
+class Stream:
+    def __init__(self, scheduler, sock, kind: str, budget: Budget, answers: bool):
+        sock.setblocking(False)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            pass                       # not a TCP socket, as in tests
+        self.scheduler, self.sock, self.kind, self.budget = scheduler, sock, kind, budget
+        self.buffer = Buffer(HEAD_MOST + BODY_MOST + 1024)
+        self.parser = Parser(self.buffer, answers)
+        self.open, self.idle_since, self.written = True, 0, False
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self.scheduler.cut(self.sock.fileno())
+            self.sock.close()
+            self.budget.give(self.kind)
+
+    def _wait(self, mask, until) -> None:
+        came = self.scheduler.wait(self.sock.fileno(), mask, until)
+        if came == CUT or not self.open:
+            raise Broken("cut")
+        if came != READY:
+            raise Late()
+
+    def connect(self, address, until) -> None:
+        try:
+            code = self.sock.connect_ex(address)
+        except (OSError, OverflowError, UnicodeError) as error:
+            raise Broken(str(error)) from None
+        if code == errno.EINPROGRESS:
+            self._wait(WRITE, until)
+            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise Broken(errno.errorcode.get(code, str(code)))
+
+    def send(self, data: bytes, until) -> None:
+        """Writes all; `written` tells whether the last byte went."""
+        view, self.written = memoryview(data), False
+        while view:
+            if not self.open:
+                raise Broken("cut")
+            try:
+                view = view[self.sock.send(view):]
+            except BlockingIOError:
+                self._wait(WRITE, until)
+            except OSError as error:
+                raise Broken(str(error)) from None
+        self.written = True
+
+    def read(self, until) -> None:
+        """Some more bytes into the buffer; Broken at the end of the stream."""
+        while True:
+            if not self.open:
+                raise Broken("cut")
+            space = self.buffer.space()
+            if not space:
+                raise Broken("more than a message holds")
+            try:
+                count = self.sock.recv_into(space)
+            except BlockingIOError:
+                space.release()
+                self._wait(READ, until)
+                continue
+            except OSError as error:
+                raise Broken(str(error)) from None
+            finally:
+                space.release()
+            if not count:
+                raise Broken("ended")
+            self.buffer.filled(count)
+            return
+
+    def head(self, until):
+        while (head := self.parser.head()) is None:
+            self.read(until)
+        return head
+
+    def body(self, head, until) -> bytes:
+        """A body of told length; where no length is told, all up to the end of the stream."""
+        if head.length is not None:
+            while len(self.buffer) < head.length:
+                self.read(until)
+            return self.buffer.take(head.length)
+        head.keep = False
+        try:
+            while len(self.buffer) <= BODY_MOST:
+                self.read(until)
+        except Broken:
+            return self.buffer.take(len(self.buffer))
+        raise Broken("the body is too long")
+
+    def quiet(self) -> bool:
+        """Whether nothing has come on an idle connection: neither its end nor bytes that nobody asked for."""
+        if not self.open or len(self.buffer):
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+
+def connected(scheduler, address, kind, budget, until, spare=0) -> Stream:
+    """A new connection to another party, counted in the budget."""
+    if not budget.take(kind, spare):
+        raise Broken("no socket to spare")
+    try:
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        budget.give(kind)
+        raise Broken(str(error)) from None
+    stream = Stream(scheduler, sock, kind, budget, answers=True)
+    try:
+        stream.connect(address, until)
+    except (Broken, Late):
+        stream.close()
+        raise
+    return stream
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -55,10 +55,10 @@
         self.held = {}                        # callbacks that are not over, and those over with a launch out
         self.dests, self.keys, self.rests, self.out, self.scarce = {}, {}, {}, 0, 0
         self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
-        self.timers, self.wake_at, self.serial = [], None, 0
+        self.timers, self.wake_at, self.serial, self.ends = [], None, 0, None
         self.quota = [[float("inf"), 0] for _ in settings.tenants]
-        self.on = {it.Outcome: self._outcome, it.NewCallback: self._taken,
-                   it.ListNews: self._news, it.Withdrawn: self._withdrawn}
+        self.on = {it.Outcome: self._outcome, it.NewCallback: self._taken, it.ListNews: self._news,
+                   it.Withdrawn: self._withdrawn, it.Stopping: self._stopping}
         self.hosts = {}                       # host id -> index into the arrays below
         self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route = [], [], [], [], [], []
         self.h_out, self.h_state, self.h_bad = [], [], []
@@ -125,6 +125,11 @@
         if row.ordered and new.key is not None:
             callback.key = new.key
             self.keys.setdefault(new.key, []).append(callback)
+            if new.rests_until > self.now:
+                self._settle(new.key, new.rests_until)
+        callback.launches = new.launches
+        if new.ran_at is not None:
+            self._may_have_run(callback, new.ran_at, new.ran_zone)
         self._move(callback, TURN)
         dest = self._dest(callback.dest)
         if self.now - dest.asked_at > self.ASKED_SPAN:
@@ -138,6 +143,20 @@
         if event.callback in self.held:
             self._move(self.held[event.callback], OVER)
 
+    def _stopping(self, event):
+        self.ends = event.at
+
+    def _may_have_run(self, callback, sent, zone):
+        """Rule 2: from the first such launch on, a ticketed one is repeated only where and while it is known."""
+        if not callback.ran and callback.row.effect is Effect.TICKETED:
+            callback.ticket, callback.zone = sent + callback.row.window, None if callback.row.all_hosts else zone
+            self._at(callback.ticket, "callback", callback.id)
+        callback.ran = True
+
+    def _settle(self, key, until):
+        self.rests[key] = until
+        self._at(until, "key", key)
+
     def _over_share(self, tenant):
         """A bucket a tenant, two seconds deep for clumps, at an even part of its quota; beyond is less."""
         if tenant >= len(self.quota) or not self.set.tenants[tenant].quota:
@@ -215,14 +234,10 @@
             self._judge(h, dest, call, event)
         self.h_route[h].told = event.told_rate or self.h_route[h].told
         if result in MAY_HAVE_RUN:
-            if not callback.ran and callback.row.effect is Effect.TICKETED:
-                callback.ticket = call[2] + callback.row.window
-                callback.zone = None if callback.row.all_hosts else self.h_zone[h]
-                self._at(callback.ticket, "callback", callback.id)
-            callback.ran = True
+            self._may_have_run(callback, call[2], self.h_zone[h])
             if result in MAY_RUN_STILL and callback.key is not None:
-                self.rests[callback.key] = self.now + self.set.settle
-                self._at(self.rests[callback.key], "key", callback.key)
+                self._settle(callback.key, self.now + self.set.settle)
+        callback.launches = self.set.max_launches if event.spent else callback.launches
         if callback.state is OVER or event.closed:
             self._move(callback, OVER)
             self.held.pop(callback.id, None)
@@ -362,9 +377,7 @@
         return int(min(SECOND / rate, s.ramp_time or SECOND))
 
     def _dest(self, number):
-        if number not in self.dests:
-            self.dests[number] = Destination(self.now)
-        return self.dests[number]
+        return self.dests.get(number) or self.dests.setdefault(number, Destination(self.now))
 
     ASK_AGAIN = 2 * SECOND  # jittered; sooner, many relays that were turned away keep the list overloaded
 
--- /dev/null
+++ b/molehill/store.py
@@ -0,0 +1,107 @@
+"""The log in the folder that lasts: append-only records with checksums, read again at the next start.
+
+A record is a length and a CRC-32, then a line of JSON and the callback's bytes. What was written outlasts the
+process without a sync. A torn tail is cut off when the log is opened. Once the log has grown past its mark it is
+written anew with just what is owed, and takes the old one's place by a rename.
+"""
+import json
+import os
+import struct
+import zlib
+
+HEAD = struct.Struct(">II")
+BLOCK = 512                        # files count in whole blocks of so many bytes
+
+
+class Store:
+    NAME, NEW = "log", "log.new"
+
+    def __init__(self, folder: str, most: int):
+        """`most`: bytes that this log and a new one beside it may take up together."""
+        self.path, self.new_path = os.path.join(folder, self.NAME), os.path.join(folder, self.NEW)
+        self.most, self.size, self.live, self.cut, self.failed = most, 0, 0, 0, False
+        if os.path.exists(self.new_path):
+            os.unlink(self.new_path)   # a rewrite that was cut off before its rename
+        self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+
+    def replay(self, load) -> int:
+        """Hands each whole record to `load`, in order; cuts off what follows the last whole one."""
+        with open(self.path, "rb") as file:
+            data = file.read()
+        at = count = 0
+        while at + HEAD.size <= len(data):
+            length, check = HEAD.unpack_from(data, at)
+            payload = data[at + HEAD.size:at + HEAD.size + length]
+            if len(payload) < length or zlib.crc32(payload) != check:
+                break
+            line, _, body = payload.partition(b"\n")
+            try:
+                load(json.loads(line), body)
+            except (ValueError, KeyError, TypeError, AttributeError):
+                break
+            at += HEAD.size + length
+            count += 1
+        self.cut, self.size = len(data) - at, at
+        os.ftruncate(self.fd, at)
+        os.lseek(self.fd, at, os.SEEK_SET)
+        return count
+
+    @staticmethod
+    def encode(record, body=b"") -> bytes:
+        payload = json.dumps(record, separators=(",", ":")).encode("ascii") + b"\n" + body
+        return HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+
+    def append(self, rows) -> bool:
+        """Writes (record, body) rows, all or none; False if the file would not take them."""
+        data = b"".join(self.encode(record, body) for record, body in rows)
+        if self.size + len(data) + BLOCK > self.most or not self._write(self.fd, data):
+            try:                       # whatever part came in is cut off again
+                os.ftruncate(self.fd, self.size)
+                os.lseek(self.fd, self.size, os.SEEK_SET)
+            except OSError:
+                pass
+            self.failed = True
+            return False
+        self.size += len(data)
+        return True
+
+    @staticmethod
+    def _write(fd, data) -> bool:
+        view = memoryview(data)
+        try:
+            while view:
+                view = view[os.write(fd, view):]
+        except OSError:
+            return False
+        return True
+
+    def wants_rewrite(self) -> bool:
+        """Past half of the room, with room left beside it, and twice what the last rewrite kept or a failure."""
+        return self.failed or self.size > self.most // 2 and self.size > self.live + self.most // 8
+
+    def rewrite(self, rows) -> bool:
+        """A new log with these rows in place of the old one; on failure the old one stays as it is."""
+        data = b"".join(self.encode(record, body) for record, body in rows)
+        if self.size + len(data) + 2 * BLOCK > self.most:
+            return False
+        try:
+            fd = os.open(self.new_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        except OSError:
+            return False
+        try:
+            if not self._write(fd, data):
+                raise OSError("short write")
+            os.rename(self.new_path, self.path)
+        except OSError:
+            os.close(fd)
+            try:
+                os.unlink(self.new_path)
+            except OSError:
+                pass
+            return False
+        os.close(self.fd)
+        self.fd, self.size, self.live, self.failed = fd, len(data), len(data), False
+        return True
+
+    def close(self) -> None:
+        os.close(self.fd)
