--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -19,8 +19,6 @@
 ARRIVED, TAKEN, HELD, OWED, OVER = "arrived", "taken", "held", "owed", "over"
 NEXT = {None: (ARRIVED, HELD, OWED), ARRIVED: (TAKEN, OVER), TAKEN: (HELD, OWED, OVER), HELD: (OWED, OVER),
         OWED: (OVER,), OVER: ()}
-MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
-MAY_RUN_STILL = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 TAKEN_ON, DENIED, FAILED = 202, 503, 500       # answers to clients
 RECORD_ROOM = 600      # bytes of the log for a callback beside its own text: fixed fields, launches, its end
 
@@ -348,9 +346,9 @@
     def _settle_launch(self, callback, result, at):
         """What a launch's outcome leaves behind for later ones and for other callbacks of the key."""
         sent, callback.sent, callback.call = callback.sent, None, None
-        if sent is not None and result in MAY_HAVE_RUN and callback.ran_at is None:
+        if sent is not None and result.may_have_run and callback.ran_at is None:
             callback.ran_at, callback.ran_zone = sent
-        if result in MAY_RUN_STILL and callback.key is not None and self.set.settle:
+        if result.may_run_still and callback.key is not None and self.set.settle:
             self.rests[callback.key] = max(self.rests.get(callback.key, 0), at + self.set.settle)
 
     def _ended(self, event):
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -27,6 +27,14 @@
     CANCELLED = "cancelled"     # called off; may have run
     NOT_SENT = "not_sent"       # never left the relay
 
+    @property
+    def may_run_still(self):
+        return self in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+
+    @property
+    def may_have_run(self):     # though it is not known to have been fulfilled
+        return self is Result.ERROR or self.may_run_still
+
 
 class Condition(Enum):
     UP = "up"
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -18,8 +18,6 @@
 WAITING = (TURN, QUEUED)
 # A host. OPEN: fed by the window alone; CLOSED: one trial at a time; RAMP: back, fed under the budget.
 OPEN, CLOSED, RAMP = "open", "closed", "ramp"
-MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
-MAY_RUN_STILL = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
 
 class Callback:
@@ -28,7 +26,8 @@
         self.lane, self.due = (new.category, over), new.abandon_at
         self.goal = self.due - row.abandon + row.goal
         self.dest, self.state, self.launches, self.call = new.destination, None, 0, None
-        self.ran, self.zone, self.ticket, self.stale = False, None, 0, self.due    # may have run; known there
+        self.ran, self.zone, self.stale = False, None, self.due    # may have run, and is known only there;
+        self.ticket = self.due if row.effect is Effect.RERUNNABLE else 0    # if so, it may go till then
 
 
 class Limiter:
@@ -55,21 +54,20 @@
         self.held = {}                        # callbacks that are not over, and those over with a launch out
         self.dests, self.keys, self.rests, self.out, self.scarce = {}, {}, {}, 0, 0
         self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
-        self.timers, self.wake_at, self.serial, self.ends = [], None, 0, None
+        self.timers, self.wake_at, self.serial, self.ends = [], None, 0, float("inf")
         self.quota = [[float("inf"), 0] for _ in settings.tenants]
         self.on = {it.Outcome: self._outcome, it.NewCallback: self._taken, it.ListNews: self._news,
                    it.Withdrawn: self._withdrawn, it.Stopping: self._stopping}
         self.hosts = {}                       # host id -> index into the arrays below
         self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route = [], [], [], [], [], []
-        self.h_out, self.h_state, self.h_bad = [], [], []
-        self.h_next, self.h_since, self.h_free = [], [], []    # next call at; state, idle connection since
+        # calls out, health, its share of failures; next call at; state, idle connection since
+        self.h_out, self.h_state, self.h_bad, self.h_next, self.h_since, self.h_free = [], [], [], [], [], []
         self.worn_span, self.worn, self.new = settings.connection_idle, 0.0, 0.0
 
     def step(self, now, events):
         self.now, self.actions = now, []
-        for event in events:
-            if type(event) in self.on:
-                self.on[type(event)](event)
+        for event in [event for event in events if type(event) in self.on]:
+            self.on[type(event)](event)
         self._ring()                          # what a timer was set for is found by the clock
         self._launch_all()
         if self.timers and (self.wake_at is None or self.timers[0][0] < self.wake_at or self.wake_at <= now):
@@ -144,17 +142,19 @@
             self._move(self.held[event.callback], OVER)
 
     def _stopping(self, event):
+        """Danger: cut off by the relay's own end, a call may have run. The last go twice their time before."""
         self.ends = event.at
 
     def _may_have_run(self, callback, sent, zone):
-        """Rule 2: from the first such launch on, a ticketed one is repeated only where and while it is known."""
+        """Rule 2: from the first such launch on, a ticketed one goes only where and while it is known."""
         if not callback.ran and callback.row.effect is Effect.TICKETED:
-            callback.ticket, callback.zone = sent + callback.row.window, None if callback.row.all_hosts else zone
+            callback.zone = None if callback.row.all_hosts else zone
+            callback.ticket = sent + callback.row.window
             self._at(callback.ticket, "callback", callback.id)
         callback.ran = True
 
     def _settle(self, key, until):
-        self.rests[key] = until
+        self.rests[key] = max(until, self.rests.get(key, 0))
         self._at(until, "key", key)
 
     def _over_share(self, tenant):
@@ -198,11 +198,8 @@
 
     def _may_launch(self, callback):
         """Rule 2: whether the category allows another launch at all, now."""
-        if callback.launches >= self.set.max_launches or callback.due <= self.now:
-            return False
-        effect = callback.row.effect
-        return not callback.ran or effect is Effect.RERUNNABLE or \
-            effect is Effect.TICKETED and self.now < callback.ticket
+        ends = min(callback.due, callback.ticket) if callback.ran else callback.due
+        return callback.launches < self.set.max_launches and self.now < ends
 
     def _give_up(self, callback):
         """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
@@ -216,8 +213,7 @@
         self._move(callback, OVER)
 
     def _outcome(self, event):
-        callback = self.held.get(event.callback)
-        if callback is None or callback.call is None:
+        if (callback := self.held.get(event.callback)) is None or callback.call is None:
             return
         call, result, callback.call = callback.call, event.result, None
         h, dest = call[0], self.dests[self.h_dest[call[0]]]
@@ -233,9 +229,9 @@
             call[3] = True                    # a call of several is judged once, but each told wait counts
             self._judge(h, dest, call, event)
         self.h_route[h].told = event.told_rate or self.h_route[h].told
-        if result in MAY_HAVE_RUN:
+        if result.may_have_run:
             self._may_have_run(callback, call[2], self.h_zone[h])
-            if result in MAY_RUN_STILL and callback.key is not None:
+            if result.may_run_still and callback.key is not None:
                 self._settle(callback.key, self.now + self.set.settle)
         callback.launches = self.set.max_launches if event.spent else callback.launches
         if callback.state is OVER or event.closed:
@@ -253,7 +249,7 @@
     def _connection(self, h, call, result, took):
         """Danger: idle connections of many relays fill a host that takes few: none is kept once one failed.
         Danger: dropped unseen, they lose the next call: most calls on long idle ones are lost, few on new."""
-        self.h_free[h] = 0 if result in MAY_RUN_STILL else self.now
+        self.h_free[h] = 0 if result.may_run_still else self.now
         if result is Result.NO_CONNECT:
             self.scarce = self.now + self.SCARCE
         if self.now < self.scarce and not self.h_out[h] and not self.dests[self.h_dest[h]].waiting:
@@ -279,8 +275,7 @@
             lim.rounds, lim.bad_at = lim.rounds + 1, now
         if result is Result.FULL:
             return self._refused(h, dest, lim, event.wait)
-        slow = not (good := result is Result.FULFILLED)
-        if good:
+        if good := result is Result.FULFILLED:
             # Danger: tails beyond any tolerance read as slow. Slow is what is slow itself and in the mean.
             best = self._best(lim, event.took)
             slow = min(event.took, lim.smooth) > self.TOLERANCE * best
@@ -288,11 +283,11 @@
             if now - lim.count_at >= self.RATE_SPAN:
                 lim.served, lim.count, lim.count_at = lim.count * SECOND / (now - lim.count_at), 0, now
             lim.pace += self.PACE_STEP if lim.pace else 0.0
-        if slow:
+        if not good or slow:
             lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit * self.CUT), False, True
         else:
-            lim.limit += 1.0 if lim.fresh else 1.0 / lim.limit
-            lim.limit, dest.sick = min(lim.limit, self.set.slots), False
+            lim.limit = min(lim.limit + (1.0 if lim.fresh else 1.0 / lim.limit), self.set.slots)
+            dest.sick = False
         self._health(h, good, call[2], result)
 
     BASELINE = 5 * SECOND  # the design's baseline window
@@ -307,8 +302,7 @@
         lim.now_best = min(lim.smooth, lim.now_best or lim.smooth)
         return min(lim.now_best, lim.last_best or lim.now_best)
 
-    def _asked(self, dest):
-        """Callbacks a second asked of this relay there, a relay just started taken as ten seconds old."""
+    def _asked(self, dest):    # callbacks a second asked of this relay there, taken as ten seconds old at least
         return max(1.0, dest.asked) * SECOND / max(self.now - dest.asked_at, 10 * SECOND)
 
     GROWTH = 4  # of the rest with each bad round in a row; doubling still pushed returning destinations over
@@ -354,9 +348,8 @@
             self._close(h, result)
 
     def _close(self, h, result):
-        if self.h_state[h] is OPEN:
-            self.actions.append(it.Note(f"host {self.h_id[h]} closed: {result.value}"))
         if self.h_state[h] is not CLOSED:
+            self.actions.append(it.Note(f"host {self.h_id[h]} closed: {result.value}"))
             self.h_state[h], self.h_since[h] = CLOSED, self.now
         start = max(self.now, self.h_route[h].paused)
         self.h_next[h] = max(self.h_next[h], start + int(self._gap(h) * (0.5 + self.random())))
@@ -388,9 +381,8 @@
             self.actions.append(it.FollowList())
         if news.scope is not it.Scope.UPDATE:
             named = {entry.host: True for entry in news.entries}
-            for host, h in self.hosts.items():
-                if host not in named:
-                    self._listed(h, False)
+            for h in [h for host, h in self.hosts.items() if host not in named]:
+                self._listed(h, False)
         for entry in news.entries:
             h = self._add(entry) if entry.host not in self.hosts else self.hosts[entry.host]
             self.h_route[h].told = entry.units if self.set.units_are_rates else self.h_route[h].told
@@ -445,10 +437,8 @@
             while lane and (lane[0][2].state is not QUEUED or not self._may_launch(lane[0][2])
                             or not late and self.now >= lane[0][2].stale):
                 callback = heappop(lane)[2]
-                if callback.state is QUEUED and self._may_launch(callback):
-                    self._move(callback, QUEUED)
-                elif callback.state is QUEUED:
-                    self._give_up(callback)
+                if callback.state is QUEUED:
+                    self._move(callback, QUEUED) if self._may_launch(callback) else self._give_up(callback)
             if lane:
                 callback = lane[0][2]
                 worth = self._worth(callback, self.now)
@@ -482,6 +472,7 @@
             small = dest.waiting < self.h_size[h] > 1
             if callback.zone not in (None, self.h_zone[h]) or lim.paused > now \
                     or lim.out >= int(lim.limit / 2 + 0.5 if small else lim.limit) \
+                    or now + 2 * (lim.smooth or SECOND) > self.ends \
                     or not self._paced(lim, h) or not self._may_try(h):
                 continue
             apart = lim is not dest.limiter
