--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -142,8 +142,7 @@
             self._move(self.held[event.callback], OVER)
 
     def _stopping(self, event):
-        """Danger: cut off by the relay's own end, a call may have run. The last go twice their time before."""
-        self.ends = event.at
+        self.ends = event.at    # danger: cut off there, a call may have run; so none goes shortly before
 
     def _may_have_run(self, callback, sent, zone):
         """Rule 2: from the first such launch on, a ticketed one goes only where and while it is known."""
@@ -302,7 +301,7 @@
         lim.now_best = min(lim.smooth, lim.now_best or lim.smooth)
         return min(lim.now_best, lim.last_best or lim.now_best)
 
-    def _asked(self, dest):    # callbacks a second asked of this relay there, taken as ten seconds old at least
+    def _asked(self, dest):    # callbacks a second, of this relay; a new one is taken as ten seconds old
         return max(1.0, dest.asked) * SECOND / max(self.now - dest.asked_at, 10 * SECOND)
 
     GROWTH = 4  # of the rest with each bad round in a row; doubling still pushed returning destinations over
