Survive faults of the relay's own code, odd list entries, failing log and slow connects

Reducer and effects carry on after a fault as after a restart; a launch that can't be logged is aborted; a connect is cut at the first member's time; unreadable list entries are passed over; a notice that is declined does not hold up others.

--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -57,7 +57,8 @@
         self.store = Store(config.state, files)
         self.core = Core(config.settings, config.seed, Relay, owed)
         count = self.store.replay(self.core.load)
-        self.log.info("log read", records=count, held=len(self.core.held), cut=self.store.cut)
+        self.log.info("log read", records=count, held=len(self.core.held), cut=self.store.cut,
+                      odd=self.store.odd)
         self.engine = engine = Engine(self.scheduler, self.core, self.store, self.log, config.period)
         self.clients = engine.clients = Clients(self.scheduler, config, budget, engine.post, outgoing)
         self.hosts = engine.hosts = Hosts(self.scheduler, config, budget, engine.post, self.core.may_send, 2)
@@ -65,11 +66,11 @@
         self.discovery = engine.discovery = Discovery(self.scheduler, config, budget, engine.post)
 
     def run(self) -> None:
-        self.clients.listen()
         self.watch_signals()
         self.discovery.begin()
         self.engine.post(ev.Begin())
         self.engine.keep_flushing(self.sink)
+        self.engine.keep_counting()
         self.clients.ready = True
         self.log.info("ready", listen="%s:%d" % self.config.listen)
         gc.freeze()
@@ -98,7 +99,8 @@
         self.scheduler.at(now + LISTEN_ON, self.clients.stop_listening)
         self.scheduler.sleep(now + END)
         until = now + END + LAST_WORDS
-        while self.scheduler.clock() < until and (self.clients.busy() or self.notices.waiting):
+        while self.scheduler.clock() < until and (
+                self.clients.busy() or self.notices.waiting or self.hosts.out):
             self.scheduler.sleep(self.scheduler.clock() + 5 * MS)
         self.scheduler.stopped = True
 
@@ -109,7 +111,13 @@
     except configuration.ConfigError as error:
         print(f"molehill: {error}", file=sys.stderr)
         return 2
-    Process(config, make_clock()).run()
+    try:
+        process = Process(config, make_clock())
+        process.clients.listen()
+    except OSError as error:
+        print(f"molehill: {config.state}, {config.listen}: {error}", file=sys.stderr)
+        return 1
+    process.run()
     return 0
 
 
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -66,7 +66,11 @@
 
     def reduce(self, now, event):
         self.now, self.effects = max(now, self.now), []
-        self.on[type(event)](event)
+        try:
+            self.on[type(event)](event)
+        except Exception as error:     # a fault here or in the module: made anew as after a restart, nothing is lost
+            holds(False, "reduce", what=type(event).__name__, error=repr(error))
+            self._start_again()
         return self.effects
 
     def next_step(self):
@@ -223,6 +227,7 @@
             elif record["k"] == "launch":
                 out = self.calls.get(record["call"])
                 if out is not None:
+                    self.effects.append(ev.Abort(out.number))
                     self._ended(ev.Ended(out.number, 0, [ev.End(i, Result.NOT_SENT) for i in out.ids]))
 
     # Calls
@@ -245,11 +250,7 @@
         if self.wake_at is not None and self.wake_at <= now:
             self.wake_at = None
             batch.append(it.Timer("wake"))
-        try:
-            actions = self.module.step(now, batch)
-        except Exception as error:     # the module broke: it is made anew as after a restart, what is held stays
-            holds(False, "module_step", error=repr(error))
-            return self._start_again()
+        actions = self.module.step(now, batch)
         ended = {a.callback for a in actions if type(a) in (it.Deny, it.Scrap)}
         for event in batch:
             callback = self.held.get(event.callback) if type(event) is it.NewCallback else None
@@ -398,9 +399,9 @@
                 for host in self.hosts.values():
                     host.condition = it.Condition.GONE
             for host in event.hosts:
-                self.hosts[host.id] = host
-            gone = [h.id for h in event.hosts if h.condition is it.Condition.GONE]
-            self.effects += [ev.CloseIdle(host) for host in gone]
+                before, self.hosts[host.id] = self.hosts.get(host.id, host), host
+                if host.condition is it.Condition.GONE or before.address != host.address:
+                    self.effects.append(ev.CloseIdle(host.id))
         self.inbox.append(it.ListNews(event.scope, [
             it.HostEntry(h.id, h.zone, h.kind, h.destination, h.condition, h.units) for h in event.hosts]))
 
@@ -415,7 +416,7 @@
                 self._hand_over(callback)
 
     def _start_again(self):
-        """The same after the module broke, with this process's calls given up first."""
+        """The same after the module or this code broke, with this process's calls given up first."""
         for out in self.calls.values():
             self.effects.append(ev.Abort(out.number))
         ends = [c for c in self.held.values() if c.call is not None]
--- a/molehill/net/clients.py
+++ b/molehill/net/clients.py
@@ -29,7 +29,7 @@
         self.scheduler, self.config, self.budget, self.post, self.spare = scheduler, config, budget, post, spare
         self.clock, self.conns, self.ready, self.closing = scheduler.clock, {}, False, False
         self.listener, self.taken, self.malformed = None, 0, 0
-        budget.idlers.append(self.close_idlest)
+        budget.idlers["client"] = self.close_idlest
 
     def listen(self) -> None:
         family = socket.AF_INET6 if ":" in self.config.listen[0] else socket.AF_INET
@@ -80,7 +80,7 @@
         try:
             while self.exchange(conn):
                 pass
-        except (Broken, Late):
+        except (Broken, Late, OSError):
             pass
         finally:
             self.conns.pop(conn, None)
@@ -150,7 +150,7 @@
         """Writes the answer; the core learns whether the client was still there for one that it is taken on."""
         ask, conn.ask, told = conn.ask, None, conn.reply[0] == 202
         try:
-            if not conn.stream.quiet() and not len(conn.stream.buffer):
+            if conn.stream.ended():
                 raise Broken("gone before its answer")
             conn.stream.send(data, self.clock() + WRITE_WITHIN)
         except (Broken, Late):
--- a/molehill/net/discovery.py
+++ b/molehill/net/discovery.py
@@ -4,6 +4,7 @@
 from molehill import interface as it
 from molehill.config import ConfigError, address
 from molehill.core import events as ev
+from molehill.holds import holds
 from molehill.net import http
 from molehill.net.stream import Broken, Late, connected
 
@@ -11,32 +12,44 @@
 SECOND = 1000 * MS
 HOLD = 10 * SECOND                 # a watch that went silent is noticed within this and the next figure
 ANSWER_WITHIN = 1500 * MS          # after the hold; what is told counts as known 2 s after it
+PAUSE = 100 * MS                   # after an answer that came at once with no news: half of what ends a watch
 CONDITIONS = {"active": it.Condition.UP, "leaving": it.Condition.DRAINING, "left": it.Condition.GONE}
 
 
 def read_list(text, config):
     """The version, whether it is the whole list, and its entries; raises ValueError on anything else."""
-    data = json.loads(text) if isinstance(text, (bytes, str)) else text
     try:
-        hosts = []
-        for row in data.get("endpoints", []):
-            kind = config.kinds.get(row.get("type"), 0)
-            hosts.append(ev.Host(str(row["name"]), address(row["address"], "address"),
-                                 config.zones.get(row.get("zone"), 0), kind, int(row["group"]),
-                                 CONDITIONS[row["status"]], float(row.get("weight", 0.0))))
-        return int(data.get("index", 0)), bool(data.get("snapshot", False)), hosts
-    except (AttributeError, KeyError, TypeError, ConfigError) as error:
+        data = json.loads(text) if isinstance(text, (bytes, str)) else text
+        rows, version, whole = data.get("endpoints", []), int(data.get("index", 0)), bool(data.get("snapshot"))
+        return version, whole, [host for host in (read_host(row, config) for row in rows) if host is not None]
+    except (AttributeError, KeyError, TypeError, OverflowError, RecursionError) as error:
         raise ValueError(f"not a list of hosts: {error!r}") from None
 
 
+def read_host(row, config):
+    """One entry, or None for one that can't be read: it shall not take the others with it."""
+    try:
+        zone = config.zones.setdefault(str(row.get("zone")), len(config.zones))
+        kind = config.kinds.get(row.get("type"), len(config.kinds))      # an unknown one is a plain kind
+        return ev.Host(str(row["name"]), address(row["address"], "address"), zone, kind, int(row["group"]),
+                       CONDITIONS.get(row["status"], it.Condition.DRAINING), float(row.get("weight") or 0.0))
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError, ConfigError):
+        holds(False, "entry_of_the_list", row=repr(row)[:200])
+        return None
+
+
 class Discovery:
     def __init__(self, scheduler, config, budget, post):
         self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
         self.clock, self.version, self.watching, self.stream = scheduler.clock, 0, False, None
 
     def begin(self) -> None:
-        """The list as this relay last had it."""
-        self.version, _, hosts = read_list(self.config.known, self.config)
+        """The list as this relay last had it; none at all rather than no start."""
+        hosts = []
+        try:
+            self.version, _, hosts = read_list(self.config.known, self.config)
+        except ValueError as error:
+            holds(False, "list_at_the_start", error=str(error))
         self.post(ev.Listed(it.Scope.RESTORED, hosts))
 
     def watch(self) -> None:
@@ -48,19 +61,23 @@
         """Watches one after another, each at once after the last, until one fails."""
         try:
             while True:
+                began = self.clock()
                 try:
                     version, whole, hosts = self._ask()
                 except Late:               # silent beyond its hold: once more, on a new connection
                     self._close()
                     version, whole, hosts = self._ask()
-                self.version = version
                 if whole or hosts:
                     self.post(ev.Listed(it.Scope.WHOLE if whole else it.Scope.UPDATE, hosts))
+                if version == self.version and self.clock() - began < PAUSE:
+                    self.scheduler.sleep(began + PAUSE)
+                self.version = version
         except (Broken, Late, http.Malformed, ValueError):
             pass
-        self._close()
-        self.watching = False
-        self.post(ev.Listed(it.Scope.FAILED))
+        finally:
+            self._close()
+            self.watching = False
+            self.post(ev.Listed(it.Scope.FAILED))
 
     def _ask(self):
         until = self.clock() + HOLD + ANSWER_WITHIN
--- a/molehill/net/engine.py
+++ b/molehill/net/engine.py
@@ -1,5 +1,8 @@
 """Drives the core: hands it events, carries out its effects in order, and has the module stepped in batches."""
+from collections import Counter
+
 from molehill.core import events as ev
+from molehill.holds import counts, holds
 from molehill.net.scheduler import MS
 
 
@@ -33,22 +36,28 @@
                 rows.append((effect.record, effect.body))
                 continue
             rows = self.flush(rows)
-            if kind is ev.Answer:
-                self.clients.answer(effect)
-            elif kind is ev.Call:
-                self.hosts.call(effect)
-            elif kind is ev.Notify:
-                self.notices.notify(effect)
-            elif kind is ev.CloseIdle:
-                self.hosts.close_idle(effect.host)
-            elif kind is ev.Abort:
-                self.hosts.abort(effect.call)
-            elif kind is ev.Watch:
-                self.discovery.watch()
-            else:
-                self.log.info(effect.text, **effect.facts)
+            try:
+                self.carry_out(effect, kind)
+            except Exception as error:     # the effects that come after it still go
+                holds(False, "effect", what=kind.__name__, error=repr(error))
         self.flush(rows)
 
+    def carry_out(self, effect, kind) -> None:
+        if kind is ev.Answer:
+            self.clients.answer(effect)
+        elif kind is ev.Call:
+            self.hosts.call(effect)
+        elif kind is ev.Notify:
+            self.notices.notify(effect)
+        elif kind is ev.CloseIdle:
+            self.hosts.close_idle(effect.host)
+        elif kind is ev.Abort:
+            self.hosts.abort(effect.call)
+        elif kind is ev.Watch:
+            self.discovery.watch()
+        else:
+            self.log.info(effect.text, **effect.facts)
+
     def flush(self, rows):
         """Writes records; what the log does not take goes back to the core."""
         if rows and not self.store.append(rows):
@@ -72,6 +81,16 @@
         self.planned, self.last = None, self.clock()
         self.post(ev.Step())
 
+    COUNTS_EVERY = 10_000 * MS             # a line on what was done, unless nothing was
+
+    def keep_counting(self) -> None:
+        done, self.hosts.counts = dict(sorted(self.hosts.counts.items())), Counter()
+        taken, self.clients.taken = self.clients.taken, 0
+        if done or taken or self.core.held:
+            self.log.info("counts", taken=taken, held=len(self.core.held), out=self.hosts.out, outcomes=done,
+                          notices=len(self.notices.waiting), log_bytes=self.store.size, broken=sum(counts.values()))
+        self.scheduler.at(self.clock() + self.COUNTS_EVERY, self.keep_counting)
+
     FLUSH_EVERY = 100 * MS                 # for log lines that nobody took at once
 
     def keep_flushing(self, sink) -> None:
--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -1,4 +1,6 @@
 """Calls to hosts: kept connections, one call at a time on each, and what came back read as an outcome."""
+from collections import Counter
+
 from molehill.config import ConfigError, nanos, real
 from molehill.core import events as ev
 from molehill.interface import Result
@@ -29,10 +31,10 @@
         self.idle: dict[str, list] = {}        # host -> its idle connections, the one used last at the end
         self.streams: dict[int, object] = {}   # call -> its connection
         self.aborted: set[int] = set()
-        self.out, self.opened = 0, 0
+        self.out, self.counts = 0, Counter()   # calls out; outcomes by name, for the log
         idle = config.settings.connection_idle
         self.keep = idle - idle // IDLE_MARGIN
-        budget.idlers.append(self.close_idlest)
+        budget.idlers["host"] = self.close_idlest
         scheduler.at(self.clock() + SWEEP, self.sweep)
 
     # Idle connections
@@ -99,19 +101,21 @@
 
     def _report(self, call, start, ends, told=0.0) -> None:
         ended = {end.id for end in ends}
+        self.counts.update(end.result.value for end in ends)
         call.members = [m for m in call.members if m.id not in ended]
         if ends and call.number not in self.aborted:
             self.post(ev.Ended(call.number, self.clock() - start, ends, told))
 
     def _written(self, call, start):
         """A connection with the whole request written on it, or None once the call's end is reported."""
-        until = max(member.until for member in call.members)
+        until = min(member.until for member in call.members)
         for stream in (self.kept(call), None):
+            fresh = stream is None
             try:
-                if stream is None:
+                if fresh:
                     within = min(until, start + self.config.connect_time_out)
                     stream = connected(self.scheduler, call.address, "host", self.budget, within, self.spare)
-                    self.opened += 1
+                    self.counts["connected"] += 1
                 self.streams[call.number], stream.idle_since = stream, 0
                 if not self.may_send(call.host) or call.number in self.aborted:
                     stream.close()         # told meanwhile to wait, or that the host drains
@@ -122,12 +126,8 @@
             except (Broken, Late) as error:
                 if stream is not None:
                     stream.close()         # before the last byte: it never ran
-                if stream is None or isinstance(error, Late):
-                    break
-                kept_broke = stream.buffer is not None
-                stream = None
-                if not kept_broke:
-                    break
+                if fresh or isinstance(error, Late):
+                    break                  # else a kept connection broke: once more on a new one
         self._end(call, start, call.members, ev.End("", Result.NO_CONNECT))
         return None
 
@@ -146,16 +146,18 @@
         return http.request("POST", "/events/bundle", host, headers, body)
 
     def _answered(self, call, stream, start) -> None:
-        head = None
+        head = body = None
         try:
-            while head is None:
+            while body is None:
                 until = min(member.until for member in call.members)
                 try:
-                    head = stream.head(until)
+                    head = head or stream.head(until)
                     if 100 <= head.status < 200:
-                        head = None
+                        head = None        # an interim answer
                     elif call.bundle and head.status == 200:
                         body = stream.body(head, until)
+                    else:
+                        body = b""         # not waited for: the status tells the end
                 except Late:
                     now = self.clock()
                     self._end(call, start, [m for m in call.members if m.until <= now],
@@ -175,6 +177,7 @@
             end = STATUS.get(head.status, OTHER)
             if head.status == 503 and head.headers.get("x-line-busy") == "1":
                 end = ev.End("", Result.NOT_SENT)
+                self.counts["line busy"] += 1
             self._end(call, start, call.members, end, told, wait)
             try:
                 stream.body(head, self.clock() + REST_WITHIN)
--- a/molehill/net/notices.py
+++ b/molehill/net/notices.py
@@ -12,6 +12,10 @@
 IDLE = 2000 * MS                   # a connection that stood longer is not used again
 
 
+class Declined(Broken):
+    """Answered, but not by 204."""
+
+
 class Notices:
     def __init__(self, scheduler, config, budget, post):
         self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
@@ -23,20 +27,23 @@
             self.task = self.scheduler.spawn(self._send_all)
 
     def _send_all(self) -> None:
-        tries = 0
+        tries, most = 0, BATCH
         while self.waiting:
-            batch = list(self.waiting.values())[:BATCH]
+            batch = list(self.waiting.values())[:most]
             span = min(FIRST_WITHIN << min(tries, 8), LONGEST)
             began = self.clock()
             try:
                 self._post(batch, began + span)
-            except (Broken, Late, http.Malformed):
+            except (Broken, Late, http.Malformed) as error:
                 self._close()
                 tries += 1
+                if isinstance(error, Declined):    # one that can't be read shall not hold up the others
+                    most = 1
+                    self.waiting[batch[0].id] = self.waiting.pop(batch[0].id)
                 if tries > 1:          # the first failure may be a kept connection's: at once on a new one
                     self.scheduler.sleep(max(self.clock(), began + span // 2))
                 continue
-            tries = 0
+            tries, most = 0, min(2 * most, BATCH)
             for notice in batch:
                 del self.waiting[notice.id]
             self.post(ev.Noticed([notice.id for notice in batch]))
@@ -56,9 +63,8 @@
         data = http.request("POST", "/v2/finals", "%s:%d" % self.config.discovery, (), "".join(rows).encode())
         self.stream.send(data, until)
         head = self.stream.head(until)
-        self.stream.body(head, until) if head.status != 204 else None
         if head.status != 204:
-            raise Broken(f"status {head.status}")
+            raise Declined(f"status {head.status}")
         self.stream.idle_since = self.clock()
         if not head.keep:
             self._close()
--- a/molehill/net/scheduler.py
+++ b/molehill/net/scheduler.py
@@ -106,8 +106,10 @@
             span = max(0, min(span, self.timers[0][0] - now))
         for fd, _ in self.poll.poll(-(-span // MS)):
             waiter = self.waiting.get(fd)
-            if waiter is not None:
+            if holds(waiter is not None, "waiter_of_a_descriptor", fd=fd):
                 self._wake(waiter, READY)
+            else:
+                self.poll.unregister(fd)
         for _ in range(len(self.ready)):
             task, value = self.ready.popleft()
             task.switch(value)
--- a/molehill/net/stream.py
+++ b/molehill/net/stream.py
@@ -20,15 +20,16 @@
 
     def __init__(self, most: int):
         self.most, self.used = most, {}
-        self.idlers = []               # functions that close one idle connection and tell whether they did
+        self.idlers = {}               # kind -> closes one idle connection of it and tells whether it did
 
     def total(self) -> int:
         return sum(self.used.values())
 
     def take(self, kind: str, spare: int = 0) -> bool:
         """One more of that kind, leaving `spare` free for others."""
+        own_first = sorted(self.idlers, key=lambda kind_of: kind_of != kind)
         while self.total() + 1 + spare > self.most:
-            if not any(idler() for idler in self.idlers):
+            if not any(self.idlers[name]() for name in own_first):
                 return False
         self.used[kind] = self.used.get(kind, 0) + 1
         return True
@@ -130,17 +131,21 @@
             return self.buffer.take(len(self.buffer))
         raise Broken("the body is too long")
 
-    def quiet(self) -> bool:
-        """Whether nothing has come on an idle connection: neither its end nor bytes that nobody asked for."""
-        if not self.open or len(self.buffer):
-            return False
+    def _peek(self):
+        """What lies unread: None for nothing, b"" for the end of the stream or a broken one."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(1, socket.MSG_PEEK) if self.open else b""
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            pass
-        return False
+            return b""
+
+    def quiet(self) -> bool:
+        """Whether nothing has come on an idle connection: neither its end nor bytes that nobody asked for."""
+        return not len(self.buffer) and self._peek() is None
+
+    def ended(self) -> bool:
+        return self._peek() == b""
 
 
 def connected(scheduler, address, kind, budget, until, spare=0) -> Stream:
--- a/molehill/store.py
+++ b/molehill/store.py
@@ -19,7 +19,7 @@
     def __init__(self, folder: str, most: int):
         """`most`: bytes that this log and a new one beside it may take up together."""
         self.path, self.new_path = os.path.join(folder, self.NAME), os.path.join(folder, self.NEW)
-        self.most, self.size, self.live, self.cut, self.failed = most, 0, 0, 0, False
+        self.most, self.size, self.live, self.cut, self.odd, self.failed = most, 0, 0, 0, 0, False
         if os.path.exists(self.new_path):
             os.unlink(self.new_path)   # a rewrite that was cut off before its rename
         self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
@@ -34,13 +34,13 @@
             payload = data[at + HEAD.size:at + HEAD.size + length]
             if len(payload) < length or zlib.crc32(payload) != check:
                 break
+            at += HEAD.size + length
             line, _, body = payload.partition(b"\n")
             try:
                 load(json.loads(line), body)
+                count += 1
             except (ValueError, KeyError, TypeError, AttributeError):
-                break
-            at += HEAD.size + length
-            count += 1
+                self.odd += 1          # whole, but of no use here: what follows it still counts
         self.cut, self.size = len(data) - at, at
         os.ftruncate(self.fd, at)
         os.lseek(self.fd, at, os.SEEK_SET)
