--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -1,6 +1,9 @@
 """A world around one relay: it plays what it is told and checks the six rules after every batch."""
 from molehill import interface as it
+from molehill.core import events as ev
+from molehill.core.reducer import Core
 from molehill.policy import Relay
+from molehill.store import Store
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -155,3 +158,170 @@
 
     def on_scrap(self, action):
         self.final[action.callback] = self.open.pop(action.callback)
+
+
+class Ticks:
+    """A clock that is moved by hand."""
+
+    def __init__(self, now=1000 * SECOND):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+class Wire:
+    """Carries out the core's effects against a real log and checks the rules as seen from outside.
+
+    A kill may fall between any two effects; the next process reads the log and nothing else.
+    """
+
+    def __init__(self, folder, given, hosts, make_module=Relay, most=400_000):
+        self.folder, self.set, self.make, self.most = str(folder), given, make_module, most
+        self.now, self.serial, self.effects_left = 1000 * SECOND, 0, None
+        self.hosts = {h[0]: ev.Host(h[0], ("127.0.0.1", 1), *h[1:], it.Condition.UP, 1.0) for h in hosts}
+        self.owed, self.ended, self.notices, self.rows, self.ran = {}, {}, {}, {}, {}
+        self.answers, self.out, self.waits, self.gone, self.said = {}, {}, {}, set(), []
+        self.unsure = set()
+        self.starts, self.sent, self.logged = 0, {}, []
+        self.start()
+
+    def start(self):
+        self.store = Store(self.folder, self.most)
+        self.core = Core(self.set, self.starts, self.make, self.most * 2 // 5)
+        self.store.replay(self.core.load)
+        self.out, self.waits, self.queue, self.starts = {}, {}, [], self.starts + 1
+        self.post(ev.Listed(it.Scope.RESTORED, list(self.hosts.values())))
+        self.post(ev.Begin())
+        self.step()
+
+    def kill(self):
+        """Nothing that is left of the effects is carried out; calls that are out may have run."""
+        self.queue, self.notices, self.core = [], {}, None
+        self.unsure |= {r["id"] for r in self.records() if r["k"] == "taken"}    # logged: it can't know who heard
+        self.ran.update({m.id: self.sent[m.id] for _, ms in self.out.values() for m in ms if m.id not in self.ran})
+        self.store.close()
+        self.start()
+
+    def post(self, event):
+        self.queue.append(event)
+        while self.queue:
+            for effect in self.core.reduce(self.now, self.queue.pop(0)):
+                if self.effects_left is not None:
+                    self.effects_left -= 1
+                    if self.effects_left < 0:
+                        self.effects_left = None
+                        return self.kill()
+                getattr(self, "on_" + type(effect).__name__.lower())(effect)
+        if self.store.wants_rewrite():
+            assert self.store.rewrite(self.core.snapshot())
+
+    def step(self):
+        self.post(ev.Step())
+
+    def advance(self, span):
+        until = self.now + span
+        while self.now < until:
+            due = self.core.next_step()
+            ends = [member.until for _, members in self.out.values() for member in members]
+            self.now = max(self.now + 1, min([until, *ends, *([due] if due is not None else [])]))
+            for number, (call, members) in list(self.out.items()):
+                late = [m.id for m in members if m.until <= self.now]
+                if late and number in self.out:
+                    self.end(number, R.TIMEOUT, ids=late)
+            self.step()
+
+    def take(self, cat=0, destination=1, key=None, span=None, gone=False, body=b"body", step=True):
+        self.serial += 1
+        number, row = f"c{self.serial:04d}", self.set.categories[cat]
+        due = self.now + (row.abandon if span is None else span)
+        self.rows[number] = (row, key if row.ordered else None, due, self.serial)
+        if gone:
+            self.gone.add(number)
+        self.post(ev.Arrived(f"client of {number}", ev.Fresh(
+            number, cat, 0, key if row.ordered else None, destination, due, None, body)))
+        if step:
+            self.step()
+        return number
+
+    def end(self, number, result, wait=0, ids=None, **more):
+        call, members = self.out[number]
+        ids = [m.id for m in members] if ids is None else ids
+        left = [m for m in members if m.id not in ids]
+        self.out[number] = (call, left)
+        if not left:
+            del self.out[number]
+        for i in ids:
+            if result is R.FULFILLED:
+                self.ended.setdefault(i, "fulfilled")
+            if result not in (R.FULL, R.NO_CONNECT, R.NOT_SENT):
+                self.ran.setdefault(i, self.sent[i])
+        if wait:
+            self.waits[self.hosts[call.host].destination] = self.now + wait
+        self.post(ev.Ended(number, self.now, [
+            ev.End(i, result, wait, result is R.FULFILLED, **more) for i in ids]))
+
+    def on_append(self, effect):
+        assert self.store.append([(effect.record, effect.body)])
+        if effect.record["k"] == "launch":
+            self.logged = effect.record["ids"]
+
+    def on_answer(self, effect):
+        self.answers[effect.id] = effect.status
+        if effect.status != 202:
+            return
+        assert any(r["k"] == "taken" and r["id"] == effect.id for r in self.records()) or effect.id in self.ended, \
+            "taken on before it is in the log"
+        if effect.id in self.gone:
+            self.queue.append(ev.Unheard(effect.id, effect.client))
+        else:
+            self.owed[effect.id] = True
+            self.queue.append(ev.Heard(effect.id))
+
+    def records(self):
+        other, found = Store(self.folder, self.most), []
+        other.replay(lambda record, body: found.append(record))
+        other.close()
+        return found
+
+    def on_call(self, effect):
+        assert self.logged == [m.id for m in effect.members], "a launch is logged before its bytes go"
+        host = self.hosts[effect.host]
+        assert host.condition is it.Condition.UP, "rule 3"
+        assert self.waits.get(host.destination, 0) <= self.now, "rule 6"
+        for m in effect.members:
+            row, key, due, order = self.rows[m.id]
+            assert m.id in self.owed or m.id in self.unsure, "nothing is sent before its client heard"
+            assert m.id not in self.ended and m.until <= due, "rule 1: sent after its end"
+            assert all(m.id != o.id for _, ms in self.out.values() for o in ms), "rule 2: two at once"
+            if m.id in self.ran:
+                assert row.effect is not it.Effect.EXCLUSIVE, "rule 2"
+                assert row.effect is it.Effect.RERUNNABLE or self.now <= self.ran[m.id] + row.window, "rule 2"
+            for other, (_, its_key, _, its_order) in self.rows.items():
+                if key is not None and its_key == key and its_order < order and other in self.owed:
+                    assert other in self.ended, "rule 5: an earlier one of its key is not over"
+            self.sent[m.id] = self.now
+        self.out[effect.number] = (effect, list(effect.members))
+
+    def on_notify(self, effect):
+        row = self.rows[effect.id][0]
+        assert not effect.denied or effect.id not in self.ran or row.effect is not it.Effect.EXCLUSIVE, "rule 2"
+        self.notices[effect.id] = effect
+
+    def answer_notices(self):
+        ids, self.notices = list(self.notices), {}
+        for i in ids:
+            self.ended.setdefault(i, "notice")
+        self.post(ev.Noticed(ids))
+
+    def on_abort(self, effect):
+        self.out.pop(effect.call, None)
+
+    def on_watch(self, _):
+        self.said.append("watch")
+
+    def on_closeidle(self, effect):
+        self.said.append(("close", effect.host))
+
+    def on_say(self, effect):
+        self.said.append(effect.text)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,323 @@
+"""The reducer with its log: taking on, restarts at any moment, order, waits, and what a fault leaves."""
+import tempfile
+
+import pytest
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from molehill import holds
+from molehill import interface as it
+from molehill.core import events as ev
+from molehill.core.reducer import Core
+from molehill.policy import Relay
+from tests.ledger import MS, SECOND, R, Wire, category, settings
+
+HOSTS = (("h1", 0, 0, 1), ("h2", 0, 0, 1), ("h3", 0, 1, 2))
+KINDS = [it.Kind(False, 1), it.Kind(False, 4)]
+
+
+def wire(folder, hosts=HOSTS, **given):
+    return Wire(folder, settings(**{"kinds": KINDS, "list_on_request": True, **given}), hosts)
+
+
+def effects_of(core, now, *events):
+    return [effect for event in events for effect in core.reduce(now, event)]
+
+
+def fresh(number="a", due=1010 * SECOND, key=None, body=b"x", **given):
+    return ev.Fresh(**{**dict(id=number, category=0, tenant=0, key=key, destination=1, due=due, mark=None,
+                              body=body), **given})
+
+
+def bare_core(room=100_000, **given):
+    core = Core(settings(**given), 1, Relay, room)
+    effects_of(core, 1000 * SECOND, ev.Listed(it.Scope.RESTORED, [
+        ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, it.Condition.UP, 1.0)]), ev.Begin(), ev.Step())
+    return core
+
+
+def test_logged_then_answered_then_heard_and_only_then_called():
+    core, now = bare_core(), 1001 * SECOND
+    first = effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())
+    assert [type(e) for e in first] == [ev.Append, ev.Answer]
+    assert first[0].record["k"] == "taken" and first[1].status == 202
+    then = effects_of(core, now, ev.Heard("a"))
+    assert [type(e) for e in then] == [ev.Append, ev.Call] and then[0].record["k"] == "launch"
+
+
+def test_a_client_gone_before_its_answer_has_its_callback_back():
+    core, now = bare_core(), 1001 * SECOND
+    effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())
+    effects = effects_of(core, now, ev.Unheard("a", "c"), ev.Step())
+    assert not any(type(e) in (ev.Call, ev.Notify) for e in effects)
+    assert not core.held and not core.parked and not core.module.held and core.used == 0
+
+
+def test_a_request_sent_again_on_a_new_connection_is_taken_on_once():
+    core, now = bare_core(), 1001 * SECOND
+    effects = effects_of(core, now, ev.Arrived("c", fresh()), ev.Arrived("d", fresh()), ev.Step())
+    assert [e.client for e in effects if type(e) is ev.Answer] == ["c", "d"]
+    assert len([e for e in effects if type(e) is ev.Append]) == 1
+    effects = effects_of(core, now, ev.Unheard("a", "c"), ev.Heard("a"), ev.Arrived("e", fresh()))
+    assert [type(e) for e in effects] == [ev.Append, ev.Call, ev.Answer]
+    effects = effects_of(core, now, ev.Ended(effects[1].number, 5, [ev.End("a", R.FULFILLED, closed=True)]),
+                         ev.Arrived("f", fresh()), ev.Step())
+    assert [e.status for e in effects if type(e) is ev.Answer] == [202] and not core.held
+
+
+def test_what_is_denied_at_once_is_answered_at_the_door_and_not_logged():
+    core = bare_core()
+    effects = effects_of(core, 1001 * SECOND, ev.Arrived("c", fresh(due=1000 * SECOND)), ev.Step())
+    assert [(type(e), e.status) for e in effects] == [(ev.Answer, 500)] and not core.held
+
+
+@pytest.mark.parametrize("given,body", [(dict(max_held=2), b"x"), (dict(room=5000), b"x" * 1500)])
+def test_a_full_relay_or_log_refuses_at_the_door(given, body):
+    core, now = bare_core(**given), 1001 * SECOND
+    for number in "abc":
+        effects = effects_of(core, now, ev.Arrived("c", fresh(number, body=body)))
+    assert [(e.status, e.id) for e in effects] == [(503, "c")] and len(core.held) == 2
+    effects_of(core, now, ev.Step(), ev.Heard("a"), ev.Heard("b"))
+    effects_of(core, now, *[ev.Ended(c, 1, [ev.End(o.ids[0], R.FULFILLED, closed=True)])
+                            for c, o in core.calls.items()])
+    assert core.used == 0 and core.open == 0
+
+
+def test_a_later_end_goes_by_notice_and_its_key_waits_for_the_answer(tmp_path):
+    world = wire(tmp_path, categories=[category("exclusive", ordered=True)])
+    first, second = world.take(key="k"), world.take(key="k")
+    number = next(iter(world.out))
+    world.end(number, R.ERROR)
+    world.step()
+    assert list(world.notices) == [first] and not world.out
+    assert not world.notices[first].denied, "it may have run: nothing says that a repeat is harmless"
+    world.kill()
+    assert list(world.notices) == [first], "owed over a restart"
+    assert not world.out, "the next of the key waits for the notice's answer"
+    world.answer_notices()
+    assert [m.id for _, members in world.out.values() for m in members] == [second]
+
+
+@pytest.mark.parametrize("effect,result,again", [
+    ("exclusive", R.NO_CONNECT, True), ("exclusive", R.FULL, True), ("exclusive", R.RESET, False),
+    ("exclusive", None, False), ("ticketed", None, True), ("rerunnable", None, True)])
+def test_after_a_restart_it_is_known_whether_a_launch_may_have_run(tmp_path, effect, result, again):
+    world = wire(tmp_path, categories=[category(effect, abandon=20000, window=9000)])
+    number = world.take()
+    if result is not None:
+        world.end(next(iter(world.out)), result)
+    world.kill()
+    world.advance(3 * SECOND)
+    assert any(m.id == number for _, ms in world.out.values() for m in ms) == again
+    assert (number in world.notices) != again
+
+
+def test_a_ticketed_one_is_not_repeated_after_its_window_though_the_log_was_rewritten(tmp_path):
+    world = wire(tmp_path, categories=[category("ticketed", abandon=60000, window=3000)])
+    number = world.take()
+    world.end(next(iter(world.out)), R.RESET)
+    world.kill()
+    assert world.store.rewrite(world.core.snapshot())
+    world.now += 4 * SECOND
+    world.kill()
+    world.advance(SECOND)
+    assert not world.out and number in world.notices
+
+
+def test_a_key_rests_over_a_restart_and_keeps_its_order(tmp_path):
+    world = wire(tmp_path, categories=[category("rerunnable", abandon=60000, ordered=True)], settle=2 * SECOND)
+    numbers = [world.take(key="k") for _ in range(3)]
+    world.end(next(iter(world.out)), R.RESET)
+    world.kill()
+    world.advance(1900 * MS)
+    assert not world.out
+    for number in numbers:
+        world.advance(9 * SECOND if not world.out else 1)
+        assert [m.id for _, ms in world.out.values() for m in ms] == [number]
+        world.end(next(iter(world.out)), R.FULFILLED)
+        world.step()
+
+
+def test_the_launches_that_are_left_are_counted_over_restarts(tmp_path):
+    world = wire(tmp_path, categories=[category("rerunnable", abandon=600_000)], max_launches=3)
+    number = world.take()
+    for _ in range(3):
+        world.kill()
+        world.advance(20 * SECOND)
+    assert not world.out and number in world.notices
+
+
+def test_a_call_that_waited_to_go_is_given_back_when_its_host_drains_or_tells_a_wait():
+    for listed, wait in ((it.Condition.DRAINING, 0), (it.Condition.UP, SECOND)):
+        core, now = bare_core(), 1001 * SECOND
+        effects_of(core, now, ev.Arrived("c", fresh()), ev.Arrived("d", fresh("b")), ev.Step())
+        call = effects_of(core, now, ev.Heard("a"))[1]
+        effects_of(core, now, ev.Listed(it.Scope.UPDATE, [
+            ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, listed, 1.0)]))
+        if wait:
+            effects_of(core, now, ev.Ended(call.number, 5, [ev.End("a", R.FULL, wait)]))
+        assert not core.may_send("h1")
+        assert not [e for e in effects_of(core, now, ev.Heard("b")) if type(e) is ev.Call]
+        assert [e.result for e in core.inbox if type(e) is it.Outcome][-1] is R.NOT_SENT
+        assert core.held["b"].launches == 0
+
+
+def test_callbacks_of_one_call_each_have_their_own_end(tmp_path):
+    world = wire(tmp_path, categories=[category("exclusive", abandon=20000)], slots=1)
+    world.take(destination=2)
+    for _ in range(4):
+        world.take(destination=2, step=False)
+    world.end(next(iter(world.out)), R.FULFILLED)
+    world.step()
+    (number, (call, members)), = world.out.items()
+    assert call.bundle and len(members) == 4
+    for result, member in zip((R.FULFILLED, R.ERROR, R.FULL, R.NOT_SENT), list(members)):
+        world.end(number, result, ids=[member.id], spent=result is R.NOT_SENT)
+    world.step()
+    assert set(world.notices) == {members[1].id, members[3].id}, "may have run; has had all its launches"
+    assert not world.notices[members[1].id].denied and world.notices[members[3].id].denied
+    world.advance(9 * SECOND)
+    assert [m.id for _, ms in world.out.values() for m in ms] == [members[2].id]
+
+
+def test_what_the_log_does_not_take_is_refused_and_is_not_sent():
+    core, now = bare_core(), 1001 * SECOND
+    taken = effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())[0].record
+    effects = effects_of(core, now, ev.Unlogged([taken]), ev.Heard("a"), ev.Step())
+    assert [e.status for e in effects if type(e) is ev.Answer] == [503]
+    assert not any(type(e) is ev.Call for e in effects) and not core.held
+    effects_of(core, now, ev.Arrived("c", fresh("b")), ev.Step())
+    logged, call = effects_of(core, now, ev.Heard("b"))
+    effects = effects_of(core, now, ev.Unlogged([logged.record]))
+    assert [e.call for e in effects if type(e) is ev.Abort] == [call.number] and not core.calls
+    assert core.held["b"].sent is None and core.held["b"].ran_at is None
+
+
+def breaking(at):
+    """A module that breaks once, at that step."""
+    class Breaking(Relay):
+        steps = 0
+
+        def step(self, now, events):
+            Breaking.steps += 1
+            if Breaking.steps == at:
+                raise ZeroDivisionError("a fault of the module")
+            return super().step(now, events)
+    return Breaking
+
+
+@pytest.mark.parametrize("at", [2, 3, 4])
+def test_a_fault_of_the_module_loses_nothing(tmp_path, monkeypatch, at):
+    monkeypatch.setattr("molehill.core.reducer.holds", lambda condition, name, **facts: bool(condition))
+    world = Wire(tmp_path, settings(kinds=KINDS, categories=[category("ticketed", abandon=20000, window=9000)]),
+                 HOSTS, breaking(at))
+    numbers = [world.take() for _ in range(3)]
+    for _ in range(20):
+        world.advance(SECOND)
+        for number in list(world.out):
+            world.end(number, R.FULFILLED)
+        world.answer_notices()
+    assert all(number in world.ended for number in numbers) and not world.core.held
+
+
+def test_a_callback_that_the_module_forgets_is_ended_by_the_core(tmp_path, monkeypatch):
+    class Forgetful(Relay):
+        def _taken(self, new):
+            pass
+    monkeypatch.setattr("molehill.core.reducer.holds", lambda condition, name, **facts: bool(condition))
+    world = Wire(tmp_path, settings(kinds=KINDS), HOSTS, Forgetful)
+    number = world.take()
+    world.advance(5149 * MS)
+    assert not world.notices
+    world.advance(2 * MS)
+    assert list(world.notices) == [number]
+
+
+def test_shortly_before_its_end_the_relay_launches_nothing_that_would_be_cut_off(tmp_path):
+    world = wire(tmp_path, categories=[category("exclusive", abandon=20000)])
+    world.post(ev.Stop(world.now + 3 * SECOND))
+    world.take()
+    assert len(world.out) == 1, "there is time enough"
+    world.end(next(iter(world.out)), R.FULFILLED)
+    world.advance(2 * SECOND)
+    number = world.take()
+    assert not world.out
+    world.kill()
+    assert [m.id for _, ms in world.out.values() for m in ms] == [number]
+
+
+def test_what_must_hold_is_asserted_here_and_counted_in_release_builds():
+    with pytest.raises(AssertionError):
+        holds.holds(False, "something")
+    assert holds.holds(True, "something")
+
+
+class Lives(RuleBasedStateMachine):
+    """Random days over many restarts: the wire checks the rules at every effect."""
+
+    @initialize(slots=st.integers(1, 6), held=st.sampled_from([None, 5]), most=st.sampled_from([60_000, 400_000]))
+    def begin(self, slots, held, most):
+        self.folder = tempfile.TemporaryDirectory()
+        given = settings(categories=[category("rerunnable", ordered=True), category("ticketed", ordered=True),
+                                     category("exclusive", abandon=8000)],
+                         kinds=KINDS, slots=slots, max_held=held, connection_idle=SECOND)
+        self.world = Wire(self.folder.name, given, HOSTS, most=most)
+
+    @rule(cat=st.integers(0, 2), dest=st.integers(1, 3), key=st.sampled_from([None, "a", "b"]),
+          gone=st.sampled_from([False, False, False, True]), size=st.sampled_from([0, 20, 9000]), step=st.booleans())
+    def take(self, cat, dest, key, gone, size, step):
+        self.world.take(cat, dest, key, gone=gone, body=b"b" * size, step=step)
+
+    @precondition(lambda self: self.world.out)
+    @rule(pick=st.integers(0, 9), result=st.sampled_from([R.FULFILLED] * 3 + [
+        R.ERROR, R.FULL, R.NO_CONNECT, R.RESET, R.NOT_SENT]), wait=st.sampled_from([0, 0, 700]), spent=st.booleans())
+    def answer(self, pick, result, wait, spent):
+        number = sorted(self.world.out)[pick % len(self.world.out)]
+        self.world.end(number, result, wait * MS * (result is R.FULL), spent=spent and result is R.NOT_SENT)
+
+    @rule(span=st.sampled_from([1, 30, 400, 2500]))
+    def wait(self, span):
+        self.world.advance(span * MS)
+
+    @rule()
+    def platform(self):
+        self.world.answer_notices()
+
+    @rule(after=st.integers(0, 12))
+    def kill_soon(self, after):
+        """The process dies after so many more effects, or now."""
+        if after:
+            self.world.effects_left = after
+        else:
+            self.killed()
+
+    def killed(self):
+        self.world.effects_left = None
+        self.world.kill()
+
+    @rule(host=st.sampled_from(["h1", "h2", "h3"]), condition=st.sampled_from(list(it.Condition)))
+    def relist(self, host, condition):
+        entry = self.world.hosts[host]
+        self.world.hosts[host] = ev.Host(host, entry.address, entry.zone, entry.kind, entry.destination,
+                                         condition, 1.0)
+        self.world.post(ev.Listed(it.Scope.UPDATE, [self.world.hosts[host]]))
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        world.effects_left = None
+        for _ in range(24):
+            world.advance(SECOND)
+            world.answer_notices()
+        assert not set(world.owed) - set(world.ended), "rule 1: taken on, and neither delivered nor ended"
+        assert not world.core.held and not world.core.module.held and not world.core.owed_keys
+        assert world.core.used == 0 and world.core.open == 0 and not world.core.calls and not world.core.parked
+        world.store.close()
+        self.folder.cleanup()
+
+
+Lives.TestCase.settings = profile(derandomize=True, deadline=None, max_examples=120, stateful_step_count=40,
+                                  database=None)
+TestLives = Lives.TestCase
