Test the network side, the log, configuration and a whole relay over its end and restart

Found by the tests: after a long time down the core's own guard ended callbacks before the module had its turn; it now comes after the module's step, and waits once more for an outcome under way. An unreadable list entry no longer adds a zone.

--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -92,6 +92,10 @@
 
     def on_signal(self) -> None:
         self.scheduler.wait(self.wake.fileno(), READ)
+        self.stop()
+
+    def stop(self) -> None:
+        """Goes on serving kept connections, lets clients go with their answers, flushes, and ends in time."""
         now = self.scheduler.clock()
         self.log.info("stopping", held=len(self.core.held), out=self.hosts.out)
         self.engine.post(ev.Stop(now + END))
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -188,7 +188,7 @@
         rests = self.rests.get(c.key, 0) if c.key is not None else 0
         self.inbox.append(it.NewCallback(c.id, c.category, c.tenant, c.key, c.due, c.destination,
                                          c.launches, c.ran_at, c.ran_zone, rests if rests > self.now else 0))
-        heappush(self.guards, (c.due + self.GUARD, c.id))
+        heappush(self.guards, (max(c.due, self.now) + self.GUARD, c.id, False))
 
     def _heard(self, event):
         callback = self.held.get(event.id)
@@ -281,23 +281,32 @@
                 self.serial += 1
                 self.parked[self.serial] = Out(self.serial, host, launches[at:at + size])
         self._release()
+        self._guard()
 
     def _per_call(self, host):
         return self.set.kinds[host.kind].per_call if host.kind < len(self.set.kinds) else 1
 
     def _ring(self, batch):
-        """Parked calls whose time is up, and callbacks past their time that the module has not ended."""
+        """Parked calls whose time is up."""
         for out in list(self.parked.values()):
             if self._parked_until(out) <= self.now:
                 self._unpark(out, list(out.ids))
         batch += self.inbox
         self.inbox = []
+
+    def _guard(self):
+        """Callbacks past their time that the module, having had its turn, has not ended."""
         while self.guards and self.guards[0][0] <= self.now:
-            callback = self.held.get(heappop(self.guards)[1])
-            if callback is not None and callback.state in (TAKEN, HELD):
-                holds(False, "ended_in_time", id=callback.id, out=callback.call is not None)
-                self._end_callback(callback, False, 0)
-                batch.append(it.Withdrawn(callback.id))
+            _, number, again = heappop(self.guards)
+            callback = self.held.get(number)
+            if callback is None or callback.state not in (TAKEN, HELD):
+                continue
+            if callback.call is not None and not again:    # after a standstill its outcome may be on its way
+                heappush(self.guards, (self.now + self.GUARD // 2, number, True))
+                continue
+            holds(False, "ended_in_time", id=number, out=callback.call is not None)
+            self._end_callback(callback, False, 0)
+            self.inbox.append(it.Withdrawn(number))
 
     def _parked_until(self, out):
         return min((self.held[number].due for number in out.ids if number in self.held), default=0)
--- a/molehill/net/discovery.py
+++ b/molehill/net/discovery.py
@@ -29,10 +29,11 @@
 def read_host(row, config):
     """One entry, or None for one that can't be read: it shall not take the others with it."""
     try:
-        zone = config.zones.setdefault(str(row.get("zone")), len(config.zones))
         kind = config.kinds.get(row.get("type"), len(config.kinds))      # an unknown one is a plain kind
-        return ev.Host(str(row["name"]), address(row["address"], "address"), zone, kind, int(row["group"]),
+        host = ev.Host(str(row["name"]), address(row["address"], "address"), 0, kind, int(row["group"]),
                        CONDITIONS.get(row["status"], it.Condition.DRAINING), float(row.get("weight") or 0.0))
+        host.zone = config.zones.setdefault(str(row.get("zone")), len(config.zones))
+        return host
     except (AttributeError, KeyError, TypeError, ValueError, OverflowError, ConfigError):
         holds(False, "entry_of_the_list", row=repr(row)[:200])
         return None
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -1,7 +1,12 @@
 """A world around one relay: it plays what it is told and checks the six rules after every batch."""
+import socket
+
+from molehill import config
 from molehill import interface as it
 from molehill.core import events as ev
 from molehill.core.reducer import Core
+from molehill.net.scheduler import Scheduler
+from molehill.net.stream import Budget, Stream
 from molehill.policy import Relay
 from molehill.store import Store
 
@@ -325,3 +330,68 @@
 
     def on_say(self, effect):
         self.said.append(effect.text)
+
+
+class Net:
+    """A scheduler on a clock moved by hand, and connections that are socket pairs."""
+
+    def __init__(self, sockets=50):
+        self.clock = Ticks()
+        self.scheduler, self.budget, self.events = Scheduler(self.clock), Budget(sockets), []
+
+    def post(self, event):
+        self.events.append(event)
+
+    def settle(self, rounds=30):
+        """Runs all that can run without time passing."""
+        for _ in range(rounds):
+            self.scheduler.turn(block=False)
+
+    def advance(self, span, step=50 * MS):
+        until = self.clock.now + span
+        while self.clock.now < until:
+            self.clock.now = min(until, self.clock.now + step)
+            self.settle(4)
+
+    def pair(self, kind="host", answers=True):
+        """A stream of the relay's and the other party's end."""
+        ours, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        assert self.budget.take(kind)
+        return Stream(self.scheduler, ours, kind, self.budget, answers), theirs
+
+    def catch(self, monkeypatch, module):
+        """Has the module's new connections made as pairs; gives the other ends, and a list of refusals to play."""
+        made, refusals = [], []
+
+        def connected(scheduler, address, kind, budget, until, spare=0):
+            if refusals:
+                raise refusals.pop(0)
+            stream, theirs = self.pair(kind)
+            made.append(theirs)
+            return stream
+        monkeypatch.setattr(module, "connected", connected)
+        return made, refusals
+
+
+def drain(sock):
+    """All that lies unread; None once the stream has ended with nothing before it."""
+    data = b""
+    try:
+        while piece := sock.recv(65536):
+            data += piece
+    except BlockingIOError:
+        return data
+    except ConnectionError:
+        pass
+    return data or None
+
+
+def net_config(**given):
+    settings_given = dict(grades=[{"name": "notice", "semantics": "deduplicated", "dedupScope": "all",
+                                   "dedupWindowMs": 9000, "deadlineMs": 15000, "serialByKey": True},
+                                   {"name": "plain", "deadlineMs": 4000}],
+                          allowed={"connIdleMs": 10000, "connectTimeoutMs": 1500, "maxAttempts": 6}, azs=["a"], machineTypes=["m"],
+                          telemetry={"fields": ["x0", "x1"], "how": "piggyback"})
+    return config.check({"listen": "127.0.0.1:81", "discovery": "127.0.0.1:82", "state": "/x",
+                         "settings": settings_given, **given}, {})
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,72 @@
+"""Configuration: both adapters get the same settings, and faults are told by key."""
+import json
+
+import pytest
+
+from molehill import config
+from molehill import interface as it
+from molehill.benchlink import codec
+
+MS = 1_000_000
+GIVEN = {"name": "n0", "listen": "127.0.0.1:81", "discovery": "127.0.0.1:82", "state": "/x", "seed": "0f",
+         "limits": {"sockets": 100, "disk_mb": 2, "memory_mb": 64.5}, "known": {},
+         "settings": {
+             "allowed": {"connIdleMs": "1500.25", "maxOpen": 9, "maxAttempts": 3, "retryAfter": True},
+             "extra": {"kindApart": [False, True], "perCall": [10, 1], "maxCalls": 4, "feeByZone": ["0.5", 0]},
+             "grades": [{"name": "notice", "semantics": "deduplicated", "dedupScope": "zone", "aimMs": 10,
+                         "deadlineMs": 2000, "dedupWindowMs": 30, "serialByKey": True}],
+             "parties": [{"name": "p", "share": "0.5", "quotaPerS": None}], "azs": ["a", "b"],
+             "machineTypes": ["m1", "m2"], "discovery": "pushed",
+             "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"}}}
+
+
+def changed(path, value):
+    given = json.loads(json.dumps(GIVEN))
+    at, *names = given, *path.split(".")
+    for name in names[:-1]:
+        at = at[int(name) if isinstance(at, list) else name]
+    at[names[-1]] = value
+    return given
+
+
+def test_nested_settings_read_as_the_bench_s_pairs_do():
+    pairs = config.flat(GIVEN["settings"])
+    made = config.settings(codec.pairs([f"{key}={value}" for key, value in pairs.items()]))
+    assert made == config.settings(pairs)
+    assert made.connection_idle == 1500250000 and made.kinds == [it.Kind(False, 10), it.Kind(True, 1)]
+    assert made.categories[0] == it.Category(it.Effect.TICKETED, 10 * MS, 2000 * MS, 1.0, 0.0, 30 * MS, True,
+                                             False, True)
+    assert made.tenants == [it.Tenant(0.5, None)] and made.zone_fees == [0.5, 0.0] and made.max_held == 9
+
+
+def test_the_relay_s_own_values_and_their_defaults():
+    made = config.check(GIVEN, {"ROUTER_NAME": "n7", "ROUTER_LISTEN": "127.0.0.9:99"})
+    assert (made.name, made.listen, made.seed, made.state) == ("n7", ("127.0.0.9", 99), 15, "/x")
+    assert made.categories == {"notice": 0} and made.kinds == {"m1": 0, "m2": 1} and made.zones["b"] == 1
+    assert made.period == config.PERIOD and made.connect_time_out == config.CONNECT_TIME_OUT
+    assert made.tells_limit and made.settings.list_on_request and (made.disk, made.memory) == (2 * 10**6, 64500000)
+
+
+@pytest.mark.parametrize("path,value,key", [
+    ("settings.allowed.connIdleMs", "soon", "settings.allowed.connIdleMs"),
+    ("settings.extra.perCall", [1, "x"], "settings.extra.perCall"),
+    ("settings.grades.0.semantics", "maybe", "settings.grades.0.semantics"),
+    ("settings.grades", [], "settings.grades"), ("settings.azs", "a", "settings.azs"),
+    ("settings", [], "settings"), ("limits.sockets", 5, "limits.sockets"), ("limits.disk_mb", 0, "limits.disk_mb"),
+    ("limits.memory_mb", "nan", "limits.memory_mb"), ("listen", "localhost", "ROUTER_LISTEN"),
+    ("discovery", "127.0.0.1:0", "ROUTER_DISCOVERY"), ("seed", "xyz", "seed"), ("state", "", "ROUTER_STATE")])
+def test_a_fault_is_told_by_its_key(path, value, key):
+    with pytest.raises(config.ConfigError) as caught:
+        config.check(changed(path, value), {})
+    assert str(caught.value).startswith(key + ":")
+
+
+def test_the_file_that_can_t_be_read_is_named(tmp_path):
+    for text in (None, "{", "[]"):
+        path = tmp_path / "config.json"
+        if text is not None:
+            path.write_text(text)
+        with pytest.raises(config.ConfigError, match="ROUTER_CONFIG"):
+            config.load({"ROUTER_CONFIG": str(path)})
+    with pytest.raises(config.ConfigError, match="ROUTER_CONFIG: not set"):
+        config.load({})
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,487 @@
+"""The network side over socket pairs: taking on, outcomes, connections, the list, notices, the budget."""
+import json
+import socket
+
+import pytest
+
+from molehill import interface as it
+from molehill.core import events as ev
+from molehill.net import discovery, hosts, notices
+from molehill.net.clients import Clients
+from molehill.net.scheduler import CUT, LATE, READ, READY
+from molehill.net.stream import Broken
+from tests.ledger import MS, SECOND, Net, R, drain, net_config
+
+ASK = (b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nCookie: subject=k1\r\nX-Consignee: dest=7\r\n"
+       b"Req-Deadline-Ms: 480\r\nIdempotency-Key: m\r\nContent-Length: 3\r\n\r\nabc")
+
+
+# The scheduler and the budget
+
+
+def test_waits_end_by_readiness_by_time_and_by_being_cut():
+    net, came = Net(), []
+    ours, theirs = socket.socketpair()
+
+    def reader():
+        for _ in range(3):
+            came.append(net.scheduler.wait(ours.fileno(), READ, net.clock() + SECOND))
+            ours.recv(10) if came[-1] == READY else None
+    net.scheduler.spawn(reader)
+    net.settle()
+    theirs.send(b"x")
+    net.settle()
+    net.advance(1100 * MS)
+    net.scheduler.cut(ours.fileno())
+    net.settle()
+    assert came == [READY, LATE, CUT] and not net.scheduler.waiting
+    for sock in (ours, theirs):
+        sock.close()
+
+
+def test_a_task_that_fails_ends_alone_and_returns_to_the_loop(monkeypatch):
+    net, done = Net(), []
+    monkeypatch.setattr("molehill.net.scheduler.holds",
+                        lambda condition, name, **facts: done.append(name) if not condition else True)
+
+    def parent():
+        net.scheduler.spawn(lambda: 1 // 0)
+        net.scheduler.sleep(net.clock() + SECOND)
+        done.append("parent")
+    net.scheduler.spawn(parent)
+    net.settle()
+    assert done == ["task"]
+    net.advance(1100 * MS)
+    assert done == ["task", "parent"]
+
+
+def test_a_full_budget_closes_idle_connections_its_own_kind_first():
+    net, closed = Net(sockets=3), []
+
+    def idler(kind):
+        def close():
+            if net.budget.used.get(kind, 0):
+                closed.append(kind)
+                net.budget.give(kind)
+                return True
+            return False
+        return close
+    net.budget.idlers.update(client=idler("client"), host=idler("host"))
+    assert net.budget.take("client") and net.budget.take("host") and net.budget.take("notices")
+    assert net.budget.take("host") and closed == ["host"]
+    assert net.budget.take("host") and net.budget.take("host") and net.budget.total() == 3
+    net.budget.idlers.clear()
+    assert not net.budget.take("discovery")
+
+
+# Clients
+
+
+class Door:
+    def __init__(self, **given):
+        self.net = Net()
+        self.clients = Clients(self.net.scheduler, net_config(**given), self.net.budget, self.net.post, 4)
+        self.clients.ready = True
+
+    def connect(self):
+        ours, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        assert self.net.budget.take("client")
+        self.clients.open(ours)
+        return theirs
+
+    def say(self, sock, data):
+        sock.send(data)
+        self.net.settle()
+        return drain(sock)
+
+    def answer(self, arrived, status=202, wait=0):
+        self.clients.answer(ev.Answer(arrived.client, arrived.fresh.id, status, wait))
+        self.net.settle()
+
+
+def test_a_request_is_handed_over_answered_and_only_then_heard():
+    door = Door()
+    sock = door.connect()
+    ask = ASK % b"id1"
+    assert door.say(sock, ask[:50]) == b"" and door.say(sock, ask[50:-1]) == b"" and not door.net.events
+    assert door.say(sock, ask[-1:]) == b""
+    (arrived,) = door.net.events
+    fresh = arrived.fresh
+    assert (fresh.id, fresh.category, fresh.key, fresh.destination, fresh.mark, fresh.body) == \
+        ("id1", 0, "k1", 7, "m", b"abc")
+    assert fresh.due == door.net.clock() + 480 * MS
+    door.answer(arrived)
+    assert drain(sock).startswith(b"HTTP/1.1 202 ") and door.net.events[1:] == [ev.Heard("id1")]
+    door.say(sock, ASK % b"id2")
+    door.answer(door.net.events[-1], 503, 1234 * MS)
+    text = drain(sock)
+    assert text.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1.234\r\n" in text
+    assert len(door.net.events) == 3, "nobody has to hear of a refusal"
+
+
+def test_a_client_gone_before_its_answer_is_told_to_the_core():
+    door = Door()
+    sock = door.connect()
+    door.say(sock, ASK % b"id1")
+    sock.close()
+    door.answer(door.net.events[0])
+    assert type(door.net.events[1]) is ev.Unheard and not door.clients.conns
+    assert door.net.budget.total() == 0
+
+
+@pytest.mark.parametrize("before,after,status", [
+    (b"Req-Id: id1", b"No-Id: x", 400), (b"Req-Id: id1", b"Req-Id: " + b"i" * 2000, 400),
+    (b"Req-Id: id1", b"Req-Id: i\xe9", 400), (b"Req-Kind: notice", b"Req-Kind: other", 400),
+    (b"dest=7", b"dest=x", 400), (b"dest=7", b"else=7", 400), (b"480", b"4.5", 400), (b"480", b"-1", 400),
+    (b"subject=k1", b"subject=" + b"k" * 2000, 400), (b"Content-Length: 3", b"Content-Length: 70000", 413),
+    (b"POST /api", b"GET /api", 405), (b"/api", b"/other", 404), (b" HTTP/1.1", b"", 400)])
+def test_what_can_t_be_taken_on_is_answered_and_never_handed_over(before, after, status):
+    door = Door()
+    sock = door.connect()
+    text = door.say(sock, (ASK % b"id1").replace(before, after))
+    assert text.startswith(b"HTTP/1.1 %d " % status) and not door.net.events
+    if status not in (404, 405):
+        sock.close()
+        door.net.settle()
+        assert not door.clients.conns
+
+
+def test_health_tells_readiness_and_nothing_is_taken_on_before_it():
+    door = Door()
+    door.clients.ready = False
+    sock = door.connect()
+    assert door.say(sock, b"GET /health/ready HTTP/1.1\r\n\r\n").startswith(b"HTTP/1.1 503")
+    assert door.say(sock, ASK % b"id1").startswith(b"HTTP/1.1 503") and not door.net.events
+    door.clients.ready = True
+    assert door.say(sock, b"GET /health/ready HTTP/1.1\r\n\r\n").startswith(b"HTTP/1.1 200")
+
+
+def test_when_the_relay_ends_kept_connections_are_served_and_let_go_with_the_answer():
+    door = Door()
+    sock = door.connect()
+    door.say(sock, ASK % b"id1")
+    door.clients.closing = True
+    assert door.clients.busy() == 1
+    door.answer(door.net.events[0])
+    assert b"Connection: close" in drain(sock) and drain(sock) is None and door.clients.busy() == 0
+
+
+def test_a_request_that_never_gets_whole_is_given_up():
+    door = Door()
+    sock = door.connect()
+    assert door.say(sock, (ASK % b"id1")[:-1]) == b""
+    door.net.advance(11 * SECOND, step=SECOND)
+    assert drain(sock) is None and not door.net.events and door.net.budget.total() == 0
+
+
+def test_the_connection_idle_longest_makes_room_and_a_busy_one_never_does():
+    door = Door()
+    busy, first, second = door.connect(), door.connect(), door.connect()
+    door.say(busy, ASK % b"id1")
+    door.net.clock.now += SECOND
+    door.say(first, b"GET /health/live HTTP/1.1\r\n\r\n")
+    assert door.clients.close_idlest() and drain(second) is None and drain(first) == b""
+    assert door.clients.close_idlest() and not door.clients.close_idlest()
+    door.answer(door.net.events[0])
+    assert drain(busy).startswith(b"HTTP/1.1 202")
+
+
+# Calls to hosts
+
+
+class Calls:
+    def __init__(self, monkeypatch):
+        self.net, self.allowed = Net(), True
+        self.made, self.refusals = self.net.catch(monkeypatch, hosts)
+        self.hosts = hosts.Hosts(self.net.scheduler, net_config(), self.net.budget, self.net.post,
+                                 lambda host: self.allowed, 2)
+        self.serial = 0
+
+    def call(self, *ids, bundle=False, span=2 * SECOND, host="h1"):
+        self.serial += 1
+        until = self.net.clock() + span
+        self.hosts.call(ev.Call(self.serial, host, ("127.0.0.1", 9), bundle,
+                                [ev.Member(i, f"m-{i}", i.encode() * 2, until) for i in ids or ["a"]]))
+        self.net.settle()
+
+    def reply(self, data, sock=None, close=False):
+        sock = sock or self.made[-1]
+        sock.send(data)
+        if close:
+            sock.close()
+        self.net.settle()
+        return self.net.events[-1] if self.net.events else None
+
+
+def answered(status, *headers, body=b""):
+    return b"\r\n".join([b"HTTP/1.1 %d X" % status, *headers, b"Content-Length: %d" % len(body), b"", b""]) + body
+
+
+def test_a_call_carries_id_key_body_and_how_long_it_waits(monkeypatch):
+    calls = Calls(monkeypatch)
+    calls.call("a")
+    assert drain(calls.made[0]) == (
+        b"POST /events HTTP/1.1\r\nHost: 127.0.0.1:9\r\nReq-Id: a\r\nReq-Deadline-Ms: 2000\r\n"
+        b"Idempotency-Key: m-a\r\nContent-Length: 2\r\n\r\naa")
+
+
+@pytest.mark.parametrize("reply,expected", [
+    (answered(200, b"Srv-Load: x0=0.4,x1=25"), (R.FULFILLED, 0, True, False, 25.0)),
+    (answered(500), (R.ERROR, 0, False, False, 0.0)),
+    (answered(429, b"Retry-After: 1.25"), (R.FULL, 1250 * MS, False, False, 0.0)),
+    (answered(503, b"Retry-After: 2"), (R.FULL, 2 * SECOND, False, False, 0.0)),
+    (answered(503, b"Retry-After: soon"), (R.FULL, 0, False, False, 0.0)),
+    (answered(503, b"X-Line-Busy: 1"), (R.NOT_SENT, 0, False, False, 0.0)),
+    (answered(504), (R.NOT_SENT, 0, False, True, 0.0)), (answered(410), (R.NOT_SENT, 0, True, False, 0.0)),
+    (answered(413), (R.FULL, 0, False, False, 0.0)), (answered(302), (R.ERROR, 0, False, False, 0.0)),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" + answered(200), (R.FULFILLED, 0, True, False, 0.0)),
+    (b"gibberish\r\n\r\n", (R.RESET, 0, False, False, 0.0))])
+def test_each_answer_is_the_outcome_that_the_protocol_names(monkeypatch, reply, expected):
+    calls = Calls(monkeypatch)
+    calls.call()
+    event = calls.reply(reply)
+    (end,) = event.ends
+    assert (end.result, end.wait, end.closed, end.spent, event.told_rate) == expected
+    assert len(calls.net.events) == 1 and calls.hosts.out == 0
+
+
+@pytest.mark.parametrize("sent,result", [(b"", R.RESET), (b"HTTP/1.1 20", R.RESET), (b"HTTP/1.1 200 OK\r\n", R.FULFILLED),
+                                         (b"HTTP/1.1 500 X\r\n", R.RESET)])
+def test_a_connection_that_breaks_after_the_last_byte_is_a_reset_unless_200_was_written(monkeypatch, sent, result):
+    calls = Calls(monkeypatch)
+    calls.call()
+    event = calls.reply(sent, close=True)
+    assert [end.result for end in event.ends] == [result] and calls.net.budget.total() == 0
+
+
+def test_silence_is_a_timeout_and_the_connection_is_closed_not_used_again(monkeypatch):
+    calls = Calls(monkeypatch)
+    calls.call(span=SECOND)
+    calls.net.advance(1050 * MS)
+    (event,) = calls.net.events
+    assert event.ends[0].result is R.TIMEOUT and event.took >= SECOND
+    assert drain(calls.made[0]) and drain(calls.made[0]) is None and not calls.hosts.idle
+
+
+@pytest.mark.parametrize("refusal", [Broken("ECONNREFUSED"), hosts.Late()])
+def test_no_connection_is_no_connect(monkeypatch, refusal):
+    calls = Calls(monkeypatch)
+    calls.refusals.append(refusal)
+    calls.call()
+    assert [e.ends[0].result for e in calls.net.events] == [R.NO_CONNECT] and calls.hosts.out == 0
+
+
+def test_a_kept_connection_carries_the_next_call_and_one_that_ended_is_replaced(monkeypatch):
+    calls = Calls(monkeypatch)
+    calls.call()
+    calls.reply(answered(200))
+    calls.call()
+    assert len(calls.made) == 1
+    calls.reply(answered(200))
+    calls.made[0].close()
+    calls.call()
+    assert len(calls.made) == 2 and calls.reply(answered(200)).ends[0].result is R.FULFILLED
+    assert len(calls.net.events) == 3 and calls.net.budget.total() == 1
+
+
+def test_idle_connections_are_closed_before_the_host_would_and_when_asked(monkeypatch):
+    calls = Calls(monkeypatch)
+    for host in ("h1", "h2"):
+        calls.call(host=host)
+        calls.reply(answered(200))
+    calls.hosts.close_idle("h1")
+    assert calls.net.budget.total() == 1 and drain(calls.made[0]) and drain(calls.made[0]) is None
+    calls.net.advance(9900 * MS)
+    assert calls.net.budget.total() == 0 and not calls.hosts.idle
+    calls.call()
+    calls.reply(answered(200, b"Connection: close"))
+    assert not calls.hosts.idle and calls.net.budget.total() == 0
+
+
+def test_nothing_is_written_once_a_wait_or_a_drain_was_told_while_connecting(monkeypatch):
+    calls = Calls(monkeypatch)
+    calls.allowed = False
+    calls.call()
+    assert calls.net.events[0].ends[0].result is R.NOT_SENT and drain(calls.made[0]) is None
+
+
+def test_an_aborted_call_is_closed_and_nothing_more_is_told_of_it(monkeypatch):
+    calls = Calls(monkeypatch)
+    calls.call()
+    calls.hosts.abort(1)
+    calls.net.settle()
+    assert not calls.net.events and calls.net.budget.total() == 0 and not calls.hosts.aborted
+
+
+def test_a_call_of_several_has_an_end_for_each(monkeypatch):
+    calls = Calls(monkeypatch)
+    calls.call("a", "b", "c", "d", "e", "f", bundle=True)
+    assert drain(calls.made[0]).endswith(b"\r\n\r\na m-a 2\r\naa\r\nb m-b 2\r\nbb\r\nc m-c 2\r\ncc\r\n"
+                                         b"d m-d 2\r\ndd\r\ne m-e 2\r\nee\r\nf m-f 2\r\nff\r\n")
+    body = b"a delivered\r\nb failed\r\nc refused\r\nd over\r\ne spent\r\n"
+    event = calls.reply(answered(200, b"Retry-After: 0.5", body=body))
+    assert [(e.id, e.result, e.wait, e.closed, e.spent) for e in event.ends] == [
+        ("a", R.FULFILLED, 0, True, False), ("b", R.ERROR, 0, False, False),
+        ("c", R.FULL, 500 * MS, False, False), ("d", R.NOT_SENT, 0, True, False),
+        ("e", R.NOT_SENT, 0, False, True), ("f", R.RESET, 0, False, False)]
+
+
+@pytest.mark.parametrize("sent,result", [
+    (answered(429, b"Retry-After: 1"), R.FULL), (answered(413), R.FULL), (answered(500), R.ERROR),
+    (answered(200, body=b"a delivered\r\n")[:-4], R.RESET)])
+def test_a_call_of_several_that_fares_alike_or_whose_answer_is_not_whole(monkeypatch, sent, result):
+    calls = Calls(monkeypatch)
+    calls.call("a", "b", bundle=True)
+    assert [e.result for e in calls.reply(sent, close=True).ends] == [result] * 2
+
+
+def test_in_a_call_of_several_each_is_given_up_at_its_own_time(monkeypatch):
+    calls = Calls(monkeypatch)
+    now = calls.net.clock()
+    calls.hosts.call(ev.Call(1, "h1", ("127.0.0.1", 9), True, [
+        ev.Member("a", None, b"", now + SECOND), ev.Member("b", None, b"", now + 3 * SECOND)]))
+    calls.net.settle()
+    calls.made[0].send(answered(200, body=b"a delivered\r\nb delivered\r\n")[:-4])
+    calls.net.advance(1100 * MS)
+    assert [(e.id, e.result) for e in calls.net.events[0].ends] == [("a", R.TIMEOUT)]
+    event = calls.reply(b"ed\r\n")
+    assert [(e.id, e.result) for e in event.ends] == [("b", R.FULFILLED)] and len(calls.net.events) == 2
+
+
+# Discovery and notices
+
+
+def entry(name="h1", **given):
+    return {"name": name, "address": "10.1.0.18:8081", "zone": "a", "type": "m", "group": 3, "status": "active",
+            "weight": 1.0, "since_ms": 0, **given}
+
+
+class Watch:
+    def __init__(self, monkeypatch, known=None):
+        self.net = Net()
+        self.made, self.refusals = self.net.catch(monkeypatch, discovery)
+        self.discovery = discovery.Discovery(self.net.scheduler, net_config(known=known or {}), self.net.budget,
+                                             self.net.post)
+        self.discovery.begin()
+
+    def watch(self):
+        self.discovery.watch()
+        self.net.settle()
+        return drain(self.made[-1])
+
+    def tell(self, index, *rows, whole=False, status=200):
+        body = json.dumps({"index": index, "snapshot": whole, "endpoints": rows}).encode()
+        self.made[-1].send(answered(status, body=body))
+        self.net.settle()
+
+
+def test_the_list_starts_as_known_and_each_watch_follows_the_last_at_once(monkeypatch):
+    watch = Watch(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
+    assert watch.net.events[0].scope is it.Scope.RESTORED
+    assert watch.net.events[0].hosts == [ev.Host("h1", ("10.1.0.18", 8081), 0, 0, 3, it.Condition.UP, 1.0)]
+    assert watch.watch().startswith(b"GET /registry/instances?from=41&hold_ms=10000 HTTP/1.1\r\n")
+    watch.discovery.watch()
+    watch.tell(43, entry(status="leaving"), entry("h2", status="left"))
+    assert drain(watch.made[0]).startswith(b"GET /registry/instances?from=43&") and len(watch.made) == 1
+    event = watch.net.events[1]
+    assert event.scope is it.Scope.UPDATE
+    assert [h.condition for h in event.hosts] == [it.Condition.DRAINING, it.Condition.GONE]
+    watch.tell(44, entry(), whole=True)
+    assert watch.net.events[2].scope is it.Scope.WHOLE
+
+
+def test_an_entry_that_can_t_be_read_does_not_take_the_others_with_it(monkeypatch):
+    odd = []
+    monkeypatch.setattr(discovery, "holds", lambda condition, name, **facts: odd.append(name))
+    watch = Watch(monkeypatch)
+    watch.watch()
+    watch.tell(1, entry(address="nowhere"), {"name": "h9"}, "text", entry("h2", status="odd", type="new", zone="z"))
+    (host,) = watch.net.events[-1].hosts
+    assert (host.id, host.condition, host.kind, host.zone) == ("h2", it.Condition.DRAINING, 1, 1)
+    assert len(odd) == 3
+
+
+@pytest.mark.parametrize("reply", [answered(503), answered(200, body=b"{"), answered(200, body=b"[" * 30000),
+                                   answered(200, body=b'{"index": 1e999}'), b"\r\n\r\n"])
+def test_a_failed_watch_is_told_once_and_may_begin_again(monkeypatch, reply):
+    watch = Watch(monkeypatch)
+    watch.watch()
+    watch.made[0].send(reply)
+    watch.net.settle()
+    assert [e.scope for e in watch.net.events] == [it.Scope.RESTORED, it.Scope.FAILED]
+    assert watch.watch() and len(watch.made) == 2 and watch.net.budget.total() == 1
+
+
+def test_a_watch_that_went_silent_is_begun_once_more_on_a_new_connection(monkeypatch):
+    watch = Watch(monkeypatch)
+    watch.watch()
+    watch.net.advance(11_400 * MS)
+    assert len(watch.made) == 1
+    watch.net.advance(200 * MS)
+    assert len(watch.made) == 2 and len(watch.net.events) == 1
+    watch.net.advance(11_600 * MS)
+    assert watch.net.events[-1].scope is it.Scope.FAILED
+
+
+def test_answers_at_once_without_news_do_not_spin(monkeypatch):
+    watch = Watch(monkeypatch)
+    watch.watch()
+    watch.tell(0)
+    assert drain(watch.made[0]) == b""
+    watch.net.advance(150 * MS)
+    assert drain(watch.made[0])
+
+
+class Post:
+    def __init__(self, monkeypatch):
+        self.net = Net()
+        self.made, self.refusals = self.net.catch(monkeypatch, notices)
+        self.notices = notices.Notices(self.net.scheduler, net_config(), self.net.budget, self.net.post)
+
+    def notify(self, *ids, denied=False, wait=0):
+        for i in ids:
+            self.notices.notify(ev.Notify(i, denied, wait))
+        self.net.settle()
+
+    def reply(self, status):
+        self.made[-1].send(answered(status))
+        self.net.settle()
+
+
+def test_notices_go_together_and_are_over_once_answered(monkeypatch):
+    post = Post(monkeypatch)
+    post.notify("a")
+    assert drain(post.made[0]).endswith(b'\r\n\r\n{"ref":"a","result":"dead"}\n')
+    post.notify("b", "c", denied=True, wait=1500001)
+    assert drain(post.made[0]) == b"" and not post.net.events
+    post.reply(204)
+    assert drain(post.made[0]).endswith(b'{"ref":"b","result":"bounced","wait_ms":2}\n'
+                                        b'{"ref":"c","result":"bounced","wait_ms":2}\n')
+    post.reply(204)
+    assert [e.ids for e in post.net.events] == [["a"], ["b", "c"]] and not post.notices.waiting
+
+
+def test_a_notice_is_sent_again_until_it_is_answered(monkeypatch):
+    post = Post(monkeypatch)
+    post.refusals += [Broken("refused")] * 5
+    post.notify("a")
+    post.net.advance(4 * SECOND)
+    assert len(post.made) >= 1 and not post.net.events
+    silent = len(post.made)
+    post.net.advance(3 * SECOND)
+    assert len(post.made) > silent, "no answer: once more on a new connection"
+    post.reply(204)
+    assert [e.ids for e in post.net.events] == [["a"]]
+
+
+def test_a_notice_that_is_declined_does_not_hold_up_the_others(monkeypatch):
+    post = Post(monkeypatch)
+    post.notify("bad")
+    post.notify("good")
+    for _ in range(40):
+        text = drain(post.made[-1]) or b""
+        if text:
+            post.reply(400 if b'"bad"' in text else 204)
+        post.net.advance(100 * MS)
+    assert post.net.events[0].ids == ["good"] and list(post.notices.waiting) == ["bad"]
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,158 @@
+"""One relay whole, on loopback sockets and a clock moved by hand: a callback through, an end in order, a restart."""
+import socket
+from dataclasses import replace
+
+import pytest
+
+from molehill.__main__ import Process, log_room
+from molehill.core import events as ev
+from tests.ledger import MS, SECOND, Ticks, drain, net_config
+
+ASK = (b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nX-Consignee: dest=3\r\nCookie: subject=k\r\n"
+       b"Content-Length: 2\r\n\r\nab")
+
+
+class Place:
+    """Other parties of one relay: a host, the platform (discovery and notices) and a client."""
+
+    def __init__(self, folder, monkeypatch):
+        monkeypatch.setattr("signal.signal", lambda *_: None)
+        monkeypatch.setattr("signal.set_wakeup_fd", lambda *_, **__: None)
+        self.folder, self.clock, self.open = folder, Ticks(), []
+        self.host, self.platform = self.listener(), self.listener()
+        self.start()
+
+    def listener(self):
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setblocking(False)
+        self.open.append(sock)
+        return sock
+
+    def start(self):
+        at = "127.0.0.1:%d" % self.host.getsockname()[1]
+        known = {"index": 1, "endpoints": [{"name": "h1", "address": at, "zone": "a", "type": "m", "group": 3,
+                                            "status": "active", "weight": 1.0, "since_ms": 0}]}
+        config = replace(net_config(known=known, state=str(self.folder)), listen=("127.0.0.1", 0),
+                         discovery=self.platform.getsockname())
+        self.relay = Process(config, self.clock)
+        self.relay.clients.listen()
+        self.address = self.relay.clients.listener.getsockname()
+        self.relay.discovery.begin()
+        self.relay.engine.post(ev.Begin())
+        self.relay.clients.ready = True
+        self.turn()
+
+    def turn(self, rounds=40):
+        for _ in range(rounds):
+            self.relay.scheduler.turn(block=False)
+
+    def advance(self, span, step=5 * MS):
+        until = self.clock.now + span
+        while self.clock.now < until:
+            self.clock.now = min(until, self.clock.now + step)
+            self.turn(4)
+
+    def accept(self, listener):
+        for _ in range(200):
+            self.advance(5 * MS)
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                continue
+            sock.setblocking(False)
+            self.open.append(sock)
+            return sock
+        raise AssertionError("nobody came")
+
+    def client(self):
+        sock = socket.create_connection(self.address)
+        sock.setblocking(False)
+        self.open.append(sock)
+        return sock
+
+    def hear(self, sock, wanted):
+        data = b""
+        for _ in range(200):
+            self.advance(5 * MS)
+            data += drain(sock) or b""
+            if wanted in data:
+                return data
+        raise AssertionError(f"{wanted!r} did not come: {data!r}")
+
+    def close(self):
+        for sock in self.open:
+            sock.close()
+
+
+@pytest.fixture
+def place(tmp_path, monkeypatch):
+    made = Place(tmp_path, monkeypatch)
+    yield made
+    made.close()
+
+
+def test_a_callback_goes_through_and_one_of_its_key_waits_for_it(place):
+    client = place.client()
+    client.send(ASK % b"id1")
+    place.hear(client, b"HTTP/1.1 202")
+    client.send(ASK % b"id2")
+    place.hear(client, b"HTTP/1.1 202")
+    host = place.accept(place.host)
+    text = place.hear(host, b"\r\n\r\nab")
+    assert b"Req-Id: id1" in text and b"id2" not in text
+    host.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert b"Req-Id: id2" in place.hear(host, b"\r\n\r\nab")
+    assert list(place.relay.core.held) == ["id2"]
+
+
+def test_after_sigterm_it_serves_on_lets_go_and_what_it_holds_is_taken_up_by_the_next(place):
+    client, other = place.client(), place.client()
+    client.send(ASK % b"id1")
+    place.hear(client, b"HTTP/1.1 202")
+    host = place.accept(place.host)
+    place.hear(host, b"\r\n\r\nab")
+    place.relay.scheduler.spawn(place.relay.stop)
+    place.advance(500 * MS)
+    other.send(ASK % b"id2")
+    assert b"Connection: close" not in place.hear(other, b"HTTP/1.1 202")
+    late = place.client()
+    place.advance(700 * MS)
+    for sock, number in ((other, b"id3"), (late, b"id4")):
+        sock.send(ASK % number)
+        assert b"Connection: close" in place.hear(sock, b"HTTP/1.1 202")
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(place.address)
+    assert not place.relay.scheduler.stopped
+    place.advance(2400 * MS)
+    assert place.relay.scheduler.stopped, "well before 3.7 s"
+    place.relay.store.close()
+    first, _ = place.relay, place.start()
+    assert list(place.relay.core.held) == ["id1", "id2", "id3", "id4"] == list(first.core.held)
+    again = place.accept(place.host)
+    assert b"Req-Id: id1" in place.hear(again, b"\r\n\r\nab"), "in the order in which they were handed in"
+    assert place.relay.core.held["id1"].launches == 2
+
+
+def test_a_notice_that_is_owed_is_sent_after_a_restart_too(place):
+    client = place.client()
+    client.send(ASK % b"id1")
+    place.hear(client, b"HTTP/1.1 202")
+    place.relay.store.close()
+    place.clock.now += 16 * SECOND
+    place.start()
+    assert not place.relay.core.held or place.relay.core.held["id1"].state == "owed"
+    for _ in range(3):
+        platform = place.accept(place.platform)
+        text = place.hear(platform, b"\r\n\r\n")
+        if b"/v2/finals" in text:
+            break
+    assert b'{"ref":"id1","result":"dead"}' in text
+    platform.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+    place.advance(50 * MS)
+    assert not place.relay.core.held
+
+
+def test_the_log_s_files_leave_room_on_the_disk_and_in_memory():
+    for disk, memory in ((3 * 10**6, 192 * 10**6), (10**9, 64 * 10**6)):
+        files, owed = log_room(replace(net_config(), disk=disk, memory=memory))
+        assert files < disk and files < memory // 3 and owed * 2 < files
