Serve to the end after SIGTERM, and use idle connections up to a tenth before their limit

Clients may have no other relay, so kept connections and new ones are served until 3.0 s instead of being let go from 0.6 s. The module now knows the same idle span as the connections have.

--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -21,8 +21,9 @@
 from molehill.policy import Relay
 from molehill.store import Store
 
-# After SIGTERM: new connections come for 0.4 s at most, and SIGKILL no sooner than at 3.7 s.
-LISTEN_ON, TURN_AWAY, END = 1000 * MS, 600 * MS, 3300 * MS
+# After SIGTERM, with SIGKILL no sooner than at 3.7 s: clients may have no other relay, and what is taken on lives
+# through the restart, so all goes on until LET_GO; from then on each answer ends its connection.
+LET_GO, END = 3000 * MS, 3300 * MS
 LAST_WORDS = 200 * MS              # for answers and notices that are under way at the end
 STANDING = 8                       # descriptors beside sockets: standard streams, log twice, poll and spare ones
 OUTGOING = 4                       # beside calls: discovery, notices, and one to spare for each
@@ -99,8 +100,7 @@
         now = self.scheduler.clock()
         self.log.info("stopping", held=len(self.core.held), out=self.hosts.out)
         self.engine.post(ev.Stop(now + END))
-        self.scheduler.at(now + TURN_AWAY, setattr, self.clients, "closing", True)
-        self.scheduler.at(now + LISTEN_ON, self.clients.stop_listening)
+        self.scheduler.at(now + LET_GO, self.clients.let_go)
         self.scheduler.sleep(now + END)
         until = now + END + LAST_WORDS
         while self.scheduler.clock() < until and (
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -161,6 +161,7 @@
 CONNECT_TIME_OUT = 1500 * MS   # where no setting tells: the users' figure on all their deployments
 PERIOD = 5 * MS                # likewise
 SOCKETS, DISK_MB, MEMORY_MB = 1024, 3, 192    # likewise: the most on scored days, so never too much
+IDLE_MARGIN = 200 * MS         # idle connections are used no longer so early: a request on its way crosses no end
 LEAST_SOCKETS = 32             # standard streams, log, discovery, notices, a listener and a few of each side
 
 
@@ -220,7 +221,8 @@
         listen=address(environ.get("ROUTER_LISTEN") or given.get("listen"), "ROUTER_LISTEN"),
         discovery=address(environ.get("ROUTER_DISCOVERY") or given.get("discovery"), "ROUTER_DISCOVERY"),
         state=state, seed=seed,
-        settings=replace(made, list_on_request=True),       # on sockets the list never comes unasked
+        settings=replace(made, list_on_request=True,        # on sockets the list never comes unasked
+                         connection_idle=max(0, made.connection_idle - max(made.connection_idle // 10, IDLE_MARGIN))),
         categories=names(nested, "grades"), tenants=names(nested, "parties"),
         zones=names(nested, "azs"), kinds=names(nested, "machineTypes"), known=known,
         period=reader.get("periodMs", nanos, PERIOD),
--- a/molehill/net/clients.py
+++ b/molehill/net/clients.py
@@ -70,7 +70,7 @@
 
     def close_idlest(self) -> bool:
         """Makes room: closes the connection that has stood idle longest between two requests."""
-        idle = [c for c in self.conns if c.stream.idle_since and c.stream.open]
+        idle = [c for c in self.conns if c.stream.idle_since and c.stream.quiet()]
         if idle:
             min(idle, key=lambda c: c.stream.idle_since).stream.close()
         return bool(idle)
@@ -191,9 +191,9 @@
 
     # The end
 
-    def stop_listening(self) -> None:
-        """Takes what still waits to be accepted; then new connections are refused."""
-        listener, self.listener = self.listener, None
+    def let_go(self) -> None:
+        """Takes what still waits to be accepted; then new connections are refused, kept ones end with an answer."""
+        listener, self.listener, self.closing = self.listener, None, True
         if listener is None:
             return
         while self.budget.take("client", self.spare):
--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -10,8 +10,7 @@
 MS = 1_000_000
 SECOND = 1000 * MS
 SECOND_DIGITS = 9
-IDLE_MARGIN = 4                    # closed this part of the allowed idle time early: no request crosses the end
-SWEEP = 200 * MS                   # looks at idle connections; well under the margin of any sensible setting
+SWEEP = 200 * MS                   # looks at idle connections: an ended one gives its descriptor back soon
 REST_WITHIN = SECOND               # for the rest of an answer whose outcome is known
 # status -> outcome of a call of one; 200 in a call of several is read line by line
 STATUS = {200: ev.End("", Result.FULFILLED, closed=True), 500: ev.End("", Result.ERROR),
@@ -32,8 +31,7 @@
         self.streams: dict[int, object] = {}   # call -> its connection
         self.aborted: set[int] = set()
         self.out, self.counts = 0, Counter()   # calls out; outcomes by name, for the log
-        idle = config.settings.connection_idle
-        self.keep = idle - idle // IDLE_MARGIN
+        self.keep = config.settings.connection_idle
         budget.idlers["host"] = self.close_idlest
         scheduler.at(self.clock() + SWEEP, self.sweep)
 
--- a/molehill/store.py
+++ b/molehill/store.py
@@ -20,6 +20,7 @@
         """`most`: bytes that this log and a new one beside it may take up together."""
         self.path, self.new_path = os.path.join(folder, self.NAME), os.path.join(folder, self.NEW)
         self.most, self.size, self.live, self.cut, self.odd, self.failed = most, 0, 0, 0, 0, False
+        os.makedirs(folder, exist_ok=True)
         if os.path.exists(self.new_path):
             os.unlink(self.new_path)   # a rewrite that was cut off before its rename
         self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
