Keep fresh and just used client connections when descriptors are short

Cause: each accept first closed idle client connections, also ones accepted in the same burst whose first request was on its way (clients.close_idlest), and idle connections to hosts counted against the clients' part (Budget.take), hence 849 connections to servers. Ruled out: time-outs, malformed requests, the client's own close (statistics tell none). Now clients have a quota of their own, idle host connections go first, a client connection only after a second of idling, a fresh one after ten, and answers end connections while accepts wait.

--- a/molehill/net/clients.py
+++ b/molehill/net/clients.py
@@ -11,6 +11,7 @@
 SECOND = 1000 * MS
 READ_WITHIN = 10 * SECOND          # a request that has begun; clients give up their wait long before
 WRITE_WITHIN = SECOND              # an answer is a few bytes: a client that does not take them is gone
+IDLE_LONG = SECOND                 # idle this long, a connection is not about to carry a request
 LINGER = 200 * MS                  # what a client still sends after an error is read away so that it sees the answer
 BACKLOG = 1024
 LONGEST = 24 * 3600 * SECOND       # no deadline is taken as further off: keeps figures sane
@@ -21,14 +22,14 @@
     """A client's connection; `ask` is the id of the request that waits for its answer."""
 
     def __init__(self, stream):
-        self.stream, self.task, self.ask, self.reply = stream, None, None, None
+        self.stream, self.task, self.ask, self.reply, self.served = stream, None, None, None, False
 
 
 class Clients:
     def __init__(self, scheduler, config, budget, post, spare):
         self.scheduler, self.config, self.budget, self.post, self.spare = scheduler, config, budget, post, spare
         self.clock, self.conns, self.ready, self.closing = scheduler.clock, {}, False, False
-        self.listener, self.taken, self.malformed = None, 0, 0
+        self.listener, self.taken, self.malformed, self.short = None, 0, 0, False
         budget.idlers["client"] = self.close_idlest
 
     def listen(self) -> None:
@@ -45,7 +46,8 @@
 
     def accept(self) -> None:
         while self.listener is not None:
-            if not self.budget.take("client", self.spare):
+            self.short = not self.budget.take("client", self.spare)
+            if self.short:                 # meanwhile answers end their connections, where nothing can be lost
                 self.scheduler.sleep(self.clock() + self.PAUSE)
                 continue
             try:
@@ -69,8 +71,13 @@
         return conn
 
     def close_idlest(self) -> bool:
-        """Makes room: closes the connection that has stood idle longest between two requests."""
-        idle = [c for c in self.conns if c.stream.idle_since and c.stream.quiet()]
+        """Makes room: closes the connection that has stood idle longest between two requests, if one has stood long.
+
+        Danger: a request may be on its way on it. One that has not had its first stands under READ_WITHIN.
+        """
+        now = self.clock()
+        idle = [c for c in self.conns if c.stream.idle_since and c.stream.quiet()
+                and now - c.stream.idle_since >= (IDLE_LONG if c.served else READ_WITHIN)]
         if idle:
             min(idle, key=lambda c: c.stream.idle_since).stream.close()
         return bool(idle)
@@ -110,7 +117,7 @@
             while True:
                 stream.buffer.take(len(stream.buffer))
                 stream.read(until)
-        close = not head.keep or self.closing
+        close, conn.served = not head.keep or self.closing or self.short, True
         data = http.answer(status, headers, text, close)
         if conn.ask is None:
             stream.send(data, self.clock() + WRITE_WITHIN)
--- a/molehill/net/stream.py
+++ b/molehill/net/stream.py
@@ -16,20 +16,25 @@
 
 
 class Budget:
-    """Counts the descriptors of each kind. A kind that is short may have idle ones of other kinds closed."""
+    """Counts the descriptors of each kind, within one figure for all and one for kinds that have their own."""
 
-    def __init__(self, most: int):
-        self.most, self.used = most, {}
+    def __init__(self, most: int, quotas=None):
+        self.most, self.used, self.quotas = most, {}, quotas or {}
         self.idlers = {}               # kind -> closes one idle connection of it and tells whether it did
 
     def total(self) -> int:
         return sum(self.used.values())
 
     def take(self, kind: str, spare: int = 0) -> bool:
-        """One more of that kind, leaving `spare` free for others."""
-        own_first = sorted(self.idlers, key=lambda kind_of: kind_of != kind)
+        """One more of that kind, leaving `spare` free for others; idle connections make room.
+
+        Those to hosts first: a request may be on its way on one to a client.
+        """
+        while self.used.get(kind, 0) >= self.quotas.get(kind, self.most):
+            if kind not in self.idlers or not self.idlers[kind]():
+                return False
         while self.total() + 1 + spare > self.most:
-            if not any(self.idlers[name]() for name in own_first):
+            if not any(self.idlers[name]() for name in ("host", "client") if name in self.idlers):
                 return False
         self.used[kind] = self.used.get(kind, 0) + 1
         return True
