Keep hosts listed when the module is made anew, and give back unanswered requests

Found by a stronger test: after a fault of the module the whole list was marked as gone (reducer._listed changed the very entries that it then listed), so nothing was delivered any more. A request that the core does not answer within a second is withdrawn rather than left open; keys with spaces are refused, as they would break the frames of calls of several.

--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(slots=True)
-class Unheard:                     # that client was gone before
+class Unheard:                     # that client was gone before, or its time for an answer is up
     id: str
     client: object
 
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -199,7 +199,7 @@
 
     def _unheard(self, event):
         callback = self.held.get(event.id)
-        if callback is None or callback.state is not TAKEN:
+        if callback is None or callback.state not in (ARRIVED, TAKEN):
             return
         if event.client in callback.clients:
             callback.clients.remove(event.client)
@@ -405,7 +405,8 @@
     def _listed(self, event):
         if event.scope is not it.Scope.FAILED:
             if event.scope is not it.Scope.UPDATE:
-                for host in self.hosts.values():
+                named = {host.id for host in event.hosts}
+                for host in [host for host in self.hosts.values() if host.id not in named]:
                     host.condition = it.Condition.GONE
             for host in event.hosts:
                 before, self.hosts[host.id] = self.hosts.get(host.id, host), host
--- a/molehill/net/clients.py
+++ b/molehill/net/clients.py
@@ -4,13 +4,14 @@
 
 from molehill.core import events as ev
 from molehill.net import http
-from molehill.net.scheduler import READ
+from molehill.net.scheduler import LATE, READ
 from molehill.net.stream import Broken, Late, Stream
 
 MS = 1_000_000
 SECOND = 1000 * MS
 READ_WITHIN = 10 * SECOND          # a request that has begun; clients give up their wait long before
 WRITE_WITHIN = SECOND              # an answer is a few bytes: a client that does not take them is gone
+ANSWER_WITHIN = SECOND             # clients wait 0.4 s: whoever had no answer by now is gone
 IDLE_LONG = SECOND                 # idle this long, a connection is not about to carry a request
 LINGER = 200 * MS                  # what a client still sends after an error is read away so that it sees the answer
 BACKLOG = 1024
@@ -142,8 +143,11 @@
         self.taken += 1
         conn.ask, conn.reply = fresh.id, None
         self.post(ev.Arrived(conn, fresh))
-        while conn.reply is None:          # no time-out: the core answers every request that it was told of
-            self.scheduler.wait()
+        until = self.clock() + ANSWER_WITHIN
+        while conn.reply is None:
+            if self.scheduler.wait(until=until) == LATE:
+                self.post(ev.Unheard(fresh.id, conn))
+                raise Late()
         status, wait = conn.reply
         return status, ((("Retry-After", seconds(wait)),) if wait else ()), b""
 
@@ -191,7 +195,7 @@
         key = http.cookie(headers, "subject") if row.ordered else None
         mark = headers.get("idempotency-key")
         for text in (key, mark):
-            if text is not None and (len(text) > TEXT_MOST or not http.printable(text)):
+            if text is not None and (len(text) > TEXT_MOST or not http.printable(text) or " " in text):
                 raise http.Malformed(400, "a key that is too long or not printable")
         tenant = self.config.tenants.get(headers.get("req-owner", ""), 0)
         return ev.Fresh(ident, category, tenant, key or None, destination, self.clock() + span, mark, body)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -66,6 +66,13 @@
     assert [e.status for e in effects if type(e) is ev.Answer] == [202] and not core.held
 
 
+def test_a_request_that_got_no_answer_in_time_is_the_client_s_again():
+    core, now = bare_core(), 1001 * SECOND
+    effects = effects_of(core, now, ev.Arrived("c", fresh()), ev.Unheard("a", "c"), ev.Step())
+    assert not any(type(e) in (ev.Call, ev.Answer) for e in effects)
+    assert not core.held and not core.module.held and core.used == 0
+
+
 def test_what_is_denied_at_once_is_answered_at_the_door_and_not_logged():
     core = bare_core()
     effects = effects_of(core, 1001 * SECOND, ev.Arrived("c", fresh(due=1000 * SECOND)), ev.Step())
@@ -221,7 +228,7 @@
         for number in list(world.out):
             world.end(number, R.FULFILLED)
         world.answer_notices()
-    assert all(number in world.ended for number in numbers) and not world.core.held
+    assert [world.ended.get(number) for number in numbers] == ["fulfilled"] * 3 and not world.core.held
 
 
 def test_a_callback_that_the_module_forgets_is_ended_by_the_core(tmp_path, monkeypatch):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -136,7 +136,7 @@
     (b"Req-Id: id1", b"No-Id: x", 400), (b"Req-Id: id1", b"Req-Id: " + b"i" * 2000, 400),
     (b"Req-Id: id1", b"Req-Id: i\xe9", 400), (b"Req-Kind: notice", b"Req-Kind: other", 400),
     (b"dest=7", b"dest=x", 400), (b"dest=7", b"else=7", 400), (b"480", b"4.5", 400), (b"480", b"-1", 400),
-    (b"subject=k1", b"subject=" + b"k" * 2000, 400), (b"Content-Length: 3", b"Content-Length: 70000", 413),
+    (b"subject=k1", b"subject=" + b"k" * 2000, 400), (b"-Key: m", b"-Key: m 1", 400), (b"Content-Length: 3", b"Content-Length: 70000", 413),
     (b"POST /api", b"GET /api", 405), (b"/api", b"/other", 404), (b" HTTP/1.1", b"", 400)])
 def test_what_can_t_be_taken_on_is_answered_and_never_handed_over(before, after, status):
     door = Door()
@@ -177,15 +177,23 @@
     assert drain(sock) is None and not door.net.events and door.net.budget.total() == 0
 
 
+def test_a_request_that_the_core_does_not_answer_is_given_back():
+    door = Door()
+    sock = door.connect()
+    door.say(sock, ASK % b"id1")
+    door.net.advance(1100 * MS)
+    assert type(door.net.events[1]) is ev.Unheard and drain(sock) is None and door.net.budget.total() == 0
+
+
 def test_the_connection_idle_longest_makes_room_and_one_that_may_carry_a_request_never_does():
     door = Door()
     busy, first, second, fresh, crossed = [door.connect() for _ in range(5)]
-    door.say(busy, ASK % b"id1")
-    for sock in (second, first, crossed):
+    for sock in (busy, second, first, crossed):
         door.say(sock, b"GET /health/live HTTP/1.1\r\n\r\n")
         door.net.clock.now += 300 * MS
     assert not door.clients.close_idlest(), "none has stood long"
     door.net.clock.now += SECOND
+    door.say(busy, ASK % b"id1")
     crossed.send(ASK % b"id2")             # came, and not read yet
     assert door.clients.close_idlest() and drain(second) is None and drain(first) == b""
     assert door.clients.close_idlest() and drain(first) is None and not door.clients.close_idlest()
