--- a/molehill/net/notices.py
+++ b/molehill/net/notices.py
@@ -8,7 +8,8 @@
 MS = 1_000_000
 BATCH = 200                        # notices in one request: under 64 KiB with the longest ids
 FIRST_WITHIN = 120 * MS            # an answer comes at once; a lost request is sent again inside the rules' 300 ms
-LONGEST = 2000 * MS                # between tries while the platform does not answer
+PAUSE = 10 * MS                    # after a second quick failure, then doubled: a few more fit into the 300 ms
+LONGEST = 2000 * MS                # at most for an answer, and half of it between tries, while the platform does not answer
 IDLE = 2000 * MS                   # a connection that stood longer is not used again
 
 
@@ -31,9 +32,8 @@
         while self.waiting:
             batch = list(self.waiting.values())[:most]
             span = min(FIRST_WITHIN << min(tries, 8), LONGEST)
-            began = self.clock()
             try:
-                self._post(batch, began + span)
+                self._post(batch, self.clock() + span)
             except (Broken, Late, http.Malformed) as error:
                 self._close()
                 tries += 1
@@ -41,7 +41,7 @@
                     most = 1
                     self.waiting[batch[0].id] = self.waiting.pop(batch[0].id)
                 if tries > 1:          # the first failure may be a kept connection's: at once on a new one
-                    self.scheduler.sleep(max(self.clock(), began + span // 2))
+                    self.scheduler.sleep(self.clock() + min(PAUSE << min(tries, 8), LONGEST) // 2)
                 continue
             tries, most = 0, min(2 * most, BATCH)
             for notice in batch:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -503,6 +503,14 @@
     assert [e.ids for e in post.net.events] == [["a"]]
 
 
+def test_three_quick_failures_leave_a_notice_well_within_its_300_ms(monkeypatch):
+    post = Post(monkeypatch)
+    post.refusals += [Broken("refused")] * 3
+    post.notify("a")
+    post.net.advance(100 * MS, step=5 * MS)
+    assert drain(post.made[0])
+
+
 def test_a_notice_that_is_declined_does_not_hold_up_the_others(monkeypatch):
     post = Post(monkeypatch)
     post.notify("bad")
