Start hosts closed after a restart that were away before it

The module now tells of closings and answers (Health), the core logs them, and entries of the first list say which hosts were away.

--- a/molehill/benchlink/codec.py
+++ b/molehill/benchlink/codec.py
@@ -77,6 +77,6 @@
         return f"release {instance} {action.host}\n"
     if type(action) is it.FollowList:
         return f"listen {instance} 1\n"
-    if type(action) is it.Note:
+    if type(action) is it.Health:
         return f"note_down {instance} {' '.join(action.text.split())}\n"
     raise TypeError(f"no line for {action!r}")
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -59,6 +59,7 @@
         self.rests: dict[str, int] = {}
         self.hosts: dict[str, ev.Host] = {}
         self.waits: dict[object, int] = {}            # route -> end of a told wait
+        self.away: dict[str, object] = {}             # host -> None while closed, then when its ramp is over
         self.guards, self.wake_at, self.stop_at = [], None, None
         self.on = {ev.Begin: self._begin, ev.Arrived: self._arrived, ev.Heard: self._heard,
                    ev.Unheard: self._unheard, ev.Unlogged: self._unlogged, ev.Ended: self._ended,
@@ -114,6 +115,15 @@
                 self._move(callback, OVER)
         elif kind == "rest":
             self.rests[record["key"]] = record["until"]
+        elif kind == "health":
+            self._well(record["host"], record["away"], record["at"])
+
+    def _well(self, host, away, at):
+        """Rule 4 over restarts: a host is away from its closing until it has answered for the whole ramp."""
+        self.away[host] = None if away else at + (self.set.ramp_time or 0)
+
+    def _is_away(self, host):
+        return host in self.away and (self.away[host] is None or self.now < self.away[host])
 
     def _known(self, ids):
         return [self.held[number] for number in ids if number in self.held]
@@ -122,6 +132,10 @@
         """The records that say all that is owed now; a log of just these replaces a longer one."""
         for key, until in self.rests.items():
             yield {"k": "rest", "key": key, "until": until}, b""
+        for host, until in self.away.items():
+            if self._is_away(host):
+                at = until and until - (self.set.ramp_time or 0)
+                yield {"k": "health", "host": host, "away": until is None, "at": at}, b""
         for c in self.held.values():
             if c.state is ARRIVED:
                 continue
@@ -271,7 +285,9 @@
                 self.effects.append(ev.Watch())
             elif type(action) is it.CloseIdle:
                 self.effects.append(ev.CloseIdle(action.host))
-            elif type(action) is it.Note:
+            elif type(action) is it.Health:
+                self._well(action.host, action.away, now)
+                self._log("health", host=action.host, away=action.away, at=now)
                 self.effects.append(ev.Say(action.text))
             elif action.callback in self.held:
                 self._end_callback(self.held[action.callback], type(action) is it.Deny,
@@ -416,7 +432,8 @@
                 if host.condition is it.Condition.GONE or before.address != host.address:
                     self.effects.append(ev.CloseIdle(host.id))
         self.inbox.append(it.ListNews(event.scope, [
-            it.HostEntry(h.id, h.zone, h.kind, h.destination, h.condition, h.units) for h in event.hosts]))
+            it.HostEntry(h.id, h.zone, h.kind, h.destination, h.condition, h.units, self._is_away(h.id))
+            for h in event.hosts]))
 
     def _begin(self, _):
         """After a start: launches that were out when the process ended may have run; all that is owed goes on."""
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -106,6 +106,7 @@
     destination: int
     condition: Condition
     units: float
+    away: bool = False          # an earlier process of this relay saw it fail, and not long enough well since
 
 
 @dataclass(slots=True)
@@ -194,5 +195,7 @@
 
 
 @dataclass(slots=True)
-class Note:
+class Health:                   # a host is closed for its failures (away), or answers again
+    host: Id
+    away: bool
     text: str
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -338,7 +338,7 @@
         if good and self.h_state[h] is CLOSED and sent >= self.h_since[h]:
             self.h_state[h], self.h_since[h], self.h_bad[h] = RAMP, self.now, 0.0
             self.h_next[h] = self.now + self._gap(h)
-            self.actions.append(it.Note(f"host {self.h_id[h]} answers again, fed slowly"))
+            self.actions.append(it.Health(self.h_id[h], False, f"host {self.h_id[h]} answers again"))
         if not good and self.h_route[h].rounds > 1:
             until = self.h_next[h] = max(self.h_next[h], self.now + self._rest(h))
             if result in (Result.ERROR, Result.NO_CONNECT):    # not silence: that may be the connection's own
@@ -348,7 +348,7 @@
 
     def _close(self, h, result):
         if self.h_state[h] is not CLOSED:
-            self.actions.append(it.Note(f"host {self.h_id[h]} closed: {result.value}"))
+            self.actions.append(it.Health(self.h_id[h], True, f"host {self.h_id[h]} closed: {result.value}"))
             self.h_state[h], self.h_since[h] = CLOSED, self.now
         start = max(self.now, self.h_route[h].paused)
         self.h_next[h] = max(self.h_next[h], start + int(self._gap(h) * (0.5 + self.random())))
@@ -383,7 +383,7 @@
             for h in [h for host, h in self.hosts.items() if host not in named]:
                 self._listed(h, False)
         for entry in news.entries:
-            h = self._add(entry) if entry.host not in self.hosts else self.hosts[entry.host]
+            h = self.hosts[entry.host] if entry.host in self.hosts else self._add(entry)
             self.h_route[h].told = entry.units if self.set.units_are_rates else self.h_route[h].told
             self._listed(h, entry.condition is it.Condition.UP)
 
@@ -393,8 +393,8 @@
         route = Limiter(self.now) if kind.apart else self._dest(entry.destination).limiter
         for array, value in ((self.h_id, entry.host), (self.h_zone, entry.zone), (self.h_size, kind.per_call),
                              (self.h_dest, entry.destination), (self.h_up, False), (self.h_route, route),
-                             (self.h_out, 0), (self.h_state, OPEN), (self.h_bad, 0.0),
-                             (self.h_next, 0), (self.h_since, 0), (self.h_free, 0)):
+                             (self.h_state, CLOSED if entry.away else OPEN), (self.h_out, 0),    # away: rule 4
+                             (self.h_bad, 0.0), (self.h_next, 0), (self.h_since, self.now), (self.h_free, 0)):
             array.append(value)
         return h
 
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -117,7 +117,7 @@
         assert action.span > 0
         self.wake = min(self.wake or self.now + action.span, self.now + action.span)
 
-    def on_note(self, action):
+    def on_health(self, action):
         self.notes.append(action.text)
 
     def on_closeidle(self, action):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -167,6 +167,39 @@
     assert [type(e) for e in effects] == [ev.Append, ev.Answer] and core.held["a"].state == "taken"
 
 
+@pytest.mark.parametrize("rewritten", [False, True])
+def test_a_host_that_was_away_before_a_restart_is_tried_and_fed_as_one_that_returns(tmp_path, rewritten):
+    world = wire(tmp_path, hosts=HOSTS[:1], categories=[category("rerunnable", abandon=120_000)], slots=20)
+    for _ in range(12):
+        world.take()
+        for number in list(world.out):
+            world.end(number, R.NO_CONNECT)
+        world.advance(6 * SECOND)
+    assert "host h1 closed: no_connect" in world.said
+
+    def restart():
+        for number in list(world.out):
+            world.end(number, R.NO_CONNECT)
+        assert not rewritten or world.store.rewrite(world.core.snapshot())
+        world.kill()
+        for _ in range(8):
+            world.take()
+    restart()
+    assert len(world.out) == 1, "one trial at a time"
+    world.end(next(iter(world.out)), R.FULFILLED)
+    world.advance(100 * MS)
+    assert not world.out, "under the budget"
+    restart()
+    assert len(world.out) <= 1, "its ramp was not over"
+    world.end(next(iter(world.out)), R.FULFILLED)
+    for _ in range(120):
+        world.advance(100 * MS)
+        for number in list(world.out):
+            world.end(number, R.FULFILLED)
+    restart()
+    assert len(world.out) == 2, "well again: the window's start"
+
+
 def test_the_launches_that_are_left_are_counted_over_restarts(tmp_path):
     world = wire(tmp_path, categories=[category("rerunnable", abandon=600_000)], max_launches=3)
     number = world.take()
