--- a/molehill/net/engine.py
+++ b/molehill/net/engine.py
@@ -86,15 +86,15 @@
     COUNTS_EVERY = 10_000 * MS             # a line on what was done, unless nothing was
 
     def keep_counting(self) -> None:
+        self.scheduler.at(self.clock() + self.COUNTS_EVERY, self.keep_counting)
         done, self.hosts.counts = dict(sorted(self.hosts.counts.items())), Counter()
         taken, self.clients.taken = self.clients.taken, 0
         if done or taken or self.core.held:
             self.log.info("counts", taken=taken, held=len(self.core.held), out=self.hosts.out, outcomes=done,
                           notices=len(self.notices.waiting), log_bytes=self.store.size, broken=sum(counts.values()))
-        self.scheduler.at(self.clock() + self.COUNTS_EVERY, self.keep_counting)
 
     FLUSH_EVERY = 100 * MS                 # for log lines that nobody took at once
 
     def keep_flushing(self, sink) -> None:
-        sink.flush()
         self.scheduler.at(self.clock() + self.FLUSH_EVERY, self.keep_flushing, sink)
+        sink.flush()
--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -38,6 +38,7 @@
     # Idle connections
 
     def sweep(self) -> None:
+        self.scheduler.at(self.clock() + SWEEP, self.sweep)
         oldest = self.clock() - self.keep
         for host, streams in list(self.idle.items()):
             for stream in [s for s in streams if s.idle_since <= oldest or not s.quiet()]:
@@ -45,7 +46,6 @@
                 stream.close()
             if not streams:
                 del self.idle[host]
-        self.scheduler.at(self.clock() + SWEEP, self.sweep)
 
     def close_idle(self, host) -> None:
         for stream in self.idle.pop(host, ()):
@@ -107,6 +107,8 @@
     def _written(self, call, start):
         """A connection with the whole request written on it, or None once the call's end is reported."""
         until = min(member.until for member in call.members)
+        if not self._may_go(call, start):
+            return None
         for stream in (self.kept(call), None):
             fresh = stream is None
             try:
@@ -115,9 +117,8 @@
                     stream = connected(self.scheduler, call.address, "host", self.budget, within, self.spare)
                     self.counts["connected"] += 1
                 self.streams[call.number], stream.idle_since = stream, 0
-                if not self.may_send(call.host) or call.number in self.aborted:
-                    stream.close()         # told meanwhile to wait, or that the host drains
-                    self._end(call, start, call.members, ev.End("", Result.NOT_SENT))
+                if not self._may_go(call, start):
+                    stream.close()
                     return None
                 stream.send(self._request(call), until)
                 return stream
@@ -129,6 +130,13 @@
         self._end(call, start, call.members, ev.End("", Result.NO_CONNECT))
         return None
 
+    def _may_go(self, call, start) -> bool:
+        """Whether the relay was not told meanwhile to wait, or that the host drains; else the call's end."""
+        if self.may_send(call.host) and call.number not in self.aborted:
+            return True
+        self._end(call, start, call.members, ev.End("", Result.NOT_SENT))
+        return False
+
     def _request(self, call) -> bytes:
         now, host = self.clock(), "%s:%d" % call.address
         wait = max(1, (max(member.until for member in call.members) - now) // MS)
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -393,7 +393,7 @@
         route = Limiter(self.now) if kind.apart else self._dest(entry.destination).limiter
         for array, value in ((self.h_id, entry.host), (self.h_zone, entry.zone), (self.h_size, kind.per_call),
                              (self.h_dest, entry.destination), (self.h_up, False), (self.h_route, route),
-                             (self.h_state, CLOSED if entry.away else OPEN), (self.h_out, 0),    # away: rule 4
+                             (self.h_state, CLOSED if entry.away else OPEN), (self.h_out, 0),    # rule 4
                              (self.h_bad, 0.0), (self.h_next, 0), (self.h_since, self.now), (self.h_free, 0)):
             array.append(value)
         return h
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -329,9 +329,21 @@
 
 def test_nothing_is_written_once_a_wait_or_a_drain_was_told_while_connecting(monkeypatch):
     calls = Calls(monkeypatch)
+    calls.call()
+    calls.reply(answered(200))
     calls.allowed = False
     calls.call()
-    assert calls.net.events[0].ends[0].result is R.NOT_SENT and drain(calls.made[0]) is None
+    assert calls.net.events[1].ends[0].result is R.NOT_SENT and len(calls.hosts.idle["h1"]) == 1
+
+    def told_while_connecting():
+        calls.allowed = not calls.made         # the connection is up, and the wait came before it
+        return calls.allowed
+    calls.made.clear()
+    calls.hosts.close_idle("h1")
+    calls.hosts.may_send = lambda host: told_while_connecting()
+    calls.call()
+    assert calls.net.events[2].ends[0].result is R.NOT_SENT and drain(calls.made[0]) is None
+    assert calls.net.budget.total() == 0
 
 
 def test_an_aborted_call_is_closed_and_nothing_more_is_told_of_it(monkeypatch):
