Take a host's status line at its word, and begin anew the tasks a relay can't do without

An answer with a body in pieces, too long, or with a spoilt header after a 200 counted as a reset, so that a delivered callback went again. A fault in accepting, in notices or in the signal's task would have ended it for good.

--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -90,7 +90,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: None)
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-        self.scheduler.spawn(self.on_signal)
+        self.scheduler.spawn_kept(self.on_signal)
 
     def on_signal(self) -> None:
         self.scheduler.wait(self.wake.fileno(), READ)
--- a/molehill/net/clients.py
+++ b/molehill/net/clients.py
@@ -41,7 +41,7 @@
         self.listener.listen(BACKLOG)
         self.listener.setblocking(False)
         self.budget.take("listener")
-        self.scheduler.spawn(self.accept)
+        self.scheduler.spawn_kept(self.accept)
 
     PAUSE = 20 * MS                    # between looks at the budget while no connection can be taken
 
--- a/molehill/net/engine.py
+++ b/molehill/net/engine.py
@@ -22,13 +22,16 @@
         try:
             while self.queue:
                 self.carry(self.core.reduce(self.clock(), self.queue.pop(0)))
+            self.keep_small()
         finally:
             self.busy = False
+            self.plan()
+
+    def keep_small(self) -> None:
         if self.store.wants_rewrite():
             failed, self.stuck = self.stuck, not self.store.rewrite(self.core.snapshot())
             if self.stuck and not failed:
                 self.log.warning("log not rewritten", size=self.store.size)
-        self.plan()
 
     def carry(self, effects) -> None:
         rows = []
--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -116,7 +116,7 @@
                     within = min(until, start + self.config.connect_time_out)
                     stream = connected(self.scheduler, call.address, "host", self.budget, within, self.spare)
                     self.counts["connected"] += 1
-                self.streams[call.number], stream.idle_since = stream, 0
+                self.streams[call.number], stream.idle_since, stream.parser.line = stream, 0, b""
                 if not self._may_go(call, start):
                     stream.close()
                     return None
@@ -159,7 +159,7 @@
                 try:
                     head = head or stream.head(until)
                     if 100 <= head.status < 200:
-                        head = None        # an interim answer
+                        head, stream.parser.line = None, b""    # an interim answer
                     elif call.bundle and head.status == 200:
                         body = stream.body(head, until)
                     else:
@@ -171,7 +171,7 @@
                     if not call.members:
                         return
         except (Broken, http.Malformed):
-            seen = stream.buffer.peek(64)
+            seen = stream.parser.line or stream.buffer.peek(64)
             served = head is None and not call.bundle and seen.startswith(b"HTTP/1.1 200 ") and b"\r\n" in seen
             end = STATUS[200] if served else ev.End("", Result.RESET)
             self._end(call, start, call.members, end)
--- a/molehill/net/http.py
+++ b/molehill/net/http.py
@@ -34,6 +34,7 @@
 
     def __init__(self, buffer, answers: bool):
         self.buffer, self.answers, self.seen = buffer, answers, 0
+        self.line = b""                # the start of the head read last, also of one that was malformed
 
     def head(self) -> Optional[Head]:
         """The next head once it is whole, else None; raises Malformed."""
@@ -50,6 +51,7 @@
         self.seen = 0
         if end > HEAD_MOST:
             raise Malformed(431, "the head is too long")
+        self.line = buffer.peek(64)
         return self._read(buffer.take(end + 4)[:-4])
 
     def _read(self, raw: bytes) -> Head:
@@ -77,11 +79,16 @@
             if name in headers and name == "content-length" and headers[name] != value:
                 raise Malformed(400, "two lengths")
             headers[name] = f"{headers[name]}, {value}" if name in headers and name != "content-length" else value
-        if "transfer-encoding" in headers:
-            raise Malformed(501, "no transfer encodings here")
         said = headers.get("connection", "").lower()
         keep = "close" not in said and (version == "HTTP/1.1" or "keep-alive" in said)
-        return Head(first, headers, keep, self._length(headers))
+        try:
+            if "transfer-encoding" in headers:
+                raise Malformed(501, "no transfer encodings here")
+            return Head(first, headers, keep, self._length(headers))
+        except Malformed:
+            if not self.answers:
+                raise
+            return Head(first, headers, False, None)    # the status stands; the connection carries no more
 
     @staticmethod
     def _length(headers) -> Optional[int]:
--- a/molehill/net/notices.py
+++ b/molehill/net/notices.py
@@ -25,7 +25,7 @@
     def notify(self, effect) -> None:
         self.waiting[effect.id] = effect
         if self.task is None:
-            self.task = self.scheduler.spawn(self._send_all)
+            self.task = self.scheduler.spawn_kept(self._send_all)
 
     def _send_all(self) -> None:
         tries, most = 0, BATCH
--- a/molehill/net/scheduler.py
+++ b/molehill/net/scheduler.py
@@ -43,6 +43,21 @@
         except Exception as error:
             holds(False, "task", work=getattr(work, "__qualname__", str(work)), error=repr(error))
 
+    AGAIN = 100 * MS               # before work that has to go on is begun anew
+
+    def spawn_kept(self, work):
+        """A task that the relay can't do without: begun anew if it fails, until it returns."""
+        def kept():
+            done = False
+            while not done:
+                try:
+                    work()
+                    done = True
+                except Exception as error:
+                    holds(False, "kept_task", work=work.__qualname__, error=repr(error))
+                    self.sleep(self.clock() + self.AGAIN)
+        return self.spawn(kept)
+
     def at(self, when, work, *args):
         """Calls work(*args) in the loop itself at that time; it may not wait."""
         self.serial += 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -55,6 +55,20 @@
     assert done == ["task", "parent"]
 
 
+def test_work_that_has_to_go_on_is_begun_anew(monkeypatch):
+    net, tries, broken = Net(), [], []
+    monkeypatch.setattr("molehill.net.scheduler.holds",
+                        lambda condition, name, **facts: broken.append(name) if not condition else True)
+
+    def work():
+        tries.append(net.clock())
+        if len(tries) < 3:
+            raise ValueError("a fault")
+    net.scheduler.spawn_kept(work)
+    net.advance(SECOND)
+    assert len(tries) == 3 and broken == ["kept_task"] * 2
+
+
 def test_a_full_budget_closes_idle_connections_those_to_hosts_first():
     net, closed = Net(sockets=3), []
 
@@ -262,6 +276,10 @@
     (answered(504), (R.NOT_SENT, 0, False, True, 0.0)), (answered(410), (R.NOT_SENT, 0, True, False, 0.0)),
     (answered(413), (R.FULL, 0, False, False, 0.0)), (answered(302), (R.ERROR, 0, False, False, 0.0)),
     (b"HTTP/1.1 100 Continue\r\n\r\n" + answered(200), (R.FULFILLED, 0, True, False, 0.0)),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", (R.FULFILLED, 0, True, False, 0.0)),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", (R.FULFILLED, 0, True, False, 0.0)),
+    (b"HTTP/1.1 200 OK\r\nno header\r\n\r\n", (R.FULFILLED, 0, True, False, 0.0)),
+    (b"HTTP/1.1 503 No\r\nno header\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
     (b"gibberish\r\n\r\n", (R.RESET, 0, False, False, 0.0))])
 def test_each_answer_is_the_outcome_that_the_protocol_names(monkeypatch, reply, expected):
     calls = Calls(monkeypatch)
@@ -269,6 +287,7 @@
     event = calls.reply(reply)
     (end,) = event.ends
     assert (end.result, end.wait, end.closed, end.spent, event.told_rate) == expected
+    calls.net.advance(1100 * MS)
     assert len(calls.net.events) == 1 and calls.hosts.out == 0
 
 
