--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -296,6 +296,25 @@
     assert list(world.notices) == [number]
 
 
+def test_a_record_that_stands_twice_in_the_log_counts_once():
+    core, now = bare_core(), 1001 * SECOND
+    taken = effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())[0]
+    other = bare_core()
+    for _ in range(2):
+        other.load(taken.record, taken.body)
+    assert other.used == core.used and other.open == 1
+
+
+def test_after_a_standstill_an_outcome_under_way_still_comes_before_the_guard():
+    core, now = bare_core(), 1001 * SECOND
+    effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())
+    call = effects_of(core, now, ev.Heard("a"))[1]
+    late = 1010 * SECOND + 160 * MS
+    assert not [e for e in effects_of(core, late, ev.Step()) if type(e) is ev.Notify]
+    effects = effects_of(core, late, ev.Ended(call.number, 9 * SECOND, [ev.End("a", R.TIMEOUT)]), ev.Step())
+    assert [(e.id, e.denied) for e in effects if type(e) is ev.Notify] == [("a", False)]
+
+
 def test_shortly_before_its_end_the_relay_launches_nothing_that_would_be_cut_off(tmp_path):
     world = wire(tmp_path, categories=[category("exclusive", abandon=20000)])
     world.post(ev.Stop(world.now + 3 * SECOND))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -136,11 +136,12 @@
     assert len(door.net.events) == 3, "nobody has to hear of a refusal"
 
 
-def test_a_client_gone_before_its_answer_is_told_to_the_core():
+@pytest.mark.parametrize("leave", [socket.socket.close, lambda sock: sock.shutdown(socket.SHUT_WR)])
+def test_a_client_gone_before_its_answer_is_told_to_the_core(leave):
     door = Door()
     sock = door.connect()
     door.say(sock, ASK % b"id1")
-    sock.close()
+    leave(sock)                            # the second as TCP shows it: its end has come, yet bytes still go
     door.answer(door.net.events[0])
     assert type(door.net.events[1]) is ev.Unheard and not door.clients.conns
     assert door.net.budget.total() == 0
@@ -330,6 +331,22 @@
     assert len(calls.net.events) == 3 and calls.net.budget.total() == 1
 
 
+def test_a_kept_connection_that_breaks_before_the_last_byte_costs_no_launch(monkeypatch):
+    calls = Calls(monkeypatch)
+    calls.call()
+    calls.reply(answered(200))
+    (stream,) = calls.hosts.idle["h1"]
+
+    def breaks(data, until):
+        raise Broken("ECONNRESET")
+    stream.send = breaks
+    calls.call()
+    assert len(calls.made) == 2 and calls.reply(answered(200)).ends[0].result is R.FULFILLED
+    (kept,) = calls.hosts.idle["h1"]
+    calls.net.clock.now += 9001 * MS
+    assert calls.hosts.kept(ev.Call(9, "h1", (), False, [])) is None and not kept.open, "too long idle"
+
+
 def test_idle_connections_are_closed_before_the_host_would_and_when_asked(monkeypatch):
     calls = Calls(monkeypatch)
     for host in ("h1", "h2"):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -158,8 +158,10 @@
         assert files < disk and files < memory // 3 and owed * 2 < files
 
 
-def test_a_log_without_room_is_written_anew_in_the_middle_of_the_work(place):
-    store, core = place.relay.store, place.relay.core
+def test_a_log_without_room_is_written_anew_in_the_middle_of_the_work(place, monkeypatch):
+    store, core, errors = place.relay.store, place.relay.core, []
+    monkeypatch.setattr(place.relay.engine, "log", type("Log", (), {
+        "info": lambda *_, **__: None, "error": lambda _, text, **__: errors.append(text)})())
     store.most = 4000
     client = place.client()
     for number in range(12):
@@ -170,4 +172,4 @@
         store.live = store.size            # as if a rewrite were of no use: only a failed write asks for one
         host.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         place.advance(20 * MS)
-    assert not core.held and store.size < 4000 and list(core.done) == [f"id{n}" for n in range(12)]
+    assert not errors and not core.held and store.size < 4000 and list(core.done) == [f"id{n}" for n in range(12)]
