--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -158,18 +158,23 @@
         assert files < disk and files < memory // 3 and owed * 2 < files
 
 
-def test_a_log_without_room_is_written_anew_in_the_middle_of_the_work(place, monkeypatch):
-    store, core, errors = place.relay.store, place.relay.core, []
+def test_a_failed_write_has_the_log_written_anew_and_nobody_is_refused_for_it(place, monkeypatch):
+    store, errors, failing = place.relay.store, [], []
     monkeypatch.setattr(place.relay.engine, "log", type("Log", (), {
         "info": lambda *_, **__: None, "error": lambda _, text, **__: errors.append(text)})())
-    store.most = 4000
+    write = store._write
+    store._write = lambda fd, data: False if failing and failing.pop() else write(fd, data)
     client = place.client()
-    for number in range(25):
-        store.live = 10**9                 # as if a rewrite were of no use: only a failed write asks for one
+    for number in range(6):
+        failing[:] = [True] if number > 2 else []
         client.send(ASK % b"id%d" % number)
         place.hear(client, b"HTTP/1.1 202")
+        assert not failing
         host = place.accept(place.host) if number == 0 else host
         place.hear(host, b"\r\n\r\nab")
         host.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         place.advance(20 * MS)
-    assert not errors and not core.held and store.size < 4000 and list(core.done) == [f"id{n}" for n in range(25)]
+    assert not errors and not place.relay.core.held and list(place.relay.core.done) == [f"id{n}" for n in range(6)]
+    store.close()
+    place.start()
+    assert not place.relay.core.held and place.relay.core.used == 0
