--- a/molehill/net/discovery.py
+++ b/molehill/net/discovery.py
@@ -72,7 +72,8 @@
                     self.post(ev.Listed(it.Scope.WHOLE if whole else it.Scope.UPDATE, hosts))
                 if version == self.version and self.clock() - began < PAUSE:
                     self.scheduler.sleep(began + PAUSE)
-                self.version = version
+                # Danger: a discovery that counts anew would keep its news until it has caught up.
+                self.version = version if whole or version >= (self.version or 0) else None
         except (Broken, Late, http.Malformed, ValueError):
             pass
         finally:
@@ -86,7 +87,9 @@
             self._close()
             within = self.clock() + self.config.connect_time_out
             self.stream = connected(self.scheduler, self.config.discovery, "discovery", self.budget, within)
-        target = f"/registry/instances?from={self.version}&hold_ms={HOLD // MS}"
+        target = "/registry/instances"     # the whole list, at once
+        if self.version is not None:
+            target += f"?from={self.version}&hold_ms={HOLD // MS}"
         self.stream.send(http.request("GET", target, "%s:%d" % self.config.discovery), until)
         return read_list(*fetch(self.stream, until, self.config))
 
--- a/molehill/net/notices.py
+++ b/molehill/net/notices.py
@@ -6,7 +6,7 @@
 from molehill.net.stream import Broken, Late, connected
 
 MS = 1_000_000
-BATCH = 200                        # notices in one request: under 64 KiB with the longest ids
+BATCH = 50                         # notices in one request: under 64 KiB with the longest ids, 1,024 characters
 FIRST_WITHIN = 120 * MS            # an answer comes at once; a lost request is sent again inside the rules' 300 ms
 PAUSE = 10 * MS                    # after a second quick failure, then doubled: a few more fit into the 300 ms
 LONGEST = 2000 * MS                # at most for an answer, and half of it between tries, while the platform does not answer
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -500,6 +500,17 @@
     assert watch.net.events[-1].scope is it.Scope.FAILED
 
 
+def test_a_discovery_that_counts_anew_is_asked_for_its_whole_list(monkeypatch):
+    watch = Watch(monkeypatch, {"index": 41, "endpoints": [entry()]})
+    watch.watch()
+    watch.net.advance(9 * SECOND)
+    watch.tell(3)
+    assert drain(watch.made[0]).startswith(b"GET /registry/instances HTTP/1.1\r\n")
+    watch.tell(3, entry("h5"), whole=True)
+    assert [h.id for h in watch.net.events[-1].hosts] == ["h5"]
+    assert drain(watch.made[0]).startswith(b"GET /registry/instances?from=3&")
+
+
 def test_answers_at_once_without_news_do_not_spin(monkeypatch):
     watch = Watch(monkeypatch)
     watch.watch()
