End at once what may go no more after a restart

By reading: a restored callback whose launches are spent, or an exclusive one that may have run, kept its place until a slot was free for its destination or its abandon time came.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -134,7 +134,7 @@
             dest.asked, dest.asked_at = dest.asked / 2, self.now - self.ASKED_SPAN // 2
         dest.asked += 1
         self._make_room()
-        self._at(callback.due, "callback", callback.id)
+        self._at(callback.due if self._may_launch(callback) else self.now, "callback", callback.id)
         self._next_turn(callback.key)
 
     def _withdrawn(self, event):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -121,6 +121,19 @@
     assert (number in world.notices) != again
 
 
+def test_what_may_go_no_more_after_a_restart_ends_at_once_though_it_is_not_its_turn(tmp_path):
+    world = wire(tmp_path, categories=[category("rerunnable", abandon=90000, ordered=True),
+                                       category("exclusive", abandon=90000, ordered=True)], slots=1)
+    world.take(0)
+    second = world.take(1, destination=2, key="k")
+    world.end(next(iter(world.out)), R.FULFILLED)
+    world.step()
+    assert [m.id for _, ms in world.out.values() for m in ms] == [second]
+    world.take(0)
+    world.kill()
+    assert world.out and list(world.notices) == [second], "its slot is another's, and it is over all the same"
+
+
 def test_a_ticketed_one_is_not_repeated_after_its_window_though_the_log_was_rewritten(tmp_path):
     world = wire(tmp_path, categories=[category("ticketed", abandon=60000, window=3000)])
     number = world.take()
