Tell the module no more slots than descriptors allow; a shortage is not the host's fault

Cause: calls without a free descriptor were reported as failed connects (hosts._written on Broken from Budget.take).

--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -25,8 +25,6 @@
 # through the restart, so all goes on until LET_GO; from then on each answer ends its connection.
 LET_GO, END = 3000 * MS, 3300 * MS
 LAST_WORDS = 200 * MS              # for answers and notices that are under way at the end
-STANDING = 8                       # descriptors beside sockets: standard streams, log twice, poll and spare ones
-OUTGOING = 4                       # beside calls: discovery, notices, and one to spare for each; kept free for them
 
 
 def make_clock():
@@ -52,9 +50,7 @@
         holds.report = lambda name, count, facts: self.log.error("broken invariant", name=name, count=count,
                                                                  **{f"fact_{k}": v for k, v in facts.items()})
         self.scheduler = Scheduler(clock)
-        most = config.sockets - STANDING
-        outgoing = min(config.settings.slots + OUTGOING, most // 2)
-        budget = Budget(most, {"client": most - outgoing})
+        budget = Budget(config.sockets, {"client": config.client_sockets})
         files, owed = log_room(config)
         self.store = Store(config.state, files)
         self.core = Core(config.settings, config.seed, Relay, owed)
@@ -62,8 +58,8 @@
         self.log.info("log read", records=count, held=len(self.core.held), cut=self.store.cut,
                       odd=self.store.odd)
         self.engine = engine = Engine(self.scheduler, self.core, self.store, self.log, config.period)
-        self.clients = engine.clients = Clients(self.scheduler, config, budget, engine.post, OUTGOING)
-        self.hosts = engine.hosts = Hosts(self.scheduler, config, budget, engine.post, self.core.may_send, OUTGOING)
+        self.clients = engine.clients = Clients(self.scheduler, config, budget, engine.post)
+        self.hosts = engine.hosts = Hosts(self.scheduler, config, budget, engine.post, self.core.may_send)
         self.notices = engine.notices = Notices(self.scheduler, config, budget, engine.post)
         self.discovery = engine.discovery = Discovery(self.scheduler, config, budget, engine.post)
 
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -153,7 +153,8 @@
     period: int                    # least span between two steps of the module
     connect_time_out: int
     tells_limit: bool              # answers tell a limit in calls a second
-    sockets: int
+    sockets: int                   # connections in all, and those that clients may have of them
+    client_sockets: int
     disk: int                      # bytes
     memory: int
 
@@ -162,6 +163,8 @@
 PERIOD = 5 * MS                # likewise
 SOCKETS, DISK_MB, MEMORY_MB = 1024, 3, 192    # likewise: the most on scored days, so never too much
 IDLE_MARGIN = 200 * MS         # idle connections are used no longer so early: a request on its way crosses no end
+STANDING = 8                   # descriptors beside sockets: standard streams, log twice, signals twice, one to spare
+OUTGOING = 4                   # beside calls: discovery, notices, one to spare for each; kept free for them
 LEAST_SOCKETS = 32             # standard streams, log, discovery, notices, a listener and a few of each side
 
 
@@ -212,6 +215,8 @@
     sockets = limit.get("sockets", whole, SOCKETS)
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: {sockets} is under the {LEAST_SOCKETS} that a relay needs")
+    most = sockets - STANDING
+    outgoing = min(made.slots + OUTGOING, most * 3 // 4)    # a quarter at least is left to clients
     disk, memory = limit.get("disk_mb", real, DISK_MB), limit.get("memory_mb", real, MEMORY_MB)
     for key, value in (("disk_mb", disk), ("memory_mb", memory)):
         if not 0 < value < 1e9:
@@ -222,13 +227,14 @@
         discovery=address(environ.get("ROUTER_DISCOVERY") or given.get("discovery"), "ROUTER_DISCOVERY"),
         state=state, seed=seed,
         settings=replace(made, list_on_request=True,        # on sockets the list never comes unasked
+                         slots=outgoing - OUTGOING,         # no more calls at once than can have a connection
                          connection_idle=max(0, made.connection_idle - max(made.connection_idle // 10, IDLE_MARGIN))),
         categories=names(nested, "grades"), tenants=names(nested, "parties"),
         zones=names(nested, "azs"), kinds=names(nested, "machineTypes"), known=known,
         period=reader.get("periodMs", nanos, PERIOD),
         connect_time_out=reader.get("allowed.connectTimeoutMs", nanos, CONNECT_TIME_OUT),
         tells_limit=limit_place(pairs) is not None and pairs.get("telemetry.how") == "piggyback",
-        sockets=sockets, disk=int(disk * 1_000_000), memory=int(memory * 1_000_000))
+        sockets=most, client_sockets=most - outgoing, disk=int(disk * 1_000_000), memory=int(memory * 1_000_000))
 
 
 def names(nested: dict, key: str) -> dict[str, int]:
--- a/molehill/net/clients.py
+++ b/molehill/net/clients.py
@@ -2,6 +2,7 @@
 import errno
 import socket
 
+from molehill.config import OUTGOING
 from molehill.core import events as ev
 from molehill.net import http
 from molehill.net.scheduler import LATE, READ
@@ -27,8 +28,8 @@
 
 
 class Clients:
-    def __init__(self, scheduler, config, budget, post, spare):
-        self.scheduler, self.config, self.budget, self.post, self.spare = scheduler, config, budget, post, spare
+    def __init__(self, scheduler, config, budget, post):
+        self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
         self.clock, self.conns, self.ready, self.closing = scheduler.clock, {}, False, False
         self.listener, self.taken, self.malformed, self.short = None, 0, 0, False
         budget.idlers["client"] = self.close_idlest
@@ -47,7 +48,7 @@
 
     def accept(self) -> None:
         while self.listener is not None:
-            self.short = not self.budget.take("client", self.spare)
+            self.short = not self.budget.take("client", OUTGOING)
             if self.short:                 # meanwhile answers end their connections, where nothing can be lost
                 self.scheduler.sleep(self.clock() + self.PAUSE)
                 continue
@@ -207,7 +208,7 @@
         listener, self.listener, self.closing = self.listener, None, True
         if listener is None:
             return
-        while self.budget.take("client", self.spare):
+        while self.budget.take("client", OUTGOING):
             try:
                 sock, _ = listener.accept()
             except OSError:
--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -1,11 +1,11 @@
 """Calls to hosts: kept connections, one call at a time on each, and what came back read as an outcome."""
 from collections import Counter
 
-from molehill.config import ConfigError, nanos, real
+from molehill.config import OUTGOING, ConfigError, nanos, real
 from molehill.core import events as ev
 from molehill.interface import Result
 from molehill.net import http
-from molehill.net.stream import Broken, Late, connected
+from molehill.net.stream import Broken, Late, Short, connected
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -23,10 +23,10 @@
 
 
 class Hosts:
-    def __init__(self, scheduler, config, budget, post, may_send, spare):
+    def __init__(self, scheduler, config, budget, post, may_send):
         self.scheduler, self.config, self.budget, self.post, self.may_send = \
             scheduler, config, budget, post, may_send
-        self.clock, self.spare = scheduler.clock, spare
+        self.clock = scheduler.clock
         self.idle: dict[str, list] = {}        # host -> its idle connections, the one used last at the end
         self.streams: dict[int, object] = {}   # call -> its connection
         self.aborted: set[int] = set()
@@ -114,7 +114,7 @@
             try:
                 if fresh:
                     within = min(until, start + self.config.connect_time_out)
-                    stream = connected(self.scheduler, call.address, "host", self.budget, within, self.spare)
+                    stream = connected(self.scheduler, call.address, "host", self.budget, within, OUTGOING)
                     self.counts["connected"] += 1
                 self.streams[call.number], stream.idle_since, stream.parser.line = stream, 0, b""
                 if not self._may_go(call, start):
@@ -122,6 +122,9 @@
                     return None
                 stream.send(self._request(call), until)
                 return stream
+            except Short:                  # this relay's own trouble: it tells nothing of the host
+                self._end(call, start, call.members, ev.End("", Result.NOT_SENT))
+                return None
             except (Broken, Late) as error:
                 if stream is not None:
                     stream.close()         # before the last byte: it never ran
--- a/molehill/net/stream.py
+++ b/molehill/net/stream.py
@@ -11,6 +11,10 @@
     """The connection is of no more use: closed, reset, or cut by this side."""
 
 
+class Short(Broken):
+    """This process has no descriptor to spare."""
+
+
 class Late(Exception):
     """The time that was given is up."""
 
@@ -156,12 +160,12 @@
 def connected(scheduler, address, kind, budget, until, spare=0) -> Stream:
     """A new connection to another party, counted in the budget."""
     if not budget.take(kind, spare):
-        raise Broken("no socket to spare")
+        raise Short("no socket to spare")
     try:
         sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
     except OSError as error:
         budget.give(kind)
-        raise Broken(str(error)) from None
+        raise Short(str(error)) from None
     stream = Stream(scheduler, sock, kind, budget, answers=True)
     try:
         stream.connect(address, until)
