--- a/molehill/net/clients.py
+++ b/molehill/net/clients.py
@@ -1,6 +1,7 @@
 """The client side: takes connections, reads requests, answers them."""
 import errno
 import socket
+from collections import Counter
 
 from molehill.config import OUTGOING
 from molehill.core import events as ev
@@ -31,7 +32,7 @@
     def __init__(self, scheduler, config, budget, post):
         self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
         self.clock, self.conns, self.ready, self.closing = scheduler.clock, {}, False, False
-        self.listener, self.taken, self.malformed, self.short = None, 0, 0, False
+        self.listener, self.counts, self.short = None, Counter(), False
         budget.idlers["client"] = self.close_idlest
 
     def listen(self) -> None:
@@ -111,7 +112,7 @@
             body = stream.body(head, until) if length else b""
             status, headers, text = self.route(conn, head, body)
         except http.Malformed as error:
-            self.malformed += 1
+            self.counts["malformed"] += 1
             stream.send(http.answer(error.status, body=str(error).encode(), close=True),
                         self.clock() + WRITE_WITHIN)
             stream.sock.shutdown(socket.SHUT_WR)
@@ -141,15 +142,16 @@
         if not self.ready:
             return 503, (), b""
         fresh = self.fresh(head.headers, body)
-        self.taken += 1
         conn.ask, conn.reply = fresh.id, None
         self.post(ev.Arrived(conn, fresh))
         until = self.clock() + ANSWER_WITHIN
         while conn.reply is None:
             if self.scheduler.wait(until=until) == LATE:
+                self.counts["not answered"] += 1
                 self.post(ev.Unheard(fresh.id, conn))
                 raise Late()
         status, wait = conn.reply
+        self.counts[status] += 1
         return status, ((("Retry-After", seconds(wait)),) if wait else ()), b""
 
     def answer(self, effect) -> None:
@@ -167,6 +169,7 @@
             conn.stream.send(data, self.clock() + WRITE_WITHIN)
         except (Broken, Late):
             if told:
+                self.counts["gone"] += 1
                 self.post(ev.Unheard(ask, conn))
             raise
         if told:
--- a/molehill/net/engine.py
+++ b/molehill/net/engine.py
@@ -91,9 +91,9 @@
     def keep_counting(self) -> None:
         self.scheduler.at(self.clock() + self.COUNTS_EVERY, self.keep_counting)
         done, self.hosts.counts = dict(sorted(self.hosts.counts.items())), Counter()
-        taken, self.clients.taken = self.clients.taken, 0
-        if done or taken or self.core.held:
-            self.log.info("counts", taken=taken, held=len(self.core.held), out=self.hosts.out, outcomes=done,
+        came, self.clients.counts = dict(sorted(self.clients.counts.items(), key=str)), Counter()
+        if done or came or self.core.held:
+            self.log.info("counts", clients=came, held=len(self.core.held), out=self.hosts.out, outcomes=done,
                           notices=len(self.notices.waiting), log_bytes=self.store.size, broken=sum(counts.values()))
 
     FLUSH_EVERY = 100 * MS                 # for log lines that nobody took at once
