Count no launch for what the relay itself keeps back

Calls kept back by a wait, a drain, an unanswered notice or a want of descriptors never left the relay, yet each used up one of a callback's launches; six of them in a row ended it. Outcome.unsent gives the launch back, in the module, the core and the log.

--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -37,6 +37,7 @@
     wait: int = 0
     closed: bool = False
     spent: bool = False
+    unsent: bool = False           # kept back by this relay: no launch
 
 
 # Events
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -100,11 +100,11 @@
                 callback.launches += 1
                 callback.sent = record["at"], record["zone"]
         elif kind == "end":
-            for callback in self._known(number for number, _, _ in record["ends"]):
-                result, over = next((Result(r), o) for number, r, o in record["ends"] if number == callback.id)
-                self._settle_launch(callback, result, record["at"])
-                if over:
-                    self._move(callback, OVER)
+            for number, result, over, unsent in record["ends"]:
+                for callback in self._known([number]):
+                    self._settle_launch(callback, Result(result), record["at"], unsent)
+                    if over:
+                        self._move(callback, OVER)
         elif kind == "owed":
             for callback in self._known([record["id"]]):
                 callback.denied, callback.wait = record["denied"], record["wait"]
@@ -243,7 +243,8 @@
                 out = self.calls.get(record["call"])
                 if out is not None:
                     self.effects.append(ev.Abort(out.number))
-                    self._ended(ev.Ended(out.number, 0, [ev.End(i, Result.NOT_SENT) for i in out.ids]))
+                    self._ended(ev.Ended(out.number, 0, [ev.End(i, Result.NOT_SENT, unsent=True)
+                                                             for i in out.ids]))
 
     # Calls
 
@@ -367,14 +368,15 @@
 
     def _unpark(self, out, ids):
         """Launches that never left the relay."""
-        self.inbox += [it.Outcome(number, 0, out.host, Result.NOT_SENT, 0, 0, False) for number in ids]
+        self.inbox += [it.Outcome(number, 0, out.host, Result.NOT_SENT, 0, 0, False, unsent=True) for number in ids]
         out.ids = [number for number in out.ids if number not in ids]
         if not out.ids:
             self.parked.pop(out.number, None)
 
-    def _settle_launch(self, callback, result, at):
+    def _settle_launch(self, callback, result, at, unsent=False):
         """What a launch's outcome leaves behind for later ones and for other callbacks of the key."""
         sent, callback.sent, callback.call = callback.sent, None, None
+        callback.launches -= unsent
         if sent is not None and result.may_have_run and callback.ran_at is None:
             callback.ran_at, callback.ran_zone = sent
         if result.may_run_still and callback.key is not None and self.set.settle:
@@ -396,15 +398,15 @@
                 self.waits[route] = max(self.waits.get(route, 0), self.now + end.wait)
             callback, closed = self.held.get(end.id), end.closed
             if callback is not None and callback.call == out.number:
-                self._settle_launch(callback, end.result, self.now)
-                ended.append([end.id, end.result.value, closed and callback.state is not OWED])
                 launches = callback.launches
+                self._settle_launch(callback, end.result, self.now, end.unsent)
+                ended.append([end.id, end.result.value, closed and callback.state is not OWED, end.unsent])
                 if closed and callback.state is not OWED:
                     self._move(callback, OVER)
             else:
                 closed, launches = True, 1
             self.inbox.append(it.Outcome(end.id, launches - 1, out.host, end.result, event.took, end.wait,
-                                         closed, event.told_rate, end.spent))
+                                         closed, event.told_rate, end.spent, end.unsent))
         if ended:
             self._log("end", ends=ended, at=self.now)
         self._release()
@@ -453,7 +455,7 @@
         for callback in ends:
             self._settle_launch(callback, Result.RESET, self.now)
         if ends:
-            self._log("end", ends=[[c.id, Result.RESET.value, False] for c in ends], at=self.now)
+            self._log("end", ends=[[c.id, Result.RESET.value, False, False] for c in ends], at=self.now)
         self.calls, self.parked, self.inbox, self.wake_at, self.guards = {}, {}, [], None, []
         self.seed += 1
         self.module = self.make_module(self.set, self.seed)
--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -1,5 +1,6 @@
 """Calls to hosts: kept connections, one call at a time on each, and what came back read as an outcome."""
 from collections import Counter
+from dataclasses import replace
 
 from molehill.config import OUTGOING, ConfigError, nanos, real
 from molehill.core import events as ev
@@ -19,6 +20,7 @@
           410: ev.End("", Result.NOT_SENT, closed=True), 504: ev.End("", Result.NOT_SENT, spent=True)}
 LINES = {"delivered": STATUS[200], "failed": STATUS[500], "refused": STATUS[503], "over": STATUS[410],
          "spent": STATUS[504]}
+KEPT_BACK = ev.End("", Result.NOT_SENT, unsent=True)
 OTHER = ev.End("", Result.ERROR)   # an answer that the protocol does not know: it may have run
 
 
@@ -95,7 +97,7 @@
             self.aborted.discard(call.number)
 
     def _end(self, call, start, members, end, told=0.0, wait=0) -> None:
-        self._report(call, start, [ev.End(m.id, end.result, wait, end.closed, end.spent) for m in members], told)
+        self._report(call, start, [replace(end, id=m.id, wait=wait) for m in members], told)
 
     def _report(self, call, start, ends, told=0.0) -> None:
         ended = {end.id for end in ends}
@@ -123,7 +125,7 @@
                 stream.send(self._request(call), until)
                 return stream
             except Short:                  # this relay's own trouble: it tells nothing of the host
-                self._end(call, start, call.members, ev.End("", Result.NOT_SENT))
+                self._end(call, start, call.members, KEPT_BACK)
                 return None
             except (Broken, Late) as error:
                 if stream is not None:
@@ -137,7 +139,7 @@
         """Whether the relay was not told meanwhile to wait, or that the host drains; else the call's end."""
         if self.may_send(call.host) and call.number not in self.aborted:
             return True
-        self._end(call, start, call.members, ev.End("", Result.NOT_SENT))
+        self._end(call, start, call.members, KEPT_BACK)
         return False
 
     def _request(self, call) -> bytes:
@@ -205,7 +207,7 @@
         ends = []
         for m in call.members:
             end = told.get(m.id, ev.End("", Result.RESET))
-            ends.append(ev.End(m.id, end.result, wait if end.result is Result.FULL else 0, end.closed, end.spent))
+            ends.append(replace(end, id=m.id, wait=wait if end.result is Result.FULL else 0))
         if wait and not any(end.wait for end in ends):
             ends[0].wait = wait            # the wait binds whatever became of each
         return ends
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -232,7 +232,7 @@
             self._may_have_run(callback, call[2], self.h_zone[h])
             if result.may_run_still and callback.key is not None:
                 self._settle(callback.key, self.now + self.set.settle)
-        callback.launches = self.set.max_launches if event.spent else callback.launches
+        callback.launches = self.set.max_launches if event.spent else callback.launches - event.unsent
         if callback.state is OVER or event.closed:
             self._move(callback, OVER)
             self.held.pop(callback.id, None)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -173,6 +173,22 @@
     assert [m.id for _, ms in world.out.values() for m in ms] == [other]
 
 
+def test_what_the_relay_itself_keeps_back_uses_up_no_launch(tmp_path):
+    world = wire(tmp_path, categories=[category("rerunnable", abandon=60000)], max_launches=2, slots=1)
+    number = world.take()
+    for _ in range(5):
+        (call,) = world.out
+        world.end(call, R.NOT_SENT, unsent=True)
+        world.step()
+    assert world.out and not world.notices and world.core.held[number].launches == 1
+    world.end(next(iter(world.out)), R.NOT_SENT, unsent=True)
+    for _ in range(2):                     # out when the process ends: that may have been a launch
+        world.step()
+        assert world.out
+        world.kill()
+    assert not world.out and list(world.notices) == [number]
+
+
 def test_an_id_that_was_refused_or_given_back_is_taken_on_when_it_comes_again():
     core, now = bare_core(), 1001 * SECOND
     effects_of(core, now, ev.Arrived("c", fresh()), ev.Step(), ev.Unheard("a", "c"))
