--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -158,4 +158,3 @@
 @dataclass(slots=True)
 class Say:                         # a log line
     text: str
-    facts: dict = field(default_factory=dict)
--- a/molehill/net/engine.py
+++ b/molehill/net/engine.py
@@ -61,7 +61,7 @@
         elif kind is ev.Watch:
             self.discovery.watch()
         else:
-            self.log.info(effect.text, **effect.facts)
+            self.log.info(effect.text)
 
     def flush(self, rows):
         """Writes records; what the log does not take, not even written anew, goes back to the core."""
--- a/molehill/net/scheduler.py
+++ b/molehill/net/scheduler.py
@@ -23,8 +23,8 @@
 
 
 class Scheduler:
-    def __init__(self, clock, make_poll=select.poll):
-        self.clock, self.poll = clock, make_poll()
+    def __init__(self, clock):
+        self.clock, self.poll = clock, select.poll()
         self.ready, self.timers, self.serial = deque(), [], 0
         self.waiting: dict[int, Waiter] = {}
         self.stopped, self.hub = False, getcurrent()
--- a/molehill/net/stream.py
+++ b/molehill/net/stream.py
@@ -57,7 +57,7 @@
         self.scheduler, self.sock, self.kind, self.budget = scheduler, sock, kind, budget
         self.buffer = Buffer(HEAD_MOST + BODY_MOST + 1024)
         self.parser = Parser(self.buffer, answers)
-        self.open, self.idle_since, self.written = True, 0, False
+        self.open, self.idle_since = True, 0
 
     def close(self) -> None:
         if self.open:
@@ -85,8 +85,8 @@
             raise Broken(errno.errorcode.get(code, str(code)))
 
     def send(self, data: bytes, until) -> None:
-        """Writes all; `written` tells whether the last byte went."""
-        view, self.written = memoryview(data), False
+        """Writes all; where it raises, the last byte has not gone."""
+        view = memoryview(data)
         while view:
             if not self.open:
                 raise Broken("cut")
@@ -96,7 +96,6 @@
                 self._wait(WRITE, until)
             except OSError as error:
                 raise Broken(str(error)) from None
-        self.written = True
 
     def read(self, until) -> None:
         """Some more bytes into the buffer; Broken at the end of the stream."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -164,13 +164,13 @@
         "info": lambda *_, **__: None, "error": lambda _, text, **__: errors.append(text)})())
     write = store._write
     store._write = lambda fd, data: False if failing and failing.pop() else write(fd, data)
-    client = place.client()
+    client, host = place.client(), None
     for number in range(6):
         failing[:] = [True] if number > 2 else []
         client.send(ASK % b"id%d" % number)
         place.hear(client, b"HTTP/1.1 202")
         assert not failing
-        host = place.accept(place.host) if number == 0 else host
+        host = host or place.accept(place.host)
         place.hear(host, b"\r\n\r\nab")
         host.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         place.advance(20 * MS)
