--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -36,8 +36,8 @@
 def log_room(config) -> tuple[int, int]:
     """Bytes for the log's files together, and for what may be owed at once.
 
-    A rewrite stands beside the log, so what is owed takes 7/20 at most (store.wants_rewrite has the sum); on a disk of memory the files and
-    what is held count together, so an eighth of the memory is the most that is owed at once.
+    A rewrite stands beside the log, so what is owed takes 7/20 at most (Store.wants_rewrite has the sum). The files
+    may lie in memory and what is owed is held there once more: together under half of it.
     """
     files = min(config.disk * 15 // 16, config.memory * 5 // 16)
     return files, files * 7 // 20
--- a/molehill/net/scheduler.py
+++ b/molehill/net/scheduler.py
@@ -103,7 +103,10 @@
 
     def run(self):
         while not self.stopped:
-            self.turn()
+            try:
+                self.turn()
+            except Exception as error:     # whatever it is, the relay goes on
+                holds(False, "loop", error=repr(error))
 
     def turn(self, block=True):
         """One round: due timers, then descriptors, then every task that is ready."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -55,6 +55,19 @@
     assert done == ["task", "parent"]
 
 
+def test_a_fault_of_the_loop_itself_does_not_end_it(monkeypatch):
+    net, broken = Net(), []
+    monkeypatch.setattr("molehill.net.scheduler.holds",
+                        lambda condition, name, **facts: broken.append(name) if not condition else True)
+
+    def turn():
+        net.scheduler.stopped = len(broken) == 2
+        raise OSError("a fault")
+    net.scheduler.turn = turn
+    net.scheduler.run()
+    assert broken == ["loop"] * 3
+
+
 def test_work_that_has_to_go_on_is_begun_anew(monkeypatch):
     net, tries, broken = Net(), [], []
     monkeypatch.setattr("molehill.net.scheduler.holds",
