Put pieces of the relay that stood twice in one place

One connection to a party, kept and made anew, served discovery and notices with a copy each (stream.Single now); so did the choice of a socket's family, the check of ids and keys, answers to a callback's connections, the taken record and the look-up of a host's kind. Units of time come from config.

--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -8,6 +8,7 @@
 
 from molehill import config as configuration
 from molehill import holds
+from molehill.config import MS
 from molehill.core import events as ev
 from molehill.core.reducer import Core
 from molehill.net.clients import Clients
@@ -16,7 +17,7 @@
 from molehill.net.hosts import Hosts
 from molehill.net.log import Sink, logger
 from molehill.net.notices import Notices
-from molehill.net.scheduler import MS, READ, Scheduler
+from molehill.net.scheduler import READ, Scheduler
 from molehill.net.stream import Budget
 from molehill.policy import Relay
 from molehill.store import Store
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -12,6 +12,7 @@
            "at_most_once": it.Effect.EXCLUSIVE}
 NS_DIGITS = 6                  # a millisecond holds 10^6 nanoseconds
 MS = 10 ** NS_DIGITS
+SECOND = 1000 * MS
 NUMBER = re.compile(r"(-?)([0-9]{1,30})(?:\.([0-9]{0,30}))?(?:[eE]([+-]?[0-9]{1,3}))?$", re.ASCII)
 
 
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -9,15 +9,15 @@
 from heapq import heappop, heappush
 
 from molehill import interface as it
+from molehill.config import MS
 from molehill.core import events as ev
 from molehill.holds import holds
 from molehill.interface import Result
 
-MS = 1_000_000
 # A callback. ARRIVED: read, the module has not seen it; TAKEN: in the log, 202 asked for; HELD: the client has
 # heard; OWED: ended, its notice not answered yet; OVER: nothing is owed.
 ARRIVED, TAKEN, HELD, OWED, OVER = "arrived", "taken", "held", "owed", "over"
-NEXT = {None: (ARRIVED, HELD, OWED), ARRIVED: (TAKEN, OVER), TAKEN: (HELD, OWED, OVER), HELD: (OWED, OVER),
+NEXT = {None: (ARRIVED, HELD), ARRIVED: (TAKEN, OVER), TAKEN: (HELD, OWED, OVER), HELD: (OWED, OVER),
         OWED: (OVER,), OVER: ()}
 TAKEN_ON, DENIED, FAILED = 202, 503, 500       # answers to clients
 RECORD_ROOM = 600      # bytes of the log for a callback beside its own text: fixed fields, launches, its end
@@ -128,6 +128,11 @@
     def _known(self, ids):
         return [self.held[number] for number in ids if number in self.held]
 
+    @staticmethod
+    def _as_handed_in(c):
+        return {"id": c.id, "category": c.category, "tenant": c.tenant, "key": c.key,
+                "destination": c.destination, "due": c.due, "mark": c.mark}
+
     def snapshot(self):
         """The records that say all that is owed now; a log of just these replaces a longer one."""
         for key, until in self.rests.items():
@@ -140,8 +145,7 @@
             if c.state is ARRIVED:
                 continue
             out = c.sent is not None
-            yield {"k": "taken", "id": c.id, "category": c.category, "tenant": c.tenant, "key": c.key,
-                   "destination": c.destination, "due": c.due, "mark": c.mark, "launches": c.launches - out,
+            yield {"k": "taken", **self._as_handed_in(c), "launches": c.launches - out,
                    "ran_at": c.ran_at, "ran_zone": c.ran_zone}, c.body
             if out:
                 yield {"k": "launch", "ids": [c.id], "at": c.sent[0], "zone": c.sent[1]}, b""
@@ -198,6 +202,10 @@
             self._move(callback, ARRIVED)
             self._hand_over(callback)
 
+    def _answer(self, callback, status, wait=0):
+        """To every connection on which it was handed in."""
+        self.effects += [ev.Answer(client, callback.id, status, wait) for client in callback.clients]
+
     def _hand_over(self, c):
         """Tells the module of a callback, with all that an earlier process or module did with it."""
         rests = self.rests.get(c.key, 0) if c.key is not None else 0
@@ -236,8 +244,7 @@
         for record in event.records:
             if record["k"] == "taken" and record["id"] in self.held:
                 callback = self.held[record["id"]]
-                for client in callback.clients:
-                    self.effects.append(ev.Answer(client, callback.id, DENIED))
+                self._answer(callback, DENIED)
                 self._withdraw(callback)
             elif record["k"] == "launch":
                 out = self.calls.get(record["call"])
@@ -251,8 +258,7 @@
     def _end_callback(self, callback, denied, wait):
         """A final answer that is not a delivery."""
         if callback.state is ARRIVED:
-            for client in callback.clients:
-                self.effects.append(ev.Answer(client, callback.id, DENIED if denied else FAILED, wait))
+            self._answer(callback, DENIED if denied else FAILED, wait)
             self._move(callback, OVER)
             return
         callback.denied, callback.wait = denied, wait
@@ -271,11 +277,9 @@
         for event in batch:
             callback = self.held.get(event.callback) if type(event) is it.NewCallback else None
             if callback is not None and callback.state is ARRIVED and callback.id not in ended:
-                c = callback
-                self._log("taken", c.body, id=c.id, category=c.category, tenant=c.tenant, key=c.key,
-                          destination=c.destination, due=c.due, mark=c.mark)
-                self._move(c, TAKEN)
-                self.effects += [ev.Answer(client, c.id, TAKEN_ON) for client in c.clients]
+                self._log("taken", callback.body, **self._as_handed_in(callback))
+                self._move(callback, TAKEN)
+                self._answer(callback, TAKEN_ON)
         groups = {}
         for action in actions:
             if type(action) is it.Launch:
@@ -294,15 +298,15 @@
                 self._end_callback(self.held[action.callback], type(action) is it.Deny,
                                    action.come_back if type(action) is it.Deny else 0)
         for host, launches in groups.items():
-            size = self._per_call(self.hosts[host])
+            size = self._kind(self.hosts[host]).per_call
             for at in range(0, len(launches), size):
                 self.serial += 1
                 self.parked[self.serial] = Out(self.serial, host, launches[at:at + size], now)
         self._release()
         self._guard()
 
-    def _per_call(self, host):
-        return self.set.kinds[host.kind].per_call if host.kind < len(self.set.kinds) else 1
+    def _kind(self, host):
+        return self.set.kinds[host.kind] if host.kind < len(self.set.kinds) else it.Kind(False, 1)
 
     def _ring(self, batch):
         """Parked calls whose time is up."""
@@ -354,12 +358,10 @@
                 c.call, c.sent, c.launches = out.number, (self.now, host.zone), c.launches + 1
                 members.append(ev.Member(c.id, c.mark, c.body, min(self.now + span, c.due)))
         self._log("launch", ids=[m.id for m in members], at=self.now, zone=host.zone, call=out.number)
-        several = self._per_call(host) > 1
-        self.effects.append(ev.Call(out.number, host.id, host.address, several, members))
+        self.effects.append(ev.Call(out.number, host.id, host.address, self._kind(host).per_call > 1, members))
 
     def _route(self, host):
-        apart = host.kind < len(self.set.kinds) and self.set.kinds[host.kind].apart
-        return host.id if apart else host.destination
+        return host.id if self._kind(host).apart else host.destination
 
     def may_send(self, host):
         """Whether something new may still go there: asked once more just before a call's first byte."""
--- a/molehill/net/clients.py
+++ b/molehill/net/clients.py
@@ -3,14 +3,12 @@
 import socket
 from collections import Counter
 
-from molehill.config import OUTGOING
+from molehill.config import MS, OUTGOING, SECOND
 from molehill.core import events as ev
 from molehill.net import http
 from molehill.net.scheduler import LATE, READ
-from molehill.net.stream import Broken, Late, Stream
+from molehill.net.stream import Broken, Late, Stream, tcp_socket
 
-MS = 1_000_000
-SECOND = 1000 * MS
 READ_WITHIN = 10 * SECOND          # a request that has begun; clients give up their wait long before
 WRITE_WITHIN = SECOND              # an answer is a few bytes: a client that does not take them is gone
 ANSWER_WITHIN = SECOND             # clients wait 0.4 s: whoever had no answer by now is gone
@@ -36,8 +34,7 @@
         budget.idlers["client"] = self.close_idlest
 
     def listen(self) -> None:
-        family = socket.AF_INET6 if ":" in self.config.listen[0] else socket.AF_INET
-        self.listener = socket.socket(family, socket.SOCK_STREAM)
+        self.listener = tcp_socket(self.config.listen)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(self.config.listen)
         self.listener.listen(BACKLOG)
@@ -178,7 +175,7 @@
     def fresh(self, headers, body) -> ev.Fresh:
         """Checks what a client hands in; raises Malformed with what is wrong."""
         ident, kind = headers.get("req-id", ""), headers.get("req-kind", "")
-        if not ident or len(ident) > TEXT_MOST or not http.printable(ident) or " " in ident:
+        if not ident or not plain(ident):
             raise http.Malformed(400, "Req-Id is missing or not an id")
         if kind not in self.config.categories:
             raise http.Malformed(400, "Req-Kind is not a class that is served here")
@@ -199,7 +196,7 @@
         key = http.cookie(headers, "subject") if row.ordered else None
         mark = headers.get("idempotency-key")
         for text in (key, mark):
-            if text is not None and (len(text) > TEXT_MOST or not http.printable(text) or " " in text):
+            if text is not None and not plain(text):
                 raise http.Malformed(400, "a key that is too long or not printable")
         tenant = self.config.tenants.get(headers.get("req-owner", ""), 0)
         return ev.Fresh(ident, category, tenant, key or None, destination, self.clock() + span, mark, body)
@@ -227,6 +224,10 @@
         return sum(1 for conn in self.conns if not conn.stream.idle_since or len(conn.stream.buffer))
 
 
+def plain(text: str) -> bool:
+    return len(text) <= TEXT_MOST and text.isascii() and text.isprintable() and " " not in text
+
+
 def number(text: str):
     return int(text) if text.isascii() and text.isdigit() and len(text) <= 15 else None
 
--- a/molehill/net/discovery.py
+++ b/molehill/net/discovery.py
@@ -2,14 +2,12 @@
 import json
 
 from molehill import interface as it
-from molehill.config import ConfigError, address
+from molehill.config import MS, SECOND, ConfigError, address
 from molehill.core import events as ev
 from molehill.holds import holds
 from molehill.net import http
-from molehill.net.stream import Broken, Late, connected
+from molehill.net.stream import Broken, Late, Single, connected
 
-MS = 1_000_000
-SECOND = 1000 * MS
 HOLD = 10 * SECOND                 # a watch that went silent is noticed within this and the next figure
 ANSWER_WITHIN = 1500 * MS          # after the hold; what is told counts as known 2 s after it
 PAUSE = 100 * MS                   # after an answer that came at once with no news: half of what ends a watch
@@ -41,8 +39,9 @@
 
 class Discovery:
     def __init__(self, scheduler, config, budget, post):
-        self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
-        self.clock, self.version, self.watching, self.stream = scheduler.clock, 0, False, None
+        self.scheduler, self.config, self.post = scheduler, config, post
+        self.clock, self.version, self.watching = scheduler.clock, 0, False
+        self.line = Single(lambda until: connected(scheduler, config.discovery, "discovery", budget, until))
 
     def begin(self) -> None:
         """The list as this relay last had it; none at all rather than no start."""
@@ -66,7 +65,7 @@
                 try:
                     version, whole, hosts = self._ask()
                 except Late:               # silent beyond its hold: once more, on a new connection
-                    self._close()
+                    self.line.close()
                     version, whole, hosts = self._ask()
                 if whole or hosts:
                     self.post(ev.Listed(it.Scope.WHOLE if whole else it.Scope.UPDATE, hosts))
@@ -77,33 +76,21 @@
         except (Broken, Late, http.Malformed, ValueError):
             pass
         finally:
-            self._close()
+            self.line.close()
             self.watching = False
             self.post(ev.Listed(it.Scope.FAILED))
 
     def _ask(self):
         until = self.clock() + HOLD + ANSWER_WITHIN
-        if self.stream is None or not self.stream.quiet():
-            self._close()
-            within = self.clock() + self.config.connect_time_out
-            self.stream = connected(self.scheduler, self.config.discovery, "discovery", self.budget, within)
+        stream = self.line.get(self.clock() + self.config.connect_time_out)
         target = "/registry/instances"     # the whole list, at once
         if self.version is not None:
             target += f"?from={self.version}&hold_ms={HOLD // MS}"
-        self.stream.send(http.request("GET", target, "%s:%d" % self.config.discovery), until)
-        return read_list(*fetch(self.stream, until, self.config))
-
-    def _close(self) -> None:
-        if self.stream is not None:
-            self.stream.close()
-            self.stream = None
-
-
-def fetch(stream, until, config):
-    head = stream.head(until)
-    body = stream.body(head, until)
-    if head.status != 200:
-        raise ValueError(f"status {head.status}")
-    if not head.keep:
-        stream.close()
-    return body, config
+        stream.send(http.request("GET", target, "%s:%d" % self.config.discovery), until)
+        head = stream.head(until)
+        body = stream.body(head, until)
+        if head.status != 200:
+            raise ValueError(f"status {head.status}")
+        if not head.keep:
+            self.line.close()
+        return read_list(body, self.config)
--- a/molehill/net/engine.py
+++ b/molehill/net/engine.py
@@ -1,9 +1,9 @@
 """Drives the core: hands it events, carries out its effects in order, and has the module stepped in batches."""
 from collections import Counter
 
+from molehill.config import MS
 from molehill.core import events as ev
 from molehill.holds import counts, holds
-from molehill.net.scheduler import MS
 
 
 class Engine:
--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -2,14 +2,12 @@
 from collections import Counter
 from dataclasses import replace
 
-from molehill.config import OUTGOING, ConfigError, nanos, real
+from molehill.config import MS, OUTGOING, SECOND, ConfigError, nanos, real
 from molehill.core import events as ev
 from molehill.interface import Result
 from molehill.net import http
 from molehill.net.stream import Broken, Late, Short, connected
 
-MS = 1_000_000
-SECOND = 1000 * MS
 SECOND_DIGITS = 9
 SWEEP = 200 * MS                   # looks at idle connections: an ended one gives its descriptor back soon
 REST_WITHIN = SECOND               # for the rest of an answer whose outcome is known
--- a/molehill/net/http.py
+++ b/molehill/net/http.py
@@ -102,10 +102,6 @@
         return int(text)
 
 
-def printable(text: str) -> bool:
-    return text.isascii() and text.isprintable()
-
-
 def cookie(headers: dict[str, str], name: str) -> Optional[str]:
     for part in headers.get("cookie", "").replace(",", ";").split(";"):
         key, eq, value = part.strip().partition("=")
--- a/molehill/net/notices.py
+++ b/molehill/net/notices.py
@@ -1,15 +1,15 @@
 """Notices to the platform: each is sent again until it is answered."""
 import json
 
+from molehill.config import MS
 from molehill.core import events as ev
 from molehill.net import http
-from molehill.net.stream import Broken, Late, connected
+from molehill.net.stream import Broken, Late, Single, connected
 
-MS = 1_000_000
 BATCH = 50                         # notices in one request: under 64 KiB with the longest ids, 1,024 characters
 FIRST_WITHIN = 120 * MS            # an answer comes at once; a lost request is sent again inside the rules' 300 ms
 PAUSE = 10 * MS                    # after a second quick failure, then doubled: a few more fit into the 300 ms
-LONGEST = 2000 * MS                # at most for an answer, and half of it between tries, while the platform does not answer
+LONGEST = 2000 * MS                # at most for an answer, half of it between tries, while none comes
 IDLE = 2000 * MS                   # a connection that stood longer is not used again
 
 
@@ -19,8 +19,9 @@
 
 class Notices:
     def __init__(self, scheduler, config, budget, post):
-        self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
-        self.clock, self.waiting, self.task, self.stream = scheduler.clock, {}, None, None
+        self.scheduler, self.config, self.post, self.answered = scheduler, config, post, 0
+        self.clock, self.waiting, self.task = scheduler.clock, {}, None
+        self.line = Single(lambda until: connected(scheduler, config.discovery, "notices", budget, until))
 
     def notify(self, effect) -> None:
         self.waiting[effect.id] = effect
@@ -35,7 +36,7 @@
             try:
                 self._post(batch, self.clock() + span)
             except (Broken, Late, http.Malformed) as error:
-                self._close()
+                self.line.close()
                 tries += 1
                 if isinstance(error, Declined):    # one that can't be read shall not hold up the others
                     most = 1
@@ -50,10 +51,9 @@
         self.task = None
 
     def _post(self, batch, until) -> None:
-        if self.stream is not None and (self.clock() - self.stream.idle_since > IDLE or not self.stream.quiet()):
-            self._close()
-        if self.stream is None:
-            self.stream = connected(self.scheduler, self.config.discovery, "notices", self.budget, until)
+        if self.clock() - self.answered > IDLE:
+            self.line.close()
+        stream = self.line.get(until)
         rows = []
         for notice in batch:
             row = {"ref": notice.id, "result": "bounced" if notice.denied else "dead"}
@@ -61,15 +61,10 @@
                 row["wait_ms"] = -(-notice.wait // MS)
             rows.append(json.dumps(row, separators=(",", ":")) + "\n")
         data = http.request("POST", "/v2/finals", "%s:%d" % self.config.discovery, (), "".join(rows).encode())
-        self.stream.send(data, until)
-        head = self.stream.head(until)
+        stream.send(data, until)
+        head = stream.head(until)
         if head.status != 204:
             raise Declined(f"status {head.status}")
-        self.stream.idle_since = self.clock()
+        self.answered = self.clock()
         if not head.keep:
-            self._close()
-
-    def _close(self) -> None:
-        if self.stream is not None:
-            self.stream.close()
-            self.stream = None
+            self.line.close()
--- a/molehill/net/scheduler.py
+++ b/molehill/net/scheduler.py
@@ -8,11 +8,11 @@
 
 from greenlet import GreenletExit, getcurrent, greenlet
 
+from molehill.config import MS
 from molehill.holds import holds
 
 READ, WRITE = select.POLLIN, select.POLLOUT
 READY, LATE, CUT = "ready", "late", "cut"      # what a wait gives: the descriptor moved, time is up, taken away
-MS = 1_000_000
 
 
 class Waiter:
--- a/molehill/net/stream.py
+++ b/molehill/net/stream.py
@@ -156,12 +156,16 @@
         return self._peek() == b""
 
 
+def tcp_socket(address) -> socket.socket:
+    return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+
+
 def connected(scheduler, address, kind, budget, until, spare=0) -> Stream:
     """A new connection to another party, counted in the budget."""
     if not budget.take(kind, spare):
         raise Short("no socket to spare")
     try:
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        sock = tcp_socket(address)
     except OSError as error:
         budget.give(kind)
         raise Short(str(error)) from None
@@ -172,3 +176,21 @@
         stream.close()
         raise
     return stream
+
+
+class Single:
+    """The one connection to a party, kept between requests and made anew once it is of no more use."""
+
+    def __init__(self, connect):
+        self.connect, self.stream = connect, None    # `connect(until)` gives a new connection
+
+    def get(self, until) -> Stream:
+        if self.stream is None or not self.stream.quiet():
+            self.close()
+            self.stream = self.connect(until)
+        return self.stream
+
+    def close(self) -> None:
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
