SIGHUP reads the configuration again and moves watch and notices

Ruled out: a fault of the reader (the log ends at the signal with no line). At fault: __main__ set handlers for SIGTERM and SIGINT alone, and discovery and notices bound the address at the start.

The file is read and checked whole; a fault leaves the old one and names the key. A new address counts at once: a post or watch under way is cut and goes there, the whole list is asked for. All else that differs is named in the log and counts from the next start. The file's address is newer than the environment's on SIGHUP only.

--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -46,7 +46,7 @@
 
 class Process:
     def __init__(self, config, clock):
-        self.config, self.sink = config, Sink()
+        self.config, self.sink, self.stopping = config, Sink(), False
         self.log = logger(self.sink, config.name)
         holds.report = lambda name, count, facts: self.log.error("broken invariant", name=name, count=count,
                                                                  **{f"fact_{k}": v for k, v in facts.items()})
@@ -64,34 +64,47 @@
         self.notices = engine.notices = Notices(self.scheduler, config, budget, engine.post)
         self.discovery = engine.discovery = Discovery(self.scheduler, config, budget, engine.post)
 
-    def run(self) -> None:
-        self.watch_signals()
+    def run(self, signals) -> None:
+        self.signals = signals
+        self.scheduler.spawn_kept(self.on_signals)
         self.discovery.begin()
         self.engine.post(ev.Begin())
         self.engine.keep_flushing(self.sink)
         self.engine.keep_counting()
         self.clients.ready = True
-        self.log.info("ready", listen="%s:%d" % self.config.listen)
+        self.log.info("ready", listen="%s:%d" % self.config.listen, discovery="%s:%d" % self.config.discovery)
         gc.freeze()
         self.scheduler.run()
         self.store.close()
         self.log.info("ended", held=len(self.core.held), out=self.hosts.out, broken=holds.counts)
         self.sink.flush()
 
-    def watch_signals(self) -> None:
-        self.wake, write = socket.socketpair()
-        for side in (self.wake, write):
-            side.setblocking(False)
-        self.write = write
-        signal.set_wakeup_fd(write.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: None)
-        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-        self.scheduler.spawn_kept(self.on_signal)
-
-    def on_signal(self) -> None:
-        self.scheduler.wait(self.wake.fileno(), READ)
-        self.stop()
+    def on_signals(self) -> None:
+        """One after another; what comes before the loop turns waits in the socket pair."""
+        while True:
+            self.scheduler.wait(self.signals.fileno(), READ)
+            for number in self.signals.recv(64):
+                if number == signal.SIGHUP:
+                    self.reload()
+                elif not self.stopping:
+                    self.stopping = True
+                    self.scheduler.spawn_kept(self.stop)
+
+    def reload(self) -> None:
+        """SIGHUP: the file is read and checked whole. A new address of discovery counts at once, for the watch and
+        for all notices; whatever else differs counts from the next start on."""
+        try:
+            new = configuration.load(os.environ, again=True)
+        except configuration.ConfigError as error:
+            self.log.error("configuration not taken", error=str(error))
+            return
+        moved = new.discovery != self.config.discovery
+        self.log.info("configuration taken", discovery="%s:%d" % new.discovery, moved=moved,
+                      at_next_start=configuration.waiting(self.config, new))
+        if moved:
+            self.config.discovery = new.discovery
+            self.notices.move()
+            self.discovery.move()
 
     def stop(self) -> None:
         """Goes on serving kept connections, lets clients go with their answers, flushes, and ends in time."""
@@ -107,7 +120,20 @@
         self.scheduler.stopped = True
 
 
+def watch_signals() -> socket.socket:
+    """Has each signal that the relay acts on arrive as a byte, its number."""
+    read, write = socket.socketpair()
+    for side in (read, write):
+        side.setblocking(False)
+    signal.set_wakeup_fd(write.detach(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: None)
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    return read
+
+
 def main() -> int:
+    signals = watch_signals()          # first of all: one that comes before the loop turns waits for it
     try:
         config = configuration.load(os.environ)
     except configuration.ConfigError as error:
@@ -119,7 +145,7 @@
     except OSError as error:
         print(f"molehill: {config.state}, {config.listen}: {error}", file=sys.stderr)
         return 1
-    process.run()
+    process.run(signals)
     return 0
 
 
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -4,7 +4,7 @@
 """
 import json
 import re
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 
 from molehill import interface as it
 
@@ -176,18 +176,23 @@
     return host.strip("[]"), int(port)
 
 
-def load(environ) -> Config:
-    """The file that ROUTER_CONFIG names; single values of it may also come from the environment, which wins."""
+def load(environ, again=False) -> Config:
+    """The file that ROUTER_CONFIG names; single values of it may also come from the environment, which wins.
+
+    Read `again` on SIGHUP, the file's `discovery` is newer than the environment of the start, and wins.
+    """
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG: not set; it names the configuration file")
     try:
         with open(path, encoding="utf-8") as file:
             given = json.load(file, parse_float=str)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"ROUTER_CONFIG: {path}: {error}") from None
     if not isinstance(given, dict):
         raise ConfigError(f"ROUTER_CONFIG: {path}: not an object")
+    if again and "discovery" in given:
+        environ = {key: text for key, text in environ.items() if key != "ROUTER_DISCOVERY"}
     return check(given, environ)
 
 
@@ -225,7 +230,8 @@
     return Config(
         name=environ.get("ROUTER_NAME") or str(given.get("name", "relay")),
         listen=address(environ.get("ROUTER_LISTEN") or given.get("listen"), "ROUTER_LISTEN"),
-        discovery=address(environ.get("ROUTER_DISCOVERY") or given.get("discovery"), "ROUTER_DISCOVERY"),
+        discovery=address(environ.get("ROUTER_DISCOVERY") or given.get("discovery"),
+                          "ROUTER_DISCOVERY" if environ.get("ROUTER_DISCOVERY") else "discovery"),
         state=state, seed=seed,
         settings=replace(made, list_on_request=True,        # on sockets the list never comes unasked
                          slots=outgoing - OUTGOING,         # no more calls at once than can have a connection
@@ -238,6 +244,15 @@
         sockets=most, client_sockets=most - outgoing, disk=int(disk * 1_000_000), memory=int(memory * 1_000_000))
 
 
+LEFT_ALONE = ("discovery", "seed", "known", "zones")     # moved at once; new with each start, or learnt
+
+
+def waiting(old: Config, new: Config) -> list[str]:
+    """What differs and counts from the next start on."""
+    return [field.name for field in fields(old)
+            if field.name not in LEFT_ALONE and getattr(old, field.name) != getattr(new, field.name)]
+
+
 def names(nested: dict, key: str) -> dict[str, int]:
     rows = nested.get(key) or []
     if not isinstance(rows, list):
--- a/molehill/net/discovery.py
+++ b/molehill/net/discovery.py
@@ -6,7 +6,7 @@
 from molehill.core import events as ev
 from molehill.holds import holds
 from molehill.net import http
-from molehill.net.stream import Broken, Late, Single, connected
+from molehill.net.stream import Broken, Late, Single
 
 HOLD = 10 * SECOND                 # a watch that went silent is noticed within this and the next figure
 ANSWER_WITHIN = 1500 * MS          # after the hold; what is told counts as known 2 s after it
@@ -41,7 +41,7 @@
     def __init__(self, scheduler, config, budget, post):
         self.scheduler, self.config, self.post = scheduler, config, post
         self.clock, self.version, self.watching = scheduler.clock, 0, False
-        self.line = Single(lambda until: connected(scheduler, config.discovery, "discovery", budget, until))
+        self.line, self.moves = Single(scheduler, lambda: config.discovery, "discovery", budget), 0
 
     def begin(self) -> None:
         """The list as this relay last had it; none at all rather than no start."""
@@ -57,29 +57,42 @@
             self.watching = True
             self.scheduler.spawn(self._watch)
 
+    def move(self) -> None:
+        """Discovery has another address: its whole list at once, as it may count in another way."""
+        self.moves, self.version = self.moves + 1, None
+        self.line.close()
+        self.watch()
+
     def _watch(self) -> None:
-        """Watches one after another, each at once after the last, until one fails."""
+        """Watches one after another, each at once after the last, until one fails; a move only begins anew."""
         try:
-            while True:
-                began = self.clock()
+            moves = None
+            while moves != self.moves:
+                moves = self.moves
                 try:
-                    version, whole, hosts = self._ask()
-                except Late:               # silent beyond its hold: once more, on a new connection
+                    while True:
+                        self._follow()
+                except (Broken, Late, http.Malformed, ValueError):
                     self.line.close()
-                    version, whole, hosts = self._ask()
-                if whole or hosts:
-                    self.post(ev.Listed(it.Scope.WHOLE if whole else it.Scope.UPDATE, hosts))
-                if version == self.version and self.clock() - began < PAUSE:
-                    self.scheduler.sleep(began + PAUSE)
-                # Danger: a discovery that counts anew would keep its news until it has caught up.
-                self.version = version if whole or version >= (self.version or 0) else None
-        except (Broken, Late, http.Malformed, ValueError):
-            pass
         finally:
             self.line.close()
             self.watching = False
             self.post(ev.Listed(it.Scope.FAILED))
 
+    def _follow(self) -> None:
+        began, before = self.clock(), self.version
+        try:
+            version, whole, hosts = self._ask()
+        except Late:                       # silent beyond its hold: once more, on a new connection
+            self.line.close()
+            version, whole, hosts = self._ask()
+        # Danger: a discovery that counts anew would keep its news until it has caught up.
+        self.version = version if whole or version >= (before or 0) else None
+        if whole or hosts:
+            self.post(ev.Listed(it.Scope.WHOLE if whole else it.Scope.UPDATE, hosts))
+        if version == before and self.clock() - began < PAUSE:
+            self.scheduler.sleep(began + PAUSE)
+
     def _ask(self):
         until = self.clock() + HOLD + ANSWER_WITHIN
         stream = self.line.get(self.clock() + self.config.connect_time_out)
--- a/molehill/net/notices.py
+++ b/molehill/net/notices.py
@@ -4,7 +4,7 @@
 from molehill.config import MS
 from molehill.core import events as ev
 from molehill.net import http
-from molehill.net.stream import Broken, Late, Single, connected
+from molehill.net.stream import Broken, Late, Single
 
 BATCH = 50                         # notices in one request: under 64 KiB with the longest ids, 1,024 characters
 FIRST_WITHIN = 120 * MS            # an answer comes at once; a lost request is sent again inside the rules' 300 ms
@@ -21,13 +21,17 @@
     def __init__(self, scheduler, config, budget, post):
         self.scheduler, self.config, self.post, self.answered = scheduler, config, post, 0
         self.clock, self.waiting, self.task = scheduler.clock, {}, None
-        self.line = Single(lambda until: connected(scheduler, config.discovery, "notices", budget, until))
+        self.line = Single(scheduler, lambda: config.discovery, "notices", budget)
 
     def notify(self, effect) -> None:
         self.waiting[effect.id] = effect
         if self.task is None:
             self.task = self.scheduler.spawn_kept(self._send_all)
 
+    def move(self) -> None:
+        """The platform has another address: what was posted and not answered goes there too."""
+        self.line.close()
+
     def _send_all(self) -> None:
         tries, most = 0, BATCH
         while self.waiting:
--- a/molehill/net/stream.py
+++ b/molehill/net/stream.py
@@ -160,8 +160,8 @@
     return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
 
 
-def connected(scheduler, address, kind, budget, until, spare=0) -> Stream:
-    """A new connection to another party, counted in the budget."""
+def opened(scheduler, address, kind, budget, spare=0) -> Stream:
+    """A socket for a connection to another party, counted in the budget."""
     if not budget.take(kind, spare):
         raise Short("no socket to spare")
     try:
@@ -169,7 +169,11 @@
     except OSError as error:
         budget.give(kind)
         raise Short(str(error)) from None
-    stream = Stream(scheduler, sock, kind, budget, answers=True)
+    return Stream(scheduler, sock, kind, budget, answers=True)
+
+
+def connected(scheduler, address, kind, budget, until, spare=0) -> Stream:
+    stream = opened(scheduler, address, kind, budget, spare)
     try:
         stream.connect(address, until)
     except (Broken, Late):
@@ -179,15 +183,18 @@
 
 
 class Single:
-    """The one connection to a party, kept between requests and made anew once it is of no more use."""
+    """The one connection to the party at an address that may change, kept between requests and made anew once it is
+    of no more use. Closed at any time, also while it comes up, it breaks under whoever uses it."""
 
-    def __init__(self, connect):
-        self.connect, self.stream = connect, None    # `connect(until)` gives a new connection
+    def __init__(self, scheduler, address, kind, budget):
+        self.scheduler, self.address, self.kind, self.budget, self.stream = scheduler, address, kind, budget, None
 
     def get(self, until) -> Stream:
         if self.stream is None or not self.stream.quiet():
             self.close()
-            self.stream = self.connect(until)
+            address = self.address()
+            stream = self.stream = opened(self.scheduler, address, self.kind, self.budget)
+            stream.connect(address, until)
         return self.stream
 
     def close(self) -> None:
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -360,17 +360,18 @@
         assert self.budget.take(kind)
         return Stream(self.scheduler, ours, kind, self.budget, answers), theirs
 
-    def catch(self, monkeypatch, module):
-        """Has the module's new connections made as pairs; gives the other ends, and a list of refusals to play."""
+    def catch(self, monkeypatch):
+        """Has new connections made as pairs; gives the other ends, and a list of refusals to play."""
         made, refusals = [], []
 
-        def connected(scheduler, address, kind, budget, until, spare=0):
+        def opened(scheduler, address, kind, budget, spare=0):
             if refusals:
                 raise refusals.pop(0)
             stream, theirs = self.pair(kind)
+            stream.connect = lambda *_: None
             made.append(theirs)
             return stream
-        monkeypatch.setattr(module, "connected", connected)
+        monkeypatch.setattr("molehill.net.stream.opened", opened)
         return made, refusals
 
 
@@ -387,11 +388,14 @@
     return data or None
 
 
-def net_config(**given):
+def net_given(**given):
     settings_given = dict(grades=[{"name": "notice", "semantics": "deduplicated", "dedupScope": "all",
                                    "dedupWindowMs": 9000, "deadlineMs": 15000, "serialByKey": True},
                                    {"name": "plain", "deadlineMs": 4000}],
                           allowed={"connIdleMs": 10000, "connectTimeoutMs": 1500, "maxAttempts": 6}, azs=["a"], machineTypes=["m"],
                           telemetry={"fields": ["x0", "x1"], "how": "piggyback"})
-    return config.check({"listen": "127.0.0.1:81", "discovery": "127.0.0.1:82", "state": "/x",
-                         "settings": settings_given, **given}, {})
+    return {"listen": "127.0.0.1:81", "discovery": "127.0.0.1:82", "state": "/x", "settings": settings_given, **given}
+
+
+def net_config(**given):
+    return config.check(net_given(**given), {})
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -59,7 +59,7 @@
     ("settings.grades", [], "settings.grades"), ("settings.azs", "a", "settings.azs"),
     ("settings", [], "settings"), ("limits.sockets", 5, "limits.sockets"), ("limits.disk_mb", 0, "limits.disk_mb"),
     ("limits.memory_mb", "nan", "limits.memory_mb"), ("listen", "localhost", "ROUTER_LISTEN"),
-    ("discovery", "127.0.0.1:0", "ROUTER_DISCOVERY"), ("seed", "xyz", "seed"), ("state", "", "ROUTER_STATE")])
+    ("discovery", "127.0.0.1:0", "discovery"), ("seed", "xyz", "seed"), ("state", "", "ROUTER_STATE")])
 def test_a_fault_is_told_by_its_key(path, value, key):
     with pytest.raises(config.ConfigError) as caught:
         config.check(changed(path, value), {})
@@ -67,7 +67,7 @@
 
 
 def test_the_file_that_can_t_be_read_is_named(tmp_path):
-    for text in (None, "{", "[]"):
+    for text in (None, "{", "[]", "[" * 100_000):
         path = tmp_path / "config.json"
         if text is not None:
             path.write_text(text)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -247,7 +247,7 @@
 class Calls:
     def __init__(self, monkeypatch):
         self.net, self.allowed = Net(), True
-        self.made, self.refusals = self.net.catch(monkeypatch, hosts)
+        self.made, self.refusals = self.net.catch(monkeypatch)
         self.hosts = hosts.Hosts(self.net.scheduler, net_config(), self.net.budget, self.net.post,
                                  lambda host: self.allowed)
         self.serial = 0
@@ -450,7 +450,7 @@
 class Watch:
     def __init__(self, monkeypatch, known=None):
         self.net = Net()
-        self.made, self.refusals = self.net.catch(monkeypatch, discovery)
+        self.made, self.refusals = self.net.catch(monkeypatch)
         self.discovery = discovery.Discovery(self.net.scheduler, net_config(known=known or {}), self.net.budget,
                                              self.net.post)
         self.discovery.begin()
@@ -537,7 +537,7 @@
 class Post:
     def __init__(self, monkeypatch):
         self.net = Net()
-        self.made, self.refusals = self.net.catch(monkeypatch, notices)
+        self.made, self.refusals = self.net.catch(monkeypatch)
         self.notices = notices.Notices(self.net.scheduler, net_config(), self.net.budget, self.net.post)
 
     def notify(self, *ids, denied=False, wait=0):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,4 +1,6 @@
 """One relay whole, on loopback sockets and a clock moved by hand: a callback through, an end in order, a restart."""
+import json
+import signal
 import socket
 from dataclasses import replace
 
@@ -6,7 +8,7 @@
 
 from molehill.__main__ import Process, log_room
 from molehill.core import events as ev
-from tests.ledger import MS, SECOND, Ticks, drain, net_config
+from tests.ledger import MS, SECOND, Ticks, drain, net_config, net_given
 
 ASK = (b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nX-Consignee: dest=3\r\nCookie: subject=k\r\n"
        b"Content-Length: 2\r\n\r\nab")
@@ -15,9 +17,7 @@
 class Place:
     """Other parties of one relay: a host, the platform (discovery and notices) and a client."""
 
-    def __init__(self, folder, monkeypatch):
-        monkeypatch.setattr("signal.signal", lambda *_: None)
-        monkeypatch.setattr("signal.set_wakeup_fd", lambda *_, **__: None)
+    def __init__(self, folder):
         self.folder, self.clock, self.open = folder, Ticks(), []
         self.host, self.platform = self.listener(), self.listener()
         self.start()
@@ -85,8 +85,8 @@
 
 
 @pytest.fixture
-def place(tmp_path, monkeypatch):
-    made = Place(tmp_path, monkeypatch)
+def place(tmp_path):
+    made = Place(tmp_path)
     yield made
     made.close()
 
@@ -152,6 +152,47 @@
     assert not place.relay.core.held
 
 
+def test_on_sighup_a_faulty_file_is_named_and_a_good_one_moves_watch_and_notices(place, tmp_path, monkeypatch):
+    relay, file, said = place.relay, tmp_path / "config.json", []
+    relay.log = type("Log", (), {"error": lambda _, text, **facts: said.append(facts["error"]),
+                                 "info": lambda _, text, **facts: said.append(facts)})()
+    monkeypatch.setenv("ROUTER_CONFIG", str(file))
+    monkeypatch.setenv("ROUTER_DISCOVERY", "%s:%d" % place.platform.getsockname())    # as it was at the start
+    relay.signals, other = socket.socketpair()
+    place.open += [other, relay.signals]
+    relay.signals.setblocking(False)
+    relay.scheduler.spawn(relay.on_signals)
+    client = place.client()
+    client.send(ASK % b"id1")
+    place.hear(client, b"HTTP/1.1 202")
+    place.hear(place.accept(place.host), b"\r\n\r\nab")
+    old = [place.accept(place.platform)]
+    place.advance(15_100 * MS, step=50 * MS)
+    old.append(place.accept(place.platform))
+    assert list(relay.notices.waiting) == ["id1"], "posted, and not answered"
+    for text in ("{", json.dumps(net_given(discovery="nowhere")), json.dumps(net_given(settings={}))):
+        file.write_text(text)
+        other.send(bytes([signal.SIGHUP]))
+        place.turn()
+    assert [text.split(":")[0] for text in said] == ["ROUTER_CONFIG", "discovery", "settings.grades"]
+    assert relay.config.discovery == place.platform.getsockname()
+    moved = place.listener()
+    file.write_text(json.dumps(net_given(discovery="%s:%d" % moved.getsockname(), limits={"disk_mb": 1})))
+    other.send(bytes([signal.SIGHUP]))
+    place.turn()
+    texts = []
+    for sock in (place.accept(moved), place.accept(moved)):
+        texts.append(place.hear(sock, b"\r\n\r\n"))
+        if b"finals" in texts[-1]:
+            sock.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+    place.advance(50 * MS)
+    assert sorted(text.split(b" HTTP")[0] for text in texts) == [b"GET /registry/instances", b"POST /v2/finals"]
+    assert said[-1]["at_next_start"] == ["listen", "state", "disk"] and not relay.core.held
+    other.send(bytes([signal.SIGTERM, signal.SIGHUP, signal.SIGTERM]))
+    place.advance(3600 * MS, step=50 * MS)
+    assert relay.scheduler.stopped and client.send(b"x")
+
+
 def test_the_log_s_files_leave_room_on_the_disk_and_in_memory():
     for disk, memory in ((3 * 10**6, 192 * 10**6), (10**9, 64 * 10**6)):
         files, owed = log_room(replace(net_config(), disk=disk, memory=memory))
