Give descriptors to kept host connections; end silent clients; forget gone hosts

Seen: on churn new connections rose from 80 to 500 in ten seconds once descriptors were all taken (counts lines), and the window at a busy destination stood at one call: handshakes read as slowness. 1,266 clients ask once and stay; their connections filled all but the slots. Ruled out: the destination (its answers told 0.7 of the limit left). At fault: Budget.take closed idle connections to hosts first, config left hosts only their slots, Clients kept silent ones 10 s. Now clients' connections idle for 2 s, or new and silent, make room first; half of the descriptors is for hosts; a connection without a byte ends after 1.5 s, a begun request after 1 s more (408); what goes on after an error and requests in a row no longer hold up the loop.

--- a/molehill/config.py
+++ b/molehill/config.py
@@ -222,7 +222,8 @@
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: {sockets} is under the {LEAST_SOCKETS} that a relay needs")
     most = sockets - STANDING
-    outgoing = min(made.slots + OUTGOING, most * 3 // 4)    # a quarter at least is left to clients
+    # Half is for calls and idle connections to hosts, and a slot's worth at least; a quarter at least for clients.
+    outgoing = min(max(made.slots + OUTGOING, most // 2), most * 3 // 4)
     disk, memory = limit.get("disk_mb", real, DISK_MB), limit.get("memory_mb", real, MEMORY_MB)
     for key, value in (("disk_mb", disk), ("memory_mb", memory)):
         if not 0 < value < 1e9:
@@ -234,7 +235,7 @@
                           "ROUTER_DISCOVERY" if environ.get("ROUTER_DISCOVERY") else "discovery"),
         state=state, seed=seed,
         settings=replace(made, list_on_request=True,        # on sockets the list never comes unasked
-                         slots=outgoing - OUTGOING,         # no more calls at once than can have a connection
+                         slots=min(made.slots, outgoing - OUTGOING),    # no more calls than can have a connection
                          connection_idle=max(0, made.connection_idle - max(made.connection_idle // 10, IDLE_MARGIN))),
         categories=names(nested, "grades"), tenants=names(nested, "parties"),
         zones=names(nested, "azs"), kinds=names(nested, "machineTypes"), known=known,
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -9,7 +9,7 @@
 from heapq import heappop, heappush
 
 from molehill import interface as it
-from molehill.config import MS
+from molehill.config import MS, SECOND
 from molehill.core import events as ev
 from molehill.holds import holds
 from molehill.interface import Result
@@ -60,6 +60,7 @@
         self.hosts: dict[str, ev.Host] = {}
         self.waits: dict[object, int] = {}            # route -> end of a told wait
         self.away: dict[str, object] = {}             # host -> None while closed, then when its ramp is over
+        self.left: dict[str, int] = {}                # host that is not listed -> since when
         self.guards, self.wake_at, self.stop_at = [], None, None
         self.on = {ev.Begin: self._begin, ev.Arrived: self._arrived, ev.Heard: self._heard,
                    ev.Unheard: self._unheard, ev.Unlogged: self._unlogged, ev.Ended: self._ended,
@@ -346,7 +347,7 @@
 
     def _go(self, out):
         host = self.hosts[out.host]
-        ready = [c.id for c in self._known(out.ids) if c.state is HELD] if self.may_send(out.host) else []
+        ready = [c.id for c in self._known(out.ids) if c.state is HELD and self.may_send(out.host, (c.id,), self.now)]
         self._unpark(out, [number for number in out.ids if number not in ready])
         if not out.ids:
             return
@@ -363,10 +364,18 @@
     def _route(self, host):
         return host.id if self._kind(host).apart else host.destination
 
-    def may_send(self, host):
-        """Whether something new may still go there: asked once more just before a call's first byte."""
+    def may_send(self, host, ids, now):
+        """Whether these may still go there: asked once more just before a call's first byte.
+
+        Danger: a connection takes its time to come up, and a ticketed one that may have run outlives its window.
+        """
         entry = self.hosts[host]
-        return entry.condition is it.Condition.UP and self.waits.get(self._route(entry), 0) <= self.now
+        return entry.condition is it.Condition.UP and self.waits.get(self._route(entry), 0) <= now \
+            and all(self._may_repeat(callback, now) for callback in self._known(ids))
+
+    def _may_repeat(self, c, now):
+        row = self.set.categories[c.category]
+        return c.ran_at is None or row.effect is not it.Effect.TICKETED or now < c.ran_at + row.window
 
     def _unpark(self, out, ids):
         """Launches that never left the relay."""
@@ -439,10 +448,26 @@
                 before, self.hosts[host.id] = self.hosts.get(host.id, host), host
                 if host.condition is it.Condition.GONE or before.address != host.address:
                     self.effects.append(ev.CloseIdle(host.id))
+        self._forget_hosts()
         self.inbox.append(it.ListNews(event.scope, [
             it.HostEntry(h.id, h.zone, h.kind, h.destination, h.condition, h.units, self._is_away(h.id))
             for h in event.hosts]))
 
+    LEFT_KEPT = 60 * SECOND        # longer than any gap in the list: a host that is back sooner is the one known
+
+    def _forget_hosts(self):
+        """Drops what is kept of hosts that left long ago and have no call out; waits and ramps that are over."""
+        busy = {out.host for out in (*self.calls.values(), *self.parked.values())}
+        for host in [*self.hosts, *self.away]:
+            known = self.hosts.get(host)
+            if host in busy or known is not None and known.condition is not it.Condition.GONE:
+                self.left.pop(host, None)
+            elif self.now - self.left.setdefault(host, self.now) > self.LEFT_KEPT:
+                for rows in (self.hosts, self.away, self.left):
+                    rows.pop(host, None)
+        self.waits = {route: until for route, until in self.waits.items() if until > self.now}
+        self.away = {host: until for host, until in self.away.items() if self._is_away(host)}
+
     def _begin(self, _):
         """After a start: launches that were out when the process ended may have run; all that is owed goes on."""
         for callback in self.held.values():
--- a/molehill/net/clients.py
+++ b/molehill/net/clients.py
@@ -9,11 +9,17 @@
 from molehill.net.scheduler import LATE, READ
 from molehill.net.stream import Broken, Late, Stream, tcp_socket
 
-READ_WITHIN = 10 * SECOND          # a request that has begun; clients give up their wait long before
+# A client that sends no whole request is owed an end within three seconds of connecting. Both fit in, and half a
+# second of the relay's own lateness; true clients connect to send at once, and wait 0.4 s for the answer.
+FIRST_WITHIN = 1500 * MS           # for the first byte of a connection
+READ_WITHIN = SECOND               # for the rest of a request that has begun
 WRITE_WITHIN = SECOND              # an answer is a few bytes: a client that does not take them is gone
 ANSWER_WITHIN = SECOND             # clients wait 0.4 s: whoever had no answer by now is gone
 IDLE_LONG = SECOND                 # idle this long, a connection is not about to carry a request
-LINGER = 200 * MS                  # what a client still sends after an error is read away so that it sees the answer
+LEFT = 2 * SECOND                  # idle this long, it may be closed without harm: the protocol's figure
+SILENT = 150 * MS                  # a new one without a byte, while others wait: many times a client's round trip
+LINGER = 200 * MS                  # what a client still sends after an error is read away so that it sees the answer,
+LINGER_MOST = 4 * 64 * 1024        # up to so much: of a body that goes on and on it has to see a close
 BACKLOG = 1024
 LONGEST = 24 * 3600 * SECOND       # no deadline is taken as further off: keeps figures sane
 TEXT_MOST = 1024                   # of ids and keys; they are held and logged
@@ -24,6 +30,7 @@
 
     def __init__(self, stream):
         self.stream, self.task, self.ask, self.reply, self.served = stream, None, None, None, False
+        self.since = stream.scheduler.clock()
 
 
 class Clients:
@@ -31,7 +38,8 @@
         self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
         self.clock, self.conns, self.ready, self.closing = scheduler.clock, {}, False, False
         self.listener, self.counts, self.short = None, Counter(), False
-        budget.idlers["client"] = self.close_idlest
+        budget.idlers["left client"] = lambda: self.close_idlest(LEFT, SILENT)
+        budget.idlers["client"] = lambda: self.close_idlest(IDLE_LONG, SILENT)
 
     def listen(self) -> None:
         self.listener = tcp_socket(self.config.listen)
@@ -57,7 +65,7 @@
                 if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK):
                     self.scheduler.wait(self.listener.fileno(), READ)
                 elif error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self.close_idlest()
+                    self.close_idlest(IDLE_LONG, SILENT)
                     self.scheduler.sleep(self.clock() + self.PAUSE)
                 continue
             self.open(sock)
@@ -70,17 +78,21 @@
         conn.task = self.scheduler.spawn(self.serve, conn)
         return conn
 
-    def close_idlest(self) -> bool:
-        """Makes room: closes the connection that has stood idle longest between two requests, if one has stood long.
+    def close_idlest(self, served: int, silent: int) -> bool:
+        """Makes room: closes the connection that has stood idle longest, if one has stood so long between two requests
+        or before the first.
 
-        Danger: a request may be on its way on it. One that has not had its first stands under READ_WITHIN.
+        Danger: a request may be on its way on it. Danger: a silent crowd keeps all others out.
         """
         now = self.clock()
-        idle = [c for c in self.conns if c.stream.idle_since and c.stream.quiet()
-                and now - c.stream.idle_since >= (IDLE_LONG if c.served else READ_WITHIN)]
-        if idle:
-            min(idle, key=lambda c: c.stream.idle_since).stream.close()
-        return bool(idle)
+        idle = [c for c in self.conns if c.stream.idle_since
+                and now - c.stream.idle_since >= (served if c.served else silent)]
+        for conn in sorted(idle, key=lambda c: (c.served, c.stream.idle_since)):
+            if conn.stream.quiet():
+                self.counts["closed idle"] += 1
+                conn.stream.close()
+                return True
+        return False
 
     def serve(self, conn) -> None:
         stream = conn.stream
@@ -97,26 +109,25 @@
         """One request and its answer; whether the connection goes on."""
         stream = conn.stream
         try:
-            if not len(stream.buffer):
+            if len(stream.buffer):
+                self.scheduler.pause()     # requests sent in a row don't hold up the other connections
+            else:
                 stream.idle_since = self.clock()
-                stream.read(None)
+                stream.read(None if conn.served else conn.since + FIRST_WITHIN)
             stream.idle_since = 0
-            until = self.clock() + READ_WITHIN
-            head = stream.head(until)
-            length = head.length or 0
-            if head.headers.get("expect", "").lower() == "100-continue" and len(stream.buffer) < length:
-                stream.send(b"HTTP/1.1 100 Continue\r\n\r\n", until)
-            body = stream.body(head, until) if length else b""
+            head, body = self.request(stream)
             status, headers, text = self.route(conn, head, body)
         except http.Malformed as error:
             self.counts["malformed"] += 1
             stream.send(http.answer(error.status, body=str(error).encode(), close=True),
                         self.clock() + WRITE_WITHIN)
             stream.sock.shutdown(socket.SHUT_WR)
-            until = self.clock() + LINGER
-            while True:
-                stream.buffer.take(len(stream.buffer))
+            until, read = self.clock() + LINGER, 0
+            while read < LINGER_MOST and self.clock() < until:
+                read += len(stream.buffer.take(len(stream.buffer)))
                 stream.read(until)
+                self.scheduler.pause()
+            return False
         close, conn.served = not head.keep or self.closing or self.short, True
         data = http.answer(status, headers, text, close)
         if conn.ask is None:
@@ -125,6 +136,18 @@
             self.tell(conn, data)
         return not close
 
+    def request(self, stream):
+        """A request's head and body."""
+        until = self.clock() + READ_WITHIN
+        try:
+            head = stream.head(until)
+            length = head.length or 0
+            if head.headers.get("expect", "").lower() == "100-continue" and len(stream.buffer) < length:
+                stream.send(b"HTTP/1.1 100 Continue\r\n\r\n", until)
+            return head, stream.body(head, until) if length else b""
+        except Late:
+            raise http.Malformed(408, "the request did not get whole in time") from None
+
     def route(self, conn, head, body):
         method, target, _ = head.first
         path = target.partition("?")[0]
--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -145,7 +145,7 @@
 
     def _may_go(self, call, start) -> bool:
         """Whether the relay was not told meanwhile to wait, or that the host drains; else the call's end."""
-        if self.may_send(call.host) and call.number not in self.aborted:
+        if self.may_send(call.host, [m.id for m in call.members], self.clock()) and call.number not in self.aborted:
             return True
         self._end(call, start, call.members, KEPT_BACK)
         return False
--- a/molehill/net/http.py
+++ b/molehill/net/http.py
@@ -6,7 +6,7 @@
 HEAD_MOST = 16 * 1024              # ample for the few short headers of the protocol
 BODY_MOST = 64 * 1024              # the protocol's bound
 REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-           405: "Method Not Allowed", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+           405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
            500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable",
            505: "HTTP Version Not Supported"}
 CHUNK = re.compile(rb"[0-9A-Fa-f]{1,6}[ \t]*(;.*)?")
--- a/molehill/net/scheduler.py
+++ b/molehill/net/scheduler.py
@@ -78,6 +78,11 @@
     def sleep(self, until):
         return self.wait(until=until)
 
+    def pause(self):
+        """Lets all others that are ready go first."""
+        self.ready.append((getcurrent(), READY))
+        self.hub.switch()
+
     def _wake(self, waiter, value):
         if not waiter.live:
             return
--- a/molehill/net/stream.py
+++ b/molehill/net/stream.py
@@ -24,25 +24,29 @@
 
     def __init__(self, most: int, quotas=None):
         self.most, self.used, self.quotas = most, {}, quotas or {}
-        self.idlers = {}               # kind -> closes one idle connection of it and tells whether it did
+        self.idlers = {}               # name in ORDER -> closes one idle connection and tells whether it did
 
     def total(self) -> int:
         return sum(self.used.values())
 
-    def take(self, kind: str, spare: int = 0) -> bool:
-        """One more of that kind, leaving `spare` free for others; idle connections make room.
+    # Clients' connections that nobody needs go first. Then those to hosts, whose loss costs a handshake; then such of
+    # clients as a request may yet come on.
+    ORDER = ("left client", "host", "client")
 
-        Those to hosts first: a request may be on its way on one to a client.
-        """
+    def take(self, kind: str, spare: int = 0) -> bool:
+        """One more of that kind, leaving `spare` free for others; idle connections make room."""
         while self.used.get(kind, 0) >= self.quotas.get(kind, self.most):
-            if kind not in self.idlers or not self.idlers[kind]():
+            if not self._make_room([name for name in self.ORDER if name.endswith(kind)]):
                 return False
         while self.total() + 1 + spare > self.most:
-            if not any(self.idlers[name]() for name in ("host", "client") if name in self.idlers):
+            if not self._make_room(self.ORDER):
                 return False
         self.used[kind] = self.used.get(kind, 0) + 1
         return True
 
+    def _make_room(self, names) -> bool:
+        return any(self.idlers[name]() for name in names if name in self.idlers)
+
     def give(self, kind: str) -> None:
         self.used[kind] -= 1
 
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -22,10 +22,9 @@
 
 class Callback:
     def __init__(self, new, row, payoff, over):
-        self.id, self.row, self.payoff, self.key = new.callback, row, payoff, None
-        self.lane, self.due = (new.category, over), new.abandon_at
-        self.goal = self.due - row.abandon + row.goal
-        self.dest, self.state, self.launches, self.call = new.destination, None, 0, None
+        self.id, self.row, self.payoff, self.lane = new.callback, row, payoff, (new.category, over)
+        self.key, self.due, self.goal = None, new.abandon_at, new.abandon_at - row.abandon + row.goal
+        self.dest, self.state, self.launches, self.call = new.destination, None, new.launches, None
         self.ran, self.zone, self.stale = False, None, self.due    # may have run, and is known only there;
         self.ticket = self.due if row.effect is Effect.RERUNNABLE else 0    # if so, it may go till then
 
@@ -36,8 +35,7 @@
 
     def __init__(self, now, told=0.0):
         self.limit, self.out, self.fresh, self.paused, self.used = self.START, 0, True, 0, now
-        self.smooth, self.dev = None, 0
-        self.now_best, self.last_best, self.window_at = None, None, now
+        self.smooth, self.dev, self.now_best, self.last_best, self.window_at = None, 0, None, None, now
         self.pace, self.told, self.credit, self.credit_at = 0.0, told, 0.0, now   # calls a second; 0: none
         self.count, self.count_at, self.served, self.rounds, self.bad_at = 0, now, 0.0, 0, 0   # bad rounds
 
@@ -58,10 +56,10 @@
         self.quota = [[float("inf"), 0] for _ in settings.tenants]
         self.on = {it.Outcome: self._outcome, it.NewCallback: self._taken, it.ListNews: self._news,
                    it.Withdrawn: self._withdrawn, it.Stopping: self._stopping}
-        self.hosts = {}                       # host id -> index into the arrays below
-        self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route = [], [], [], [], [], []
-        # calls out, health, its share of failures; next call at; state, idle connection since
-        self.h_out, self.h_state, self.h_bad, self.h_next, self.h_since, self.h_free = [], [], [], [], [], []
+        self.hosts, self.spare = {}, []       # host id -> index into the arrays below; indices to use again
+        # the last six: health, calls out, share of failures; next call at; state, idle connection since
+        self.rows = (self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route, self.h_state,
+                     self.h_out, self.h_bad, self.h_next, self.h_since, self.h_free) = [[] for _ in range(12)]
         self.worn_span, self.worn, self.new = settings.connection_idle, 0.0, 0.0
 
     def step(self, now, events):
@@ -75,23 +73,18 @@
             self.actions.append(it.Wake(self.wake_at - now, "wake"))
         return self.actions
 
-    def _at(self, when, what, ref):
+    def _at(self, when, work, ref):
         self.serial += 1
-        heappush(self.timers, (when, self.serial, what, ref))
+        heappush(self.timers, (when, self.serial, work, ref))
 
     def _ring(self):
         while self.timers and self.timers[0][0] <= self.now:
-            _, _, what, ref = heappop(self.timers)
-            if what == "callback":
-                callback = self.held.get(ref)
-                if callback is not None and callback.state in WAITING and not self._may_launch(callback):
-                    self._give_up(callback)
-            elif what == "dest":
-                self.dirty[ref] = True
-            elif what == "key":
-                self._next_turn(ref)
-            else:
-                self.actions.append(it.FollowList())
+            _, _, work, ref = heappop(self.timers)
+            work(ref) if work else self.dirty.setdefault(ref)    # without: a destination to look at
+
+    def _time_up(self, number):
+        if (one := self.held.get(number)) is not None and one.state in WAITING and not self._may_launch(one):
+            self._give_up(one)
 
     def _move(self, callback, state):
         """Every change of a callback's state."""
@@ -115,6 +108,8 @@
     ASKED_SPAN = 60 * SECOND  # a minute of traffic outweighs its clumps
 
     def _taken(self, new):
+        if new.destination not in self.dests and not new.launches:    # no host of it was heard of
+            return self.actions.append(it.Deny(new.callback, self._back()))
         row, over = self.set.categories[new.category], self._over_share(new.tenant)
         callback = Callback(new, row, row.payoff * (self.set.over_share_payoff if over else 1.0), over)
         if self.set.halving and row.late_share > 0.0:    # its payoff falls no more from then on
@@ -125,7 +120,6 @@
             self.keys.setdefault(new.key, []).append(callback)
             if new.rests_until > self.now:
                 self._settle(new.key, new.rests_until)
-        callback.launches = new.launches
         if new.ran_at is not None:
             self._may_have_run(callback, new.ran_at, new.ran_zone)
         self._move(callback, TURN)
@@ -134,12 +128,11 @@
             dest.asked, dest.asked_at = dest.asked / 2, self.now - self.ASKED_SPAN // 2
         dest.asked += 1
         self._make_room()
-        self._at(callback.due if self._may_launch(callback) else self.now, "callback", callback.id)
+        self._at(callback.due if self._may_launch(callback) else self.now, self._time_up, callback.id)
         self._next_turn(callback.key)
 
     def _withdrawn(self, event):
-        if event.callback in self.held:
-            self._move(self.held[event.callback], OVER)
+        self._move(self.held[event.callback], OVER) if event.callback in self.held else None
 
     def _stopping(self, event):
         self.ends = event.at    # danger: cut off there, a call may have run; so none goes shortly before
@@ -149,12 +142,12 @@
         if not callback.ran and callback.row.effect is Effect.TICKETED:
             callback.zone = None if callback.row.all_hosts else zone
             callback.ticket = sent + callback.row.window
-            self._at(callback.ticket, "callback", callback.id)
+            self._at(callback.ticket, self._time_up, callback.id)
         callback.ran = True
 
     def _settle(self, key, until):
         self.rests[key] = max(until, self.rests.get(key, 0))
-        self._at(until, "key", key)
+        self._at(until, self._next_turn, key)
 
     def _over_share(self, tenant):
         """A bucket a tenant, two seconds deep for clumps, at an even part of its quota; beyond is less."""
@@ -162,9 +155,8 @@
             return False
         rate, bucket = self.set.tenants[tenant].quota / self.set.relays, self.quota[tenant]
         bucket[:] = min(max(1.0, 2.0 * rate), bucket[0] + rate * (self.now - bucket[1]) / SECOND), self.now
-        over = bucket[0] < 1.0
-        bucket[0] -= not over
-        return over
+        bucket[0] -= (fits := bucket[0] >= 1.0)
+        return not fits
 
     def _make_room(self):
         """Danger: callbacks for a sick destination fill the relay, newcomers for healthy ones are turned away
@@ -199,13 +191,15 @@
         ends = min(callback.due, callback.ticket) if callback.ran else callback.due
         return callback.launches < self.set.max_launches and self.now < ends
 
+    def _back(self):    # when a denied one may come again: a queue thins by then
+        return min(SECOND, self.set.max_return) if self.set.tells_return else 0
+
     def _give_up(self, callback):
         """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
         effect = callback.row.effect
         if self.now < callback.due and (not callback.ran or effect is Effect.RERUNNABLE
                                         or effect is Effect.TICKETED and callback.row.all_hosts):
-            back = min(SECOND, self.set.max_return) if self.set.tells_return else 0    # a queue thins by then
-            self.actions.append(it.Deny(callback.id, back))
+            self.actions.append(it.Deny(callback.id, self._back()))
         else:
             self.actions.append(it.Scrap(callback.id))
         self._move(callback, OVER)
@@ -307,9 +301,8 @@
     GROWTH = 4  # of the rest with each bad round in a row; doubling still pushed returning destinations over
 
     def _rest(self, h):
-        """Danger: many relays with a callback or two each try a sick destination every other second, or all
-        at the end of a told wait, and push it over as it returns. So each rests, at a moment of its own, for
-        half the time in which it is asked for a call there, longer each round, up to what rule 4 asks."""
+        """Danger: many relays with few callbacks each try a sick destination often, or all at the end of a
+        told wait, and push it over as it returns. Each rests half its time between two, longer each round."""
         longest, told = self._gap(h), self.h_route[h].told
         rounds = min(self.h_route[h].rounds - (2 if told else 1), 4)    # a told limit explains one refusal
         first = max(self.PAUSE, min(SECOND / self._asked(self.dests[self.h_dest[h]]), longest))
@@ -322,9 +315,8 @@
     def _refused(self, h, dest, lim, wait):
         lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit / 2), False, True
         lim.paused = max(lim.paused, self.now + wait + self._rest(h))
-        self._at(lim.paused, "dest", self.h_dest[h])
-        # Danger: at an allowance latency stays flat, and the window would run into it again and again. The
-        # rate served lately becomes the guide's crawl delay beside the window; good answers lift it.
+        self._at(lim.paused, None, self.h_dest[h])
+        # Danger: at an allowance latency stays flat. So the rate served becomes the guide's crawl delay.
         seen = max(lim.served, lim.count * SECOND / max(SECOND, self.now - lim.count_at))
         lim.pace = max(self.LEAST_PACE, lim.told / self.set.relays, self.CUT * min(seen, lim.pace or seen))
         lim.credit, lim.credit_at = 0.0, self.now
@@ -352,7 +344,7 @@
             self.h_state[h], self.h_since[h] = CLOSED, self.now
         start = max(self.now, self.h_route[h].paused)
         self.h_next[h] = max(self.h_next[h], start + int(self._gap(h) * (0.5 + self.random())))
-        self._at(self.h_next[h], "dest", self.h_dest[h])
+        self._at(self.h_next[h], None, self.h_dest[h])
 
     BUDGET = 1.7  # relays that saw no failure bring calls too: those that did may bring two thirds
 
@@ -375,7 +367,8 @@
 
     def _news(self, news):
         if news.scope is it.Scope.FAILED:
-            return self._at(self.now + int(self.ASK_AGAIN * (0.5 + self.random())), "ask", 0)
+            again = self.now + int(self.ASK_AGAIN * (0.5 + self.random()))
+            return self._at(again, lambda _: self.actions.append(it.FollowList()), 0)
         if news.scope is it.Scope.RESTORED and self.set.list_on_request:
             self.actions.append(it.FollowList())
         if news.scope is not it.Scope.UPDATE:
@@ -388,23 +381,36 @@
             self._listed(h, entry.condition is it.Condition.UP)
 
     def _add(self, entry):
-        h = self.hosts[entry.host] = len(self.h_id)
+        h = self.hosts[entry.host] = self.spare.pop() if self.spare else len(self.h_id)
         kind = self.set.kinds[entry.kind] if entry.kind < len(self.set.kinds) else it.Kind(False, 1)
         route = Limiter(self.now) if kind.apart else self._dest(entry.destination).limiter
-        for array, value in ((self.h_id, entry.host), (self.h_zone, entry.zone), (self.h_size, kind.per_call),
-                             (self.h_dest, entry.destination), (self.h_up, False), (self.h_route, route),
-                             (self.h_state, CLOSED if entry.away else OPEN), (self.h_out, 0),    # rule 4
-                             (self.h_bad, 0.0), (self.h_next, 0), (self.h_since, self.now), (self.h_free, 0)):
-            array.append(value)
+        row = (entry.host, entry.zone, kind.per_call, entry.destination, False, route,
+               CLOSED if entry.away else OPEN, 0, 0.0, 0, self.now, 0)    # rule 4
+        for array, value in zip(self.rows, row):
+            array[h:h + 1] = [value]
         return h
 
+    LEFT = 30 * SECOND  # longer than ramps and gaps in the list: one that comes back sooner is known
+
+    def _drop(self, host):
+        """Danger: hosts come and go all day. What left is forgotten, with its destination if the last."""
+        if (h := self.hosts.get(host)) is None or self.h_up[h]:
+            return
+        number = self.h_dest[h]
+        last = [self.h_dest[other] for other in self.hosts.values()].count(number) == 1
+        if self.h_out[h] or last and (self.dests[number].waiting or self.dests[number].out):
+            return self._at(self.now + self.LEFT, self._drop, host)
+        self.spare.append(self.hosts.pop(host))
+        self.dests.pop(number if last else None, None)
+
     def _listed(self, h, up):
         """Rule 3: a host that drains or is gone gets nothing new from this moment."""
         if self.h_up[h] != up:
-            self.h_up[h] = up
-            hosts = self._dest(self.h_dest[h]).hosts
+            self.h_up[h], hosts = up, self._dest(self.h_dest[h]).hosts
             (hosts.append if up else hosts.remove)(h)
             self.dirty[self.h_dest[h]] = True
+        if not up:
+            self._at(self.now + self.LEFT, self._drop, self.h_id[h])
 
     def _launch_all(self):
         dirty, self.dirty = {**self.starved, **self.dirty}, {}
@@ -497,13 +503,13 @@
         lim.credit += rate * (self.now - lim.credit_at) / SECOND
         lim.credit, lim.credit_at = min(max(1.0, rate * self.PACE_DEPTH), lim.credit), self.now
         if lim.credit < 1.0:
-            self._at(self.now + int((1.0 - lim.credit) / rate * SECOND) + 1, "dest", self.h_dest[h])
+            self._at(self.now + int((1.0 - lim.credit) / rate * SECOND) + 1, None, self.h_dest[h])
         return lim.credit >= 1.0
 
     def _may_try(self, h):
         """Whether a host that was away may get a call now: one trial at a time, then under the budget."""
         if self.h_next[h] > self.now:
-            self._at(self.h_next[h], "dest", self.h_dest[h])
+            self._at(self.h_next[h], None, self.h_dest[h])
             return False
         if self.h_state[h] is RAMP and self.now - self.h_since[h] >= (self.set.ramp_time or 0):
             self.h_state[h] = OPEN
@@ -524,9 +530,7 @@
         while callback is not None and call[1] < self.h_size[h]:
             heappop(dest.lanes[callback.lane, callback.ran, callback.zone][callback.late])
             self._move(callback, OUT)
-            callback.call = call
-            callback.launches += 1
-            call[1] += 1
+            callback.call, callback.launches, call[1] = call, callback.launches + 1, call[1] + 1
             self.actions.append(it.Launch(callback.id, self.h_id[h], min(call[4], callback.due - now)))
             more = self._heads(dest) if call[1] < self.h_size[h] and self.h_state[h] is not CLOSED else []
             callback = next((c for c in more if c.zone in (None, self.h_zone[h])), None)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -44,9 +44,9 @@
     assert (made.name, made.listen, made.seed, made.state) == ("n7", ("127.0.0.9", 99), 15, "/x")
     assert made.categories == {"notice": 0} and made.kinds == {"m1": 0, "m2": 1} and made.zones["b"] == 1
     assert made.period == config.PERIOD and made.connect_time_out == config.CONNECT_TIME_OUT
-    assert (made.settings.slots, made.sockets, made.client_sockets) == (4, 92, 84)
+    assert (made.settings.slots, made.sockets, made.client_sockets) == (4, 92, 46)
     tight = config.check(changed("limits.sockets", 40), {})
-    assert (tight.settings.slots, tight.sockets, tight.client_sockets) == (4, 32, 24)
+    assert (tight.settings.slots, tight.sockets, tight.client_sockets) == (4, 32, 16)
     tight = config.check({**changed("settings.extra.maxCalls", 90), "limits": {"sockets": 40}}, {})
     assert (tight.settings.slots, tight.client_sockets) == (20, 8), "no more calls than can have a connection"
     assert made.tells_limit and made.settings.list_on_request and (made.disk, made.memory) == (2 * 10**6, 64500000)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -147,6 +147,19 @@
     assert not world.out and number in world.notices
 
 
+@pytest.mark.parametrize("effect,goes", [("ticketed", False), ("rerunnable", True)])
+def test_a_connection_that_came_up_after_the_window_does_not_carry_a_repeat(tmp_path, effect, goes):
+    world = wire(tmp_path, categories=[category(effect, abandon=60000, window=3000)])
+    number = world.take()
+    first = world.now
+    world.end(next(iter(world.out)), R.RESET)
+    world.step()
+    assert [m.id for _, ms in world.out.values() for m in ms] == [number]
+    (call, _), = world.out.values()
+    assert world.core.may_send(call.host, [number], first + 2999 * MS)
+    assert world.core.may_send(call.host, [number], first + 3000 * MS) is goes
+
+
 def test_a_key_rests_over_a_restart_and_keeps_its_order(tmp_path):
     world = wire(tmp_path, categories=[category("rerunnable", abandon=60000, ordered=True)], settle=2 * SECOND)
     numbers = [world.take(key="k") for _ in range(3)]
@@ -248,7 +261,7 @@
             ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, listed, 1.0)]))
         if wait:
             effects_of(core, now, ev.Ended(call.number, 5, [ev.End("a", R.FULL, wait)]))
-        assert not core.may_send("h1")
+        assert not core.may_send("h1", [], now)
         assert not [e for e in effects_of(core, now, ev.Heard("b")) if type(e) is ev.Call]
         assert [e.result for e in core.inbox if type(e) is it.Outcome][-1] is R.NOT_SENT
         assert core.held["b"].launches == 0
@@ -348,6 +361,28 @@
     assert list(world.notices) == [number]
 
 
+def test_what_is_kept_of_hosts_that_left_is_dropped_after_a_while_and_not_under_a_call():
+    core, now = bare_core(), 1000 * SECOND
+    for number in range(30):
+        now += 5 * SECOND
+        for name, condition in ((f"n{number - 1}", it.Condition.GONE), (f"n{number}", it.Condition.UP)):
+            core.waits[name], core.away[name] = now + 1, now + SECOND
+            core.reduce(now, ev.Listed(it.Scope.UPDATE, [ev.Host(name, ("127.0.0.1", 1), 0, 0, 2, condition, 1.0)]))
+        core.away["never listed"] = None
+    assert len(core.hosts) <= 16 and len(core.left) <= 16 and len(core.away) <= 3 and len(core.waits) <= 3
+    assert "h1" in core.hosts
+    effects_of(core, now, ev.Arrived("c", fresh(due=now + 900 * SECOND)), ev.Step(), ev.Heard("a"))
+    gone = ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, it.Condition.GONE, 1.0)
+    for later in (0, 100 * SECOND):
+        core.reduce(now + later, ev.Listed(it.Scope.UPDATE, [gone]))
+    assert "h1" in core.hosts
+    (number,) = core.calls
+    effects_of(core, now + 101 * SECOND, ev.Ended(number, 1, [ev.End("a", R.FULFILLED, closed=True)]),
+               ev.Listed(it.Scope.UPDATE, []), ev.Step())
+    core.reduce(now + 162 * SECOND, ev.Listed(it.Scope.UPDATE, []))
+    assert "h1" not in core.hosts and "never listed" not in core.away
+
+
 def test_a_record_that_stands_twice_in_the_log_counts_once():
     core, now = bare_core(), 1001 * SECOND
     taken = effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())[0]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -201,7 +201,9 @@
     door = Door()
     sock = door.connect()
     assert door.say(sock, (ASK % b"id1")[:-1]) == b""
-    door.net.advance(11 * SECOND, step=SECOND)
+    door.net.advance(1100 * MS)
+    assert drain(sock).startswith(b"HTTP/1.1 408 ")
+    door.net.advance(300 * MS)
     assert drain(sock) is None and not door.net.events and door.net.budget.total() == 0
 
 
@@ -215,16 +217,18 @@
 
 def test_the_connection_idle_longest_makes_room_and_one_that_may_carry_a_request_never_does():
     door = Door()
-    busy, first, second, fresh, crossed = [door.connect() for _ in range(5)]
+    busy, first, second, crossed = [door.connect() for _ in range(4)]
     for sock in (busy, second, first, crossed):
         door.say(sock, b"GET /health/live HTTP/1.1\r\n\r\n")
         door.net.clock.now += 200 * MS
-    assert not door.clients.close_idlest(), "none has stood long"
+    assert not door.clients.close_idlest(SECOND, 10 * SECOND), "none has stood long"
     door.net.clock.now += SECOND
+    fresh = door.connect()
     door.say(busy, ASK % b"id1")
     crossed.send(ASK % b"id2")             # came, and not read yet
-    assert door.clients.close_idlest() and drain(second) is None and drain(first) == b""
-    assert door.clients.close_idlest() and drain(first) is None and not door.clients.close_idlest()
+    assert door.clients.close_idlest(SECOND, 10 * SECOND) and drain(second) is None and drain(first) == b""
+    assert door.clients.close_idlest(SECOND, 10 * SECOND) and drain(first) is None
+    assert not door.clients.close_idlest(SECOND, 10 * SECOND)
     door.net.settle()
     for event in list(door.net.events):
         door.answer(event)
@@ -232,6 +236,60 @@
     assert drain(fresh) == b"", "its first request may be on its way"
 
 
+def test_a_silent_crowd_makes_room_before_idle_hosts_and_before_those_that_were_served():
+    door = Door()
+    served, silent = door.connect(), [door.connect() for _ in range(3)]
+    door.say(served, b"GET /health/live HTTP/1.1\r\n\r\n")
+    hosts_closed = []
+    door.net.budget.idlers["host"] = lambda: hosts_closed.append(1)
+    door.net.budget.most = 4
+    door.net.advance(100 * MS)
+    assert not door.net.budget.take("client"), "their first request may be on its way"
+    door.net.advance(100 * MS)
+    hosts_closed.clear()
+    assert door.net.budget.take("client") and drain(silent[0]) is None and not hosts_closed
+    door.net.budget.quotas["client"] = 4
+    assert door.net.budget.take("client") and drain(silent[1]) is None and drain(served) == b"" and not hosts_closed
+    door.net.advance(2 * SECOND)
+    assert drain(silent[2]) is None, "owed an end within three seconds of connecting, crowd or not"
+    assert drain(served) == b"" and door.net.budget.take("client") and door.net.budget.take("client")
+    assert drain(served) is None, "two seconds idle: nobody needs it"
+
+
+def test_a_body_that_goes_on_and_requests_in_a_row_don_t_hold_up_the_others():
+    door, other = Door(), None
+    sock = door.connect()
+    sock.send(ASK.replace(b"Content-Length: 3", b"Content-Length: 60000000") % b"id1")
+    turns = 0
+    while sock.fileno() >= 0 and turns < 200:
+        turns += 1
+        try:
+            sock.send(b"x" * 20_000)
+        except BlockingIOError:
+            pass
+        except OSError:
+            break
+        door.net.scheduler.turn(block=False)
+    assert turns < 200 and not door.net.events and not door.clients.conns, "an error or a close, and not at the end"
+    sock, other = door.connect(), door.connect()
+    sock.send(b"GET /nothing HTTP/1.1\r\n\r\n" * 100)
+    other.send(b"GET /health/live HTTP/1.1\r\n\r\n")
+    for _ in range(5):
+        door.net.scheduler.turn(block=False)
+    assert drain(other).startswith(b"HTTP/1.1 200") and 0 < drain(sock).count(b"404") < 10
+
+
+def test_a_length_beside_a_transfer_encoding_passes_nothing_on_of_what_follows():
+    door = Door()
+    sock = door.connect()
+    hidden = b"0\r\n\r\n" + ASK % b"hidden"
+    text = door.say(sock, (ASK % b"id1").replace(b"Content-Length: 3", b"Content-Length: 5\r\nTransfer-Encoding: chunked")[:-3]
+                    + hidden)
+    assert text.startswith(b"HTTP/1.1 400 ")
+    door.net.advance(300 * MS)
+    assert not door.net.events and not door.clients.conns
+
+
 def test_while_descriptors_are_short_answers_end_their_connections():
     door = Door()
     sock = door.connect()
@@ -249,7 +307,7 @@
         self.net, self.allowed = Net(), True
         self.made, self.refusals = self.net.catch(monkeypatch)
         self.hosts = hosts.Hosts(self.net.scheduler, net_config(), self.net.budget, self.net.post,
-                                 lambda host: self.allowed)
+                                 lambda *_: self.allowed)
         self.serial = 0
 
     def call(self, *ids, bundle=False, span=2 * SECOND, host="h1"):
@@ -442,7 +500,7 @@
         return calls.allowed
     calls.made.clear()
     calls.hosts.close_idle("h1")
-    calls.hosts.may_send = lambda host: told_while_connecting()
+    calls.hosts.may_send = lambda *_: told_while_connecting()
     calls.call()
     assert calls.net.events[2].ends[0].result is R.NOT_SENT and drain(calls.made[0]) is None
     assert calls.net.budget.total() == 0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -188,6 +188,41 @@
     assert world.asked == 2
 
 
+def test_hosts_that_come_and_go_leave_nothing_behind_and_one_that_is_back_soon_is_known():
+    world = World(settings(categories=[category("exclusive", abandon=100_000)]), hosts=((0, 0, 0, 1),))
+    relay = world.relay
+
+    def tell(*rows):
+        world.table.update({host: (host, 0, 0, destination) for host, destination, _ in rows})
+        world.step([world.news(it.Scope.UPDATE, [it.HostEntry(*world.table[host], condition, 1.0)
+                                                 for host, _, condition in rows])])
+    for number in range(1, 40):
+        tell((number - 1, max(1, number - 1), it.Condition.GONE), (number, number, it.Condition.UP))
+        world.take(destination=number)
+        world.answer(next(iter(world.out)))
+        world.advance(4 * SECOND)
+    assert len(relay.h_id) == len(relay.rows[-1]) <= 12 and len(relay.dests) <= 12, "half a minute's worth"
+    world.take(destination=39)
+    tell((39, 39, it.Condition.GONE))
+    world.advance(31 * SECOND)
+    assert 39 in relay.hosts, "a call is out there"
+    world.answer(next(iter(world.out)))
+    world.advance(31 * SECOND)
+    assert not relay.hosts and not relay.dests and not relay.held and not relay.keys
+    tell((50, 7, it.Condition.UP))
+    relay.h_state[relay.hosts[50]] = "closed"
+    tell((50, 7, it.Condition.GONE))
+    world.advance(10 * SECOND)
+    tell((50, 7, it.Condition.UP))
+    assert relay.h_state[relay.hosts[50]] == "closed" and len(relay.h_id) <= 12
+
+
+def test_a_destination_that_no_list_ever_named_is_denied_at_once_and_leaves_no_row():
+    world = World(settings())
+    number = world.take(destination=77)
+    assert number in world.final and not world.sent and 77 not in world.relay.dests and not world.relay.held
+
+
 def test_callbacks_fill_a_call_of_a_kind_that_takes_several():
     world = World(settings(kinds=[it.Kind(False, 5)], slots=4), hosts=((1, 0, 0, 1),))
     for _ in range(12):
