Launch nothing too late for an answer; learn no pace where no allowance is told

Seen: on churn a relay whose queue at one destination reached the abandon time sent every call with some 16 ms left; 40 a second timed out, nobody was served, while the other relay served there (trace of calls, 58 to 75 s). On reload a destination that tells no limit got 12 calls a second from one relay for ten seconds, at a flat latency of 45 ms and a queue of six seconds; after the restart the same relay sent it 100 a second. One refusal by a draining host had taught a pace. At fault: _may_launch looked at the abandon time alone; _refused took every refusal for an allowance's.

Also a repeat is not begun in the last sixteenth of its window.

--- a/molehill/config.py
+++ b/molehill/config.py
@@ -129,6 +129,7 @@
         cold_from=get("guarantees.coldFrom", real, None),
         ramp_time=get("guarantees.rampTimeMs", nanos, None),
         connection_idle=get("allowed.connIdleMs", nanos, 0),
+        tells_limit=limit_place(given) is not None and given.get("telemetry.how") == "piggyback",
         settle=get("guarantees.settleAfterDoubtMs", nanos, 0))
 
 
@@ -153,7 +154,6 @@
     known: dict                    # the list as last had, in discovery's form
     period: int                    # least span between two steps of the module
     connect_time_out: int
-    tells_limit: bool              # answers tell a limit in calls a second
     sockets: int                   # connections in all, and those that clients may have of them
     client_sockets: int
     disk: int                      # bytes
@@ -241,7 +241,6 @@
         zones=names(nested, "azs"), kinds=names(nested, "machineTypes"), known=known,
         period=reader.get("periodMs", nanos, PERIOD),
         connect_time_out=reader.get("allowed.connectTimeoutMs", nanos, CONNECT_TIME_OUT),
-        tells_limit=limit_place(pairs) is not None and pairs.get("telemetry.how") == "piggyback",
         sockets=most, client_sockets=most - outgoing, disk=int(disk * 1_000_000), memory=int(memory * 1_000_000))
 
 
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -95,6 +95,7 @@
     cold_from: Optional[float] = None
     ramp_time: Optional[int] = None
     connection_idle: int = 0    # an idle connection is closed after this span
+    tells_limit: bool = False   # answers tell a host's limit in calls a second where it has one
     settle: int = 0             # rest of a key after a launch that may still run
 
 
--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -237,7 +237,7 @@
     def _told_rate(self, head) -> float:
         """The limit in calls a second; 0 where none is told or the report is spoilt, be it in another field."""
         report = head.headers.get("srv-load", "")
-        if not self.config.tells_limit or not REPORT.fullmatch(report):
+        if not self.config.settings.tells_limit or not REPORT.fullmatch(report):
             return 0.0
         rate = float(dict(part.strip().split("=") for part in report.split(",")).get("x1", 0.0))
         return rate if 0.0 < rate < 1e9 else 0.0
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -64,8 +64,7 @@
 
     def step(self, now, events):
         self.now, self.actions = now, []
-        for event in [event for event in events if type(event) in self.on]:
-            self.on[type(event)](event)
+        [self.on[type(event)](event) for event in events if type(event) in self.on]
         self._ring()                          # what a timer was set for is found by the clock
         self._launch_all()
         if self.timers and (self.wake_at is None or self.timers[0][0] < self.wake_at or self.wake_at <= now):
@@ -88,8 +87,7 @@
 
     def _move(self, callback, state):
         """Every change of a callback's state."""
-        if state is TURN and callback.key is None:
-            state = QUEUED
+        state = QUEUED if state is TURN and callback.key is None else state
         before, callback.state = callback.state, state
         dest = self._dest(callback.dest)
         dest.waiting += (state in WAITING) - (before in WAITING)
@@ -141,7 +139,7 @@
         """Rule 2: from the first such launch on, a ticketed one goes only where and while it is known."""
         if not callback.ran and callback.row.effect is Effect.TICKETED:
             callback.zone = None if callback.row.all_hosts else zone
-            callback.ticket = sent + callback.row.window
+            callback.ticket = sent + callback.row.window * 15 // 16    # a new connection takes its time
             self._at(callback.ticket, self._time_up, callback.id)
         callback.ran = True
 
@@ -187,9 +185,11 @@
             self.keys.pop(key, None), self.rests.pop(key, None)
 
     def _may_launch(self, callback):
-        """Rule 2: whether the category allows another launch at all, now."""
+        """Rule 2: whether it may be launched now. Danger: in a long queue all go too late for an answer."""
         ends = min(callback.due, callback.ticket) if callback.ran else callback.due
-        return callback.launches < self.set.max_launches and self.now < ends
+        hosts = self._dest(callback.dest).hosts    # bounded, so that a slow spell long past shuts nobody out
+        took = min([callback.row.abandon // 16, *(self.h_route[h].now_best or 0 for h in hosts)])
+        return callback.launches < self.set.max_launches and self.now + took < ends
 
     def _back(self):    # when a denied one may come again: a queue thins by then
         return min(SECOND, self.set.max_return) if self.set.tells_return else 0
@@ -317,11 +317,12 @@
         lim.paused = max(lim.paused, self.now + wait + self._rest(h))
         self._at(lim.paused, None, self.h_dest[h])
         # Danger: at an allowance latency stays flat. So the rate served becomes the guide's crawl delay.
+        # Where answers tell allowances and none was told, there is none: refused at a drain or a full queue.
         seen = max(lim.served, lim.count * SECOND / max(SECOND, self.now - lim.count_at))
-        lim.pace = max(self.LEAST_PACE, lim.told / self.set.relays, self.CUT * min(seen, lim.pace or seen))
+        if lim.told or not self.set.tells_limit:
+            lim.pace = max(self.LEAST_PACE, lim.told / self.set.relays, self.CUT * min(seen, lim.pace or seen))
         lim.credit, lim.credit_at = 0.0, self.now
-        if self.h_state[h] is CLOSED:
-            self._close(h, Result.FULL)
+        self._close(h, Result.FULL) if self.h_state[h] is CLOSED else None
 
     BAD_GAIN, MOSTLY_BAD = 0.25, 0.5  # smoothing and share of failures that closes: three in a row, no fewer
 
@@ -335,8 +336,7 @@
             until = self.h_next[h] = max(self.h_next[h], self.now + self._rest(h))
             if result in (Result.ERROR, Result.NO_CONNECT):    # not silence: that may be the connection's own
                 self.h_route[h].paused = max(self.h_route[h].paused, until)
-        if not good and (self.h_bad[h] > self.MOSTLY_BAD or self.h_state[h] is CLOSED):
-            self._close(h, result)
+        self._close(h, result) if not good and max(self.h_bad[h], self.h_state[h] is CLOSED) > self.MOSTLY_BAD else 0
 
     def _close(self, h, result):
         if self.h_state[h] is not CLOSED:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -68,6 +68,17 @@
     assert (number in world.out) == again and (number in world.open) == again
 
 
+def test_what_no_answer_can_reach_any_more_is_given_up_and_what_is_behind_it_served():
+    world = World(settings(slots=1, categories=[category(abandon=1600)]), hosts=((1, 0, 0, 1),))
+    feed(world, 100, 1000, took=60)
+    world.take()
+    late, good = world.take(abandon=110 * MS), world.take(abandon=800 * MS)
+    world.advance(60 * MS)
+    sent = len(world.sent)
+    world.answer(next(iter(world.out)))
+    assert late in world.final and list(world.out) == [good] and len(world.sent) == sent + 1
+
+
 def test_a_ticket_that_ran_out_ends_the_callback_at_once():
     rows = [category("ticketed", window=1000, abandon=9000)]
     world = World(settings(categories=rows), hosts=((1, 0, 0, 1),))
@@ -149,6 +160,16 @@
     assert served > 100 and refused < served / 3
 
 
+@pytest.mark.parametrize("tells,told,paced", [(True, 0.0, False), (True, 30.0, True), (False, 0.0, True)])
+def test_a_refusal_teaches_no_pace_where_allowances_are_told_and_none_was(tells, told, paced):
+    world = World(settings(tells_limit=tells), hosts=((1, 0, 0, 1),))
+    feed(world, 100, 1000)
+    world.relay.h_route[0].told = told
+    world.take()
+    world.answer(next(iter(world.out)), R.FULL)    # as of a host that drains
+    assert bool(world.relay.h_route[0].pace) == paced
+
+
 def test_short_of_slots_the_quick_destination_goes_first():
     hosts = [(d, 0, 0, d) for d in (1, 2, 3, 4)]
     world = World(settings(slots=4, categories=[category(abandon=30000)]), hosts=hosts)
