--- a/molehill/net/hosts.py
+++ b/molehill/net/hosts.py
@@ -135,9 +135,6 @@
             except (Broken, Late) as error:
                 if stream is not None:
                     stream.close()         # before the last byte: it never ran
-                if isinstance(error, Late) and until < start + self.config.connect_time_out:
-                    self._end(call, start, call.members, KEPT_BACK)    # a callback's time is up: no fault of the host
-                    return None
                 if fresh or isinstance(error, Late):
                     break                  # else a kept connection broke: once more on a new one
         self._end(call, start, call.members, ev.End("", Result.NO_CONNECT))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -408,11 +408,12 @@
     assert [e.ends[0].result for e in calls.net.events[3:]] == [R.RESET] and not stream.open
 
 
-def test_a_connect_cut_short_by_a_callback_s_time_tells_nothing_of_the_host(monkeypatch):
+@pytest.mark.parametrize("span", [SECOND, 2 * SECOND])
+def test_a_connection_that_never_comes_up_is_the_host_s_failure_also_within_a_short_time_out(monkeypatch, span):
     calls = Calls(monkeypatch)
     calls.refusals.append(hosts.Late())
-    calls.call(span=SECOND)
-    assert [(e.ends[0].result, e.ends[0].unsent) for e in calls.net.events] == [(R.NOT_SENT, True)]
+    calls.call(span=span)
+    assert [(e.ends[0].result, e.ends[0].unsent) for e in calls.net.events] == [(R.NO_CONNECT, False)]
 
 
 @pytest.mark.parametrize("sent,result", [(b"", R.RESET), (b"HTTP/1.1 20", R.RESET), (b"HTTP/1.1 200 OK\r\n", R.FULFILLED),
