Hold a kept connection's reset against no host; count scarcity in calls

The log shows a dozen hosts closed for resets on each relay, each fed under the budget of a returning host for ten seconds after, though nothing was wrong with them: kept connections were reset at the next request or closed unseen (187 to 208 requests written to those). Churn opened 340 connections in ten seconds at one relay and 80 at the other: one failed connect a while, at a host that left, had idle connections to all hosts given up for 30 s. At fault: _judge, which took every reset for the host's; SCARCE in seconds.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -197,11 +197,9 @@
     def _give_up(self, callback):
         """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
         effect = callback.row.effect
-        if self.now < callback.due and (not callback.ran or effect is Effect.RERUNNABLE
-                                        or effect is Effect.TICKETED and callback.row.all_hosts):
-            self.actions.append(it.Deny(callback.id, self._back()))
-        else:
-            self.actions.append(it.Scrap(callback.id))
+        harmless = self.now < callback.due and (not callback.ran or effect is Effect.RERUNNABLE
+                                                or effect is Effect.TICKETED and callback.row.all_hosts)
+        self.actions.append(it.Deny(callback.id, self._back()) if harmless else it.Scrap(callback.id))
         self._move(callback, OVER)
 
     def _outcome(self, event):
@@ -236,16 +234,15 @@
             self._move(callback, TURN)
         self._next_turn(callback.key)
 
-    SCARCE = 30 * SECOND  # as long as a crowd of relays takes to thin out; a handshake a call is the price
+    SCARCE = 32  # calls: seconds of a small relay's, as a crowd takes to thin; each a handshake dearer
     WORN_GAIN, WORN = 0.25, 0.5  # smoothing, and share of lost calls beyond that of new connections: three
 
     def _connection(self, h, call, result, took):
         """Danger: idle connections of many relays fill a host that takes few: none is kept once one failed.
         Danger: dropped unseen, they lose the next call: most calls on long idle ones are lost, few on new."""
         self.h_free[h] = 0 if result.may_run_still else self.now
-        if result is Result.NO_CONNECT:
-            self.scarce = self.now + self.SCARCE
-        if self.now < self.scarce and not self.h_out[h] and not self.dests[self.h_dest[h]].waiting:
+        self.scarce = self.SCARCE if result is Result.NO_CONNECT else max(0, self.scarce - 1)
+        if self.scarce and not self.h_out[h] and not self.dests[self.h_dest[h]].waiting:
             self.h_free[h] = 0
             self.actions.append(it.CloseIdle(self.h_id[h]))
         lost = result is Result.RESET or result is Result.TIMEOUT and took >= call[4]
@@ -262,8 +259,9 @@
 
     def _judge(self, h, dest, call, event):
         lim, now, result = self.h_route[h], self.now, event.result
-        if result in (Result.NOT_SENT, Result.CANCELLED) or result is Result.TIMEOUT and event.took < call[4]:
-            return                            # a time-out cut by an abandon time tells nothing of the host
+        apart = result is Result.TIMEOUT and event.took < call[4] or result is Result.RESET and call[5]
+        if apart or result in (Result.NOT_SENT, Result.CANCELLED):
+            return    # a time-out cut by an abandon time, a kept connection's reset: not the host's doing
         if result is not Result.FULFILLED and call[2] >= lim.bad_at:
             lim.rounds, lim.bad_at = lim.rounds + 1, now
         if result is Result.FULL:
@@ -318,9 +316,9 @@
         self._at(lim.paused, None, self.h_dest[h])
         # Danger: at an allowance latency stays flat. So the rate served becomes the guide's crawl delay.
         # Where answers tell allowances and none was told, there is none: refused at a drain or a full queue.
-        seen = max(lim.served, lim.count * SECOND / max(SECOND, self.now - lim.count_at))
+        got = max(lim.served, lim.count * SECOND / max(SECOND, self.now - lim.count_at))
         if lim.told or not self.set.tells_limit:
-            lim.pace = max(self.LEAST_PACE, lim.told / self.set.relays, self.CUT * min(seen, lim.pace or seen))
+            lim.pace = max(self.LEAST_PACE, lim.told / self.set.relays, self.CUT * min(got, lim.pace or got))
         lim.credit, lim.credit_at = 0.0, self.now
         self._close(h, Result.FULL) if self.h_state[h] is CLOSED else None
 
@@ -336,7 +334,8 @@
             until = self.h_next[h] = max(self.h_next[h], self.now + self._rest(h))
             if result in (Result.ERROR, Result.NO_CONNECT):    # not silence: that may be the connection's own
                 self.h_route[h].paused = max(self.h_route[h].paused, until)
-        self._close(h, result) if not good and max(self.h_bad[h], self.h_state[h] is CLOSED) > self.MOSTLY_BAD else 0
+        if not good and (self.h_bad[h] > self.MOSTLY_BAD or self.h_state[h] is CLOSED):
+            self._close(h, result)
 
     def _close(self, h, result):
         if self.h_state[h] is not CLOSED:
@@ -409,8 +408,7 @@
             self.h_up[h], hosts = up, self._dest(self.h_dest[h]).hosts
             (hosts.append if up else hosts.remove)(h)
             self.dirty[self.h_dest[h]] = True
-        if not up:
-            self._at(self.now + self.LEFT, self._drop, self.h_id[h])
+        self._at(self.now + self.LEFT, self._drop, self.h_id[h]) if not up else None
 
     def _launch_all(self):
         dirty, self.dirty = {**self.starved, **self.dirty}, {}
