--- a/molehill/config.py
+++ b/molehill/config.py
@@ -222,8 +222,8 @@
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: {sockets} is under the {LEAST_SOCKETS} that a relay needs")
     most = sockets - STANDING
-    # Clients may fill all but the slots: those that are left idle make room for connections to hosts.
-    outgoing = min(made.slots + OUTGOING, most * 3 // 4)    # a quarter at least is left to clients
+    # Half is for calls and idle connections to hosts, and a slot's worth at least; a quarter at least for clients.
+    outgoing = min(max(made.slots + OUTGOING, most // 2), most * 3 // 4)
     disk, memory = limit.get("disk_mb", real, DISK_MB), limit.get("memory_mb", real, MEMORY_MB)
     for key, value in (("disk_mb", disk), ("memory_mb", memory)):
         if not 0 < value < 1e9:
--- a/molehill/net/stream.py
+++ b/molehill/net/stream.py
@@ -38,10 +38,8 @@
         while self.used.get(kind, 0) >= self.quotas.get(kind, self.most):
             if not self._make_room([name for name in self.ORDER if name.endswith(kind)]):
                 return False
-        # Beyond half of all, a client's makes room among clients alone, and hosts keep what they have.
-        crowd = kind == "client" and self.used.get(kind, 0) >= self.most // 2
         while self.total() + 1 + spare > self.most:
-            if not self._make_room([name for name in self.ORDER if not (crowd and name == "host")]):
+            if not self._make_room(self.ORDER):
                 return False
         self.used[kind] = self.used.get(kind, 0) + 1
         return True
