--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -31,10 +31,10 @@
         print(f"molehill: {error}", file=sys.stderr)
         return 2
     try:
-        process = Process(config, Kernel(), Sink(), lambda: configuration.load(os.environ, again=True))
+        process = Process(config, Kernel(), Sink(), lambda old: configuration.load(os.environ, again=old))
         process.clients.listen()
     except OSError as error:
-        print(f"molehill: {config.state}, {config.listen}: {error}", file=sys.stderr)
+        print(f"molehill: {config.state}, {config.listen}, {config.admin or 'no admin'}: {error}", file=sys.stderr)
         return 1
     process.begin(signals)
     gc.freeze()                        # what is here now stays: later collections pass over it
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -5,6 +5,7 @@
 import json
 import re
 from dataclasses import dataclass, fields, replace
+from typing import Optional
 
 from molehill import interface as it
 
@@ -73,6 +74,30 @@
     return {path: scalar(value)}
 
 
+class Figure(str):
+    """A number as the file spells it; other text in its place is no number."""
+
+
+def no_number(text):
+    raise ConfigError(f"{text} is no number that can be used")
+
+
+TICKETED_ONLY = ("dedupScope", "dedupWindowMs")
+
+
+def keys_of(value, path: str = "") -> set[str]:
+    """The keys that a file names, by path; by `*` those that each row of a list has, but for what only some effects need.
+    Not those below the list of hosts, which is none of ours."""
+    found = {path} if path else set()
+    if isinstance(value, dict) and path != "known":
+        for name, part in value.items():
+            found |= keys_of(part, f"{path}.{name}" if path else name)
+    elif isinstance(value, list) and value and all(isinstance(row, dict) for row in value):
+        common = set.intersection(*(keys_of(row, f"{path}.*") for row in value))
+        found |= {key for key in common if not key.endswith(TICKETED_ONLY)}
+    return found
+
+
 def scalar(value) -> str:
     return "-" if value is None else ("false", "true")[value] if isinstance(value, bool) else str(value)
 
@@ -159,6 +184,8 @@
     client_idle: int               # of those, how many may stand idle after their answer before some are ended
     disk: int                      # bytes
     memory: int
+    admin: Optional[tuple[str, int]] = None    # the operators' door; None: none is opened
+    required: tuple = ()           # keys that the file's settings name: a later file without one of them is broken
 
 
 CONNECT_TIME_OUT = 1500 * MS   # where no setting tells: the users' figure on all their deployments
@@ -170,6 +197,7 @@
 # nobody shut out new requests before the relay is short of anything itself. An eighth leaves clients five eighths of
 # theirs for what is under way. Tried on incident rcb7e34: see docs/status.md.
 IDLE_SHARE = 8
+ADMIN_SEATS = 8                # operators' calls at once: a few people and a scraper, and as many that hold one and say nothing
 OUTGOING = 4                   # beside calls: discovery, notices, one to spare for each; kept free for them
 LEAST_SOCKETS = 32             # standard streams, log, discovery, notices, a listener and a few of each side
 
@@ -181,30 +209,67 @@
     return host.strip("[]"), int(port)
 
 
-def load(environ, again=False) -> Config:
+def load(environ, again: Optional[Config] = None) -> Config:
     """The file that ROUTER_CONFIG names; single values of it may also come from the environment, which wins.
 
-    Read `again` on SIGHUP, the file's `discovery` is newer than the environment of the start, and wins.
+    Read on SIGHUP, `again` is what was taken last: the file's `discovery` is newer than the environment of the start, and
+    wins; and the file has to name each key that the one before did.
     """
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG: not set; it names the configuration file")
     try:
         with open(path, encoding="utf-8") as file:
-            given = json.load(file, parse_float=str)
-    except (OSError, ValueError, RecursionError) as error:
+            given = json.load(file, parse_float=Figure, parse_constant=no_number)
+    except (OSError, ValueError, RecursionError, ConfigError) as error:
         raise ConfigError(f"ROUTER_CONFIG: {path}: {error}") from None
     if not isinstance(given, dict):
         raise ConfigError(f"ROUTER_CONFIG: {path}: not an object")
-    if again and "discovery" in given:
-        environ = {key: text for key, text in environ.items() if key != "ROUTER_DISCOVERY"}
+    if again is not None:
+        # Danger: defaults in place of what a cut or mistyped file lacks would be new settings that nobody wrote.
+        whole_file(given, again)
+        environ = {key: text for key, text in environ.items() if key != "ROUTER_DISCOVERY" or "discovery" not in given}
     return check(given, environ)
 
 
-def part(given: dict, key: str) -> dict:
+def whole_file(given: dict, before: Config) -> None:
+    """Raises for a key that the file before named, in each row of its kind, and this one does not."""
+    def look(value, path, wanted):
+        for name in sorted(wanted):
+            at = f"{path}.{name}" if path else name
+            parts = value if name == "*" and isinstance(value, list) else \
+                [value[name]] if isinstance(value, dict) and name in value else None
+            if parts is None:
+                raise ConfigError(f"{at}: missing; the file before has it")
+            for n, part in enumerate(parts):
+                if wanted[name]:
+                    look(part, f"{path}.{n}" if name == "*" else at, wanted[name])
+    tree: dict = {}
+    for key in before.required:
+        at = tree
+        for name in key.split("."):
+            at = at.setdefault(name, {})
+    look(given, "", tree)
+
+
+def positive(value, key: str) -> None:
+    """Raises for what is not a number above 0 as JSON writes one; for what is not there it does not."""
+    right = isinstance(value, (int, Figure)) and not isinstance(value, bool)
+    if value is not None and not (right and 0 < float(value) < 1e15):
+        raise ConfigError(f"{key}: {value!r} is not a positive number")
+
+
+def part(given: dict, key: str, prefix: str = "") -> dict:
     value = given.get(key, {})
     if not isinstance(value, dict):
-        raise ConfigError(f"{key}: not an object")
+        raise ConfigError(f"{prefix}{key}: not an object")
+    return value
+
+
+def part_list(given: dict, key: str) -> list[dict]:
+    value = given.get(key, [])
+    if not isinstance(value, list) or not all(isinstance(row, dict) for row in value):
+        raise ConfigError(f"settings.{key}: not a list of objects")
     return value
 
 
@@ -215,6 +280,11 @@
     made = settings(pairs, "settings.")
     if not made.categories:
         raise ConfigError("settings.grades: no class of message is given")
+    if len(names(nested, "grades")) != len(made.categories):
+        raise ConfigError("settings.grades: two classes have one name")
+    for n, row in enumerate(part_list(nested, "grades")):
+        positive(row.get("deadlineMs"), f"settings.grades.{n}.deadlineMs")
+    positive(part(nested, "allowed", "settings.").get("maxAttempts"), "settings.allowed.maxAttempts")
     state = environ.get("ROUTER_STATE") or given.get("state")
     if not state:
         raise ConfigError("ROUTER_STATE: not set; it names the folder that lasts")
@@ -226,7 +296,8 @@
     sockets = limit.get("sockets", whole, SOCKETS)
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: {sockets} is under the {LEAST_SOCKETS} that a relay needs")
-    most = sockets - STANDING
+    admin = environ.get("ROUTER_ADMIN") or given.get("admin")
+    most = sockets - STANDING - (ADMIN_SEATS + 1 if admin else 0)    # set aside: neither side starves the other
     # Half is for calls and idle connections to hosts, and a slot's worth at least; a quarter at least for clients.
     outgoing = min(max(made.slots + OUTGOING, most // 2), most * 3 // 4)
     disk, memory = limit.get("disk_mb", real, DISK_MB), limit.get("memory_mb", real, MEMORY_MB)
@@ -247,16 +318,29 @@
         period=reader.get("periodMs", nanos, PERIOD),
         connect_time_out=reader.get("allowed.connectTimeoutMs", nanos, CONNECT_TIME_OUT),
         sockets=most, client_sockets=most - outgoing,
-        client_idle=min(sockets // IDLE_SHARE, most - outgoing), disk=int(disk * 1_000_000), memory=int(memory * 1_000_000))
+        client_idle=min(sockets // IDLE_SHARE, most - outgoing), disk=int(disk * 1_000_000), memory=int(memory * 1_000_000),
+        admin=address(admin, "ROUTER_ADMIN" if environ.get("ROUTER_ADMIN") else "admin") if admin else None,
+        required=tuple(keys_of(given)))
 
 
-LEFT_ALONE = ("discovery", "seed", "known", "zones")     # moved at once; new with each start, or learnt
+AT_ONCE = ("discovery", "settings", "categories", "tenants", "required")     # taken at SIGHUP
+LEFT_ALONE = ("seed", "known", "zones")                  # new with each start, or learnt
+BOUND = ("kinds", "zone_fees", "connection_idle", "list_on_request")         # of `settings`: built into what stands
 
 
 def waiting(old: Config, new: Config) -> list[str]:
     """What differs and counts from the next start on."""
-    return [field.name for field in fields(old)
-            if field.name not in LEFT_ALONE and getattr(old, field.name) != getattr(new, field.name)]
+    found = [field.name for field in fields(old)
+             if field.name not in (*AT_ONCE, *LEFT_ALONE) and getattr(old, field.name) != getattr(new, field.name)]
+    return found + [f"settings.{name}" for name in BOUND if getattr(old.settings, name) != getattr(new.settings, name)]
+
+
+def retake(old: Config, new: Config) -> None:
+    """Has `old` go by what a file read again says, but for what counts from the next start on."""
+    new.settings = replace(new.settings, **{name: getattr(old.settings, name) for name in BOUND},
+                           slots=min(new.settings.slots, old.sockets - old.client_sockets - OUTGOING))
+    for name in AT_ONCE:
+        setattr(old, name, getattr(new, name))
 
 
 def names(nested: dict, key: str) -> dict[str, int]:
--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -108,6 +108,12 @@
     at: int
 
 
+@dataclass(slots=True)
+class Retuned:                     # new settings; `names`: their categories', in order
+    settings: it.Settings
+    names: list[str]
+
+
 # Effects
 
 
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -6,11 +6,14 @@
 key ended by a notice that the platform has not answered.
 """
 from collections import OrderedDict
+from dataclasses import replace
 from heapq import heappop, heappush
 
 from molehill import interface as it
 from molehill.config import MS, SECOND
 from molehill.core import events as ev
+from molehill.core.classes import Classes
+from molehill.core.figures import FAULTED, FULFILLED, THROTTLED, Figures
 from molehill.holds import holds
 from molehill.interface import Result
 
@@ -49,9 +52,13 @@
 class Core:
     DONE_KEPT = 4096               # ids lately over, by which a request sent again is known: minutes of traffic
 
-    def __init__(self, settings, seed, make_module, log_room):
-        self.set, self.seed, self.make_module, self.log_room = settings, seed, make_module, log_room
-        self.module, self.inbox, self.now, self.effects = make_module(settings, seed), [], 0, []
+    def __init__(self, settings, seed, make_module, log_room, names=None):
+        """`names`: those of the settings' categories, by which figures and the log know them; else their numbers."""
+        self.seed, self.make_module, self.log_room = seed, make_module, log_room
+        names = [str(n) for n in range(len(settings.categories))] if names is None else names
+        self.classes, self.figures = Classes(names, settings.categories), Figures(names)
+        self.set = replace(settings, categories=self.classes.rows)     # one list: the module reads the same rows
+        self.module, self.inbox, self.now, self.effects = make_module(self.set, seed), [], 0, []
         self.held: dict[str, Callback] = {}           # in the order in which they were handed in
         self.used, self.open = 0, 0                   # log bytes taken up; callbacks the module has
         self.done: OrderedDict[str, object] = OrderedDict()    # id lately over -> its contents
@@ -63,10 +70,12 @@
         self.waits: dict[object, int] = {}            # route -> end of a told wait
         self.away: dict[str, object] = {}             # host -> None while closed, then when its ramp is over
         self.left: dict[str, int] = {}                # host that is not listed -> since when
+        self.shown: dict[str, tuple[bool, bool]] = {}  # host that is listed -> how it counts in the gauges
         self.guards, self.wake_at, self.stop_at = [], None, None
         self.on = {ev.Begin: self._begin, ev.Arrived: self._arrived, ev.Heard: self._heard,
                    ev.Unheard: self._unheard, ev.Unlogged: self._unlogged, ev.Ended: self._ended,
-                   ev.Noticed: self._noticed, ev.Listed: self._listed, ev.Step: self._step, ev.Stop: self._stop}
+                   ev.Noticed: self._noticed, ev.Listed: self._listed, ev.Step: self._step, ev.Stop: self._stop,
+                   ev.Retuned: self._retuned}
 
     def reduce(self, now, event):
         self.now, self.effects = max(now, self.now), []
@@ -92,13 +101,14 @@
         """One record of the log, as it is read again at a start; later ones override."""
         kind = record["k"]
         if kind == "taken" and record["id"] not in self.held:
-            fresh = ev.Fresh(record["id"], record["category"], record["tenant"], record["key"],
+            fresh = ev.Fresh(record["id"], self.classes.read_number(record["category"]), record["tenant"], record["key"],
                              record["destination"], record["due"], record["mark"], body)
             told = record.get("contents")
             callback = self.held[fresh.id] = Callback(
                 fresh, bytes.fromhex(told) if told else fresh.contents() if body else None)
             callback.launches, callback.ran_at = record.get("launches", 0), record.get("ran_at")
             callback.ran_zone = record.get("ran_zone")
+            self.figures.name([self.classes.names[callback.category]])
             self._move(callback, HELD)
         elif kind == "launch":
             for callback in self._known(record["ids"]):
@@ -124,6 +134,8 @@
                 if callback.sent is not None and callback.key is not None:     # over, while its call was out with others
                     self.unsettled[callback.key] = True
                 self._move(callback, OVER)
+        elif kind == "class":
+            self.classes.read(record)
         elif kind == "rest":
             self.rests[record["key"]] = record["until"]
         elif kind == "health":
@@ -132,6 +144,18 @@
     def _well(self, host, away, at):
         """Rule 4 over restarts: a host is away from its closing until it has answered for the whole ramp."""
         self.away[host] = None if away else at + (self.set.ramp_time or 0)
+        self._show(host)
+
+    def _show(self, number):
+        """Keeps the gauges of the list: what of this host counts in them now."""
+        host = self.hosts.get(number)
+        listed = host is not None and host.condition is not it.Condition.GONE
+        avoided = listed and (host.condition is not it.Condition.UP or self.away.get(number, 0) is None)
+        before, self.shown[number] = self.shown.get(number, (False, False)), (listed, avoided)
+        self.figures.registry_entries += listed - before[0]
+        self.figures.out_of_rotation += avoided - before[1]
+        if not listed:
+            del self.shown[number]
 
     def _is_away(self, host):
         return host in self.away and (self.away[host] is None or self.now < self.away[host])
@@ -149,6 +173,8 @@
 
     def snapshot(self):
         """The records that say all that is owed now; a log of just these replaces a longer one."""
+        for record in self.classes.records():
+            yield record, b""
         for key, until in self.rests.items():
             yield {"k": "rest", "key": key, "until": until}, b""
         for host, until in self.away.items():
@@ -176,6 +202,7 @@
         if before is None:
             self.used += callback.room
         self.open += (state in (ARRIVED, TAKEN, HELD)) - (before in (ARRIVED, TAKEN, HELD))
+        self.figures.open_requests += (state in (TAKEN, HELD)) - (before in (TAKEN, HELD))
         key = callback.key
         if state is OWED and key is not None:
             self.owed_keys[key] = self.owed_keys.get(key, 0) + 1
@@ -202,6 +229,7 @@
         # Danger: a stranger uses an id that is not its own, before or after the true request. Told "taken on" for what it
         # did not hand in, a client goes on with its key's next. Refused, either may come again under a new id.
         if contents != (known.contents if known is not None else self.done.get(fresh.id)) is not None:
+            self._count(fresh, THROTTLED)
             self.effects.append(ev.Answer(event.client, fresh.id, DENIED, why="id of another"))
         elif known is not None and known.state in (ARRIVED, TAKEN):
             known.clients.append(event.client)         # sent again on a new connection: both get the answer
@@ -213,6 +241,7 @@
             callback = Callback(fresh, contents)
             if self.set.max_held is not None and self.open >= self.set.max_held \
                     or self.used + callback.room > self.log_room:
+                self._count(callback, THROTTLED)
                 self.effects.append(ev.Answer(event.client, fresh.id, DENIED))
                 return
             self.held[fresh.id] = callback
@@ -224,6 +253,15 @@
         """To every connection on which it was handed in."""
         self.effects += [ev.Answer(client, callback.id, status, wait) for client in callback.clients]
 
+    def _count(self, c, end):
+        """Each callback's end is counted here, once, whatever comes of it later."""
+        self.figures.ends[self.classes.names[c.category]][end] += 1
+
+    def turned_away(self, name):
+        """A request of that class was refused before it came here."""
+        if name in self.classes.current:
+            self.figures.ends[name][THROTTLED] += 1
+
     def _hand_over(self, c):
         """Tells the module of a callback, with all that an earlier process or module did with it."""
         rests = self.rests.get(c.key, 0) if c.key is not None else 0
@@ -262,6 +300,7 @@
         for record in event.records:
             if record["k"] == "taken" and record["id"] in self.held:
                 callback = self.held[record["id"]]
+                self._count(callback, THROTTLED)
                 self._answer(callback, DENIED)
                 self._withdraw(callback)
             elif record["k"] == "launch":
@@ -275,6 +314,7 @@
 
     def _end_callback(self, callback, denied, wait):
         """A final answer that is not a delivery."""
+        self._count(callback, THROTTLED if denied else FAULTED)
         if callback.state is ARRIVED:
             self._answer(callback, DENIED if denied else FAILED, wait)
             self._move(callback, OVER)
@@ -436,6 +476,7 @@
                 self._settle_launch(callback, end.result, self.now, end.unsent)
                 ended.append([end.id, end.result.value, closed and callback.state is not OWED, end.unsent])
                 if closed and callback.state is not OWED:
+                    self._count(callback, FULFILLED if end.result is Result.FULFILLED else FAULTED)
                     self._move(callback, OVER)
             else:
                 closed, launches = True, 1
@@ -463,10 +504,12 @@
                 named = {host.id for host in event.hosts}
                 for host in [host for host in self.hosts.values() if host.id not in named]:
                     host.condition = it.Condition.GONE
+                    self._show(host.id)
             for host in event.hosts:
                 before, self.hosts[host.id] = self.hosts.get(host.id, host), host
                 if host.condition is it.Condition.GONE or before.address != host.address:
                     self.effects.append(ev.CloseIdle(host.id))
+                self._show(host.id)
         self._forget_hosts()
         self.inbox.append(it.ListNews(event.scope, [
             it.HostEntry(h.id, h.zone, h.kind, h.destination, h.condition, h.units, self._is_away(h.id))
@@ -487,8 +530,17 @@
         self.waits = {route: until for route, until in self.waits.items() if until > self.now}
         self.away = {host: until for host, until in self.away.items() if self._is_away(host)}
 
+    def _retuned(self, event):
+        """New settings. What is held keeps its category, also over a restart; the module hears of it with the next step."""
+        self.classes.renew(event.names, event.settings.categories, {c.category for c in self.held.values()})
+        self.set = replace(event.settings, categories=self.classes.rows)
+        self.figures.name(event.names)
+        self.effects += [ev.Append(record) for record in self.classes.records()]
+        self.inbox.append(it.NewSettings(self.set))
+
     def _begin(self, _):
         """After a start: launches that were out when the process ended may have run; all that is owed goes on."""
+        self.effects += [ev.Append(record) for record in self.classes.records()]
         out = [callback for callback in self.held.values() if callback.sent is not None]
         for callback in out:
             self._settle_launch(callback, Result.RESET, self.now)
--- a/molehill/emulator/node.py
+++ b/molehill/emulator/node.py
@@ -118,7 +118,7 @@
         self.world.tell(self.name, "ready", life=self.life)
         self.process.run()
 
-    def _load_again(self):
+    def _load_again(self, before):
         return configuration.check(self.given(), {})
 
     def _resume(self, task) -> None:
--- /dev/null
+++ b/molehill/http/admin.py
@@ -0,0 +1,81 @@
+"""The operators' door: one more listener, for them alone; one call to a connection, then it is closed.
+
+Answers come from memory, so a call costs about as much as its bytes. What callers may take up is bounded: descriptors
+(set aside for them, so that clients and operators can't starve each other), bytes of a head, and time.
+"""
+import errno
+
+from molehill.config import ADMIN_SEATS, MS, SECOND
+from molehill.http import parser as http
+from molehill.http.stream import HttpStream
+from molehill.runtime.scheduler import READ
+from molehill.runtime.stream import Broken, Budget, Late, finish, listening
+
+WITHIN = 2 * SECOND                # for a whole call: twice what an answer may take, so a slow but honest one is served
+LINGER, LINGER_MOST = 200 * MS, 16 * 1024    # what comes behind a call is read away, so that the caller sees the answer
+PAUSE = 20 * MS                    # before the next try, where no connection can be taken
+
+
+class Admin:
+    def __init__(self, scheduler, address, ready, figures):
+        """`ready()`: whether this process can serve; `figures()`: their text."""
+        self.scheduler, self.clock = scheduler, scheduler.clock
+        self.pages = {"/ready": lambda: (200, b"ready\n") if ready() else (503, b"not ready\n"),
+                      "/metrics": lambda: (200, figures().encode())}
+        self.seats, self.reading = Budget(ADMIN_SEATS), {}     # reading: streams without a whole head, the oldest first
+        self.listener = listening(scheduler.machine, address)
+        scheduler.spawn_kept(self.accept)
+
+    def accept(self) -> None:
+        while self.listener is not None:
+            # Danger: callers that hold a connection with no whole call take every seat. The one that has had most time goes.
+            if not self.seats.take("admin"):
+                if self.reading:
+                    oldest = next(iter(self.reading))
+                    del self.reading[oldest]
+                    oldest.close()
+                else:
+                    self.scheduler.sleep(self.clock() + PAUSE)
+                continue
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as error:
+                self.seats.give("admin")
+                if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK):
+                    self.scheduler.wait(self.listener.fileno(), READ)
+                else:
+                    self.scheduler.sleep(self.clock() + PAUSE)
+                continue
+            stream = HttpStream(self.scheduler, sock, "admin", self.seats, answers=False)
+            self.reading[stream] = True
+            self.scheduler.spawn(self.serve, stream)
+            self.scheduler.pause()         # what has come on it is read before another can take its seat
+
+    def serve(self, stream) -> None:
+        until = self.clock() + WITHIN
+        try:
+            try:
+                status, body = self.page(stream.head(until))
+            except http.Malformed as error:
+                status, body = 400, str(error).encode()
+            self.reading.pop(stream, None)
+            stream.send(http.answer(status, (("Allow", "GET"),) if status == 405 else (), body, close=True), until)
+            finish(stream, LINGER, LINGER_MOST)
+        except (Broken, Late, OSError):
+            pass
+        finally:
+            self.reading.pop(stream, None)
+            stream.close()
+
+    def page(self, head):
+        method, target, _ = head.first
+        page = self.pages.get(target.partition("?")[0])
+        if page is None:
+            return 404, b"only /ready and /metrics are here\n"
+        return page() if method == "GET" else (405, b"only GET is served here\n")
+
+    def close(self) -> None:
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            self.scheduler.cut(listener.fileno())
+            listener.close()
--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -1,6 +1,5 @@
 """The client side: takes connections, reads requests, answers them."""
 import errno
-import socket
 from collections import Counter
 
 from molehill.config import MS, OUTGOING, SECOND
@@ -8,7 +7,7 @@
 from molehill.http import parser as http
 from molehill.runtime.scheduler import LATE, READ
 from molehill.http.stream import HttpStream
-from molehill.runtime.stream import Broken, Late
+from molehill.runtime.stream import Broken, Late, finish, listening
 
 # A client that sends no whole request is owed an end within three seconds of connecting. Both fit in, and half a
 # second of the relay's own lateness; true clients connect to send at once, and wait 0.4 s for the answer.
@@ -19,7 +18,6 @@
 LEFT = 2 * SECOND                  # idle this long, it may be closed without harm: the protocol's figure
 LINGER = 200 * MS                  # what a client still sends after an error is read away so that it sees the answer,
 LINGER_MOST = 4 * 64 * 1024        # up to so much: of a body that goes on and on it has to see a close
-BACKLOG = 1024
 LONGEST = 24 * 3600 * SECOND       # no deadline is taken as further off: keeps figures sane
 STOOD_MOST = 400 * MS              # clients wait no longer for an answer: what was sent before, nobody asks for any more
 SURE_AFTER = SECOND                # from the start: what came while it went on is read by then, and what that was followed by
@@ -54,6 +52,7 @@
         self.clock, self.conns, self.ready, self.closing = scheduler.clock, {}, False, False
         self.listener, self.counts, self.short = None, Counter(), False
         self.first_waits = self.clock()        # since when some may have waited to be accepted
+        self.turned_away = lambda kind: None   # told of each request that never reaches the core; set when wiring
         self.sure = 0                          # from when on what is read tells by itself how long it has waited
         self.idle = {kind: {} for kind in MAY_GO}     # connections between requests, the one idle longest first
         budget.idlers["left client"] = lambda: self.close_idlest(ROOM, LEFT)
@@ -63,11 +62,7 @@
         self.ready, self.sure = True, self.clock() + SURE_AFTER
 
     def listen(self) -> None:
-        self.listener = self.scheduler.machine.tcp_socket(self.config.listen)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(self.config.listen)
-        self.listener.listen(BACKLOG)
-        self.listener.setblocking(False)
+        self.listener = listening(self.scheduler.machine, self.config.listen)
         self.budget.take("listener")
         self.scheduler.spawn_kept(self.accept)
 
@@ -169,12 +164,7 @@
             self.counts["malformed"] += 1
             stream.send(http.answer(error.status, body=str(error).encode(), close=True),
                         self.clock() + WRITE_WITHIN)
-            stream.sock.shutdown(socket.SHUT_WR)
-            until, read = self.clock() + LINGER, 0
-            while read < LINGER_MOST and self.clock() < until:
-                read += len(stream.buffer.take(len(stream.buffer)))
-                stream.read(until)
-                self.scheduler.pause()
+            finish(stream, LINGER, LINGER_MOST)
             return False
         close = not head.keep or self.closing or self.short or self.crowded(conn)
         conn.kind = ONCE if conn.kind is NEW else AGAIN
@@ -209,6 +199,7 @@
         if method != "POST":
             return 405, (("Allow", "POST"),), b""
         if not self.ready:
+            self.turned_away(head.headers.get("req-kind", ""))
             return 503, (), b""
         fresh = self.fresh(head.headers, body)
         # Danger: what came in while this process stood still would be ended late; its time runs from when it was sent. So it
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -26,10 +26,10 @@
 
 
 class Hosts:
-    def __init__(self, scheduler, config, budget, post, may_send):
+    def __init__(self, scheduler, config, budget, post, may_send, figures):
         self.scheduler, self.config, self.budget, self.post, self.may_send = \
             scheduler, config, budget, post, may_send
-        self.clock = scheduler.clock
+        self.clock, self.figures = scheduler.clock, figures
         self.idle: dict[str, list] = {}        # host -> its idle connections, the one used last at the end
         self.streams: dict[int, object] = {}   # call -> its connection
         self.aborted: set[int] = set()
@@ -126,6 +126,7 @@
                     stream.close()
                     return None
                 stream.send(self._request(call), until)
+                self.figures.relayed += len(call.members)
                 if not fresh and stream.unread():      # before an answer can have come: more than the last one's
                     stream.close()
                     self._end(call, start, call.members, ev.End("", Result.RESET))
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -161,6 +161,11 @@
     at: int
 
 
+@dataclass(slots=True)
+class NewSettings:              # in place of those before; what is held keeps its category as it came
+    settings: Settings
+
+
 # Actions
 
 
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -57,7 +57,7 @@
         self.timers, self.wake_at, self.serial, self.ends = [], None, 0, float("inf")
         self.quota = [[float("inf"), 0] for _ in settings.tenants]
         self.on = {it.Outcome: self._outcome, it.NewCallback: self._taken, it.ListNews: self._news,
-                   it.Withdrawn: self._withdrawn, it.Stopping: self._stopping}
+                   it.Withdrawn: self._withdrawn, it.Stopping: self._stopping, it.NewSettings: self._retuned}
         self.hosts, self.spare = {}, []       # host id -> index into the arrays below; indices to use again
         # the last six: health, calls out, share of failures; next call at; state, idle connection since
         self.rows = (self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route, self.h_state,
@@ -138,6 +138,14 @@
     def _stopping(self, event):
         self.ends = event.at    # danger: cut off there, a call may have run; so none goes shortly before
 
+    def _retuned(self, event):
+        """New settings count for what comes and for each launch from here on; what is held keeps its category."""
+        more = len(event.settings.tenants) - len(self.quota)
+        self.set, self.quota = event.settings, self.quota + [[float("inf"), 0] for _ in range(more)]
+        for callback in [c for c in self.held.values() if c.state in WAITING and not self._may_launch(c)]:
+            self._give_up(callback)           # fewer launches may be allowed: it is answered at once
+        self.dirty.update(dict.fromkeys(self.dests, True))
+
     def _may_have_run(self, callback, sent, zone):
         """Rule 2: from the first such launch on, a ticketed one goes only where and while it is known."""
         if not callback.ran and callback.row.effect is Effect.TICKETED:
@@ -152,7 +160,7 @@
 
     def _over_share(self, tenant):
         """A bucket a tenant, two seconds deep for clumps, at an even part of its quota; beyond is less."""
-        if tenant >= len(self.quota) or not self.set.tenants[tenant].quota:
+        if tenant >= len(self.set.tenants) or not self.set.tenants[tenant].quota:
             return False
         rate, bucket = self.set.tenants[tenant].quota / self.set.relays, self.quota[tenant]
         bucket[:] = min(max(1.0, 2.0 * rate), bucket[0] + rate * (self.now - bucket[1]) / SECOND), self.now
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -10,6 +10,7 @@
 from molehill.config import MS
 from molehill.core import events as ev
 from molehill.core.reducer import Core
+from molehill.http.admin import Admin
 from molehill.http.clients import Clients
 from molehill.http.discovery import Discovery
 from molehill.http.hosts import Hosts
@@ -39,7 +40,7 @@
 
 class Process:
     def __init__(self, config, machine, sink, load_again):
-        """`load_again()` reads the configuration anew, on SIGHUP; it raises ConfigError."""
+        """`load_again(config)` reads the configuration anew, on SIGHUP, in place of that one; it raises ConfigError."""
         self.config, self.sink, self.load_again, self.stopping = config, sink, load_again, False
         self.log = logger(sink, config.name, machine.clock)
         holds.report = lambda name, count, facts: self.log.error("broken invariant", name=name, count=count,
@@ -48,15 +49,20 @@
         self.budget = budget = Budget(config.sockets, {"client": config.client_sockets})
         files, owed = log_room(config)
         self.store = Store(config.state, files, machine.disk)
-        self.core = Core(config.settings, config.seed, Relay, owed)
+        self.core = Core(config.settings, config.seed, Relay, owed, list(config.categories))
         count = self.store.replay(self.core.load)
         self.log.info("log read", records=count, held=len(self.core.held), cut=self.store.cut,
                       odd=self.store.odd)
         self.engine = engine = Engine(self.scheduler, self.core, self.store, self.log, config.period)
         self.clients = engine.clients = Clients(self.scheduler, config, budget, engine.post)
-        self.hosts = engine.hosts = Hosts(self.scheduler, config, budget, engine.post, self.core.may_send)
+        self.hosts = engine.hosts = Hosts(self.scheduler, config, budget, engine.post, self.core.may_send,
+                                         self.core.figures)
         self.notices = engine.notices = Notices(self.scheduler, config, budget, engine.post)
+        self.clients.turned_away = self.core.turned_away
         self.discovery = engine.discovery = Discovery(self.scheduler, config, budget, engine.post)
+        self.admin = None
+        if config.admin is not None:
+            self.admin = Admin(self.scheduler, config.admin, lambda: self.clients.ready, self.core.figures.text)
 
     def begin(self, signals) -> None:
         """Takes up what is owed and gets ready to serve; `signals` is a socket that does not block."""
@@ -88,18 +94,26 @@
                     self.scheduler.spawn_kept(self.stop)
 
     def reload(self) -> None:
-        """SIGHUP: the file is read and checked whole. A new address of discovery counts at once, for the watch and
-        for all notices; whatever else differs counts from the next start on."""
+        """SIGHUP: the file is read and checked whole, then taken whole or not at all.
+
+        New settings and a new address of discovery count at once, the latter for the watch and for all notices; whatever
+        else differs counts from the next start on.
+        """
         try:
-            new = self.load_again()
+            new = self.load_again(self.config)
         except configuration.ConfigError as error:
+            self.core.figures.cfg_invalid += 1
             self.log.error("configuration not taken", error=str(error))
             return
+        self.core.figures.cfg_accepted += 1
         moved = new.discovery != self.config.discovery
         self.log.info("configuration taken", discovery="%s:%d" % new.discovery, moved=moved,
-                      at_next_start=configuration.waiting(self.config, new))
+                      classes=sorted(new.categories), at_next_start=configuration.waiting(self.config, new))
+        names = list(new.categories)
+        configuration.retake(self.config, new)
+        self.engine.post(ev.Retuned(self.config.settings, names))
+        self.config.settings, self.config.categories = self.core.set, self.core.classes.current
         if moved:
-            self.config.discovery = new.discovery
             self.notices.move()
             self.discovery.move()
 
--- a/molehill/runtime/stream.py
+++ b/molehill/runtime/stream.py
@@ -147,6 +147,36 @@
         return self._peek() == b""
 
 
+def finish(stream, span: int, most: int) -> None:
+    """Ends the sending, then reads away what still comes, so long and so much at most.
+
+    Danger: closed over bytes that lie unread, a connection is reset, and the other side may never see the answer.
+    """
+    stream.sock.shutdown(socket.SHUT_WR)
+    until, read = stream.scheduler.clock() + span, 0
+    while read < most and stream.scheduler.clock() < until:
+        read += len(stream.buffer.take(len(stream.buffer)))
+        stream.read(until)
+        stream.scheduler.pause()
+
+
+BACKLOG = 1024
+
+
+def listening(machine, address) -> socket.socket:
+    """A listener there that does not block."""
+    sock = machine.tcp_socket(address)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def opened(scheduler, address, kind, budget, make, spare=0) -> Stream:
     """A socket for a connection to another party, counted in the budget; `make` is the kind of Stream it becomes."""
     if not budget.take(kind, spare):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -56,6 +56,11 @@
     ("settings.allowed.connIdleMs", "soon", "settings.allowed.connIdleMs"),
     ("settings.extra.perCall", [1, "x"], "settings.extra.perCall"),
     ("settings.grades.0.semantics", "maybe", "settings.grades.0.semantics"),
+    ("settings.grades.0.deadlineMs", -5, "settings.grades.0.deadlineMs"),
+    ("settings.grades.0.deadlineMs", "2000", "settings.grades.0.deadlineMs"),
+    ("settings.allowed.maxAttempts", 0, "settings.allowed.maxAttempts"),
+    ("settings.allowed.maxAttempts", True, "settings.allowed.maxAttempts"),
+    ("settings.grades", GIVEN["settings"]["grades"] * 2, "settings.grades"),
     ("settings.grades", [], "settings.grades"), ("settings.azs", "a", "settings.azs"),
     ("settings", [], "settings"), ("limits.sockets", 5, "limits.sockets"), ("limits.disk_mb", 0, "limits.disk_mb"),
     ("limits.memory_mb", "nan", "limits.memory_mb"), ("listen", "localhost", "ROUTER_LISTEN"),
@@ -66,6 +71,35 @@
     assert str(caught.value).startswith(key + ":")
 
 
+def test_a_file_read_again_has_to_name_all_that_the_one_before_did(tmp_path):
+    path, before = tmp_path / "config.json", config.check(GIVEN, {})
+
+    def again(given):
+        path.write_text(json.dumps(given))
+        return config.load({"ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": "127.0.0.1:9"}, again=before)
+
+    def without(at, name):
+        given = json.loads(json.dumps(GIVEN))
+        part = given
+        for step in at:
+            part = part[step]
+        del part[name]
+        return given
+    row = GIVEN["settings"]["grades"][0]
+    strict = {**{k: v for k, v in row.items() if not k.startswith("dedup")}, "name": "once", "semantics": "at_most_once"}
+    made = again(changed("settings.grades", [row, strict]))
+    assert made.categories == {"notice": 0, "once": 1} and made.discovery == ("127.0.0.1", 82)
+    for at, name, key in (((), "settings", "settings"), ((), "discovery", "discovery"),
+                          (("settings", "allowed"), "maxAttempts", "settings.allowed.maxAttempts"),
+                          (("settings", "grades", 0), "deadlineMs", "settings.grades.0.deadlineMs")):
+        with pytest.raises(config.ConfigError, match=f"^{key}: missing"):
+            again(without(at, name))
+    for text in ("", path.read_text()[:200], '{"settings": {"allowed": {"maxAttempts": Infinity}}}'):
+        path.write_text(text)
+        with pytest.raises(config.ConfigError, match="ROUTER_CONFIG"):
+            config.load({"ROUTER_CONFIG": str(path)}, again=before)
+
+
 def test_the_file_that_can_t_be_read_is_named(tmp_path):
     for text in (None, "{", "[]", "[" * 100_000):
         path = tmp_path / "config.json"
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -48,6 +48,38 @@
     assert [type(e) for e in then] == [ev.Append, ev.Call] and then[0].record["k"] == "launch"
 
 
+def test_a_callback_keeps_its_category_over_new_settings_and_kills_and_the_table_stays_small(tmp_path):
+    """Danger: one that is held comes to bear another's row when classes appear, vanish or change under its name."""
+    it_was, strict = category(abandon=60_000), category(abandon=61_000)
+    world = wire(tmp_path, categories=[it_was])
+    first = world.take()
+    for n in range(40):                               # the name means something else, then again, beside one that vanishes
+        rows = [strict, category("ticketed", abandon=5000 + n)]
+        world.post(ev.Retuned(settings(kinds=KINDS, list_on_request=True, categories=rows), ["0", "later"]))
+        world.step()
+        if n == 20:
+            world.set.categories = [it_was, strict]
+            second = world.take(cat=world.core.classes.current["0"])
+            world.kill()
+    assert len(world.core.classes.rows) <= 5
+    rows = [world.core.classes.rows[world.core.held[i].category] for i in (first, second)]
+    assert rows == [it_was, strict] and [world.core.module.held[i].row for i in (first, second)] == rows
+    assert world.store.rewrite(world.core.snapshot())
+    world.set = settings(kinds=KINDS, list_on_request=True, categories=[strict])      # as the file of the next start has it
+    world.kill()
+    assert [world.core.classes.rows[world.core.held[i].category] for i in (first, second)] == [it_was, strict]
+    assert set(world.core.figures.ends) == {"0"}, "the one that vanished has no row in the next process"
+
+
+def test_what_new_settings_leave_no_launch_for_is_answered_at_once(tmp_path):
+    world = wire(tmp_path, hosts=HOSTS[:1])
+    number = world.take()
+    world.end(next(iter(world.out)), R.ERROR)
+    world.post(ev.Retuned(settings(kinds=KINDS, list_on_request=True, max_launches=1), ["0"]))
+    world.step()
+    assert list(world.notices) == [number] and number not in world.core.module.held
+
+
 def test_a_client_gone_before_its_answer_has_its_callback_back():
     core, now = bare_core(), 1001 * SECOND
     effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())
