--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,5 +1,7 @@
 """The operators' door: what it answers, that nobody who says nothing keeps others out, and the text of the figures."""
+import re
 import socket
+from pathlib import Path
 
 import pytest
 
@@ -61,3 +63,9 @@
     door.net.advance(3 * SECOND)
     assert drain(silent[-1]) is None and door.admin.seats.total() == 0 and not door.admin.reading
     assert list(door.net.scheduler.waiting) == [door.admin.listener.fileno()]
+
+
+def test_the_page_for_operators_names_each_figure_that_the_program_prints():
+    page = (Path(__file__).parent.parent / "docs/operate/daily.md").read_text()
+    printed = {line.partition(":")[0] for line in Figures(["C"]).text().splitlines()}
+    assert set(re.findall(r"^\| `(router\.[\w.]+)`", page, re.M)) == printed
