The emulator's referee recounts each relay's figures from the wires; reloads as a fault

What was missing: figures were checked against the core's effects only. New fault 'retune': a file with one class more and fewer launches, or a broken one. Rejected: comparing with the relay's own log, as that repeats its mistakes.

--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -555,6 +555,7 @@
             self._log("end", ends=[[c.id, Result.RESET.value, False, False] for c in out], at=self.now)
         for callback in self.held.values():
             if callback.state is OWED:
+                self._count(callback, THROTTLED if callback.denied else FAULTED)     # its end is this process's to bring about
                 self.effects.append(ev.Notify(callback.id, callback.denied, callback.wait))
             else:
                 self._hand_over(callback)
--- /dev/null
+++ b/molehill/emulator/recount.py
@@ -0,0 +1,84 @@
+"""What a relay's figures should be: counted anew from what crossed the wires since its process began, knowing nothing of its code.
+
+The operators' page asks for 1% (attempts 2%) or 3. At a kill it is open what the process had heard of the calls that
+were out, and so what the next one counts: as many more are allowed (`unsure`), and one for each client that left unanswered.
+"""
+from collections import Counter, defaultdict
+
+from molehill.core.figures import FAULTED, FULFILLED, THROTTLED
+from molehill.emulator.referee import CROSSING
+
+BY_STATUS = {429: THROTTLED, 503: THROTTLED, 500: FAULTED}
+BY_RESULT = {"bounced": THROTTLED, "dead": FAULTED}
+
+
+class Recount:
+    def __init__(self, world):
+        self.of, self.calls, self.ended = {}, {}, {}       # id -> class; call -> relay, ids; (relay, id) -> seen in this life
+        self.counts, self.written, self.unsure = defaultdict(Counter), Counter(), Counter()
+        self.files = defaultdict(lambda: [0, 0])           # relay -> files broken and sound, since its process began
+        self.unheard = defaultdict(set)                    # relay -> asks without an answer: any count or none
+        self.out = defaultdict(set)                        # relay -> ids called and not ended: open at a kill
+        self.world, self.silent, self.fresh = world, False, {}     # fresh: connection -> its answer of just now
+        self.on = {"fault": self.fault, "asked": self.asked, "heard": self.heard, "call": self.call, "call answered": self.answered,
+                   "notice": self.notice, "hung up": self.hung_up, "started": self.started}
+        world.watchers.append(lambda now, who, what, facts: self.on[what](who, **facts) if what in self.on else None)
+
+    def fault(self, who, kind, falls_on, worth, **_) -> None:
+        if kind == "retune":
+            self.files[falls_on][int(worth) > 0] += 1
+        self.silent = self.silent or kind in ("vanished", "dead")
+
+    def asked(self, who, id, category, relay, **_) -> None:
+        self.of.setdefault(id, category)
+        self.unheard[relay].add((who, id))
+
+    def heard(self, who, id, status, wait, relay) -> None:
+        self.unheard[relay].discard((who, id))
+        if status in BY_STATUS:
+            self.counts[relay][BY_STATUS[status], self.of.get(id)] += 1
+
+    def call(self, who, call, relay, ids, conn, **_) -> None:
+        self.calls[call] = relay, ids, conn
+        self.written[relay] += len(ids)
+        self.out[relay].update(ids)
+
+    def answered(self, who, call, status, ids, **_) -> None:
+        relay, _, conn = self.calls[call]
+        self.fresh = {c: row for c, row in self.fresh.items() if self.world.now - row[0] <= CROSSING}
+        self.fresh[conn] = self.world.now, relay, len(ids)
+        for ident in ids if status == 200 else ():
+            self.end(relay, ident, FULFILLED)
+
+    def hung_up(self, who, conn) -> None:
+        """An answer that crossed the relay's hanging up may have come too late to count."""
+        written, relay, count = self.fresh.get(conn, (0, None, 0))
+        if self.world.now - written <= CROSSING:
+            self.unsure[relay] += count
+
+    def notice(self, who, id, result, wait, relay) -> None:
+        self.end(relay, id, BY_RESULT[result])
+
+    def end(self, relay, ident, how) -> None:
+        self.out[relay].discard(ident)
+        if (relay, ident) not in self.ended:
+            self.ended[relay, ident] = how
+            self.counts[relay][how, self.of.get(ident)] += 1
+
+    def started(self, who, life) -> None:
+        self.unsure[who] = len(self.out.pop(who, ()))
+        self.counts[who], self.written[who] = Counter(), 0
+        self.files.pop(who, None)
+        self.ended = {place: how for place, how in self.ended.items() if place[0] != who}
+
+    def untrue(self, relay, figures) -> dict:
+        """The figures of a relay that holds nothing which are further from the recount than allowed: name -> (said, counted)."""
+        said = {(end, one): count for one, row in figures.ends.items() for end, count in row.items()}
+        pairs = {f"{end}.{one}": (count, self.counts[relay][end, one]) for (end, one), count in said.items()}
+        # A host that vanished or died reads nothing of what was written to it: there the wires show too few.
+        pairs["relayed"] = min(figures.relayed, self.written[relay]) if self.silent else figures.relayed, self.written[relay]
+        pairs["cfg_invalid"], pairs["cfg_accepted"] = zip((figures.cfg_invalid, figures.cfg_accepted), self.files[relay])
+        pairs["open_requests"] = figures.open_requests, 0
+        unsure = self.unsure[relay] + len(self.unheard[relay])
+        return {name: (said, counted) for name, (said, counted) in pairs.items() if abs(said - counted) > (
+            0 if name.startswith("cfg") else unsure + max(3, counted * (2 if name == "relayed" else 1) / 100))}
--- a/molehill/emulator/referee.py
+++ b/molehill/emulator/referee.py
@@ -309,8 +309,11 @@
 
     # The end
 
-    def close(self, sizes) -> None:
-        """After all is over: nothing is left anywhere."""
+    def close(self, sizes, untrue) -> None:
+        """After all is over: nothing is left anywhere, and no figure is untrue."""
+        for relay, rows in untrue.items():
+            if rows:
+                self.breach(0, "untrue figures", relay=relay, said_and_counted=rows)
         for relay, rows in sizes.items():
             left = {name: count for name, count in rows.items() if count}
             if left:
--- a/molehill/emulator/run.py
+++ b/molehill/emulator/run.py
@@ -8,6 +8,7 @@
 from molehill.emulator.parties.platform import Platform
 from molehill.emulator.parties.programs import Front, Program
 from molehill.emulator.parties.strangers import Strangers
+from molehill.emulator.recount import Recount
 from molehill.emulator.referee import LOST, Referee
 from molehill.emulator.scenario import Scenario
 from molehill.emulator.world import START, World
@@ -30,7 +31,8 @@
     def __init__(self, scenario: Scenario):
         self.scenario = scenario
         self.world = world = World(scenario.seed)
-        self.referee = Referee(world, scenario)
+        self.retuned: dict[str, list[int]] = {}        # relay -> launches allowed, by each of its later files
+        self.referee, self.recount = Referee(world, scenario), Recount(world)
         self.network = network = Network(world)
         self.until = START + scenario.span_ms * MS
         self.platform = Platform(world, network, ("10.2.0.1", 8500))
@@ -73,13 +75,15 @@
         for c in s.categories:
             row = {key: getattr(c, field) for field, key in CATEGORY_KEYS.items()}
             grades.append({**row, "aimMs": c.goal_ms or c.span_ms // 4, "lateShare": 0.1})
+        retuned = self.retuned.get(name, [])
+        grades += [{**grades[0], "name": f"later {n}"} for n in range(len(retuned))]
         return {"name": name, "listen": "%s:%d" % self.addresses[name], "discovery": "%s:%d" % self.platform.address,
                 "seed": f"{s.seed:x}{self.nodes[name].life:x}", "state": "/state",
                 "limits": {"sockets": s.sockets, "disk_mb": s.disk_kb / 1000, "memory_mb": 64}, "known": self.platform.known(),
                 "settings": {"grades": grades, "balancers": s.relays, "azs": ["a", "b"],
                              "machineTypes": ["plain", "apart", "bundle"],
                              "extra": {"kindApart": [False, True, False], "perCall": [1, 1, s.per_call], "maxCalls": s.slots},
-                             "allowed": {"maxOpen": s.max_held, "maxAttempts": 8, "retryAfter": True, "maxRetryAfterMs": 5000,
+                             "allowed": {"maxOpen": s.max_held, "maxAttempts": (retuned or [8])[-1], "retryAfter": True, "maxRetryAfterMs": 5000,
                                          "connIdleMs": 10000, "connectTimeoutMs": 1500},
                              "guarantees": {"settleAfterDoubtMs": s.settle_ms, "fallMs": FALL_SPAN // MS,
                                             "tipMultiple": PUSHED, "coldFrom": COLD, "rampTimeMs": RAMP // MS},
@@ -131,6 +135,14 @@
     def on_hup(self, fault, node, span) -> None:
         node.signal(SIGHUP)
 
+    def on_retune(self, fault, node, span) -> None:
+        """One class more, and as many launches as `worth` says; with 0 the file is broken and nothing of it may be taken."""
+        files = self.retuned.setdefault(node.name, [])
+        files.append(int(fault.worth))
+        node.signal(SIGHUP)
+        if not files[-1]:              # mended soon, or the relay could not start again
+            self.world.after(200 * MS, files.remove, 0)
+
     def on_freeze(self, fault, node, span) -> None:
         node.freeze(span)
 
@@ -202,7 +214,9 @@
         try:
             world.run(self.until + max(c.span_ms for c in s.categories) * MS + LOST + QUIET)
             if world.failure is None:
-                self.referee.close({name: node.sizes() for name, node in self.nodes.items() if node.state is UP})
+                up = {name: node for name, node in self.nodes.items() if node.state is UP}
+                self.referee.close({name: node.sizes() for name, node in up.items()},
+                                   {name: self.recount.untrue(name, node.process.core.figures) for name, node in up.items()})
         except Exception as error:     # asserted in debug builds, or let through by the scheduler
             world.tell("relay", "escaped", error=repr(error))
         finally:
--- a/molehill/emulator/scenario.py
+++ b/molehill/emulator/scenario.py
@@ -102,7 +102,8 @@
     "disk_full": "relay", "disk_failing": "relay", "short_writes": "relay", "few_descriptors": "relay",
     "silent": "host", "erring": "host", "refusing": "host", "shut": "host", "slow": "host", "spoilt": "host", "dead": "host", "vanished": "host",
     "drain": "host", "lag": "platform", "outage": "platform", "lost_answers": "platform",
-    "move": "platform"}
+    "move": "platform",
+    "retune": "relay"}                         # new settings at SIGHUP, so many launches (worth); 0: a file that is broken
 
 
 def load(text: str) -> Scenario:
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -198,8 +198,8 @@
         self.core = Core(self.set, self.starts, self.make, self.most * 7 // 20)
         self.store.replay(self.core.load)
         self.out, self.waits, self.queue, self.starts = {}, {}, [], self.starts + 1
-        before = {**self.ended, **{i: None for i, c in self.core.held.items() if c.state == "owed"}}
-        self.counted = dict.fromkeys(before)      # callback -> how it ended in this life, None: in an earlier one
+        # callback -> how it ended in this life, None: in an earlier one, and the log says so
+        self.counted = {i: None for i in self.ended if i not in self.core.held}
         self.post(ev.Listed(it.Scope.RESTORED, list(self.hosts.values())))
         self.post(ev.Begin())
         self.step()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,6 +7,7 @@
 from click.testing import CliRunner
 
 from molehill.cli.__main__ import main
+from molehill.core.reducer import Core
 from molehill.emulator import generator, scenario as scenarios, sweep
 from molehill.emulator.run import Run
 from molehill.emulator.scenario import Category, EndpointPlan, Fault, ProgramPlan, Scenario, ScenarioError
@@ -51,6 +52,30 @@
     assert verdict["starts"] == 4 and verdict["delivered"] > 0
 
 
+def reloads(*more):
+    return calm(span_ms=3000, faults=[*(Fault("retune", at, "relay0", worth=float(w)) for at, w in ((400, 5), (900, 0), (1500, 2), (2600, 0))),
+                                      Fault("erring", 600, "h1-0", 900), Fault("refusing", 1200, "h2-0", 500), *more])
+
+
+@pytest.mark.parametrize("step", [None, *range(1, 90, 11)])
+def test_figures_stand_up_to_a_recount_over_new_settings_and_kills(step):
+    """The referee recounts each relay's figures from the wires on every emulated day; here with files that change."""
+    kept(sweep.play_one(reloads(*([Fault("kill_step", 1000, "relay0", worth=float(step))] if step else []))))
+
+
+@pytest.mark.parametrize("end", ["fulfilled", "throttled", "faulted"])
+def test_a_figure_that_counts_wrongly_is_found(monkeypatch, end):
+    count = Core._count
+
+    def twice(self, callback, how):
+        count(self, callback, how)
+        if how == end:
+            count(self, callback, how)
+    monkeypatch.setattr(Core, "_count", twice)
+    verdict = sweep.play_one(reloads(Fault("shut", 100, "h2-0", 2500), Fault("shut", 100, "h2-1", 2500)))
+    assert not verdict["ok"] and end in str(verdict["failure"]["facts"])
+
+
 def test_the_same_seed_gives_the_same_events_in_a_process_with_another_hash_seed():
     for seed in (3, 9):
         one, other = sweep.twice(generator.make(seed, span_ms=4000))
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -216,7 +216,7 @@
 
 
 def rows_left(day):
-    day.referee.close({"relay0": {"held": 0, "calls": 3}})
+    day.referee.close({"relay0": {"held": 0, "calls": 3}}, {})
     return 1
 
 
