A file that only the old process was told of counts after an upgrade too

Cause, by reading: the new process reads its file at its start, up to 0.3 s before it takes over; a SIGHUP to the old one in between (relay.py reload) was known to nobody afterwards. It reads the file once more when it takes over; a broken one changes nothing, discovery stays the old one's. Rejected: handing the settings over as rows, a second form of the file to keep in step. Tests: that case; a process that hangs midway for 3 s (0, 5 and 10 rows in) never writes later and is handed over to when it wakes; one killed right after its word leaves all to the next start.

--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -107,6 +107,7 @@
             self.engine.post(upgrade.inherit(self, estate))
             unread["unread"] = self.scheduler.clock() - estate.state["began"]
             self.start.estate = None
+            self.catch_up()
         self.engine.post(ev.Begin())
         self.engine.keep_flushing(self.sink)
         self.engine.keep_counting()
@@ -155,16 +156,30 @@
         moved = new.discovery != self.config.discovery
         self.log.info("configuration taken", discovery="%s:%d" % new.discovery, moved=moved,
                       classes=sorted(new.categories), at_next_start=configuration.waiting(self.config, new))
+        self.retune(new)
+        if moved:
+            self.notices.move()
+            self.discovery.move()
+
+    def retune(self, new) -> None:
         names = list(new.categories)
         configuration.retake(self.config, new)
         self.engine.post(ev.Retuned(self.config.settings, names))
         self.config.settings, self.config.categories = self.core.set, self.core.classes.current
-        if moved:
-            self.notices.move()
-            self.discovery.move()
 
     # An upgrade: molehill/upgrade.py has its order
 
+    def catch_up(self) -> None:
+        """Danger: the old process was told of a new file after this one had read it, and nobody tells this one."""
+        try:
+            new = self.load_again(self.config)
+        except configuration.ConfigError as error:
+            self.log.error("configuration not taken", error=str(error))
+            return
+        new.discovery = self.config.discovery      # the old one's, which may have moved
+        if new.settings != self.config.settings or new.categories != self.config.categories:
+            self.retune(new)
+
     def can_serve(self) -> bool:
         return self.clients.ready and not self.given
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,4 +1,5 @@
 """One relay's two processes on loopback sockets and one clock moved by hand: what passes, and a kill of either at each step."""
+import gc
 import os
 import socket
 from dataclasses import replace
@@ -24,6 +25,7 @@
 class Two:
     def __init__(self, folder):
         self.folder, self.clock, self.open, self.live = str(folder), Ticks(), [], []
+        self.file = {}                                 # what the configuration file says otherwise by now
         self.host, self.platform = (self.listener() for _ in range(2))
         self.old = self.start()
         self.address = self.old.clients.listener.getsockname()
@@ -59,7 +61,7 @@
         return self.run(start, config, signals)
 
     def run(self, start, config, signals):
-        process = Process(config, start.scheduler.machine, Sink(), None, start)
+        process = Process(config, start.scheduler.machine, Sink(), lambda _: replace(self.config(), **self.file), start)
         process.clients.listen(start.estate and start.estate.listener)
         process.begin(signals)
         return process
@@ -220,6 +222,64 @@
     assert not left.core.held and left.core.figures.ends["plain"]["fulfilled"] == 4
 
 
+def test_a_file_that_only_the_old_process_was_told_of_counts_in_the_new_one(two):
+    start, made = two.start(), two.config()            # it has read the file by now
+    two.file = {"settings": replace(made.settings, max_launches=2, categories=made.settings.categories[:1]),
+                "categories": {"notice": 0}}
+    two.old.on_signal(1)
+    new = two.succeed(start)
+    assert new.core.set.max_launches == 2 == new.core.module.set.max_launches and new.config.categories == {"notice": 0}
+    assert b"400" in drain(two.client(ASK % (b"id0", b"plain"))) and b"202" in drain(two.client(ASK % (b"id1", b"notice")))
+
+
+@pytest.mark.parametrize("step", [0, 5, ROWS - 1])
+def test_one_that_hangs_midway_is_not_waited_for_and_can_never_write_later(two, monkeypatch, step):
+    """Danger: it wakes after the old one has gone on, and takes itself for the owner. Its word finds no line any more."""
+    for n in range(3):
+        two.client(ASK % (b"id%d" % n, b"plain"))
+    seen, take, waking = [], upgrade.Heir.take, []
+
+    def hangs(self, estate, message, body, fd):
+        seen.append(message["k"])
+        if len(seen) == step + 1:
+            two.live.remove(start.scheduler)
+            waking.append(start.scheduler)
+            start.scheduler.sleep(two.clock.now)       # its next turn comes when it wakes
+        return take(self, estate, message, body, fd)
+    monkeypatch.setattr(upgrade.Heir, "take", hangs)
+    start = two.start()
+    two.advance(3 * SECOND)
+    assert waking and two.old.can_serve() and not two.old.given and not two.old.engine.busy
+    assert b"202" in drain(two.client(ASK % (b"id3", b"plain")))
+    two.live += waking
+    new = two.succeed(start)                           # asked again, the old one hands over after all
+    assert two.old.given and set(new.core.held) | set(new.core.done) >= {"id0", "id1", "id2", "id3"}
+
+
+def test_one_killed_right_after_its_word_leaves_all_to_the_next_start(two, monkeypatch):
+    for n in range(3):
+        two.client(ASK % (b"id%d" % n, b"plain"))
+    send = upgrade.Line.send
+
+    def last(self, message, *rest, **more):
+        send(self, message, *rest, **more)
+        if message["k"] == "mine":
+            two.live.remove(start.scheduler)
+            self.sock.close()
+            start.scheduler.hub.switch()
+    monkeypatch.setattr(upgrade.Line, "send", last)
+    start = two.start()
+    two.advance(100 * MS)
+    assert two.old.given and not two.old.can_serve()
+    monkeypatch.undo()
+    for found in gc.get_objects():                     # what the kernel closes with a process
+        if isinstance(found, upgrade.Estate):
+            found.close()
+    third = two.start()
+    two.advance(20 * MS)
+    assert third.can_serve() and set(third.core.held) == {"id0", "id1", "id2"}
+
+
 @pytest.mark.parametrize("reply", [None, b'{"k":"no","why":"version 9"}\n', b"noise", b'{"k":"odd"}\n', b'[]\n'])
 def test_a_process_that_says_nothing_or_another_language_is_waited_for_and_the_lock_decides(two, reply, monkeypatch):
     two.live.remove(two.old.scheduler)                 # it hangs
