The counts line tells the longest that the loop was away from its sockets

The cause is open; the line that comes every ten seconds now says stood_ms, so that the next one can be told from what comes over the wires.

--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -100,8 +100,9 @@
         self.scheduler.at(self.clock() + self.COUNTS_EVERY, self.keep_counting)
         done, self.hosts.counts = dict(sorted(self.hosts.counts.items())), Counter()
         came, self.clients.counts = dict(sorted(self.clients.counts.items(), key=str)), Counter()
+        stood, self.scheduler.most_stood = self.scheduler.most_stood, 0
         if done or came or self.core.held:
-            self.log.info("counts", clients=came, held=len(self.core.held), out=self.hosts.out, outcomes=done,
+            self.log.info("counts", clients=came, stood_ms=stood // MS, held=len(self.core.held), out=self.hosts.out, outcomes=done,
                           notices=len(self.notices.waiting), log_bytes=self.store.size, broken=sum(counts.values()))
 
     FLUSH_EVERY = 100 * MS                 # for log lines that nobody took at once
--- a/molehill/runtime/scheduler.py
+++ b/molehill/runtime/scheduler.py
@@ -30,6 +30,7 @@
         self.waiting: dict[int, Waiter] = {}
         self.stopped, self.hub = False, getcurrent()
         self.looked, self.stood = self.clock(), 0
+        self.most_stood = 0                        # since whoever tells it set it back
 
     def spawn(self, work, *args):
         task = greenlet(self._run_task, parent=self.hub)
@@ -131,6 +132,7 @@
         before, now = now, self.clock()
         # How long what is read now may have lain there: since the last look this loop was busy or stood still.
         self.stood, self.looked = before - self.looked + max(0, now - before - span), now
+        self.most_stood = max(self.most_stood, self.stood)
         for fd, _ in ready:
             waiter = self.waiting.get(fd)
             if holds(waiter is not None, "waiter_of_a_descriptor", fd=fd):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -221,6 +221,7 @@
         assert arrived.fresh.due == door.net.clock() - counted + 480 * MS
         door.answer(arrived)
         drain(sock)
+    assert door.net.scheduler.most_stood == 5 * SECOND, "the worst is kept for whoever tells it"
 
 
 def test_what_is_read_right_after_a_start_may_have_waited_as_long_as_any_client_waits():
