Notices that are owed go out after a hand-over that broke off

The old process sends them again on going on; a notice twice does no harm. Rejected: handing notices over only when none waits, as a platform that is out of reach would hold up every upgrade.

--- a/molehill/http/notices.py
+++ b/molehill/http/notices.py
@@ -22,7 +22,7 @@
     def __init__(self, scheduler, config, budget, post):
         self.scheduler, self.config, self.post, self.answered = scheduler, config, post, 0
         self.clock, self.waiting, self.task = scheduler.clock, {}, None
-        self.resting, self.failed = False, 0
+        self.resting, self.failed, self.given = False, 0, {}
         self.line = Single(scheduler, lambda: config.discovery, "notices", budget, HttpStream)
 
     def notify(self, effect) -> None:
@@ -41,9 +41,15 @@
 
     def give(self) -> None:
         """What is not answered is the next process's to send; there it is owed by the log."""
-        self.waiting = {}
+        self.given, self.waiting = self.waiting, {}
         self.line.close()
 
+    def go_on(self) -> None:
+        """Danger: the next process is gone, and what it was to send is still owed."""
+        given, self.given = self.given, {}
+        for notice in given.values():
+            self.notify(notice)
+
     def move(self) -> None:
         """The platform has another address: what was posted and not answered goes there too."""
         self.line.close()
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -199,6 +199,7 @@
     def go_on(self) -> None:
         """The next process is gone: what passed with it has broken here, all else goes on."""
         self.hosts.go_on()
+        self.notices.go_on()
         self.engine.thaw()
         self.engine.post(ev.Hold(False))
         self.clients.go_on()
