--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -32,13 +32,15 @@
         self.open.append(sock)
         return sock
 
-    def start(self):
+    def config(self, **given):
         at = "127.0.0.1:%d" % self.host.getsockname()[1]
         known = {"index": 1, "endpoints": [{"name": "h1", "address": at, "zone": "a", "type": "m", "group": 3,
                                             "status": "active", "weight": 1.0, "since_ms": 0}]}
-        config = replace(net_config(known=known, state=str(self.folder)), listen=("127.0.0.1", 0),
-                         discovery=self.platform.getsockname())
-        self.relay = Process(config, Kernel(self.clock), Sink(),
+        return replace(net_config(known=known, state=str(self.folder), **given), listen=("127.0.0.1", 0),
+                       discovery=self.platform.getsockname())
+
+    def start(self):
+        self.relay = Process(self.config(), Kernel(self.clock), Sink(),
                              lambda old: configuration.load(os.environ, again=old))
         self.relay.clients.listen()
         self.address = self.relay.clients.listener.getsockname()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,38 +12,24 @@
 from molehill.runtime.kernel import Kernel
 from molehill.runtime.log import Sink
 from molehill.runtime.stream import Broken
-from tests.ledger import MS, SECOND, Ticks, drain, net_config
+from tests.ledger import MS, SECOND, drain
+from tests.test_relay import Place
 
 ASK = b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: %s\r\nX-Consignee: dest=3\r\nCookie: subject=k\r\nContent-Length: 2\r\n\r\nab"
 DONE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
-class Killed(BaseException):
-    pass
-
-
-class Two:
+class Two(Place):
     def __init__(self, folder):
-        self.folder, self.clock, self.open, self.live = str(folder), Ticks(), [], []
-        self.file = {}                                 # what the configuration file says otherwise by now
-        self.host, self.platform = (self.listener() for _ in range(2))
-        self.old = self.start()
+        self.live, self.file = [], {}                  # schedulers that run; what the file says otherwise by now
+        super().__init__(folder)
         self.address = self.old.clients.listener.getsockname()
         self.turn()
 
-    def listener(self):
-        sock = socket.create_server(("127.0.0.1", 0))
-        sock.setblocking(False)
-        self.open.append(sock)
-        return sock
-
     def config(self):
-        known = {"index": 1, "endpoints": [{"name": "h1", "address": "127.0.0.1:%d" % self.host.getsockname()[1], "zone": "a",
-                                            "type": "m", "group": 3, "status": "active", "weight": 1.0}]}
-        made = net_config(known=known, state=self.folder, admin="127.0.0.1:1")
+        made = super().config(admin="127.0.0.1:1")
         rows = [made.settings.categories[0], replace(made.settings.categories[1], effect=it.Effect.RERUNNABLE, abandon=30 * SECOND)]
-        return replace(made, admin=("127.0.0.1", 0), settings=replace(made.settings, slots=4, categories=rows),
-                       listen=("127.0.0.1", 0), discovery=self.platform.getsockname())
+        return replace(made, admin=("127.0.0.1", 0), settings=replace(made.settings, slots=4, categories=rows))
 
     def start(self):
         """A process that has begun, or, while another has the folder, one that looks for the lock."""
@@ -58,7 +44,8 @@
             start.heir.begin()
             start.signals, start.given_config = signals, config
             return start
-        return self.run(start, config, signals)
+        self.old = self.run(start, config, signals)
+        return self.old
 
     def run(self, start, config, signals):
         process = Process(config, start.scheduler.machine, Sink(), lambda _: replace(self.config(), **self.file), start)
@@ -71,12 +58,6 @@
             for scheduler in [s for s in self.live if not s.stopped]:
                 scheduler.turn(block=False)
 
-    def advance(self, span):
-        until = self.clock.now + span
-        while self.clock.now < until:
-            self.clock.now += 5 * MS
-            self.turn(4)
-
     def succeed(self, start):
         """Turns both until the next process has the folder, and has it begin."""
         for _ in range(400):
@@ -109,10 +90,6 @@
             self.open.append(found[-1])
         return found
 
-    def close(self):
-        for sock in self.open:
-            sock.close()
-
 
 @pytest.fixture
 def two(tmp_path):
