An inherited connection with more than a buffer holds is closed; the new process goes on

Cause, found on reading the change: Stream.refill raised Broken where a head that the old process had taken off its buffer and what lay behind it exceed one buffer (up to 16 KiB more); nothing between it and Process.begin caught that, so the new process would have ended in the middle of an upgrade. The connection is closed now, as any that is of no more use; its call counts as reset, its client comes again. Rejected: a larger buffer, as memory is bounded by it. The test fails without the change. Beside it a comment in clients.py stands where it belongs.

--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -55,7 +55,8 @@
         self.first_waits = self.clock()        # since when some may have waited to be accepted
         self.turned_away = lambda kind: None   # told of each request that never reaches the core; set when wiring
         self.held_back, self.gated = False, []     # no request is begun; tasks that wait for that to end
-        self.unread, self.sure = STOOD_MOST, 0                         # from when on what is read tells by itself how long it has waited
+        self.unread = STOOD_MOST               # how long what is read right after the start may have waited
+        self.sure = 0                          # from when on what is read tells by itself how long it has waited
         self.idle = {kind: {} for kind in MAY_GO}     # connections between requests, the one idle longest first
         budget.idlers["left client"] = lambda: self.close_idlest(ROOM, LEFT)
         budget.idlers["client"] = lambda: self.close_idlest(ROOM)
--- a/molehill/runtime/stream.py
+++ b/molehill/runtime/stream.py
@@ -84,12 +84,13 @@
         return self.buffer.peek(len(self.buffer))
 
     def refill(self, data: bytes) -> None:
-        """What another process had read and not used."""
+        """What another process had read and not used. Danger: a head that it had taken off its buffer and all behind it may be
+        more than a buffer holds; such a connection is closed, and the process that takes over goes on."""
         while data:
             with self.buffer.space() as space:
                 count = min(len(space), len(data))
                 if not count:
-                    raise Broken("more than a message holds")
+                    return self.close()
                 space[:count] = data[:count]
             self.buffer.filled(count)
             data = data[count:]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -83,6 +83,13 @@
     assert len(tries) == 3 and broken == ["kept_task"] * 2
 
 
+def test_what_is_more_than_a_buffer_holds_closes_its_connection_and_not_the_process_that_takes_it_over():
+    net = Net()
+    stream, theirs = net.pair()
+    stream.refill(b"x" * (stream.buffer.most + 1))
+    assert not stream.open and net.budget.total() == 0 and drain(theirs) is None
+
+
 def test_a_full_budget_closes_idle_connections_those_to_hosts_first():
     net, closed = Net(sockets=3), []
 
