A hand-over that broke off is taken back whole, and the relay stands 150 ms at most for it

Ruled out: the new process using any of it, as it does not before it has the lock and its word has gone out, and the line is ended before that is judged.

Now a hand-over that broke off gives all connections back with their calls (the tasks that had them report nothing), what is read then counts as having waited since the pause began, and the whole exchange has 150 ms, half of what a notice may take, for some 10 ms that it takes. The next process asks again at growing spans, as each try costs a pause. Rejected: a process that goes on serving while it hands over, as two would then decide.

--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -297,7 +297,11 @@
     def calm(self) -> bool:
         return not any(conn.busy for conn in self.conns)
 
-    def go_on(self) -> None:
+    def go_on(self, rows, unread: int) -> None:
+        """Takes back what `give` gave; what is read now may have waited for `unread`."""
+        self.begin(unread)
+        for row in rows:
+            self.adopt(*row)
         self.held_back, gated, self.gated = False, self.gated, []
         for task in gated:
             self.scheduler.resume(task)
@@ -319,7 +323,7 @@
         return rows
 
     def adopt(self, message, data, sock) -> None:
-        """A connection that an earlier process gave."""
+        """A connection that an earlier process gave, or that comes back."""
         if not self.budget.take("client", OUTGOING):
             sock.close()
             return
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -42,7 +42,7 @@
         self.streams: dict[int, object] = {}   # call -> its connection
         self.running: dict[int, Running] = {}  # calls out, by number
         self.aborted: set[int] = set()
-        self.given = False                     # to the next process: nothing is begun any more
+        self.given, self.lent = False, {}      # to the next process: nothing is begun any more; calls that may come back
         self.out, self.counts = 0, Counter()   # calls out; outcomes by name, for the log
         self.keep = config.settings.connection_idle
         budget.idlers["host"] = self.close_idlest
@@ -89,7 +89,7 @@
     def give(self):
         """Rows (message, body, socket) for calls that are written and for idle connections, and the ids that are over in a
         call that is not. What is in neither was not written whole, and never ran. Nothing of it is used here any more."""
-        rows, lost, self.given = [], [], True
+        rows, lost, self.given, self.lent = [], [], True, {}
         for number, running in self.running.items():
             stream, call = self.streams.get(number), running.call
             members = [m for m in call.members if not m.late]
@@ -101,6 +101,7 @@
             sock, data = stream.detach()
             rows.append(({"k": "call", "n": number, "host": call.host, "at": "%s:%d" % call.address, "bundle": call.bundle,
                           "start": running.start, "members": [[m.id, m.until] for m in members]}, data, sock))
+            self.lent[number], call.members = replace(call), []        # its task here has nothing more to tell of it
         for host, streams in self.idle.items():
             for stream in [s for s in streams if s.quiet()]:
                 since = stream.idle_since
@@ -109,27 +110,31 @@
         self.idle = {}
         return rows, lost
 
-    def go_on(self) -> None:
-        self.given = False
-
-    def adopt(self, message, data, sock) -> bool:
-        """A connection that an earlier process gave; whether it can be used. Raises ValueError and the like for no such row."""
+    def go_on(self, rows) -> None:
+        """Takes back what `give` gave: the next process is gone, and what it had of these connections it never used."""
+        self.given, lent, self.lent = False, self.lent, {}
+        for message, data, sock in rows:
+            call = lent.get(message["n"]) if message["k"] == "call" else None
+            if not self.adopt(message, data, sock, call) and call is not None:
+                self._end(call, message["start"], call.members, ev.End("", Result.RESET))
+
+    def adopt(self, message, data, sock, call=None) -> bool:
+        """A connection that an earlier process gave, or that comes back with its call; whether it can be used. Raises ValueError
+        and the like for no such row."""
         if message["k"] == "call":
-            call = ev.Call(message["n"], message["host"], address(message["at"], "at"), message["bundle"],
+            call = call or ev.Call(message["n"], message["host"], address(message["at"], "at"), message["bundle"],
                            [ev.Member(number, None, b"", until) for number, until in message["members"]])
-            start = message["start"]
-        since = message.get("since", 0)
         if not self.budget.take("host", OUTGOING):
             sock.close()
             return False
         stream = HttpStream(self.scheduler, sock, "host", self.budget)
         stream.refill(data)
         if message["k"] == "idle":
-            stream.idle_since = since
+            stream.idle_since = message["since"]
             self.idle.setdefault(message["host"], []).append(stream)
             return True
         self.out += 1
-        self.running[call.number], self.streams[call.number] = Running(call, start), stream
+        self.running[call.number], self.streams[call.number] = Running(call, message["start"]), stream
         self.scheduler.spawn(self._call, call, stream)
         return True
 
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -3,7 +3,6 @@
 All that lies outside is handed in: the machine (clock, pollers, sockets, disk), the configuration and a way to read it
 again, the sink of log lines, and a socket on which each signal comes as a byte.
 """
-import os
 import signal
 
 from molehill import config as configuration
@@ -196,19 +195,21 @@
         self.engine.freeze()
         return upgrade.rows_of(self, began)
 
-    def go_on(self) -> None:
-        """The next process is gone: what passed with it has broken here, all else goes on."""
-        self.hosts.go_on()
+    def go_on(self, rows, began: int) -> None:
+        """The next process is gone: what was to pass is taken back, and all goes on. Danger: a connection that is closed here with
+        an answer unread on it makes a callback that was delivered run once more."""
+        self.scheduler.pause()             # the tasks of what passed have ended by then
+        self.hosts.go_on([row for row in rows if row[0]["k"] in ("call", "idle")])
         self.notices.go_on()
         self.engine.thaw()
         self.engine.post(ev.Hold(False))
-        self.clients.go_on()
+        self.clients.go_on([row for row in rows if row[0]["k"] == "client"], self.scheduler.clock() - began)
 
     def gave(self) -> None:
         """The next process has it all; this one has nothing left to do but to end."""
         self.given, self.clients.ready = True, False
         self.store.close()
-        os.close(self.lock)
+        self.scheduler.machine.close(self.lock)
         self.clients.close_listener()
         self.discovery.line.close()
         self.core.figures.open_requests = 0
--- a/molehill/runtime/kernel.py
+++ b/molehill/runtime/kernel.py
@@ -56,6 +56,8 @@
     def poller():
         return select.poll()
 
+    close = staticmethod(os.close)     # of a descriptor by its number
+
     MEETING = "upgrade"                # in the folder that lasts: where the next process finds this one
 
     def meet(self, folder: str) -> socket.socket:
--- a/molehill/runtime/line.py
+++ b/molehill/runtime/line.py
@@ -1,6 +1,5 @@
 """Messages with descriptors between two processes of one relay, over a Unix socket that keeps each message whole."""
 import json
-import os
 import socket
 
 from molehill.runtime.scheduler import CUT, READ, READY, WRITE
@@ -53,7 +52,7 @@
                 raise ValueError
         except ValueError:
             for fd in fds:
-                os.close(fd)
+                self.scheduler.machine.close(fd)
             raise Broken("no message" if data else "ended") from None
         return message, body, fds[0] if fds else None
 
@@ -66,7 +65,7 @@
                 message, _, fd = self.receive(0)
                 found.append(message)
                 if fd is not None:
-                    os.close(fd)
+                    self.scheduler.machine.close(fd)
         except (OSError, Broken, Late):
             return found
 
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -10,7 +10,6 @@
     old -> new   lock    the lock's descriptor, and with it everything
     new -> old   mine    from here on the new one may write; without it the old one goes on
 """
-import os
 import signal
 from dataclasses import dataclass, field
 
@@ -24,7 +23,9 @@
 VERSION = 1
 CALM_WITHIN = 100 * MS             # for requests that are answered and calls that are written: a quarter of a client's wait
 STEP_WITHIN = SECOND               # for a message of the other process: many times what it takes, well within the 6 s for a yes
-TRY_AGAIN = 50 * MS                # between looks at the lock while another process has it
+# For all that passes, as the relay stands meanwhile: half of the time within which it owes a notice (300 ms). Some 10 ms are taken.
+PASS_WITHIN = 150 * MS
+TRY_AGAIN, SELDOM = 50 * MS, SECOND    # between looks at the lock while another process has it; at most, where asking it failed
 SAY_EVERY = 10 * SECOND
 
 
@@ -38,13 +39,13 @@
     learnt: list = field(default_factory=list)
     conns: list = field(default_factory=list)          # (message, body, socket)
 
-    def close(self) -> None:
+    def close(self, machine) -> None:
         for _, _, sock in self.conns:
             sock.close()
         if self.listener is not None:
             self.listener.close()
         if self.lock >= 0:
-            os.close(self.lock)
+            machine.close(self.lock)
 
 
 class Heir:
@@ -73,10 +74,10 @@
                 self.told_to_end = self.scheduler.stopped = True
 
     def seek(self) -> None:
-        said = 0
+        said, again = 0, TRY_AGAIN
         while not self.told_to_end:
-            if self.config.admin is not None and self.estate is None:
-                self.ask()
+            if self.config.admin is not None and self.estate is None and self.ask():
+                again = min(2 * again, SELDOM)     # each broken hand-over costs the one that serves a pause
             if self.estate is None:
                 self.lock = self.machine.disk.lock(self.config.state)
             if self.estate is not None or self.lock is not None:
@@ -85,10 +86,10 @@
             if self.clock() - said >= SAY_EVERY:
                 said = self.clock()
                 self.log.info("waiting for the folder", state=self.config.state)
-            self.scheduler.sleep(self.clock() + TRY_AGAIN)
+            self.scheduler.sleep(self.clock() + again)
 
-    def ask(self) -> None:
-        """Has the process that serves now hand over, if it can be reached and does."""
+    def ask(self) -> bool:
+        """Has the process that serves now hand over, if it can be reached and does; whether that was begun and broke off."""
         estate, line = Estate(), None
         try:
             line = Line(self.scheduler, self.machine.reach(self.config.state))
@@ -98,12 +99,14 @@
             line.send({"k": "mine"}, self.clock() + STEP_WITHIN)
             self.estate, self.lock = estate, estate.lock
         except (Broken, Late, OSError, KeyError, TypeError, ValueError) as error:
-            estate.close()                 # the lock's copy too: it stays with whoever has it
+            estate.close(self.machine)                 # the lock's copy too: it stays with whoever has it
             if not isinstance(error, OSError):
                 self.log.warning("no hand-over", error=repr(error))
+            return line is not None
         finally:
             if line is not None:
                 line.close()
+        return False
 
     def take(self, estate, message, body, fd) -> bool:
         """One row of what the old process hands over; whether more is to come."""
@@ -161,28 +164,28 @@
             self.scheduler.sleep(self.clock() + MS)
         process.clients.drop_busy()
         self.scheduler.pause()             # danger: their clients have not heard, and the next process could not know
-        rows, error = process.give(began), None
+        rows, error, until = process.give(began), None, self.clock() + PASS_WITHIN
         try:
             for message, body, sock in rows:
-                line.send(message, self.clock() + STEP_WITHIN, body, sock and sock.fileno())
-            line.send({"k": "lock"}, self.clock() + STEP_WITHIN, fd=process.lock)
-            said = line.receive(self.clock() + STEP_WITHIN)[0]
+                line.send(message, until, body, sock and sock.fileno())
+            line.send({"k": "lock"}, until, fd=process.lock)
+            said = line.receive(until)[0]
         except (Broken, Late) as failure:
             # Danger: its word may be on the way, and it may begin to write. After the line's end none can come any more.
             error, said = failure, {"k": "mine"} if {"k": "mine"} in line.last_words() else {}
-        for _, _, sock in rows:
-            if sock is not None and sock is not process.clients.listener:
-                sock.close()
         if said.get("k") == "mine":
+            for _, _, sock in rows:
+                if sock is not None and sock is not process.clients.listener:
+                    sock.close()
             process.gave()
             self.log.info("handed over", rows=len(rows), ms=(self.clock() - began) // MS)
         else:
             self.log.error("hand-over broke off", error=repr(error))
-            process.go_on()
+            process.go_on(rows, began)
 
 
 def rows_of(process, began: int):
-    """All that passes, as rows (message, body, socket or None); from here on nothing of it is used by this process."""
+    """All that passes, as rows (message, body, socket or None); nothing of it is used by this process unless it comes back."""
     core, rows = process.core, []
     state, learnt = core.estate()
     rows += [({"k": "host", "row": listed(host, process.config)}, b"", None) for host in core.hosts.values()]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -184,8 +184,9 @@
             if len(seen) > step:
                 break
         monkeypatch.undo()
-        two.advance(2 * SECOND)
+        two.advance(200 * MS)
         left = two.old
+        assert not two.calls(), "each call goes on where it was, on its own connection"
     else:
         monkeypatch.setattr(upgrade.Line, "send", old_dies)
         start = two.start()
@@ -254,7 +255,7 @@
     two.advance(100 * MS)
     assert two.old.given and not two.old.can_serve()
     monkeypatch.undo()
-    got[-1].close()                                    # what the kernel closes with a process
+    got[-1].close(Kernel())                                    # what the kernel closes with a process
     third = two.start()
     two.advance(20 * MS)
     assert third.can_serve() and set(third.core.held) == {"id0", "id1", "id2"}
