--- a/molehill/emulator/generator.py
+++ b/molehill/emulator/generator.py
@@ -30,8 +30,9 @@
     "vanished": (3, (300, 5000), (0, 0)), "drain": (4, (1500, 6000), (0, 0)), "lag": (1, (1000, 5000), (100, 4000)),
     "outage": (1, (300, 4000), (0, 0)), "lost_answers": (2, (500, 5000), (0.1, 0.9)), "move": (1, (0, 0), (0, 0)),
     "upgrade": (3, (0, 0), (0, 0)), "upgrade_new_dies": (3, (0, 0), (1, 250)), "upgrade_old_dies": (3, (0, 0), (1, 250)),
-    "upgrade_new_hangs": (1, (100, 6000), (1, 250)), "upgrade_old_hangs": (1, (100, 6000), (1, 250))}
-ASKED_FOR = {kind: 0 for kind in KINDS if kind.startswith("upgrade")}      # only where weights name them
+    "upgrade_new_hangs": (1, (100, 6000), (1, 250)), "upgrade_old_hangs": (1, (100, 6000), (1, 250)),
+    "herd": (2, (0, 0), (0.3, 1)), "zone_dark": (2, (500, 6000), (0, 1)), "lower": (3, (2000, 8000), (0.2, 0.9))}
+ASKED_FOR = {kind: 0 for kind in KINDS if kind.startswith("upgrade") or kind in ("herd", "zone_dark", "lower")}    # where weights name them
 
 
 def make(seed: int, weights=None, span_ms: int = 10_000, relays: int = 3) -> Scenario:
--- a/molehill/emulator/parties/endpoint.py
+++ b/molehill/emulator/parties/endpoint.py
@@ -26,7 +26,7 @@
         self.place, self.mode, self.slowness, self.opens = network.machine(name), "well", 1, 0
         self.busy, self.queue, self.serial, self.draining = 0, deque(), 0, False
         self.recent, self.down_since, self.up_since, self.seen_failing = deque(), None, None, set()
-        self.begun = deque()
+        self.begun, self.spends = deque(), False       # spends: calls that are refused use its limit up too
         self.conns, self.listener = {}, None
         self.open()
 
@@ -138,6 +138,12 @@
         """Calls a second that it can do; what a told rate turns away costs it nothing."""
         return self.plan.slots * SECOND / max(1, self.plan.span)
 
+    def lowers(self, share: float) -> int:
+        """Its limit becomes that share of what it was, or of what it can do; refusals spend it. Gives the limit before."""
+        before = self.plan.rate
+        self.plan.rate, self.spends = max(1, int((before or self.able()) * share)), True
+        return before
+
     def take(self, call) -> None:
         now = self.world.now
         if self.draining:
@@ -147,6 +153,8 @@
                 self.recent.popleft()
             if len(self.recent) >= self.plan.rate:
                 wait = self.recent[0] + SECOND - now
+                if self.spends:
+                    self.recent.append(now)
                 return self.later(call, MS, 429, max(MS, wait))
             self.recent.append(now)
         if self.busy < self.plan.slots:
@@ -183,7 +191,8 @@
             return
         headers = [("Retry-After", f"{wait / SECOND:.3f}")] if wait else []
         if self.plan.rate:
-            headers.append(("Srv-Load", f"x0={self.busy / self.plan.slots:.2f},x1={self.plan.rate}"))
+            left = max(0.0, 1 - sum(at > self.world.now - SECOND for at in self.recent) / self.plan.rate)
+            headers.append(("Srv-Load", f"x0={left:.2f},x1={self.plan.rate}"))
         body = b""
         if bundle and status == 200:
             body = "".join(f"{ident} delivered\r\n" for ident, _, _ in ids).encode()
--- a/molehill/emulator/recount.py
+++ b/molehill/emulator/recount.py
@@ -32,7 +32,7 @@
     def fault(self, who, kind, falls_on, worth, **_) -> None:
         if kind == "retune" and not int(worth):
             self.broken.add(falls_on)
-        self.silent = self.silent or kind in ("vanished", "dead")
+        self.silent = self.silent or kind in ("vanished", "dead", "zone_dark")
 
     def signal(self, who, number) -> None:
         if number == SIGHUP:
--- a/molehill/emulator/run.py
+++ b/molehill/emulator/run.py
@@ -228,6 +228,23 @@
         for node in self.nodes.values():
             node.signal(SIGHUP)
 
+    def on_herd(self, fault, _, span) -> None:
+        """That share of the relays is killed at once, their folders kept."""
+        up = [node for node in self.nodes.values() if node.up]
+        for node in self.world.chance.sample(up, round(len(up) * fault.worth)):
+            node.kill()
+
+    def on_zone_dark(self, fault, _, span) -> None:
+        for host in [h for h in self.hosts.values() if h.plan.zone == "ab"[round(fault.worth)] and h.mode == "well"]:
+            host.became("vanished")
+            self.world.after(span, lambda h=host: h.became("well") if h.mode == "vanished" else None)
+
+    def on_lower(self, fault, _, span) -> None:
+        for host in self.hosts.values():
+            before = host.lowers(fault.worth)
+            self.world.after(span, setattr, host.plan, "rate", before)
+            self.world.after(span, setattr, host, "spends", False)
+
     def on_lost_answers(self, fault, _, span) -> None:
         self.platform.lose_answers = fault.worth
         self.world.after(span, setattr, self.platform, "lose_answers", 0.0)
--- a/molehill/emulator/scenario.py
+++ b/molehill/emulator/scenario.py
@@ -105,6 +105,9 @@
     "move": "platform",
     # Started again beside itself; of these two, one is killed or hangs at so many steps of its own from then on (worth)
     "upgrade": "relay", "upgrade_new_dies": "relay", "upgrade_old_dies": "relay", "upgrade_new_hangs": "relay", "upgrade_old_hangs": "relay",
+    # What days of many relays bring: a share of the relays killed at once (worth), all hosts of one zone dark (worth: its index), the limits of
+    # all destinations lowered to a share (worth)
+    "herd": "platform", "zone_dark": "platform", "lower": "platform",
     "retune": "relay"}                         # new settings at SIGHUP, so many launches (worth); 0: a file that is broken
 
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -32,6 +32,12 @@
     kept(sweep.play_one(generator.make(seed, span_ms=5000)))
 
 
+@pytest.mark.parametrize("seed", [3, 11, 39])
+def test_rough_days_of_fleets_and_upgrades_keep_the_rules(seed):
+    """Kinds that are drawn only where they are asked for; 39 once waited a second for a process that hung."""
+    kept(sweep.play_one(generator.make(seed, {kind: 2 for kind in generator.ASKED_FOR}, span_ms=5000)))
+
+
 @pytest.mark.parametrize("path", ONCE_FAILED, ids=lambda path: path.stem)
 def test_what_once_failed_keeps_the_rules(path):
     kept(sweep.play_one(scenarios.load(path.read_text(encoding="utf-8"))))
