Scarce connections are learnt for each kind of destination

Cause: one of its three kinds takes few connections, and each failed connect there (and each to a host that is pre-empted) had the relay close idle connections to all kinds for its next 32 calls, so the large ones, which take plenty and carry most, cost a handshake a callback. Lines: the one `scarce` counter in `_connection`. The assumption that fitted only earlier deployments: that all kinds are alike in this. Kinds come from the settings. Rejected: by host or destination, as a relay calls most of them once in 10 to 60 s and would learn it each time anew.

An upgrade from the text before begins this figure anew. It could harm where kinds share machines; then each kind learns it by itself.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -52,7 +52,7 @@
     def __init__(self, settings, seed):
         self.set, self.random, self.now, self.actions = settings, Random(seed).random, 0, []
         self.held = {}                        # callbacks that are not over, and those over with a launch out
-        self.dests, self.keys, self.rests, self.out, self.scarce = {}, {}, {}, 0, 0
+        self.dests, self.keys, self.rests, self.out = {}, {}, {}, 0
         self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
         self.timers, self.wake_at, self.serial, self.ends = [], None, 0, float("inf")
         self.quota = [[float("inf"), 0] for _ in settings.tenants]
@@ -62,7 +62,9 @@
         self.hosts, self.spare = {}, []       # host id -> index into the arrays below; indices to use again
         # the last six: health, calls out, share of failures; next call at; state, idle connection since
         self.rows = (self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route, self.h_state,
-                     self.h_out, self.h_bad, self.h_next, self.h_since, self.h_free) = [[] for _ in range(12)]
+                     self.h_out, self.h_bad, self.h_next, self.h_since, self.h_free,
+                     self.h_kind) = [[] for _ in range(13)]
+        self.tight = [0] * max(1, len(settings.kinds))    # by kind: calls for which no idle connection is kept
         self.worn_span, self.worn, self.new = settings.connection_idle, 0.0, 0.0
 
     def step(self, now, events):
@@ -157,7 +159,7 @@
             lim = self.h_route[h]
             rows.append({"host": host, **{name: getattr(self, name)[h] for name in self.HANDED},
                          "route": self._measured(lim) if lim is not self.dests[self.h_dest[h]].limiter else {}})
-        return rows + [{"scarce": self.scarce, "worn_span": self.worn_span, "worn": self.worn, "new": self.new}]
+        return rows + [{"tight": self.tight, "worn_span": self.worn_span, "worn": self.worn, "new": self.new}]
 
     @staticmethod
     def _measured(lim):
@@ -177,7 +179,8 @@
                 self.h_state[h] = next((state for state in (OPEN, RAMP) if state == row["h_state"]), CLOSED)
                 self._at(max(row["h_next"], row["route"].get("paused", 0)), None, self.h_dest[h])
             else:
-                self.__dict__.update({name: row[name] for name in ("scarce", "worn_span", "worn", "new") if name in row})
+                self.__dict__.update({name: row[name] for name in ("worn_span", "worn", "new") if name in row})
+                self.tight = row["tight"] if len(row.get("tight", ())) == len(self.tight) else self.tight
                 continue
             vars(lim).update({name: value for name, value in row["route"].items() if name in vars(lim)})
 
@@ -303,8 +306,9 @@
         """Danger: idle connections of many relays fill a host that takes few: none is kept once one failed.
         Danger: dropped unseen, they lose the next call: most calls on long idle ones are lost, few on new."""
         self.h_free[h] = 0 if result.may_run_still else self.now
-        self.scarce = self.SCARCE if result is Result.NO_CONNECT else max(0, self.scarce - 1)
-        if self.scarce and not self.h_out[h] and not self.dests[self.h_dest[h]].waiting:
+        kind = self.h_kind[h]                 # danger: as one kind takes few, handshakes are paid for at all
+        self.tight[kind] = self.SCARCE if result is Result.NO_CONNECT else max(0, self.tight[kind] - 1)
+        if self.tight[kind] and not self.h_out[h] and not self.dests[self.h_dest[h]].waiting:
             self.h_free[h] = 0
             self.actions.append(it.CloseIdle(self.h_id[h]))
         lost = result is Result.RESET or result is Result.TIMEOUT and took >= call[4]
@@ -453,7 +457,8 @@
         kind = self.set.kinds[entry.kind] if entry.kind < len(self.set.kinds) else it.Kind(False, 1)
         route = Limiter(self.now) if kind.apart else self._dest(entry.destination).limiter
         row = (entry.host, entry.zone, kind.per_call, entry.destination, False, route,
-               CLOSED if entry.away else OPEN, 0, 0.0, 0, self.now, 0)    # rule 4
+               CLOSED if entry.away else OPEN, 0, 0.0, 0, self.now, 0,    # rule 4
+               min(entry.kind, len(self.tight) - 1))
         for array, value in zip(self.rows, row):
             array[h:h + 1] = [value]
         return h
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -421,3 +421,15 @@
     world.take()
     world.advance(2 * SECOND)
     assert len(world.sent) == 2 and len({h for _, h in world.sent}) <= 2 and len(world.open) == 2
+
+
+def test_a_kind_that_takes_few_connections_costs_the_others_none():
+    world = World(settings(kinds=[it.Kind(False, 1), it.Kind(False, 1)]), hosts=((1, 0, 0, 1), (2, 0, 1, 2)))
+    number = world.take(destination=2)
+    world.answer(number, R.NO_CONNECT)
+    world.answer(world.take(destination=1))
+    assert world.closed == [2]
+    while number not in world.out:
+        world.advance(10 * MS)
+    world.answer(number)
+    assert world.closed == [2, 2]
