Exclusive launches end by the learnt time-out, at their goal time at the soonest

Cause: an exclusive callback may have one launch, which was waited for to its abandon time, 20 s, so those out at hosts that hang took all slots. Line: the first two of `_time_out`. The assumption that fitted only earlier deployments: that exclusive callbacks hardly occur. Now it ends like others, but its goal time after its launch at the soonest, as that ends it for good; the final answer goes out then.

Three tests whose exclusive launches have to stay out for seconds got a longer goal time; what they assert is as it was.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -640,8 +640,9 @@
     LEAST_TIME_OUT = SECOND  # below this a new connection's handshakes would read as silence
 
     def _time_out(self, lim, callback):
-        """Learnt as TCP learns it, doubled while nothing comes; what may not be repeated waits to the end."""
-        if callback.row.effect is Effect.EXCLUSIVE:
-            return callback.due - self.now
+        """Learnt as TCP learns it, doubled while nothing comes. What may not be repeated is over with it, so it
+        waits for its goal time at least. Danger: to the end, those out at hosts that hang hold all slots."""
         span = lim.smooth + 6 * lim.dev if lim.smooth else callback.row.goal   # TCP: 4
-        return max(span, self.LEAST_TIME_OUT) << min(lim.rounds, 2)    # more outlasts the trouble
+        span = max(span, self.LEAST_TIME_OUT) << min(lim.rounds, 2)    # more outlasts the trouble
+        exclusive = callback.row.effect is Effect.EXCLUSIVE
+        return min(max(span, callback.row.goal), callback.due - self.now) if exclusive else span
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -198,7 +198,7 @@
     ("exclusive", R.NO_CONNECT, True), ("exclusive", R.FULL, True), ("exclusive", R.RESET, False),
     ("exclusive", None, False), ("ticketed", None, True), ("rerunnable", None, True)])
 def test_after_a_restart_it_is_known_whether_a_launch_may_have_run(tmp_path, effect, result, again):
-    world = wire(tmp_path, categories=[category(effect, abandon=20000, window=9000)])
+    world = wire(tmp_path, categories=[category(effect, goal=19000, abandon=20000, window=9000)])
     number = world.take()
     if result is not None:
         world.end(next(iter(world.out)), result)
@@ -415,7 +415,7 @@
 
 
 def test_callbacks_of_one_call_each_have_their_own_end(tmp_path):
-    world = wire(tmp_path, categories=[category("exclusive", abandon=20000)], slots=1)
+    world = wire(tmp_path, categories=[category("exclusive", goal=19000, abandon=20000)], slots=1)
     world.take(destination=2)
     for _ in range(4):
         world.take(destination=2, step=False)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -304,7 +304,7 @@
 
 
 def test_hosts_that_come_and_go_leave_nothing_behind_and_one_that_is_back_soon_is_known():
-    world = World(settings(categories=[category("exclusive", abandon=100_000)]), hosts=((0, 0, 0, 1),))
+    world = World(settings(categories=[category("exclusive", goal=90_000, abandon=100_000)]), hosts=((0, 0, 0, 1),))
     relay = world.relay
 
     def tell(*rows):
@@ -433,3 +433,14 @@
         world.advance(10 * MS)
     world.answer(number)
     assert world.closed == [2, 2]
+
+
+def test_exclusive_ones_at_a_host_that_hangs_give_their_slots_back_but_not_before_their_goal_time():
+    """Danger: held to the end, those out at hosts that hang take all slots from the others."""
+    world = World(settings(categories=[category("exclusive", goal=2000, abandon=20_000)]), hosts=((1, 0, 0, 1),))
+    feed(world, 20, 20)
+    number = world.take()
+    world.advance(1900 * MS)
+    assert number in world.out
+    world.advance(200 * MS)
+    assert number in world.final and not world.relay.out
