At a told limit, the least pace halves with each bad round in a row

Line: `SELDOM` over the part's own least in `_paced`. "At least" now holds for the first bad round and halves with each further one, until a call is taken.

Deployments whose answers tell no share left are untouched. It could harm a lone relay that was refused by chance thrice: it then waits 12 s.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -60,7 +60,7 @@
                    it.Withdrawn: self._withdrawn, it.Stopping: self._stopping, it.NewSettings: self._retuned,
                    it.Learnt: self._learnt}
         self.hosts, self.spare = {}, []       # host id -> index into the arrays below; indices to use again
-        # the last six: health, calls out, share of failures; next call at; state, idle connection since
+        # from state on: health; calls out; share of failures; next call at; state, idle connection since; kind
         self.rows = (self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route, self.h_state,
                      self.h_out, self.h_bad, self.h_next, self.h_since, self.h_free,
                      self.h_kind) = [[] for _ in range(13)]
@@ -588,7 +588,10 @@
             rate = min(lim.pace, lim.told) if lim.pace and lim.told else lim.pace or lim.told
         else:
             part = lim.told / self.set.relays
-            low, high = max(part / self.SPREAD, self.SELDOM), max(part * self.SPREAD, self.OFTEN)
+            # Danger: refused calls use the limit up, and what all wait for, tried again each few seconds, leaves
+            # nothing for anyone. Each further bad round in a row halves how often, to the part's own least.
+            seldom = self.SELDOM / 2 ** min(max(0, lim.rounds - 1), 6)
+            low, high = max(part / self.SPREAD, seldom), max(part * self.SPREAD, self.OFTEN)
             rate = min(lim.told, low * max(1.0, high / low) ** lim.left)
             if part > self.SELDOM:    # else nothing gathers in time
                 # Danger: small calls spend a limit counted in calls. One waits for more to go with it, unless much
