A process that waits to take over looks for the lock as often as before, however often it asks

Found on rereading: after broken hand-overs the span between looks at the lock grew with that between asking, so a folder whose owner died then lay up to a second without service. Now only asking grows seldom, as each try costs the one that serves a pause.

--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -25,7 +25,8 @@
 STEP_WITHIN = SECOND               # for a message of the other process: many times what it takes, well within the 6 s for a yes
 # For all that passes, as the relay stands meanwhile: half of the time within which it owes a notice (300 ms). Some 10 ms are taken.
 PASS_WITHIN = 150 * MS
-TRY_AGAIN, SELDOM = 50 * MS, SECOND    # between looks at the lock while another process has it; at most, where asking it failed
+TRY_AGAIN = 50 * MS                # between looks at the lock while another process has it
+SELDOM = SECOND                    # at most, between two hand-overs that broke off: each costs the one that serves a pause
 SAY_EVERY = 10 * SECOND
 
 
@@ -74,10 +75,11 @@
                 self.told_to_end = self.scheduler.stopped = True
 
     def seek(self) -> None:
-        said, again = 0, TRY_AGAIN
+        said, ask_at, again = 0, 0, TRY_AGAIN
         while not self.told_to_end:
-            if self.config.admin is not None and self.estate is None and self.ask():
-                again = min(2 * again, SELDOM)     # each broken hand-over costs the one that serves a pause
+            if self.config.admin is not None and self.clock() >= ask_at and self.ask():
+                again = min(2 * again, SELDOM)
+                ask_at = self.clock() + again
             if self.estate is None:
                 self.lock = self.machine.disk.lock(self.config.state)
             if self.estate is not None or self.lock is not None:
@@ -86,7 +88,7 @@
             if self.clock() - said >= SAY_EVERY:
                 said = self.clock()
                 self.log.info("waiting for the folder", state=self.config.state)
-            self.scheduler.sleep(self.clock() + again)
+            self.scheduler.sleep(self.clock() + TRY_AGAIN)
 
     def ask(self) -> bool:
         """Has the process that serves now hand over, if it can be reached and does; whether that was begun and broke off."""
