Emulator: what the two processes of a relay left unused is taken out; kinds drawn on demand in one table

Kinds that are drawn only where weights name them were named twice, in the table and in a condition beside it; now their table says it, and the weights are merged once and not for each kind.

--- a/molehill/emulator/disk.py
+++ b/molehill/emulator/disk.py
@@ -1,6 +1,6 @@
 """A disk with the manners of a folder that lasts: what a killed process wrote stays, to the byte.
 
-Each call is a step at which a kill may fall (`step`, set by the node); a write may be torn there at any byte. `short`: share
+The node sets `lock`, and `step`: each call is one, at which a kill may fall; a write may be torn there at any byte. `short`: share
 of writes that take only a part. `failing`: errno that each write and rename gives while it is set. `most`: bytes in all files.
 """
 import errno
@@ -88,9 +88,5 @@
             raise OSError(self.failing, "the disk fails")
         self.files[new] = self.files.pop(old)
 
-    def lock(self, folder: str) -> int:
-        """The node's: whoever asks here has the folder alone."""
-        return -1
-
     def close(self, fd: int) -> None:
         self.fds.pop(fd, None)
--- a/molehill/emulator/generator.py
+++ b/molehill/emulator/generator.py
@@ -28,11 +28,12 @@
     "silent": (4, (300, 6000), (0, 0)), "erring": (3, (300, 5000), (0, 0)), "refusing": (2, (300, 5000), (0, 0)), "shut": (2, (300, 5000), (0, 0)),
     "slow": (2, (500, 5000), (2, 60)), "spoilt": (2, (100, 3000), (0, 0)), "dead": (3, (300, 5000), (0, 0)),
     "vanished": (3, (300, 5000), (0, 0)), "drain": (4, (1500, 6000), (0, 0)), "lag": (1, (1000, 5000), (100, 4000)),
-    "outage": (1, (300, 4000), (0, 0)), "lost_answers": (2, (500, 5000), (0.1, 0.9)), "move": (1, (0, 0), (0, 0)),
+    "outage": (1, (300, 4000), (0, 0)), "lost_answers": (2, (500, 5000), (0.1, 0.9)), "move": (1, (0, 0), (0, 0))}
+ASKED_FOR = {                          # likewise, drawn only where weights name them
     "upgrade": (3, (0, 0), (0, 0)), "upgrade_new_dies": (3, (0, 0), (1, 250)), "upgrade_old_dies": (3, (0, 0), (1, 250)),
     "upgrade_new_hangs": (1, (100, 6000), (1, 250)), "upgrade_old_hangs": (1, (100, 6000), (1, 250)),
     "herd": (2, (0, 0), (0.3, 1)), "zone_dark": (2, (500, 6000), (0, 1)), "lower": (3, (2000, 8000), (0.2, 0.9))}
-ASKED_FOR = {kind: 0 for kind in KINDS if kind.startswith("upgrade") or kind in ("herd", "zone_dark", "lower")}    # where weights name them
+ALL = {**KINDS, **ASKED_FOR}
 
 
 def make(seed: int, weights=None, span_ms: int = 10_000, relays: int = 3) -> Scenario:
@@ -62,7 +63,7 @@
     hosts = [f"h{e.destination}-{n}" for e in endpoints for n in range(e.hosts)]
     who = {"relay": [f"relay{n}" for n in range(relays)], "host": hosts, "platform": ["platform"]}
     faults = []
-    weighed = {kind: row[0] * {**ASKED_FOR, **(weights or {})}.get(kind, 1) for kind, row in KINDS.items()}
+    weighed = {kind: row[0] * (weights or {}).get(kind, int(kind in KINDS)) for kind, row in ALL.items()}
     for _ in range(chance.randrange(1, 9)):
         kind = chance.choices(list(weighed), list(weighed.values()))[0]
         fault = one(chance, kind, chance.choice(who[FAULTS[kind]]), chance.randrange(500, span_ms))
@@ -86,7 +87,7 @@
 
 
 def one(chance, kind: str, who: str, at_ms: int) -> Fault:
-    _, (least, most), (low, high) = KINDS[kind]
+    _, (least, most), (low, high) = ALL[kind]
     worth = chance.uniform(low, high)
     return Fault(kind, at_ms, who, chance.randrange(least, most + 1), round(worth, 2) if high <= 1 else float(int(worth)))
 
--- a/molehill/emulator/life.py
+++ b/molehill/emulator/life.py
@@ -401,9 +401,9 @@
 
     def over(self, how: str) -> None:
         """What the kernel does with a process that is gone."""
-        serving, self.state, self.parked, self.kill_at = self.serving, how, None, None
+        self.state, self.parked, self.kill_at = how, None, None
         self.node.graves.append(self)              # never resumed, never run by a destructor before the world's end
-        self.node.lost(self, serving)
+        self.node.lost(self)
         for descriptor in sorted(self.fds.values(), key=lambda d: d.fd):
             let_go(descriptor.file, descriptor, "reset")
         self.fds.clear()
--- a/molehill/emulator/node.py
+++ b/molehill/emulator/node.py
@@ -102,19 +102,19 @@
         if self.owner is not None:
             self.owner.kill_at = self.owner.steps + steps
 
-    def lost(self, life, serving: bool) -> None:
+    def lost(self, life) -> None:
         """A process is gone; the relay with it, unless another has taken over."""
         self.lives.remove(life)
         if life is self.owner:
             self.gone(life)
         elif self.owner.process is not None and self.owner.state is UP:
             self.world.tell(self.name, "one of two gone", life=life.number)
-            self.world.after(SOON, self.orphaned, life)
+            self.world.after(SOON, self.orphaned)
         else:
             self.tell_gone()
 
-    def orphaned(self, life) -> None:
-        """Whether the process that is left has given all to the one that is gone."""
+    def orphaned(self) -> None:
+        """Gone after all, if the process that is left had given all to the one that died."""
         if self.owner.state is UP and self.owner.process.given and not self.up:
             self.gone(self.owner)
 
