--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -444,3 +444,17 @@
     assert number in world.out
     world.advance(200 * MS)
     assert number in world.final and not world.relay.out
+
+
+def test_where_refusals_use_a_told_limit_up_tries_grow_seldom_till_one_is_taken():
+    """Danger: where an even part is a call in a quarter of a minute, tries each few seconds leave nothing for anyone."""
+    world = World(settings(tells_limit=True, relays=200, ramp_time=SECOND, max_launches=12, categories=[category(abandon=400_000)]),
+                  hosts=((1, 0, 0, 1),))
+    number, at = world.take(), []
+    for _ in range(6000):
+        if number in world.out:
+            at.append(world.now)
+            world.answer(number, R.FULL, told=(14.0, 0.0))
+        world.advance(50 * MS)
+    gaps = [b - a for a, b in zip(at, at[1:])]
+    assert len(gaps) > 4 and gaps[0] < 4 * SECOND and gaps[4] > 3 * gaps[0]
