Emulator: of two faults that overlap, each ends only its own part; what a fault does is one text

Cause: `lower` and `few_descriptors` put back the value that they had found, so a shorter one within a longer ended it, and one behind another kept it for ever; modes, outages of discovery, drains, lags and disk faults ended the newer of two of one kind with the older. Ruled out by the test: that only the two named kinds did it (silent, outage and drain failed alike).

Change: what lies on a value is kept as layers, the worst in force counts, an end lifts its own. What faults do to hosts and platform moves from run.py to script.py, with a relay's file, as real stand-ins will be steered by the same text.

No change of the relay.

--- a/molehill/emulator/life.py
+++ b/molehill/emulator/life.py
@@ -16,6 +16,7 @@
 
 TURN = 150_000                         # least ns between two looks of a relay's loop: about what a callback costs one core
 LEAST_FD = 3                           # after the standard streams
+LEAST_FDS = 24                         # standard streams, log, discovery, notices, listener, and a few connections
 LETTERS = 64                           # messages that a line between two processes takes in unread, a few more than kernels do
 UP, ENDED, KILLED = "up", "ended", "killed"
 
@@ -282,7 +283,9 @@
         return self.polling
 
     def most_fds(self) -> int:
-        return self.node.most_fds
+        """What its machine gives it; under a fault that share of it, and no less than a start needs."""
+        node = self.node
+        return node.most_fds if node.fds_share >= 1.0 else max(LEAST_FDS, int(node.most_fds * node.fds_share))
 
     def give_fd(self, descriptor) -> int:
         """The lowest number that is free, as kernels give."""
--- a/molehill/emulator/node.py
+++ b/molehill/emulator/node.py
@@ -19,7 +19,7 @@
         self.place, self.disk, self.lines = network.machine(name), Disk(world, disk_most), []
         self.disk.step, self.disk.lock = self.step, self.lock
         self.life, self.lives, self.owner, self.acting = 0, [], None, None     # lives: those that are up
-        self.most_fds, self.frozen_until, self.graves = 1 << 30, 0, []
+        self.most_fds, self.fds_share, self.frozen_until, self.graves = 1 << 30, 1.0, 0, []
         self.locked, self.meeting = Lock(), Meeting()
         self.on_kill = []              # each is told (node) when the relay is gone, with the disk as it was left
         self.on_ready = []             # each is told (node, life) when a process can serve
--- a/molehill/emulator/parties/endpoint.py
+++ b/molehill/emulator/parties/endpoint.py
@@ -26,7 +26,7 @@
         self.place, self.mode, self.slowness, self.opens = network.machine(name), "well", 1, 0
         self.busy, self.queue, self.serial, self.draining = 0, deque(), 0, False
         self.recent, self.down_since, self.up_since, self.seen_failing = deque(), None, None, set()
-        self.begun, self.spends = deque(), False       # spends: calls that are refused use its limit up too
+        self.begun, self.spends, self.usual = deque(), False, plan.rate    # spends: calls that are refused use its limit up too
         self.conns, self.listener = {}, None
         self.open()
 
@@ -138,11 +138,10 @@
         """Calls a second that it can do; what a told rate turns away costs it nothing."""
         return self.plan.slots * SECOND / max(1, self.plan.span)
 
-    def lowers(self, share: float) -> int:
-        """Its limit becomes that share of what it was, or of what it can do; refusals spend it. Gives the limit before."""
-        before = self.plan.rate
-        self.plan.rate, self.spends = max(1, int((before or self.able()) * share)), True
-        return before
+    def lowers(self, share: float) -> None:
+        """Its limit becomes that share of its usual one, or of what it can do if it tells none; refusals spend it. 1.0: as usual."""
+        lower = share < 1.0
+        self.plan.rate, self.spends = max(1, int((self.usual or self.able()) * share)) if lower else self.usual, lower
 
     def take(self, call) -> None:
         now = self.world.now
--- a/molehill/emulator/parties/platform.py
+++ b/molehill/emulator/parties/platform.py
@@ -51,16 +51,13 @@
     def known(self) -> dict:
         return {"index": self.version, "snapshot": True, "endpoints": list(self.rows.values())}
 
-    def goes_down(self, span: int) -> None:
-        self.down = True
-        for sock in list(self.watches):
-            self._end_watch(sock)
-            sock.reset()
-            self.conns.pop(sock, None)
-        self.world.after(span, self._up)
-
-    def _up(self) -> None:
-        self.down = False
+    def goes(self, down: bool) -> None:
+        self.down = down
+        if down:
+            for sock in list(self.watches):
+                self._end_watch(sock)
+                sock.reset()
+                self.conns.pop(sock, None)
 
     # Calls
 
--- a/molehill/emulator/run.py
+++ b/molehill/emulator/run.py
@@ -4,21 +4,20 @@
 from molehill.config import MS, SECOND
 from molehill.emulator.network import Network
 from molehill.emulator.node import SIGHUP, SIGTERM, Node
-from molehill.emulator.parties.endpoint import COLD, FALL_SPAN, PUSHED, RAMP, Endpoint
+from molehill.emulator.parties.endpoint import Endpoint
 from molehill.emulator.parties.platform import Platform
 from molehill.emulator.parties.programs import Front, Program
 from molehill.emulator.parties.strangers import Strangers
 from molehill.emulator.recount import Recount
 from molehill.emulator.referee import LOST, Referee
 from molehill.emulator.scenario import Scenario
+from molehill.emulator.script import Script, relay_file
 from molehill.emulator.world import START, World
 
 AGAIN = 600 * MS                       # from a kill to the next start: the platform's figure
 KILLED_AFTER = 3700 * MS               # from SIGTERM to SIGKILL, likewise
 DOORS = 9000                           # operators' doors: a port for each start, as an upgrade has a new one
 QUIET = 3 * SECOND                     # after the last abandon time: ends and notices are out, rows are dropped
-CATEGORY_KEYS = {"name": "name", "effect": "semantics", "span_ms": "deadlineMs", "payoff": "worth", "ordered": "serialByKey",
-                 "window_ms": "dedupWindowMs", "scope": "dedupScope"}
 
 
 class Plan:
@@ -28,9 +27,10 @@
         self.__dict__.update(given)
 
 
-class Run:
+class Run(Script):
     def __init__(self, scenario: Scenario):
         self.scenario = scenario
+        self.prepare()
         self.world = world = World(scenario.seed)
         self.retuned: dict[str, list[int]] = {}        # relay -> launches allowed, by each of its later files
         self.referee, self.recount = Referee(world, scenario), Recount(world)
@@ -72,25 +72,10 @@
 
     def given(self, name: str) -> dict:
         """A relay's configuration, in the platform's form."""
-        s = self.scenario
-        grades = []
-        for c in s.categories:
-            row = {key: getattr(c, field) for field, key in CATEGORY_KEYS.items()}
-            grades.append({**row, "aimMs": c.goal_ms or c.span_ms // 4, "lateShare": 0.1})
-        retuned = self.retuned.get(name, [])
-        grades += [{**grades[0], "name": f"later {n}"} for n in range(len(retuned))]
-        door = {"admin": "%s:%d" % (self.addresses[name][0], DOORS + self.nodes[name].life)} if self.upgrades else {}
-        return {**door, "name": name, "listen": "%s:%d" % self.addresses[name], "discovery": "%s:%d" % self.platform.address,
-                "seed": f"{s.seed:x}{self.nodes[name].life:x}", "state": "/state",
-                "limits": {"sockets": s.sockets, "disk_mb": s.disk_kb / 1000, "memory_mb": 64}, "known": self.platform.known(),
-                "settings": {"grades": grades, "balancers": s.relays, "azs": ["a", "b"],
-                             "machineTypes": ["plain", "apart", "bundle"],
-                             "extra": {"kindApart": [False, True, False], "perCall": [1, 1, s.per_call], "maxCalls": s.slots},
-                             "allowed": {"maxOpen": s.max_held, "maxAttempts": (retuned or [8])[-1], "retryAfter": True, "maxRetryAfterMs": 5000,
-                                         "connIdleMs": 10000, "connectTimeoutMs": 1500},
-                             "guarantees": {"settleAfterDoubtMs": s.settle_ms, "fallMs": FALL_SPAN // MS,
-                                            "tipMultiple": PUSHED, "coldFrom": COLD, "rampTimeMs": RAMP // MS},
-                             "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"}}}
+        life = self.nodes[name].life
+        admin = (self.addresses[name][0], DOORS + life) if self.upgrades else None
+        return relay_file(self.scenario, name, f"{self.scenario.seed:x}{life:x}", self.addresses[name], self.platform.address,
+                          self.platform.known(), "/state", admin, self.retuned.get(name, ()))
 
     # Relays
 
@@ -125,9 +110,8 @@
 
     # Faults
 
-    def falls(self, fault) -> None:
-        self.world.tell("script", "fault", kind=fault.kind, falls_on=fault.who, span=fault.span_ms, worth=fault.worth)
-        getattr(self, "on_" + fault.kind)(fault, self.nodes.get(fault.who) or self.hosts.get(fault.who), fault.span_ms * MS)
+    def party(self, who: str):
+        return self.nodes.get(who) or self.hosts.get(who)
 
     def on_kill(self, fault, node, span) -> None:
         node.kill()
@@ -186,41 +170,16 @@
         node.disk.spoil("/state/log")
 
     def on_disk_full(self, fault, node, span) -> None:
-        node.disk.most = node.disk.used()
-        self.world.after(span, setattr, node.disk, "most", self.scenario.disk_kb * 1000)
+        self.sets(span, node.disk, "most", node.disk.used(), self.scenario.disk_kb * 1000, min)
 
     def on_disk_failing(self, fault, node, span) -> None:
-        node.disk.failing = 5              # EIO
-        self.world.after(span, setattr, node.disk, "failing", None)
+        self.sets(span, node.disk, "failing", 5, None)     # EIO
 
     def on_short_writes(self, fault, node, span) -> None:
-        node.disk.short = fault.worth
-        self.world.after(span, setattr, node.disk, "short", 0.0)
+        self.sets(span, node.disk, "short", fault.worth, 0.0)
 
     def on_few_descriptors(self, fault, node, span) -> None:
-        before = node.most_fds
-        node.most_fds = max(24, int(before * fault.worth))
-        self.world.after(span, setattr, node, "most_fds", before)
-
-    def _mode(self, fault, host, span) -> None:
-        host.became(fault.kind, max(1, int(fault.worth)), self.world.now + span)
-        self.world.after(span, lambda: host.became("well") if host.mode == fault.kind else None)
-
-    on_silent = on_erring = on_refusing = on_shut = on_slow = on_spoilt = on_dead = on_vanished = _mode
-
-    def on_drain(self, fault, host, span) -> None:
-        """Told first, by a second and a half; it turns away then, and is told to be back at the end."""
-        self.platform.put(host, "leaving")
-        self.world.after(1500 * MS, setattr, host, "draining", True)
-        self.world.after(span, setattr, host, "draining", False)
-        self.world.after(span, self.platform.put, host, "active")
-
-    def on_lag(self, fault, _, span) -> None:
-        self.platform.lag = int(fault.worth) * MS
-        self.world.after(span, setattr, self.platform, "lag", 0)
-
-    def on_outage(self, fault, _, span) -> None:
-        self.platform.goes_down(span)
+        self.sets(span, node, "fds_share", fault.worth, 1.0, min)
 
     def on_move(self, fault, _, span) -> None:
         """Discovery and notices go to another address: each relay's file names it, and it is told by SIGHUP."""
@@ -234,21 +193,6 @@
         for node in self.world.chance.sample(up, round(len(up) * fault.worth)):
             node.kill()
 
-    def on_zone_dark(self, fault, _, span) -> None:
-        for host in [h for h in self.hosts.values() if h.plan.zone == "ab"[round(fault.worth)] and h.mode == "well"]:
-            host.became("vanished")
-            self.world.after(span, lambda h=host: h.became("well") if h.mode == "vanished" else None)
-
-    def on_lower(self, fault, _, span) -> None:
-        for host in self.hosts.values():
-            before = host.lowers(fault.worth)
-            self.world.after(span, setattr, host.plan, "rate", before)
-            self.world.after(span, setattr, host, "spends", False)
-
-    def on_lost_answers(self, fault, _, span) -> None:
-        self.platform.lose_answers = fault.worth
-        self.world.after(span, setattr, self.platform, "lose_answers", 0.0)
-
     # The whole
 
     def play(self) -> dict:
--- /dev/null
+++ b/molehill/emulator/script.py
@@ -0,0 +1,126 @@
+"""What a fault of the script does to hosts and to the platform, on the virtual machine or on the kernel's: one text for both.
+
+Whoever mixes this in has `world`, `scenario`, `hosts` (by name) and `platform`, calls `prepare` once, and `falls` when a fault is due.
+Faults of one kind may overlap on one thing: the end of one takes back its own part and leaves the others'.
+"""
+from molehill.config import MS
+from molehill.emulator.parties.endpoint import COLD, FALL_SPAN, PUSHED, RAMP
+
+DRAIN_TOLD = 1500 * MS                 # from the list's word to the first call that is turned away
+CATEGORY_KEYS = {"name": "name", "effect": "semantics", "span_ms": "deadlineMs", "payoff": "worth", "ordered": "serialByKey",
+                 "window_ms": "dedupWindowMs", "scope": "dedupScope"}
+
+
+class Layers:
+    """Parts that lie on one value. `worst(parts)`: which of those in force counts; `base`: the value without any.
+
+    Danger: an end that puts back the value it found ends a longer fault that began before it, and keeps alive one that it outlasts.
+    """
+
+    def __init__(self, base, worst, apply):
+        self.base, self.worst, self.apply, self.parts = base, worst, apply, {}
+
+    def lay(self, key, part) -> None:
+        self.parts[key] = part
+        self.apply(self.worst(self.parts.values()))
+
+    def lift(self, key) -> None:
+        del self.parts[key]
+        self.apply(self.worst(self.parts.values()) if self.parts else self.base)
+
+
+class Script:
+    def prepare(self) -> None:
+        self.layers, self.laid, self.modes, self.drains = {}, 0, {}, {}
+
+    def falls(self, fault) -> None:
+        self.world.tell("script", "fault", kind=fault.kind, falls_on=fault.who, span=fault.span_ms, worth=fault.worth)
+        getattr(self, "on_" + fault.kind)(fault, self.party(fault.who), fault.span_ms * MS)
+
+    def party(self, who: str):
+        return self.hosts.get(who)
+
+    def during(self, span: int, place, part, base, worst, apply) -> None:
+        """`part` lies on `place` for that span; the value that is in force there goes to apply()."""
+        layers = self.layers.setdefault(place, Layers(base, worst, apply))
+        self.laid += 1
+        layers.lay(self.laid, part)
+        self.world.after(span, layers.lift, self.laid)
+
+    def sets(self, span: int, thing, name: str, part, base, worst=max) -> None:
+        self.during(span, (thing, name), part, base, worst, lambda value: setattr(thing, name, value))
+
+    # Hosts
+
+    def _mode(self, fault, host, span) -> None:
+        self._in_mode(host, (fault.kind, max(1, int(fault.worth)), self.world.now + span), span)
+
+    def _in_mode(self, host, row, span: int) -> None:
+        rows = self.modes.setdefault(host.name, [])
+        rows.append(row)
+        host.became(*row)
+        self.world.after(span, self._mode_over, host, rows, row)
+
+    def _mode_over(self, host, rows, row) -> None:
+        """One that fell over meanwhile stays down."""
+        rows.remove(row)
+        if host.mode == row[0]:
+            host.became(*(rows[-1] if rows else ("well",)))
+
+    on_silent = on_erring = on_refusing = on_shut = on_slow = on_spoilt = on_dead = on_vanished = _mode
+
+    def on_drain(self, fault, host, span) -> None:
+        """Told first, by a second and a half; it turns away then, and is told to be back at the end."""
+        self.drains[host.name] = self.drains.get(host.name, 0) + 1
+        self.platform.put(host, "leaving")
+        self.world.after(DRAIN_TOLD, self._drained, host)
+        self.world.after(span, self._drain_over, host)
+
+    def _drained(self, host) -> None:
+        host.draining = self.drains[host.name] > 0
+
+    def _drain_over(self, host) -> None:
+        self.drains[host.name] -= 1
+        if not self.drains[host.name]:
+            host.draining = False
+            self.platform.put(host, "active")
+
+    def on_zone_dark(self, fault, _, span) -> None:
+        for host in [h for h in self.hosts.values() if h.plan.zone == "ab"[round(fault.worth)] and h.mode == "well"]:
+            self._in_mode(host, ("vanished",), span)
+
+    def on_lower(self, fault, _, span) -> None:
+        for host in self.hosts.values():
+            self.during(span, (host, "lower"), fault.worth, 1.0, min, host.lowers)
+
+    # The platform
+
+    def on_lag(self, fault, _, span) -> None:
+        self.sets(span, self.platform, "lag", int(fault.worth) * MS, 0)
+
+    def on_outage(self, fault, _, span) -> None:
+        self.during(span, (self.platform, "down"), True, False, max, self.platform.goes)
+
+    def on_lost_answers(self, fault, _, span) -> None:
+        self.sets(span, self.platform, "lose_answers", fault.worth, 0.0)
+
+
+def relay_file(scenario, name: str, seed: str, listen, discovery, known: dict, state: str, admin=None, retuned=()) -> dict:
+    """A relay's configuration in the platform's form. `listen`, `discovery`, `admin`: (address, port); `retuned`: the launches allowed
+    by each of its later files, which name one class more each."""
+    s, grades = scenario, []
+    for c in s.categories:
+        row = {key: getattr(c, field) for field, key in CATEGORY_KEYS.items()}
+        grades.append({**row, "aimMs": c.goal_ms or c.span_ms // 4, "lateShare": 0.1})
+    grades += [{**grades[0], "name": f"later {n}"} for n in range(len(retuned))]
+    return {**({"admin": "%s:%d" % admin} if admin else {}), "name": name, "listen": "%s:%d" % listen, "discovery": "%s:%d" % discovery,
+            "seed": seed, "state": state,
+            "limits": {"sockets": s.sockets, "disk_mb": s.disk_kb / 1000, "memory_mb": 64}, "known": known,
+            "settings": {"grades": grades, "balancers": s.relays, "azs": ["a", "b"],
+                         "machineTypes": ["plain", "apart", "bundle"],
+                         "extra": {"kindApart": [False, True, False], "perCall": [1, 1, s.per_call], "maxCalls": s.slots},
+                         "allowed": {"maxOpen": s.max_held, "maxAttempts": ([8, *retuned])[-1], "retryAfter": True, "maxRetryAfterMs": 5000,
+                                     "connIdleMs": 10000, "connectTimeoutMs": 1500},
+                         "guarantees": {"settleAfterDoubtMs": s.settle_ms, "fallMs": FALL_SPAN // MS,
+                                        "tipMultiple": PUSHED, "coldFrom": COLD, "rampTimeMs": RAMP // MS},
+                         "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"}}}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -11,8 +11,10 @@
 from molehill.emulator import generator, scenario as scenarios, sweep
 from molehill.emulator.days import calm, upgraded
 from molehill.emulator.run import Run
-from molehill.emulator.scenario import Fault, ProgramPlan, ScenarioError
+from molehill.config import MS
+from molehill.emulator.scenario import EndpointPlan, Fault, ProgramPlan, ScenarioError
 from molehill.emulator.show import timeline
+from molehill.emulator.world import START
 
 ONCE_FAILED = sorted((Path(__file__).parent / "scenarios").glob("*.toml"))
 
@@ -182,3 +184,20 @@
     verdict, lines = timeline(calm(span_ms=300), last=10_000)
     assert verdict["ok"] and any("says 'ready'" in line for line in lines) and any(" asked " in line for line in lines)
     assert msgspec.json.decode(json.dumps(verdict))["ok"]
+
+
+@pytest.mark.parametrize("kind,worth,look", [
+    ("lower", 0.5, lambda run: [h.plan.rate for h in run.hosts.values()]), ("silent", 0.0, lambda run: run.hosts["h1-0"].mode),
+    ("few_descriptors", 0.5, lambda run: run.nodes["relay0"].owner.most_fds()), ("disk_full", 0.0, lambda run: run.nodes["relay0"].disk.most),
+    ("outage", 0.0, lambda run: run.platform.down), ("drain", 0.0, lambda run: run.hosts["h1-0"].draining)])
+def test_of_two_faults_that_overlap_each_ends_only_itself(kind, worth, look):
+    """Danger: the end of the shorter put back what it had found, and ended the longer, or kept it for ever."""
+    who = {"relay": "relay0", "host": "h1-0", "platform": "platform"}[scenarios.FAULTS[kind]]
+    for spans in (((200, 3000), (2000, 700)), ((200, 2400), (1900, 2500))):      # one inside the other; one behind the other
+        run = Run(calm(endpoints=[EndpointPlan(1, rate=30)], programs=[ProgramPlan(1.0, [1])],
+                       faults=[Fault(kind, at, who, span, worth) for at, span in spans]))
+        seen = []
+        for ms in (100, 1950, 2800, 4600):
+            run.world.run(START + ms * MS)
+            seen.append(look(run))
+        assert seen[0] == seen[3] != seen[2] == seen[1]
