--- a/molehill/cli/__main__.py
+++ b/molehill/cli/__main__.py
@@ -2,6 +2,7 @@
 import click
 
 from molehill.cli.emulate import emulate
+from molehill.cli.fleet import fleet
 
 
 @click.group()
@@ -10,6 +11,7 @@
 
 
 main.add_command(emulate)
+main.add_command(fleet)
 
 if __name__ == "__main__":
     main(prog_name="molehill")
--- a/molehill/emulator/network.py
+++ b/molehill/emulator/network.py
@@ -41,6 +41,24 @@
         self.socks.clear()
 
 
+class Way:
+    """What one sends to another: bytes wait until `until`, take `delay` more, and no more than `rate` a second get through (0: all)."""
+
+    def __init__(self, world):
+        self.world, self.until, self.delay, self.rate, self.free, self.touched = world, 0, 0, 0, 0, 0
+
+    def arrival(self, when: int, size: int) -> int:
+        """When what would arrive at `when` does."""
+        later = max(when, self.until)
+        if self.delay:
+            later = max(later, when + int(self.delay * (0.5 + self.world.chance.random())))
+        if self.rate:
+            self.free = max(self.free, self.world.now) + size * SECOND // self.rate
+            later = max(later, self.free)
+        self.touched += later > when
+        return later
+
+
 class Network:
     def __init__(self, world, latency=(200_000, 800_000), pieces: float = 0.02):
         """`latency`: least and most nanoseconds one way, drawn for each connection; `pieces`: share of reads and writes
@@ -48,14 +66,22 @@
         self.world, self.latency, self.pieces, self.numbers = world, latency, pieces, 0
         self.machines: dict[str, Machine] = {}
         self.where: dict[tuple, Machine] = {}          # address -> the machine that has it
+        self.ways: dict[tuple, Way] = {}               # (from, to) -> what troubles that way; absent: nothing ever did
 
     def machine(self, name: str) -> Machine:
         return self.machines.setdefault(name, Machine(self.world, name))
 
+    def way(self, a: str, b: str) -> Way:
+        return self.ways.setdefault((a, b), Way(self.world))
+
     def number(self) -> int:
         self.numbers += 1
         return self.numbers
 
+    def seen_by(self, relay: str, address, party: str):
+        """What that relay is told for the address of a party: here, what it is."""
+        return address
+
     def some(self, count: int) -> int:
         """How much of `count` bytes one call moves."""
         chance = self.world.chance
@@ -174,7 +200,11 @@
         self._ask(tuple(address), 0)
 
     def _ask(self, address, tries: int) -> None:
-        if not self.closed and not self.machine.cut:
+        there = self.network.where.get(address)
+        way = self.network.ways.get((self.machine.name, there.name)) if there is not None else None
+        if way is not None and way.until > self.world.now:
+            way.touched += 1               # the wish is lost; the kernel repeats it
+        elif not self.closed and not self.machine.cut:
             self.world.after(self.delay, self._asked, address)
         if tries < len(RETRY):
             self.world.after(RETRY[tries] - (RETRY[tries - 1] if tries else 0), self._again, address, tries + 1)
@@ -200,7 +230,9 @@
         other.state, other.delay, other.peer = OPEN, self.delay, self
         self.peer = other
         if listener.offered(other):
-            self.world.after(self.delay, self._up)
+            way = self.network.ways.get((machine.name, self.machine.name))
+            due = self.world.now + self.delay
+            self.world.at(way.arrival(due, 0) if way is not None else due, self._up)
         else:
             other.forget()                 # no room in its backlog: it says nothing
             self.peer = None
@@ -249,11 +281,13 @@
 
     def _fly(self, data: bytes) -> None:
         self.flying += len(data)
-        self._order(self.peer._land, data, self.world.now)
+        self._order(self.peer._land, data, self.world.now, size=len(data))
 
-    def _order(self, work, *args) -> None:
+    def _order(self, work, *args, size: int = 0) -> None:
         """Things of one direction arrive in the order in which they were sent."""
-        self.last = max(self.last, self.world.now + self.delay)
+        due = self.world.now + self.delay
+        way = self.network.ways.get((self.machine.name, self.peer.machine.name))
+        self.last = max(self.last, way.arrival(due, size) if way is not None else due)
         self.world.at(self.last, work, *args)
 
     def _gone(self) -> bool:
--- a/molehill/emulator/parties/platform.py
+++ b/molehill/emulator/parties/platform.py
@@ -45,11 +45,15 @@
             self._news(sock)
 
     def row(self, host, status: str) -> dict:
-        return {"name": host.name, "address": "%s:%d" % host.address, "zone": host.plan.zone, "type": host.plan.kind,
+        return {"name": host.name, "address": host.address, "zone": host.plan.zone, "type": host.plan.kind,
                 "group": host.plan.destination, "status": status, "weight": 1.0, "since_ms": 0}
 
-    def known(self) -> dict:
-        return {"index": self.version, "snapshot": True, "endpoints": list(self.rows.values())}
+    def known(self, relay: str) -> dict:
+        return {"index": self.version, "snapshot": True, "endpoints": self.told(relay, self.rows)}
+
+    def told(self, relay: str, names) -> list[dict]:
+        """Rows of the list as that relay is told them."""
+        return [{**self.rows[name], "address": "%s:%d" % self.network.seen_by(relay, self.rows[name]["address"], name)} for name in names]
 
     def goes(self, down: bool) -> None:
         self.down = down
@@ -116,8 +120,9 @@
             self._tell(sock, names, False)
 
     def _tell(self, sock, names, whole: bool) -> None:
-        rows = [self.rows[name] for name in names]
+        relay = sock.peer.machine.name
+        rows = self.told(relay, names)
         for row in rows:
-            self.world.tell("platform", "told", relay=sock.peer.machine.name, host=row["name"], status=row["status"])
+            self.world.tell("platform", "told", relay=relay, host=row["name"], status=row["status"])
         text = json.dumps({"index": self.version, "snapshot": whole, "endpoints": rows}).encode()
         sock.put(answer(200, body=text))
--- a/molehill/emulator/recount.py
+++ b/molehill/emulator/recount.py
@@ -8,6 +8,7 @@
 from molehill.config import MS
 from molehill.core.figures import FAULTED, FULFILLED, THROTTLED
 from molehill.emulator.referee import CROSSING
+from molehill.emulator.scenario import FAULTS, directions
 
 SIGHUP = 1
 HELD = 250 * MS                        # an upgrade's pause at most, and what crosses its ends
@@ -16,7 +17,8 @@
 
 
 class Recount:
-    def __init__(self, world):
+    def __init__(self, world, scenario):
+        self.set, self.beyond = scenario, set()                # beyond: parties at an end of a way that was cut
         self.of, self.calls, self.ended = {}, {}, {}       # id -> class; call -> relay, ids; (relay, id) -> seen in this life
         self.counts, self.written, self.unsure = defaultdict(Counter), Counter(), Counter()
         self.files = defaultdict(lambda: [0, 0])           # relay -> files broken and sound, since its process began
@@ -32,6 +34,8 @@
     def fault(self, who, kind, falls_on, worth, **_) -> None:
         if kind == "retune" and not int(worth):
             self.broken.add(falls_on)
+        if FAULTS[kind] == "pair":         # what was heard beyond it, and whether it counted, the wires don't show
+            self.beyond.update(name for way in directions(self.set, falls_on) for name in way)
         self.silent = self.silent or kind in ("vanished", "dead", "zone_dark")
 
     def signal(self, who, number) -> None:
@@ -91,6 +95,8 @@
 
     def untrue(self, relay, figures) -> dict:
         """The figures of a relay that holds nothing which are further from the recount than allowed: name -> (said, counted)."""
+        if relay in self.beyond:
+            return {}
         said = {(end, one): count for one, row in figures.ends.items() for end, count in row.items()}
         pairs = {f"{end}.{one}": (count, self.counts[relay][end, one]) for (end, one), count in said.items()}
         # A host that vanished or died reads nothing of what was written to it: there the wires show too few.
--- a/molehill/emulator/run.py
+++ b/molehill/emulator/run.py
@@ -10,7 +10,7 @@
 from molehill.emulator.parties.strangers import Strangers
 from molehill.emulator.recount import Recount
 from molehill.emulator.referee import LOST, Referee
-from molehill.emulator.scenario import Scenario
+from molehill.emulator.scenario import Scenario, directions
 from molehill.emulator.script import Script, relay_file
 from molehill.emulator.world import START, World
 
@@ -27,24 +27,36 @@
         self.__dict__.update(given)
 
 
+def host_plans(scenario):
+    """(number of its destination's row, name, plan) of each host; rows are numbered by destination, hosts within by n."""
+    for number, plan in enumerate(scenario.endpoints):
+        for n in range(plan.hosts):
+            yield number, n, f"h{plan.destination}-{n}", Plan(
+                destination=plan.destination, zone="ab"[n % plan.zones % 2], kind=plan.kind, span=int(plan.span_ms * MS),
+                slots=plan.slots, queue=plan.queue, rate=plan.rate)
+
+
+def program_plan(scenario, p, until: int) -> Plan:
+    rows = {c.name: c for c in scenario.categories}
+    surges = [(START + s.at_ms * MS, s.span_ms * MS, s.by) for s in scenario.surges]
+    return Plan(rate=p.rate, until=until, destinations=p.destinations, keys=p.keys, tries=p.tries, heeds=p.heeds, once=p.once,
+                leaves=p.leaves, categories=[rows[name] for name in p.categories or rows], surges=surges)
+
+
 class Run(Script):
     def __init__(self, scenario: Scenario):
         self.scenario = scenario
         self.prepare()
         self.world = world = World(scenario.seed)
         self.retuned: dict[str, list[int]] = {}        # relay -> launches allowed, by each of its later files
-        self.referee, self.recount = Referee(world, scenario), Recount(world)
+        self.referee, self.recount = Referee(world, scenario), Recount(world, scenario)
         self.network = network = Network(world)
         self.until = START + scenario.span_ms * MS
         self.platform = Platform(world, network, ("10.2.0.1", 8500))
         self.hosts = {}
-        for number, plan in enumerate(scenario.endpoints):
-            for n in range(plan.hosts):
-                host = Endpoint(world, network, f"h{plan.destination}-{n}", (f"10.1.{number}.{n + 1}", 8081), Plan(
-                    destination=plan.destination, zone="ab"[n % plan.zones % 2], kind=plan.kind, span=int(plan.span_ms * MS),
-                    slots=plan.slots, queue=plan.queue, rate=plan.rate))
-                self.hosts[host.name] = host
-                self.platform.put(host, "active", lag=0)
+        for number, n, name, plan in host_plans(scenario):
+            self.hosts[name] = host = Endpoint(world, network, name, (f"10.1.{number}.{n + 1}", 8081), plan)
+            self.platform.put(host, "active", lag=0)
         self.front = Front(world, scenario.sockets // 3)
         self.nodes, addresses = {}, {}
         for n in range(scenario.relays):
@@ -54,12 +66,8 @@
             node.on_kill.append(self.died)
             node.on_ready.append(self.old_one_ends)
         self.addresses, self.upgrades = addresses, any(f.kind.startswith("upgrade") for f in scenario.faults)
-        rows = {c.name: c for c in scenario.categories}
-        surges = [(START + s.at_ms * MS, s.span_ms * MS, s.by) for s in scenario.surges]
-        self.programs = [Program(world, network, self.front, f"program{n}", addresses, Plan(
-            rate=p.rate, until=self.until, destinations=p.destinations, keys=p.keys, tries=p.tries, heeds=p.heeds, once=p.once,
-            leaves=p.leaves, categories=[rows[name] for name in p.categories or rows], surges=surges))
-            for n, p in enumerate(scenario.programs)]
+        self.programs = [Program(world, network, self.front, f"program{n}", addresses, program_plan(scenario, p, self.until))
+                         for n, p in enumerate(scenario.programs)]
         self.strangers = Strangers(world, network, addresses, Plan(
             copies=scenario.strangers.copies, rate=scenario.strangers.rate, until=self.until))
         for program in self.programs:
@@ -75,7 +83,7 @@
         life = self.nodes[name].life
         admin = (self.addresses[name][0], DOORS + life) if self.upgrades else None
         return relay_file(self.scenario, name, f"{self.scenario.seed:x}{life:x}", self.addresses[name], self.platform.address,
-                          self.platform.known(), "/state", admin, self.retuned.get(name, ()))
+                          self.platform.known(name), "/state", admin, self.retuned.get(name, ()))
 
     # Relays
 
@@ -193,6 +201,30 @@
         for node in self.world.chance.sample(up, round(len(up) * fault.worth)):
             node.kill()
 
+    def on_cut(self, fault, _, span) -> None:
+        """The end of each cut is known as it begins, so what is under way waits for the last of them."""
+        for a, b in directions(self.scenario, fault.who):
+            way = self.network.way(a, b)
+            way.until = max(way.until, self.world.now + span)
+            self.world.after(span, self.did, fault, way, way.touched)
+
+    on_burst = on_cut
+
+    def on_delay(self, fault, _, span) -> None:
+        for a, b in directions(self.scenario, fault.who):
+            way = self.network.way(a, b)
+            self.sets(span, way, "delay", int(fault.worth * MS), 0)
+            self.world.after(span, self.did, fault, way, way.touched)
+
+    def on_narrow(self, fault, _, span) -> None:
+        for a, b in directions(self.scenario, fault.who):
+            way = self.network.way(a, b)
+            self.sets(span, way, "rate", max(1, int(fault.worth)), 0, min)
+            self.world.after(span, self.did, fault, way, way.touched)
+
+    def did(self, fault, way, before: int) -> None:
+        self.world.tell("cables", "cable did", kind=fault.kind, falls_on=fault.who, at_ms=fault.at_ms, touched=way.touched - before)
+
     # The whole
 
     def play(self) -> dict:
--- a/molehill/emulator/scenario.py
+++ b/molehill/emulator/scenario.py
@@ -66,7 +66,8 @@
 
 
 class Fault(Base):
-    """`who`: a relay (relay0), a host (h3-0) or platform. `span_ms`: how long; `worth`: how bad, by the kind."""
+    """`who`: a relay (relay0), a host (h3-0) or platform; of what falls on the way between two, `A>B` (what A sends to B) or `A<>B` (both
+    ways), where A and B are names, several with commas, or `relays`, `hosts`. `span_ms`: how long; `worth`: how bad, by the kind."""
     kind: str
     at_ms: int
     who: str
@@ -108,7 +109,19 @@
     # What days of many relays bring: a share of the relays killed at once (worth), all hosts of one zone dark (worth: its index), the limits of
     # all destinations lowered to a share (worth)
     "herd": "platform", "zone_dark": "platform", "lower": "platform",
-    "retune": "relay"}                         # new settings at SIGHUP, so many launches (worth); 0: a file that is broken
+    "retune": "relay",                         # new settings at SIGHUP, so many launches (worth); 0: a file that is broken
+    # On the way from one to another. A connection's bytes wait and come in order; datagrams, the words among relays, are lost, or wait.
+    "cut": "pair", "burst": "pair",            # nothing comes through; or it comes all at once when the span is over
+    "delay": "pair", "narrow": "pair",         # by so many ms, give or take half (worth); so many bytes a second (worth)
+    "lose": "pair", "repeat": "pair", "reorder": "pair", "spoil_bytes": "pair",    # that share of datagrams (worth)
+    # On processes only
+    "starve": "relay"}                         # so many busy processes (worth) share its one core
+
+STREAMS_TOO = ("cut", "burst", "delay", "narrow")
+EMULATED_ONLY = ("kill_step", "kill_again", "spoil", "disk_failing", "short_writes", "upgrade_new_dies", "upgrade_old_dies",
+                 "upgrade_new_hangs", "upgrade_old_hangs")     # they count steps, or need a disk that errs on demand
+PROCESSES_ONLY = ("starve",)
+STAGES = ("emulated", "processes")
 
 
 def load(text: str) -> Scenario:
@@ -149,7 +162,39 @@
     hosts = {f"h{e.destination}-{n}" for e in scenario.endpoints for n in range(e.hosts)}
     for n, f in enumerate(scenario.faults):
         must(f.kind in FAULTS, f"faults[{n}].kind", f"'{f.kind}' is unknown")
-        fits = {"relay": relays, "host": hosts, "platform": {"platform"}}[FAULTS[f.kind]]
-        must(f.who in fits, f"faults[{n}].who", f"'{f.who}' is no {FAULTS[f.kind]} here")
+        if FAULTS[f.kind] == "pair":
+            ways = directions(scenario, f.who)
+            must(ways, f"faults[{n}].who", f"'{f.who}' is not A>B or A<>B of a relay and another party, or of two relays")
+            among = all(a in relays and b in relays for a, b in ways)
+            must(among or f.kind in STREAMS_TOO, f"faults[{n}].kind", f"'{f.kind}' falls on datagrams, which only relays send each other")
+        else:
+            fits = {"relay": relays, "host": hosts, "platform": {"platform"}}[FAULTS[f.kind]]
+            must(f.who in fits, f"faults[{n}].who", f"'{f.who}' is no {FAULTS[f.kind]} here")
         must(f.at_ms >= 0 and f.span_ms >= 0, f"faults[{n}].at_ms", "times are not negative")
     return scenario
+
+
+def directions(scenario: Scenario, who: str) -> list[tuple[str, str]]:
+    """(from, to) of each way that `A>B` or `A<>B` names; empty where it names none, or one without a relay at an end."""
+    relays = [f"relay{n}" for n in range(scenario.relays)]
+    hosts = [f"h{e.destination}-{n}" for e in scenario.endpoints for n in range(e.hosts)]
+    known = {**{name: [name] for name in [*relays, *hosts, "platform"]}, "relays": relays, "hosts": hosts}
+    left, arrow, right = who.partition("<>")
+    both = bool(arrow)
+    if not both:
+        left, arrow, right = who.partition(">")
+    sides = [[name for word in side.split(",") for name in known.get(word.strip(), [None])] for side in (left, right)]
+    if not arrow or None in sides[0] + sides[1]:
+        return []
+    ways = [(a, b) for a in sides[0] for b in sides[1] if a != b]
+    ways += [(b, a) for a, b in ways] if both else []
+    return ways if all(a in relays or b in relays for a, b in ways) else []
+
+
+def for_stage(scenario: Scenario, stage: str) -> Scenario:
+    """The scenario, if it can be played there; else a ScenarioError that names the fault."""
+    other = EMULATED_ONLY if stage == "processes" else PROCESSES_ONLY
+    for n, fault in enumerate(scenario.faults):
+        if fault.kind in other:
+            raise ScenarioError(f"$.faults[{n}].kind: '{fault.kind}' can't be played on stage {stage}")
+    return scenario
--- /dev/null
+++ b/molehill/fleet/checker.py
@@ -0,0 +1,181 @@
+"""From a history to findings: a table of properties, each a pure function. Knows nothing of the relays' code.
+
+A finding is kept, broken, unknown (it can't be told from what was seen) or void (the rig did not do what the run was about). The run's
+word is the worst in the order of WORDS; nothing is ever taken for kept because it was not looked at.
+"""
+import re
+from bisect import bisect_left, bisect_right
+from collections import Counter, namedtuple
+
+from molehill.config import MS, SECOND
+from molehill.emulator.referee import AFTER_READY, Referee
+from molehill.emulator.scenario import FAULTS
+from molehill.emulator.world import START, World
+
+KEPT, UNKNOWN, BROKEN, VOID = "kept", "unknown", "broken", "void"
+WORDS = (VOID, BROKEN, UNKNOWN, KEPT)  # the first of them that any finding has is the run's
+LATE_MOST = 250 * MS                   # the rig late by more: void. A relay on the same cores was as late, and rule 1 leaves it 350 ms
+STOOD_MOST = 250 * MS                  # a relay that says it stood longer without having been made to: the machine's, so void
+NEAR = SECOND                          # what a kill or a pause meets counts from so long before it
+
+Finding = namedtuple("Finding", "property word text facts")
+
+
+def six_rules(history, scenario) -> list[Finding]:
+    """The emulator's referee, fed from the history, its bounds wider by what the rig was late."""
+    world = World(scenario.seed)
+    referee = Referee(world, scenario, history.doubt)
+    for now, who, what, facts in history.rows:
+        world.run(now)
+        if world.failure is not None:
+            break
+        world.now = now
+        if what == "left on disk":
+            referee.left_on_disk(who, {"": (history.folder / facts["file"]).read_bytes()})
+        world.tell(who, what, **facts)
+    failure = world.failure
+    history.summary = referee.summary()
+    if failure is not None:
+        return [Finding("six rules", BROKEN, f"rule {failure['rule']}: {failure['text']}", {"at_ms": failure["at_ms"], **failure["facts"]})]
+    asked = Counter(what for _, _, what, _ in history.rows)
+    if not asked["heard"] or not asked["call"]:
+        return [Finding("six rules", UNKNOWN, "nobody was served: nothing was there to judge", dict(asked))]
+    left = [t.id for rows in referee.taken.values() for t in rows if t.state == "held" and t.owed]
+    if left:
+        return [Finding("six rules", UNKNOWN, "taken on, and the run was over before its end could be told", {"ids": left[:5], "count": len(left)})]
+    return [Finding("six rules", KEPT, "", {})]
+
+
+def no_crash(history, scenario) -> list[Finding]:
+    rows = [(who, facts) for _, who, what, facts in history.rows if what == "crashed"]
+    return [Finding("no crash", BROKEN, "a relay ended that nobody had ended", {"relay": who, **facts}) for who, facts in rows[:5]] \
+        or [Finding("no crash", KEPT, "", {})]
+
+
+def invariants(history, scenario) -> list[Finding]:
+    """Relays count broken invariants in release builds and say each in their logs."""
+    if history.folder is None:
+        return []                          # emulated: asserted as they happen
+    for path in sorted(history.folder.glob("relay*.log")):
+        for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+            if "broken invariant" in line or line.startswith("Traceback"):
+                return [Finding("invariants", BROKEN, "a relay says that one of its invariants is broken", {"relay": path.stem, "line": line[:300]})]
+    return [Finding("invariants", KEPT, "", {})]
+
+
+def faults_hit(history, scenario) -> list[Finding]:
+    """Each fault has touched something, or the run shows nothing about it."""
+    counts = touched(history, scenario)
+    idle = [f"{f.kind} on {f.who} at {f.at_ms} ms" for f, count in zip(scenario.faults, counts) if not count]
+    facts = {"touched": [{"kind": f.kind, "who": f.who, "at_ms": f.at_ms, "count": n} for f, n in zip(scenario.faults, counts)]}
+    return [Finding("faults hit", VOID, f"touched nothing: {', '.join(idle)}", facts)] if idle else [Finding("faults hit", KEPT, "", facts)]
+
+
+def in_time(history, scenario) -> list[Finding]:
+    """Whether the machine let the rig and the relays run as they were meant to."""
+    if history.folder is None:
+        return []
+    facts = {process: round(late / MS, 1) for process, late in history.late.items()}
+    if not facts:
+        return [Finding("rig in time", VOID, "no process told how late it was", {})]
+    worst = max(facts, key=facts.get)
+    stood = most_stood(history, scenario)
+    if facts[worst] > LATE_MOST / MS:
+        return [Finding("rig in time", VOID, f"{worst} was {facts[worst]} ms late, {LATE_MOST // MS} at most", facts)]
+    if stood and max(stood.values()) > STOOD_MOST / MS:
+        return [Finding("rig in time", VOID, f"relays stood {stood} ms, {STOOD_MOST // MS} at most", facts)]
+    return [Finding("rig in time", KEPT, "", {**facts, **{f"{who} stood": ms for who, ms in stood.items()}})]
+
+
+def most_stood(history, scenario) -> dict:
+    """Relay -> ms that it stood at most by its own word, for those that nothing of the script made stand."""
+    made_to = {f.who for f in scenario.faults if f.kind in ("freeze", "starve", "upgrade")}
+    found = {}
+    for path in sorted(history.folder.glob("relay*.log")):
+        spans = [float(ms) for ms in re.findall(r"\bstood_ms=([0-9.]+)", path.read_text(encoding="utf-8", errors="replace"))]
+        if spans and path.stem not in made_to:
+            found[path.stem] = max(spans)
+    return found
+
+
+def figures_true(history, scenario) -> list[Finding]:
+    """What relays count themselves beside what their clients and hosts saw: callbacks ended at relays that never ended or were cut off."""
+    if history.folder is None:
+        return []                          # the emulator's recount does it
+    said = {who: facts["rows"] for _, who, what, facts in [*history.rows, *history.rest] if what == "figures"}
+    troubled = {f.who for f in scenario.faults if FAULTS[f.kind] == "relay"} | \
+               {name for f in scenario.faults if FAULTS[f.kind] == "pair" for name in re.split("[<>,]+", f.who)}
+    if not said:
+        return [Finding("figures", UNKNOWN, "no relay told its figures", {})]
+    for who, rows in said.items():
+        if int(rows.get("open_requests", 0)):
+            return [Finding("figures", BROKEN, "requests are open after all is over", {"relay": who, "open_requests": rows["open_requests"]})]
+        if who in troubled or {"relays", "hosts", "platform"} & troubled or any(f.kind in ("herd", "zone_dark", "dead", "vanished") for f in scenario.faults):
+            continue
+        relayed = sum(len(facts["ids"]) for _, _, what, facts in history.rows if what == "call" and facts["relay"] == who)
+        if abs(relayed - int(rows["relayed"])) > max(3, relayed / 50):
+            return [Finding("figures", BROKEN, "calls counted by the relay and by hosts differ", {"relay": who, "said": rows["relayed"], "seen": relayed})]
+    return [Finding("figures", KEPT, "", {})]
+
+
+# What was there for a fault to touch: kind -> (how long before it counts too, what of the history it touches)
+def of_relay(fault, who, what, facts) -> bool:
+    return what in ("asked", "call", "notice") and facts.get("relay") == fault.who
+
+
+def of_host(fault, who, what, facts) -> bool:
+    return what == "call" and facts["host"] == fault.who
+
+
+def refusals(fault, who, what, facts) -> bool:
+    return what == "call answered" and facts["status"] == 429
+
+
+def any_call(fault, who, what, facts) -> bool:
+    return what == "call"
+
+
+def of_platform(fault, who, what, facts) -> bool:
+    return what in ("notice", "told")
+
+
+TOUCHES = {"relay": (NEAR, of_relay), "host": (NEAR, of_host), "platform": (NEAR, any_call)}
+BY_KIND = {"lower": (0, refusals), "lost_answers": (0, of_platform), "silent": (0, of_host), "erring": (0, of_host), "refusing": (0, of_host),
+           "shut": (0, of_host), "slow": (0, of_host), "spoilt": (0, of_host), "drain": (NEAR, of_host)}
+
+
+def touched(history, scenario) -> list[int]:
+    """For each fault of the scenario, how much of what happened it touched."""
+    times = [row[0] for row in history.rows]
+    did, hits = Counter(), Counter()
+    for _, _, what, facts in history.rows:
+        if what == "cable did":
+            did[facts["kind"], facts["falls_on"], facts["at_ms"]] += facts["touched"]
+        elif what == "hit":
+            hits[facts["kind"], facts["falls_on"], facts["at_ms"]] += 1
+    found = []
+    for fault in scenario.faults:
+        place = fault.kind, fault.who, fault.at_ms
+        if FAULTS[fault.kind] == "pair":
+            found.append(did[place])
+            continue
+        if history.folder is not None and FAULTS[fault.kind] == "relay" and not hits[place]:
+            found.append(0)                # the signal met nobody
+            continue
+        before, touches = BY_KIND.get(fault.kind, TOUCHES[FAULTS[fault.kind]])
+        begun = START + fault.at_ms * MS
+        first, last = bisect_left(times, begun - before), bisect_right(times, begun + max(fault.span_ms * MS, AFTER_READY))
+        found.append(sum(touches(fault, *row[1:]) for row in history.rows[first:last]))
+    return found
+
+
+PROPERTIES = {"six rules": six_rules, "no crash": no_crash, "invariants": invariants, "faults hit": faults_hit, "rig in time": in_time,
+              "figures": figures_true}
+
+
+def check(history, scenario, properties=None) -> dict:
+    """The verdict, as plain data: `word`, and findings by property."""
+    findings = [finding for look in (properties or PROPERTIES).values() for finding in look(history, scenario)]
+    words = {finding.word for finding in findings}
+    word = next((w for w in WORDS if w in words), UNKNOWN)
+    return {"word": word, "ok": word == KEPT, "findings": [finding._asdict() for finding in findings]}
--- /dev/null
+++ b/molehill/fleet/conductor.py
@@ -0,0 +1,470 @@
+"""One run on processes: starts all, carries out what falls on relays, and ends all, whatever happens.
+
+Children end with the tool: stand-ins at the end of their standard input, relays by the kernel's word (PR_SET_PDEATHSIG). Each is ended
+by its process id. A relay is ready when `/ready` says so, never after some time.
+"""
+import contextlib
+import ctypes
+import json
+import os
+import resource
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+from molehill.config import MS, SECOND
+from molehill.emulator import scenario as scenarios
+from molehill.emulator.parties.wire import Messages, request
+from molehill.emulator.referee import LOST
+from molehill.emulator.run import AGAIN, KILLED_AFTER, QUIET, host_plans
+from molehill.emulator.scenario import FAULTS, directions
+from molehill.emulator.script import Script, relay_file
+from molehill.emulator.world import START
+from molehill.fleet.party import PARENT_GONE, Spec
+from molehill.fleet.places import Places, claim
+from molehill.fleet.sockets import Network
+from molehill.fleet.world import IN, World
+
+LOOK = 10 * MS                         # how often children are looked at, and a door asked that has not said yes
+START_WITHIN = 30 * SECOND             # for all to be up; beyond it the run is void
+READ_WITHIN = 2 * SECOND               # for figures at the end
+TREE = Path(__file__).resolve().parents[2]
+STARTING, SERVING, ENDING, GONE = "starting", "serving", "ending", "gone"
+BUSY = "import os\nwhile os.getppid() == %d: pass"
+
+
+class NotPlayed(Exception):
+    """The rig could not play the run; the text says why."""
+
+
+def dies_with(parent: int):
+    """For the child before its program begins."""
+    libc = ctypes.CDLL(None)
+
+    def tie() -> None:
+        libc.prctl(PARENT_GONE, signal.SIGKILL, 0, 0, 0)
+        if os.getppid() != parent:         # gone before the kernel was told
+            os._exit(1)
+    return tie
+
+
+class Life:
+    """One process of a relay."""
+
+    def __init__(self, number: int, child, door):
+        self.number, self.child, self.door, self.state, self.wanted, self.asking = number, child, door, STARTING, False, False
+
+
+class Relay:
+    """`lives`: its processes that are there; two at once are an upgrade. `owner`: the one that serves."""
+
+    def __init__(self, run, n: int):
+        self.run, self.world, self.n, self.name = run, run.world, n, f"relay{n}"
+        self.folder, self.file = run.folder / f"{self.name}.state", run.folder / f"{self.name}.json"
+        self.lives, self.owner, self.number, self.retuned, self.cores = [], None, 0, [], None
+
+    @property
+    def up(self) -> bool:
+        return self.owner is not None and self.owner.state == SERVING
+
+    def write_file(self, door=None) -> None:
+        run, places = self.run, self.run.places
+        address = run.network.seen_by(self.name, run.platform_at, "platform")
+        given = relay_file(run.scenario, self.name, f"{run.scenario.seed:x}{self.number:x}", places.relay(self.n), address,
+                           run.known(self.name), str(self.folder), door or places.door(self.n, self.number), self.retuned)
+        whole = self.file.with_suffix(".new")
+        whole.write_text(json.dumps(given), encoding="utf-8")
+        whole.rename(self.file)
+
+    def start(self) -> Life:
+        self.number += 1
+        door = self.run.places.door(self.n, self.number)
+        self.write_file(door)
+        if not self.lives:
+            self.world.tell(self.name, "started", life=self.number)
+        with open(self.run.folder / f"{self.name}.log", "ab") as log:
+            child = self.run.child([sys.executable, "-O", "-m", "molehill"], cwd=self.run.tree, stderr=log, stdin=subprocess.DEVNULL,
+                                   env={**os.environ, "ROUTER_CONFIG": str(self.file), "PYTHONPATH": str(self.run.tree)})
+        life = Life(self.number, child, door)
+        self.lives.append(life)
+        if self.owner is None:
+            self.owner = life
+        return life
+
+    def look(self) -> None:
+        """Once every LOOK: who is gone, who is ready."""
+        for life in list(self.lives):
+            if life.child.poll() is not None:
+                self.gone(life)
+            elif life.state == STARTING and not life.asking:
+                self.ask(life)
+
+    def ask(self, life) -> None:
+        life.asking, reader = True, Messages()
+
+        def came(sock, data, sent_at) -> None:
+            for first, *_ in reader.feed(data, sent_at):
+                if first.split(" ")[1] == "200" and life.state == STARTING:
+                    self.ready(life)
+
+        def over(sock) -> None:
+            sock.close()
+            life.asking = False
+        self.run.network.connect(self.run.machine, life.door, came, over, over, lambda sock: sock.put(request("GET", "/ready")))
+
+    def ready(self, life) -> None:
+        life.state = SERVING
+        if life is self.owner:
+            self.run.tell_all(self.name, "ready", life=life.number)
+            return
+        before, self.owner = self.owner, life
+        self.world.tell(self.name, "took over", life=life.number)
+        if before.child.poll() is None:
+            before.state, before.wanted = ENDING, True
+            before.child.send_signal(signal.SIGTERM)
+            self.world.after(KILLED_AFTER, self.run.end_child, before.child)
+
+    def gone(self, life) -> None:
+        self.lives.remove(life)
+        life.state, code = GONE, life.child.returncode
+        if not life.wanted:
+            self.world.tell(self.name, "crashed", life=life.number, code=code)
+        if life is not self.owner:
+            return
+        self.owner = next(iter(self.lives), None)
+        if self.owner is None:
+            self.run.tell_all(self.name, "killed" if code < 0 else "ended", life=life.number)
+            self.world.tell(self.name, "left on disk", file=self.image(life))
+            self.world.after(AGAIN, self.again)
+
+    def image(self, life) -> str:
+        """What it left in its folder, kept for the checker."""
+        kept = self.run.folder / f"{self.name}.left{life.number}"
+        with open(kept, "wb") as out:
+            for path in sorted(self.folder.glob("*")) if self.folder.exists() else ():
+                if path.is_file():
+                    out.write(path.read_bytes())
+        return kept.name
+
+    def again(self) -> None:
+        if not self.lives and not self.run.over:
+            self.start()
+
+    # What falls on it
+
+    def signal(self, number: int) -> bool:
+        if self.owner is None or self.owner.child.poll() is not None:
+            return False
+        self.world.tell(self.name, "signal", number=int(number))
+        self.owner.child.send_signal(number)
+        return True
+
+    def kill(self) -> bool:
+        hit = self.up
+        if self.owner is not None:
+            self.owner.wanted = True
+            self.owner.child.kill()
+        return hit
+
+    def set_limit(self, which, value) -> None:
+        """Of the process that serves; back to what it was with `value` None."""
+        if self.owner is not None and self.owner.child.poll() is None:
+            soft, hard = resource.prlimit(self.owner.child.pid, which)
+            resource.prlimit(self.owner.child.pid, which, (hard if value is None else min(value, hard if hard >= 0 else value), hard))
+
+
+class Run(Script):
+    """`folder`: takes files, logs and histories; `tree`: the program's checkout, this one unless another is named."""
+
+    def __init__(self, scenario, folder, tree=None):
+        self.scenario, self.folder, self.tree = scenarios.for_stage(scenario, "processes"), Path(folder), Path(tree or TREE)
+        self.prepare()
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.children, self.parties, self.over, self.platform, self.hosts = [], {}, False, None, {}
+        self.slot, self.claim = claim()
+        self.places, names = Places(self.slot), [f"relay{n}" for n in range(scenario.relays)]
+        self.cabled = cabled(scenario)
+        self.world = World("conductor", scenario.seed, self.folder / "conductor.history")
+        self.network = Network(self.world, names, self.cabled)
+        self.machine, self.platform_at = self.network.machine("conductor"), self.places.platform()
+        self.relays = {name: Relay(self, n) for n, name in enumerate(names)}
+
+    def child(self, words, **given):
+        made = subprocess.Popen(words, preexec_fn=dies_with(os.getpid()), **given)
+        self.children.append(made)
+        return made
+
+    def end_child(self, child) -> None:
+        if child.poll() is None:
+            child.kill()
+
+    def known(self, relay: str) -> dict:
+        rows = [{"name": name, "address": "%s:%d" % self.network.seen_by(relay, self.places.host(h), name), "zone": plan.zone,
+                 "type": plan.kind, "group": plan.destination, "status": "active", "weight": 1.0, "since_ms": 0}
+                for h, (_, _, name, plan) in enumerate(host_plans(self.scenario))]
+        return {"index": len(rows) + 1, "snapshot": True, "endpoints": rows}
+
+    # Parties
+
+    def start_party(self, role: str) -> None:
+        spec = self.folder / f"{role}.spec"
+        spec.write_bytes(msgspec.json.encode(Spec(role, scenarios.dump(self.scenario), self.slot, str(self.folder / f"{role}.history"),
+                                                  sorted(self.cabled))))
+        with open(self.folder / f"{role}.log", "ab") as log:
+            child = self.child([sys.executable, "-m", "molehill.fleet.party", str(spec)], cwd=TREE, stdin=subprocess.PIPE,
+                               stdout=subprocess.PIPE, stderr=log, env={**os.environ, "PYTHONPATH": str(TREE)})
+        self.parties[role] = child
+        self.waits_for.add(role)
+        self.world.watch(child.stdout.fileno(), IN, lambda mask: self.party_up(role, child))
+
+    def party_up(self, role: str, child) -> None:
+        self.world.forget(child.stdout.fileno())
+        if child.stdout.readline():
+            self.waits_for.discard(role)
+
+    def order(self, **what) -> None:
+        line = msgspec.json.encode(what) + b"\n"
+        for child in self.parties.values():
+            with contextlib.suppress(OSError):     # one that died is told of by `look`
+                child.stdin.write(line)
+                child.stdin.flush()
+
+    def tell_all(self, who: str, what: str, **facts) -> None:
+        self.world.tell(who, what, **facts)
+        self.order(who=who, what=what)
+
+    # The whole
+
+    def play(self) -> None:
+        """Runs to the end and leaves the histories in the folder. Raises NotPlayed."""
+        try:
+            self.waits_for = set()
+            for role in ("hosts", "platform", "programs", *(["cables"] if self.cabled else [])):
+                self.start_party(role)
+            self.until(lambda: not self.waits_for, "stand-ins")
+            for relay in self.relays.values():
+                relay.start()
+            self.world.after(LOOK, self.look)
+            self.until(lambda: all(relay.up for relay in self.relays.values()), "relays")
+            zero = time.monotonic_ns() + 50 * MS
+            self.world.begin(zero)
+            self.world.tell("script", "begins", zero=zero, wall=time.time_ns() + 50 * MS)
+            self.order(begin=zero)
+            for fault in self.scenario.faults:
+                if FAULTS[fault.kind] == "relay" or fault.kind in ("herd", "move"):
+                    self.world.at(START + fault.at_ms * MS, self.falls, fault)
+                else:
+                    self.world.at(START + fault.at_ms * MS, self.says, fault)
+            longest = max(c.span_ms for c in self.scenario.categories) * MS
+            self.world.at(START + self.scenario.span_ms * MS + longest + LOST + QUIET, self.ends)
+            self.world.run()
+        finally:
+            self.end_all()
+
+    def until(self, done, what: str) -> None:
+        end = time.monotonic_ns() + START_WITHIN
+        while not done():
+            self.world.turn()
+            self.look_at_parties()
+            if time.monotonic_ns() > end:
+                raise NotPlayed(f"{what} were not ready within {START_WITHIN // SECOND} s")
+
+    def look_at_parties(self) -> None:
+        for role, child in self.parties.items():
+            if child.poll() is not None and not self.over:
+                raise NotPlayed(f"stand-in {role} ended by itself with {child.returncode}: see {role}.log")
+
+    def look(self) -> None:
+        self.look_at_parties()
+        for relay in self.relays.values():
+            relay.look()
+        self.world.after(LOOK, self.look)
+
+    def ends(self) -> None:
+        """Figures are read, then the run is over."""
+        self.world.tell("script", "ends")
+        waiting = set()
+        for relay in self.relays.values():
+            if relay.up:
+                waiting.add(relay.name)
+                self.figures(relay, waiting)
+        self.world.after(READ_WITHIN, setattr, self.world, "stopped", True)
+        self.read_all(waiting)
+
+    def read_all(self, waiting) -> None:
+        if not waiting:
+            self.world.stopped = True
+        self.world.after(LOOK, self.read_all, waiting)
+
+    def figures(self, relay, waiting) -> None:
+        reader = Messages()
+
+        def came(sock, data, sent_at) -> None:
+            for _, _, body, _ in reader.feed(data, sent_at):
+                rows = dict(line.partition("|")[0].removeprefix("router.").rsplit(":", 1) for line in body.decode().splitlines())
+                self.world.tell(relay.name, "figures", rows=rows, cpu=cpu_of(relay.owner.child.pid))
+                waiting.discard(relay.name)
+        self.network.connect(self.machine, relay.owner.door, came, lambda s: s.close(), lambda s: s.close(),
+                             lambda sock: sock.put(request("GET", "/metrics")))
+
+    def end_all(self) -> None:
+        self.over = True
+        self.world.tell("conductor", "lateness", most=self.world.late)
+        for role, child in self.parties.items():
+            if child.poll() is None:
+                self.world.tell(role, "cpu", spent=cpu_of(child.pid))
+        for child in self.children:
+            if child.stdin is not None:
+                with contextlib.suppress(OSError):
+                    child.stdin.close()
+            else:
+                self.end_child(child)
+        for child in self.children:
+            try:
+                child.wait(5)
+            except subprocess.TimeoutExpired:
+                child.kill()
+                child.wait()
+            if child.stdout is not None:
+                child.stdout.close()
+        self.world.flush()
+        self.claim.close()
+        for door in [*self.machine.socks]:
+            door.close()
+        self.world.poll.close()
+        self.world.file.close()
+
+    # Faults
+
+    def party(self, who: str):
+        return self.relays.get(who)
+
+    def says(self, fault) -> None:
+        """Carried out by a stand-in at the same moment."""
+        self.world.tell("script", "fault", kind=fault.kind, falls_on=fault.who, span=fault.span_ms, worth=fault.worth)
+
+    def hit(self, fault, yes) -> None:
+        if yes:
+            self.world.tell("script", "hit", kind=fault.kind, falls_on=fault.who, at_ms=fault.at_ms)
+
+    def on_kill(self, fault, relay, span) -> None:
+        self.hit(fault, relay.kill())
+
+    def on_herd(self, fault, _, span) -> None:
+        up = [relay for relay in self.relays.values() if relay.up]
+        for relay in self.world.chance.sample(up, round(len(up) * fault.worth)):
+            self.hit(fault, relay.kill())
+
+    def on_restart(self, fault, relay, span) -> None:
+        hit = relay.up and relay.signal(signal.SIGTERM)
+        if hit:
+            relay.owner.state, relay.owner.wanted = ENDING, True
+            self.world.after(KILLED_AFTER, self.end_child, relay.owner.child)
+        self.hit(fault, hit)
+
+    def on_lose_disk(self, fault, relay, span) -> None:
+        """Killed, its folder emptied before the next start."""
+        hit = relay.kill()
+        if hit:
+            relay.owner.child.wait()
+            shutil.rmtree(relay.folder, ignore_errors=True)
+            self.world.tell(relay.name, "disk lost")
+        self.hit(fault, hit)
+
+    def on_hup(self, fault, relay, span) -> None:
+        self.hit(fault, relay.up and relay.signal(signal.SIGHUP))
+
+    def on_retune(self, fault, relay, span) -> None:
+        """One class more, and as many launches as `worth` says; with 0 the file is cut off and nothing of it may be taken."""
+        if int(fault.worth):
+            relay.retuned.append(int(fault.worth))
+            relay.write_file()
+        else:
+            text = relay.file.read_text(encoding="utf-8")
+            relay.file.write_text(text[:len(text) // 2], encoding="utf-8")
+            self.world.after(200 * MS, relay.write_file)
+        self.hit(fault, relay.up and relay.signal(signal.SIGHUP))
+
+    def on_move(self, fault, _, span) -> None:
+        self.says(fault)
+        self.platform_at = self.platform_at[0], self.platform_at[1] + 1
+        for relay in self.relays.values():
+            relay.write_file()
+            self.hit(fault, relay.up and relay.signal(signal.SIGHUP))
+
+    def on_upgrade(self, fault, relay, span) -> None:
+        if relay.up and len(relay.lives) == 1:
+            relay.start()
+            self.hit(fault, True)
+
+    def on_freeze(self, fault, relay, span) -> None:
+        """SIGSTOP, then SIGCONT. Danger: the end of one pause wakes a process that a longer one still holds; so they are counted."""
+        life = relay.owner
+        if not relay.up:
+            return
+        self.world.tell(relay.name, "frozen", until=self.world.now + span)
+
+        def apply(stopped) -> None:
+            if life.child.poll() is None:
+                if not stopped:
+                    self.world.tell(relay.name, "frozen", until=self.world.now)    # as late as it really was
+                life.child.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
+        self.hit(fault, True)
+        self.during(span, (relay.name, life.number, "stopped"), True, False, max, apply)
+
+    def on_few_descriptors(self, fault, relay, span) -> None:
+        most = max(24, int(self.scenario.sockets * fault.worth))
+        self.limit(fault, relay, span, resource.RLIMIT_NOFILE, most)
+
+    def on_disk_full(self, fault, relay, span) -> None:
+        """No file of the process may grow: its writes err."""
+        log = relay.folder / "log"
+        self.limit(fault, relay, span, resource.RLIMIT_FSIZE, log.stat().st_size if log.exists() else 0)
+
+    def limit(self, fault, relay, span, which, value) -> None:
+        if relay.up:
+            self.hit(fault, True)
+            self.during(span, (relay.name, relay.number, which), value, None, min, lambda value: relay.set_limit(which, value))
+
+    def on_starve(self, fault, relay, span) -> None:
+        """Busy processes beside it on the one core that it is held to meanwhile."""
+        if not relay.up:
+            return
+        core = relay.n % os.cpu_count()
+        life, busy = relay.owner, []
+        os.sched_setaffinity(life.child.pid, {core})
+        for _ in range(max(1, int(fault.worth))):
+            busy.append(self.child([sys.executable, "-c", BUSY % os.getpid()], stdin=subprocess.DEVNULL))
+            os.sched_setaffinity(busy[-1].pid, {core})
+        self.hit(fault, True)
+
+        def over() -> None:
+            for child in busy:
+                self.end_child(child)
+            if life.child.poll() is None:
+                os.sched_setaffinity(life.child.pid, os.sched_getaffinity(0))
+        self.world.after(span, over)
+
+
+def cabled(scenario) -> set:
+    """(relay, party) for each way that a fault falls on: a cable has to stand there from the start."""
+    found = set()
+    for fault in scenario.faults:
+        if FAULTS[fault.kind] == "pair":
+            for a, b in directions(scenario, fault.who):
+                found |= {(a, b), (b, a)}
+    return {(a, b) for a, b in found if a.startswith("relay")}
+
+
+def cpu_of(pid: int) -> float:
+    """Seconds of a core that a process has used so far."""
+    try:
+        words = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rpartition(")")[2].split()
+    except OSError:
+        return 0.0
+    return (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
--- /dev/null
+++ b/molehill/fleet/party.py
@@ -0,0 +1,170 @@
+"""A stand-in's process: hosts, platform, programs or cables, run as `python -m molehill.fleet.party SPEC`.
+
+Orders come as lines of JSON on standard input: {"begin": monotonic ns}, then what the conductor tells; its end is this process's end,
+so none outlives the tool. A line "up" on standard output says that all listeners are open.
+"""
+import os
+import signal
+import sys
+from types import SimpleNamespace
+
+import msgspec
+
+from molehill.config import MS
+from molehill.emulator import scenario as scenarios
+from molehill.emulator.parties.endpoint import Endpoint
+from molehill.emulator.parties.platform import Platform
+from molehill.emulator.parties.programs import Front, Program
+from molehill.emulator.parties.strangers import Strangers
+from molehill.emulator.run import Plan, host_plans, program_plan
+from molehill.emulator.script import Script
+from molehill.emulator.world import START
+from molehill.fleet.cable import Cables
+from molehill.fleet.places import Places
+from molehill.fleet.sockets import Network
+from molehill.fleet.world import IN, World
+
+PARENT_GONE = 1                        # PR_SET_PDEATHSIG, for tools that die without closing anything
+
+
+class Spec(msgspec.Struct):
+    """`role`: of ROLES; `history`: the file that this process writes; `cabled`: pairs (relay, party) with a cable before the party."""
+    role: str
+    scenario: str
+    slot: int
+    history: str
+    cabled: list[tuple[str, str]] = []
+
+
+class Absent:
+    """A party that another process has: what is done to it is done there."""
+
+    def __getattr__(self, name):
+        return lambda *_: None
+
+    def __setattr__(self, name, value):
+        pass
+
+
+class Party(Script):
+    KINDS: tuple = ()                  # kinds of fault that are carried out here
+
+    def __init__(self, spec: Spec):
+        self.spec, self.scenario = spec, scenarios.load(spec.scenario)
+        self.prepare()
+        self.names = [f"relay{n}" for n in range(self.scenario.relays)]
+        self.world = World(spec.role, self.scenario.seed, spec.history)
+        self.network, self.places = Network(self.world, self.names, spec.cabled), Places(spec.slot)
+        self.hosts, self.platform, self.up = {}, Absent(), set()
+        self.orders = b""
+        self.make()
+        self.world.watch(0, IN, self.ordered)
+
+    def make(self) -> None:
+        """Opens its listeners."""
+
+    def begins(self) -> None:
+        """The run's time has been told."""
+
+    def falls(self, fault) -> None:
+        getattr(self, "on_" + fault.kind)(fault, self.party(fault.who), fault.span_ms * MS)
+
+    def ordered(self, mask) -> None:
+        data = os.read(0, 1 << 16)
+        if not data:
+            self.world.tell(self.spec.role, "lateness", most=self.world.late)
+            self.world.stopped = True
+        self.orders += data
+        while b"\n" in self.orders:
+            line, _, self.orders = self.orders.partition(b"\n")
+            order = msgspec.json.decode(line)
+            if "begin" in order:
+                self.world.begin(order["begin"])
+                for fault in self.scenario.faults:
+                    if fault.kind in self.KINDS:
+                        self.world.at(START + fault.at_ms * MS, self.falls, fault)
+                self.begins()
+            else:
+                self.heard_of(order["who"], order["what"])
+
+    def heard_of(self, who: str, what: str) -> None:
+        """What the conductor tells of a relay."""
+
+
+class Hosts(Party):
+    KINDS = tuple(kind for kind, on in scenarios.FAULTS.items() if on == "host") + ("lower", "zone_dark")
+
+    def make(self) -> None:
+        for h, (_, _, name, plan) in enumerate(host_plans(self.scenario)):
+            self.hosts[name] = Endpoint(self.world, self.network, name, self.places.host(h), plan)
+
+    def heard_of(self, who, what) -> None:
+        if what in ("killed", "ended"):
+            for host in self.hosts.values():
+                host.forgets(who)
+
+
+class ThePlatform(Party):
+    KINDS = ("drain", "lag", "outage", "lost_answers", "move")
+
+    def make(self) -> None:
+        self.platform = Platform(self.world, self.network, self.places.platform())
+        for h, (_, _, name, plan) in enumerate(host_plans(self.scenario)):
+            self.hosts[name] = SimpleNamespace(name=name, address=self.places.host(h), plan=plan, draining=False)
+            self.platform._put(self.hosts[name], "active")
+
+    def on_move(self, *_) -> None:
+        self.platform.move()
+
+
+class Programs(Party):
+    def begins(self) -> None:
+        s = self.scenario
+        until = START + s.span_ms * MS
+        addresses = {name: self.places.relay(n) for n, name in enumerate(self.names)}
+        self.front = Front(self.world, s.sockets // 3)
+        self.programs = [Program(self.world, self.network, self.front, f"program{n}", addresses, program_plan(s, p, until))
+                         for n, p in enumerate(s.programs)]
+        self.strangers = Strangers(self.world, self.network, addresses, Plan(copies=s.strangers.copies, rate=s.strangers.rate, until=until))
+        for program in self.programs:
+            program.overheard = self.strangers.overhear if s.strangers.copies else None
+        for name in self.up:
+            self.front.up(name)
+
+    def heard_of(self, who, what) -> None:
+        front = getattr(self, "front", None)
+        if what == "ready":
+            self.up.add(who)
+            if front is not None:
+                front.up(who)
+        elif what in ("killed", "ended"):
+            self.up.discard(who)
+            if front is not None:
+                front.down(who, lambda: who not in self.up)
+
+
+class TheCables(Party):
+    KINDS = tuple(kind for kind, on in scenarios.FAULTS.items() if on == "pair")
+
+    def make(self) -> None:
+        self.cables = Cables(self.world, self.network, self.scenario, self.places, self.spec.cabled)
+
+    def falls(self, fault) -> None:
+        self.cables.falls(self, fault)
+
+
+ROLES = {"hosts": Hosts, "platform": ThePlatform, "programs": Programs, "cables": TheCables}
+
+
+def main() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)       # the tool's to act on: it ends this one by closing its input
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    with open(sys.argv[1], "rb") as file:
+        spec = msgspec.json.decode(file.read(), type=Spec)
+    party = ROLES[spec.role](spec)
+    print("up", flush=True)
+    party.world.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/molehill/fleet/places.py
@@ -0,0 +1,53 @@
+"""Who has which address: all in 127.SLOT.0.0/16, a slot a run, so that runs side by side never meet.
+
+| who | address |
+| --- | --- |
+| relay n, clients and door | 127.SLOT.1.(n+1), ports 8081 and 9000 + its start's number |
+| the platform, as relay n is told | 127.SLOT.2.(n+1):8500 |
+| host h, as relay n is told | 127.SLOT.(10+h).(n+1):8081 |
+| relay b, as relay a is told (words among relays) | 127.SLOT.(a+1).(b+1):7000 |
+| a cable before any of these | the same, the port 1000 higher |
+"""
+import os
+import socket
+
+RELAY, DOORS, PLATFORM, HOST, WORDS = 8081, 9000, 8500, 8081, 7000
+CLAIM = 40_001                         # port on 127.SLOT.0.1 that a run holds
+SLOTS = range(16, 240)
+MOST_RELAYS, MOST_HOSTS = 200, 200
+
+
+class Places:
+    def __init__(self, slot: int):
+        self.slot = slot
+
+    def relay(self, n: int):
+        return f"127.{self.slot}.1.{n + 1}", RELAY
+
+    def door(self, n: int, life: int):
+        return f"127.{self.slot}.1.{n + 1}", DOORS + life
+
+    def platform(self):
+        return f"127.{self.slot}.2.0", PLATFORM
+
+    def host(self, h: int):
+        return f"127.{self.slot}.{10 + h}.0", HOST
+
+    def words(self, a: int, b: int):
+        """Where relay a finds relay b."""
+        return f"127.{self.slot}.{a + 1}.{b + 1}", WORDS
+
+
+def claim():
+    """(a slot that is this run's while the socket is open, that socket); raises OSError where all are taken."""
+    first = os.getpid() % len(SLOTS)
+    for n in range(len(SLOTS)):
+        slot = SLOTS[(first + n) % len(SLOTS)]
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.bind((f"127.{slot}.0.1", CLAIM))
+            sock.listen(1)
+            return slot, sock
+        except OSError:
+            sock.close()
+    raise OSError("no slot of 127.0.0.0/8 is free for this run")
--- /dev/null
+++ b/molehill/fleet/play.py
@@ -0,0 +1,73 @@
+"""One scenario on one stage: a verdict of one form for both."""
+import shutil
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from msgspec.structs import replace
+
+from molehill.emulator import run as emulated
+from molehill.emulator import scenario as scenarios
+from molehill.fleet import checker, history
+from molehill.fleet.conductor import NotPlayed, Run
+
+SCENARIO, VERDICT = "scenario.toml", "verdict.json"
+
+
+def play(scenario, stage: str, folder=None, tree=None) -> dict:
+    """`folder`: where a run on processes leaves its files, which are else taken away; `tree`: another checkout of the program.
+
+    Raises ScenarioError for what can't be played on that stage.
+    """
+    scenarios.for_stage(scenario, stage)
+    if stage == "emulated":
+        return on_virtual_clock(scenario)
+    made = Path(folder) if folder else Path(tempfile.mkdtemp(prefix="molehill-fleet-"))
+    try:
+        return on_processes(scenario, made, tree)
+    finally:
+        if folder is None:
+            shutil.rmtree(made, ignore_errors=True)
+
+
+def on_virtual_clock(scenario) -> dict:
+    run, rows = emulated.Run(scenario), []
+    run.world.watchers.append(lambda *row: rows.append(row))
+    told = run.play()
+    failure = told["failure"]
+    verdict = checker.check(history.History(rows), scenario, {"faults hit": checker.faults_hit})
+    word = checker.KEPT if failure is None else checker.BROKEN
+    text = "" if failure is None else f"rule {failure['rule']}: {failure['text']}"
+    findings = [checker.Finding("six rules", word, text, dict(failure["facts"], at_ms=failure["at_ms"]) if failure else {})._asdict()]
+    if failure is None:
+        findings += verdict["findings"]
+        word = verdict["word"]
+    return {"stage": "emulated", "seed": scenario.seed, "word": word, "ok": word == checker.KEPT, "findings": findings,
+            "digest": told["digest"], "summary": {k: v for k, v in told.items() if k not in ("ok", "failure", "seed", "digest")}}
+
+
+def on_processes(scenario, folder: Path, tree=None) -> dict:
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / SCENARIO).write_text(scenarios.dump(scenario), encoding="utf-8")
+    try:
+        Run(scenario, folder, tree).play()
+        verdict = judge(folder, scenario)
+    except NotPlayed as error:
+        verdict = {"word": checker.VOID, "ok": False, "findings": [checker.Finding("played", checker.VOID, str(error), {})._asdict()], "summary": {}}
+    return {"stage": "processes", "seed": scenario.seed, **verdict}
+
+
+def judge(folder: Path, scenario=None) -> dict:
+    """The verdict on a run whose folder was kept."""
+    scenario = scenario or scenarios.load((folder / SCENARIO).read_text(encoding="utf-8"))
+    told = history.read(folder)
+    verdict = checker.check(told, scenario)
+    return {**verdict, "late_ms": round(told.doubt / 1e6, 1), "summary": told.summary}
+
+
+def seeded(scenario, seed: int):
+    return replace(scenario, seed=seed)
+
+
+def words(verdicts) -> dict:
+    return dict(sorted(Counter(verdict["word"] for verdict in verdicts).items()))
--- /dev/null
+++ b/molehill/fleet/sockets.py
@@ -0,0 +1,255 @@
+"""The emulator's network on the kernel's sockets: the calls that its parties make (`machine`, `connect`, `serve`, `seen_by`), no more.
+
+A party's listener has a socket for each relay, at an address that only this relay is told: so a party knows who calls, and a cable can
+stand before any one of them.
+"""
+import errno
+import socket
+import struct
+from types import SimpleNamespace
+
+from molehill.fleet.world import HUNG, IN, OUT
+
+PIECE = 64 * 1024
+BACKLOG = 256
+AT_ONCE = struct.pack("ii", 1, 0)      # linger: a close that resets
+CABLE = 1000                           # the port of a cable before a port, above that
+FRESH, DIALLING, OPEN, FAILED = "fresh", "dialling", "open", "failed"
+
+
+def at(base, n: int):
+    """The address that relay n is told for a party at `base`."""
+    return base[0].rpartition(".")[0] + f".{n + 1}", base[1]
+
+
+class Machine:
+    """A stand-in's place. What the kernel alone could tell is not known: who was refused by a dead one."""
+
+    def __init__(self, world, name: str):
+        self.world, self.name, self.cut, self.boots = world, name, False, 0
+        self.listeners, self.socks, self.knocked = set(), set(), set()
+
+    def vanish(self) -> None:
+        """Reads nothing, says nothing; that a relay hung up is seen, for the history alone."""
+        self.cut = True
+        for sock in [*self.socks, *self.listeners]:
+            sock.look()
+
+    def back(self) -> None:
+        """Up again, knowing nothing of its connections, nor of those that came meanwhile."""
+        self.cut, self.boots = False, self.boots + 1
+        self.reset_all()
+        for listener in list(self.listeners):
+            self.knocked.update(listener.turned_away())
+            listener.look()
+
+    def die(self) -> None:
+        for listener in list(self.listeners):
+            listener.close()
+        self.reset_all()
+
+    def reset_all(self) -> None:
+        for sock in list(self.socks):
+            self.world.tell(self.name, "call connection over", conn=sock.number)
+            sock.reset()
+
+
+class Network:
+    def __init__(self, world, relays, cabled=()):
+        """`relays`: their names, in the order of their numbers; `cabled`: pairs (relay, party) with a cable between them."""
+        self.world, self.relays, self.cabled = world, list(relays), set(cabled)
+        self.machines, self.numbers, self.owners = {}, 0, {}
+
+    def machine(self, name: str) -> Machine:
+        return self.machines.setdefault(name, Machine(self.world, name))
+
+    def number(self) -> str:
+        self.numbers += 1
+        return f"{self.world.name}-{self.numbers}"
+
+    def seen_by(self, relay: str, address, party: str):
+        """What that relay is told for the address of a party."""
+        host, port = at(address, self.relays.index(relay))
+        return host, port + (CABLE if (relay, party) in self.cabled else 0)
+
+    def connect(self, machine, address, came=None, ended=None, broke=None, up=None, bound=None) -> "Sock":
+        sock = Sock(self, machine, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        sock.listen_to(came, ended, broke, up)
+        sock.dial(address, bound)
+        return sock
+
+    def serve(self, machine, address, accepted) -> "Listener":
+        return Listener(self, machine, [(name, at(address, n)) for n, name in enumerate(self.relays)], accepted)
+
+
+class Listener:
+    def __init__(self, network, machine, rows, accepted):
+        """`rows`: (name of who calls there, address)."""
+        self.network, self.world, self.machine, self.accepted, self.doors = network, network.world, machine, accepted, []
+        for name, address in rows:
+            door = socket.create_server(address, backlog=BACKLOG)
+            door.setblocking(False)
+            self.doors.append((door, name))
+        machine.listeners.add(self)
+        self.look()
+
+    def look(self) -> None:
+        for door, name in self.doors:
+            if self.machine.cut:
+                self.world.forget(door.fileno())
+            else:
+                self.world.watch(door.fileno(), IN, lambda mask, row=(door, name): self.ready(*row))
+
+    def ready(self, door, name) -> None:
+        while (taken := self.take(door)) is not None:
+            sock, address = taken
+            made = Sock(self.network, self.machine, sock, name)
+            made.state = OPEN
+            self.world.tell(self.machine.name, "accepted", conn=made.number, peer="%s:%d" % address)
+            made.look()
+            self.accepted(made)
+
+    @staticmethod
+    def take(door):
+        try:
+            return door.accept()
+        except OSError:
+            return None
+
+    def turned_away(self) -> set:
+        """Ends what waits at the doors; names of those who came."""
+        names = set()
+        for door, name in self.doors:
+            while (taken := self.take(door)) is not None:
+                taken[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, AT_ONCE)
+                taken[0].close()
+                names.add(name)
+        return names
+
+    def close(self) -> None:
+        self.machine.listeners.discard(self)
+        for door, _ in self.doors:
+            self.world.forget(door.fileno())
+            door.close()
+        self.doors = []
+
+
+class Sock:
+    """A party's side of a connection; callbacks and manners as of the emulator's."""
+
+    def __init__(self, network, machine, sock, peer: str = ""):
+        self.network, self.world, self.machine, self.sock = network, network.world, machine, sock
+        self.number, self.state, self.closed, self.error = network.number(), FRESH, False, None
+        self.peer = SimpleNamespace(machine=SimpleNamespace(name=peer))
+        self.outbox, self.ending, self.paused = bytearray(), False, False
+        self.on_came = self.on_ended = self.on_broke = self.on_up = None
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        machine.socks.add(self)
+
+    def listen_to(self, came=None, ended=None, broke=None, up=None) -> None:
+        self.on_came, self.on_ended, self.on_broke, self.on_up = came, ended, broke, up
+
+    def dial(self, address, bound=None) -> None:
+        self.state = DIALLING
+        if bound is not None:
+            self.sock.bind(bound)
+        code = self.sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            self.world.after(0, self.breaks, code)
+        else:
+            self.look()
+
+    def look(self) -> None:
+        """Watches for what this side waits for."""
+        if self.closed:
+            return
+        if self.machine.cut:
+            self.world.watch(self.sock.fileno(), HUNG, self.hung)
+            return
+        mask = OUT if self.state is DIALLING or self.outbox else 0
+        if not mask and self.paused:       # else the kernel would tell its hang-up again and again
+            self.world.forget(self.sock.fileno())
+        else:
+            self.world.watch(self.sock.fileno(), mask | (0 if self.paused or self.state is DIALLING else IN), self.moved)
+
+    def hung(self, mask) -> None:
+        """The other side of one that has vanished is gone."""
+        self.world.tell(self.machine.name, "call connection over", conn=self.number)
+        self.forget()
+        self.sock.close()
+
+    def moved(self, mask) -> None:
+        if self.state is DIALLING:
+            return self.came_up()
+        if mask & OUT:
+            self.pump()
+        if mask & ~OUT and not self.closed and not self.paused:
+            self.read()
+
+    def came_up(self) -> None:
+        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            return self.breaks(code)
+        self.state = OPEN
+        self.look()
+        if self.on_up is not None:
+            self.on_up(self)
+
+    def read(self) -> None:
+        try:
+            data = self.sock.recv(PIECE)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            return self.breaks(error.errno)
+        if data:
+            if self.on_came is not None:
+                self.on_came(self, data, self.world.since())
+        else:
+            self.paused = True             # the end is told once
+            self.look()
+            if self.on_ended is not None:
+                self.on_ended(self)
+
+    def breaks(self, code: int) -> None:
+        if self.closed or self.error:
+            return
+        self.state, self.error = FAILED, code
+        self.world.forget(self.sock.fileno())
+        if self.on_broke is not None:
+            self.on_broke(self)
+
+    def put(self, data: bytes, then_close: bool = False) -> None:
+        self.outbox += data
+        self.ending = self.ending or then_close
+        self.pump()
+
+    def pump(self) -> None:
+        if self.closed or self.error or self.state is not OPEN or self.machine.cut:
+            return
+        try:
+            while self.outbox:
+                del self.outbox[:self.sock.send(self.outbox)]
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            return self.breaks(error.errno)
+        if self.ending and not self.outbox:
+            return self.close()
+        self.look()
+
+    def forget(self) -> None:
+        self.closed = True
+        self.machine.socks.discard(self)
+        self.world.forget(self.sock.fileno())
+
+    def close(self) -> None:
+        if not self.closed:
+            self.forget()
+            self.sock.close()
+
+    def reset(self) -> None:
+        if not self.closed:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, AT_ONCE)
+            self.close()
