--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -23,7 +23,8 @@
     return read
 
 
-def main() -> int:
+def main(machine=None) -> int:
+    """One relay from start to end; its exit code. `machine`: another than the kernel's."""
     signals = watch_signals()          # first of all: one that comes before the loop turns waits for it
     try:
         config = configuration.load(os.environ)
@@ -31,7 +32,7 @@
         print(f"molehill: {error}", file=sys.stderr)
         return 2
     try:
-        machine, sink = Kernel(), Sink()
+        machine, sink = machine or Kernel(), Sink()
         start = Start(config, machine, sink)
         if not start.wait(config, signals):
             return 0
--- a/molehill/cli/fleet.py
+++ b/molehill/cli/fleet.py
@@ -3,8 +3,10 @@
 Exit codes: 0 kept, 1 a property broken, 2 bad input, key named, 3 void or unknown: the run shows nothing.
 """
 import json
+import shutil
 import sys
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import click
 from rich.console import Console
@@ -12,9 +14,12 @@
 
 from molehill.cli.emulate import BROKEN, KEPT, given, say, seeds_of
 from molehill.emulator import scenario as scenarios
+from molehill.emulator.planted import MISTAKES
 from molehill.emulator.scenario import STAGES
-from molehill.fleet import checker
+from molehill.fleet import checker, days
+from molehill.fleet import compare as compares
 from molehill.fleet import play as plays
+from molehill.fleet import show as stories
 
 NOTHING_SHOWN = 3
 EXITS = {checker.KEPT: KEPT, checker.BROKEN: BROKEN, checker.UNKNOWN: NOTHING_SHOWN, checker.VOID: NOTHING_SHOWN}
@@ -22,15 +27,20 @@
 
 
 def loaded(path, seed=None):
+    """A file's scenario, with another seed if one is given; without a file, the day that the seed draws."""
+    if path is None and seed is not None:
+        return days.drawn(seed)
     made = given(path, None, ())
     return made if seed is None else plays.seeded(made, seed)
 
 
-def played(scenario, stage: str, folder=None, tree=None) -> dict:
-    try:
-        return plays.play(scenario, stage, folder, tree)
-    except scenarios.ScenarioError as error:
-        raise click.UsageError(str(error)) from None
+def played(scenario, stage: str, folder=None, older=None, mistake=None) -> dict:
+    with TemporaryDirectory(prefix="molehill-older-") as place:
+        try:
+            tree = compares.checkout(older, Path(place)) if older else None
+            return plays.play(scenario, stage, folder, older=tree, mistake=mistake)
+        except (scenarios.ScenarioError, compares.Unusable) as error:
+            raise click.UsageError(str(error)) from None
 
 
 def tell(verdict) -> None:
@@ -53,15 +63,22 @@
     """Several relays under faults, as processes on this machine or emulated; one history, one verdict."""
 
 
+scenario_argument = click.argument("scenario", required=False, type=click.Path())
+planted_option = click.option("--planted", type=click.Choice(sorted(MISTAKES)), help="With this known mistake put into each relay.")
+older_option = click.option("--older", metavar="REV", help="The commit that `older` faults start.")
+
+
 @fleet.command()
-@click.argument("scenario", type=click.Path())
+@scenario_argument
 @stage_option
-@click.option("--seed", type=int, help="In place of the scenario's.")
+@click.option("--seed", type=int, help="In place of the scenario's; without a scenario, the day that it draws.")
+@planted_option
+@older_option
 @click.option("--out", type=click.Path(), help="Keeps histories, logs and the verdict there (processes).")
 @click.option("--json", "as_json", is_flag=True, help="The verdict as a line of JSON.")
-def run(scenario, stage, seed, out, as_json) -> None:
+def run(scenario, stage, seed, planted, older, out, as_json) -> None:
     """Plays one scenario and prints its verdict."""
-    verdict = played(loaded(scenario, seed), stage, out)
+    verdict = played(loaded(scenario, seed), stage, out, older, planted)
     if out and stage == "processes":
         (Path(out) / plays.VERDICT).write_text(json.dumps(verdict, indent=1, sort_keys=True), encoding="utf-8")
     (say if as_json else tell)(verdict)
@@ -69,27 +86,80 @@
 
 
 @fleet.command()
-@click.argument("scenario", type=click.Path())
+@scenario_argument
 @stage_option
 @click.option("--seeds", required=True, metavar="A..B")
+@planted_option
+@older_option
 @click.option("--out", type=click.Path(), help="Keeps the folders of runs that were not kept there.")
-def sweep(scenario, stage, seeds, out) -> None:
-    """Plays one scenario with many seeds, one after another: a line for each that is not kept, then a summary in JSON."""
-    made, verdicts = loaded(scenario), []
+@click.option("--first", is_flag=True, help="Stops at the first broken one.")
+def sweep(scenario, stage, seeds, planted, older, out, first) -> None:
+    """Plays one scenario, or the days that they draw, with many seeds: a line for each that is not kept, then a summary in JSON."""
+    verdicts = []
     with Progress(TextColumn("seed {task.fields[seed]}"), BarColumn(), TimeElapsedColumn(), console=Console(stderr=True)) as bar:
         todo = seeds_of(seeds)
         task = bar.add_task("", total=len(todo), seed=todo[0])
         for seed in todo:
             bar.update(task, seed=seed)
             folder = Path(out) / str(seed) if out and stage == "processes" else None
-            verdicts.append(played(plays.seeded(made, seed), stage, folder))
+            verdicts.append(played(loaded(scenario, seed), stage, folder, older, planted))
             if not verdicts[-1]["ok"]:
                 for row in verdicts[-1]["findings"]:
                     if row["word"] != checker.KEPT:
                         click.echo(f"seed {seed}: {row['word']}: {row['property']}: {row['text']} {json.dumps(row['facts'])[:300]}")
             elif folder:
-                plays.shutil.rmtree(folder, ignore_errors=True)
+                shutil.rmtree(folder, ignore_errors=True)
             bar.advance(task)
+            if first and verdicts[-1]["word"] == checker.BROKEN:
+                break
     words = plays.words(verdicts)
     say({"words": words, "seeds": len(verdicts), "late_ms": max((v.get("late_ms", 0) for v in verdicts), default=0)})
     sys.exit(next((EXITS[word] for word in (checker.BROKEN, checker.VOID, checker.UNKNOWN) if word in words), KEPT))
+
+
+def kept_run(folder) -> Path:
+    if not (Path(folder) / plays.SCENARIO).is_file():
+        raise click.UsageError(f"{folder}: no run was kept here (`fleet run --out` keeps one)")
+    return Path(folder)
+
+
+@fleet.command()
+@click.argument("folder", type=click.Path())
+@click.option("--about", multiple=True, help="Only what names this callback, host or relay; more than one may be given.")
+@click.option("--from", "first", type=float, metavar="MS")
+@click.option("--to", "last", type=float, metavar="MS")
+def show(folder, about, first, last) -> None:
+    """The story of one callback, host, relay or span of a run that was kept."""
+    place = kept_run(folder)
+    try:
+        lines = stories.story(place, about, first, last)
+    except ValueError as error:
+        raise click.UsageError(str(error)) from None
+    for line in lines:
+        click.echo(line)
+
+
+@fleet.command()
+@click.argument("folder", type=click.Path())
+@click.argument("target", type=click.Path())
+def report(folder, target) -> None:
+    """One HTML page about a run that was kept."""
+    from molehill.fleet import report as reports     # its plots take a second to import
+    reports.write(kept_run(folder), Path(target))
+    click.echo(target)
+
+
+@fleet.command()
+@click.argument("scenario", type=click.Path())
+@click.argument("a")
+@click.argument("b")
+@stage_option
+@click.option("--seeds", required=True, metavar="A..B")
+def compare(scenario, a, b, stage, seeds) -> None:
+    """B beside A on paired seeds; each is a commit, or KEY=VALUE[,KEY=VALUE] of the scenario. Figures are ratios B/A."""
+    try:
+        found = compares.compare(loaded(scenario), a, b, seeds_of(seeds), stage,
+                                 lambda seed, rows: click.echo(f"seed {seed}: {json.dumps(rows)}", err=True))
+    except compares.Unusable as error:
+        raise click.UsageError(str(error)) from None
+    say(found)
--- a/molehill/emulator/scenario.py
+++ b/molehill/emulator/scenario.py
@@ -115,12 +115,14 @@
     "delay": "pair", "narrow": "pair",         # by so many ms, give or take half (worth); so many bytes a second (worth)
     "lose": "pair", "repeat": "pair", "reorder": "pair", "spoil_bytes": "pair",    # that share of datagrams (worth)
     # On processes only
-    "starve": "relay"}                         # so many busy processes (worth) share its one core
+    "starve": "relay",                         # so many busy processes (worth) share its one core
+    "clock": "relay", "drift": "relay",        # from its next start on its wall clock is so many ms off; gains that share (worth)
+    "older": "relay"}                          # killed, and from then on of the older program, for that span
 
 STREAMS_TOO = ("cut", "burst", "delay", "narrow")
 EMULATED_ONLY = ("kill_step", "kill_again", "spoil", "disk_failing", "short_writes", "upgrade_new_dies", "upgrade_old_dies",
                  "upgrade_new_hangs", "upgrade_old_hangs")     # they count steps, or need a disk that errs on demand
-PROCESSES_ONLY = ("starve",)
+PROCESSES_ONLY = ("starve", "clock", "drift", "older")
 STAGES = ("emulated", "processes")
 
 
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -66,7 +66,7 @@
     def __init__(self, run, n: int):
         self.run, self.world, self.n, self.name = run, run.world, n, f"relay{n}"
         self.folder, self.file = run.folder / f"{self.name}.state", run.folder / f"{self.name}.json"
-        self.lives, self.owner, self.number, self.retuned, self.cores = [], None, 0, [], None
+        self.lives, self.owner, self.number, self.retuned, self.hook, self.is_older = [], None, 0, [], {}, False
 
     @property
     def up(self) -> bool:
@@ -88,14 +88,20 @@
         if not self.lives:
             self.world.tell(self.name, "started", life=self.number)
         with open(self.run.folder / f"{self.name}.log", "ab") as log:
-            child = self.run.child([sys.executable, "-O", "-m", "molehill"], cwd=self.run.tree, stderr=log, stdin=subprocess.DEVNULL,
-                                   env={**os.environ, "ROUTER_CONFIG": str(self.file), "PYTHONPATH": str(self.run.tree)})
+            tree = self.run.older if self.is_older else self.run.tree
+            child = self.run.child([sys.executable, "-O", "-m", *self.program()], cwd=tree, stderr=log, stdin=subprocess.DEVNULL,
+                                   env={**os.environ, "ROUTER_CONFIG": str(self.file), "PYTHONPATH": str(tree)})
         life = Life(self.number, child, door)
         self.lives.append(life)
         if self.owner is None:
             self.owner = life
         return life
 
+    def program(self) -> list[str]:
+        """The program itself, or with a hook of the rig's where one is asked for."""
+        hook = {**({"mistake": self.run.mistake} if self.run.mistake else {}), **self.hook}
+        return ["molehill.fleet.hooked", json.dumps(hook)] if hook and not self.is_older else ["molehill"]
+
     def look(self) -> None:
         """Once every LOOK: who is gone, who is ready."""
         for life in list(self.lives):
@@ -179,9 +185,13 @@
 
 
 class Run(Script):
-    """`folder`: takes files, logs and histories; `tree`: the program's checkout, this one unless another is named."""
+    """`folder`: takes files, logs and histories; `tree`: the program's checkout, this one unless another is named; `older`: that of an
+    older program, which the script may start; `mistake`: a known one, put into each relay."""
 
-    def __init__(self, scenario, folder, tree=None):
+    def __init__(self, scenario, folder, tree=None, older=None, mistake=None):
+        if older is None and any(fault.kind == "older" for fault in scenario.faults):
+            raise scenarios.ScenarioError("$.faults: 'older' needs an older program: --older REV")
+        self.older, self.mistake = older, mistake
         self.scenario, self.folder, self.tree = scenarios.for_stage(scenario, "processes"), Path(folder), Path(tree or TREE)
         self.prepare()
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -426,6 +436,22 @@
         log = relay.folder / "log"
         self.limit(fault, relay, span, resource.RLIMIT_FSIZE, log.stat().st_size if log.exists() else 0)
 
+    def on_clock(self, fault, relay, span) -> None:
+        """Its next process has the wall clock wrong, as after a machine's own start; it is killed for that."""
+        relay.hook = {**relay.hook, "clock_ms" if fault.kind == "clock" else "drift": fault.worth}
+        self.hit(fault, relay.kill())
+
+    on_drift = on_clock
+
+    def on_older(self, fault, relay, span) -> None:
+        self.hit(fault, relay.kill())
+        relay.is_older = True
+        self.world.after(span, self.newer, relay)
+
+    def newer(self, relay) -> None:
+        relay.is_older = False
+        relay.kill()
+
     def limit(self, fault, relay, span, which, value) -> None:
         if relay.up:
             self.hit(fault, True)
--- a/molehill/fleet/party.py
+++ b/molehill/fleet/party.py
@@ -73,6 +73,7 @@
         data = os.read(0, 1 << 16)
         if not data:
             self.world.tell(self.spec.role, "lateness", most=self.world.late)
+            self.world.tell(self.spec.role, "traffic", bytes=self.network.traffic)
             self.world.stopped = True
         self.orders += data
         while b"\n" in self.orders:
--- a/molehill/fleet/play.py
+++ b/molehill/fleet/play.py
@@ -2,29 +2,32 @@
 import shutil
 import tempfile
 from collections import Counter
+from contextlib import nullcontext
 from pathlib import Path
 
 from msgspec.structs import replace
 
 from molehill.emulator import run as emulated
 from molehill.emulator import scenario as scenarios
+from molehill.emulator.planted import planted
 from molehill.fleet import checker, history
 from molehill.fleet.conductor import NotPlayed, Run
 
 SCENARIO, VERDICT = "scenario.toml", "verdict.json"
 
 
-def play(scenario, stage: str, folder=None, tree=None) -> dict:
-    """`folder`: where a run on processes leaves its files, which are else taken away; `tree`: another checkout of the program.
+def play(scenario, stage: str, folder=None, **programs) -> dict:
+    """`folder`: where a run on processes leaves its files, which are else taken away; `programs`: `tree`, `older`, `mistake` of conductor.Run.
 
     Raises ScenarioError for what can't be played on that stage.
     """
     scenarios.for_stage(scenario, stage)
     if stage == "emulated":
-        return on_virtual_clock(scenario)
+        with planted(programs["mistake"]) if programs.get("mistake") else nullcontext():
+            return on_virtual_clock(scenario)
     made = Path(folder) if folder else Path(tempfile.mkdtemp(prefix="molehill-fleet-"))
     try:
-        return on_processes(scenario, made, tree)
+        return on_processes(scenario, made, **programs)
     finally:
         if folder is None:
             shutil.rmtree(made, ignore_errors=True)
@@ -46,11 +49,11 @@
             "digest": told["digest"], "summary": {k: v for k, v in told.items() if k not in ("ok", "failure", "seed", "digest")}}
 
 
-def on_processes(scenario, folder: Path, tree=None) -> dict:
+def on_processes(scenario, folder: Path, **programs) -> dict:
     folder.mkdir(parents=True, exist_ok=True)
     (folder / SCENARIO).write_text(scenarios.dump(scenario), encoding="utf-8")
     try:
-        Run(scenario, folder, tree).play()
+        Run(scenario, folder, **programs).play()
         verdict = judge(folder, scenario)
     except NotPlayed as error:
         verdict = {"word": checker.VOID, "ok": False, "findings": [checker.Finding("played", checker.VOID, str(error), {})._asdict()], "summary": {}}
--- a/molehill/fleet/sockets.py
+++ b/molehill/fleet/sockets.py
@@ -58,7 +58,8 @@
     def __init__(self, world, relays, cabled=()):
         """`relays`: their names, in the order of their numbers; `cabled`: pairs (relay, party) with a cable between them."""
         self.world, self.relays, self.cabled = world, list(relays), set(cabled)
-        self.machines, self.numbers, self.owners = {}, 0, {}
+        self.machines, self.numbers = {}, 0
+        self.traffic = {}                  # who is at the other end -> bytes [heard from it, said to it]
 
     def machine(self, name: str) -> Machine:
         return self.machines.setdefault(name, Machine(self.world, name))
@@ -72,10 +73,11 @@
         host, port = at(address, self.relays.index(relay))
         return host, port + (CABLE if (relay, party) in self.cabled else 0)
 
-    def connect(self, machine, address, came=None, ended=None, broke=None, up=None, bound=None) -> "Sock":
-        sock = Sock(self, machine, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    def connect(self, machine, address, came=None, ended=None, broke=None, up=None) -> "Sock":
+        n = int(address[0].rpartition(".")[2]) - 1
+        sock = Sock(self, machine, socket.socket(socket.AF_INET, socket.SOCK_STREAM), self.relays[n])      # parties dial relays only
         sock.listen_to(came, ended, broke, up)
-        sock.dial(address, bound)
+        sock.dial(address)
         return sock
 
     def serve(self, machine, address, accepted) -> "Listener":
@@ -140,7 +142,7 @@
     def __init__(self, network, machine, sock, peer: str = ""):
         self.network, self.world, self.machine, self.sock = network, network.world, machine, sock
         self.number, self.state, self.closed, self.error = network.number(), FRESH, False, None
-        self.peer = SimpleNamespace(machine=SimpleNamespace(name=peer))
+        self.peer, self.traffic = SimpleNamespace(machine=SimpleNamespace(name=peer)), network.traffic.setdefault(peer, [0, 0])
         self.outbox, self.ending, self.paused = bytearray(), False, False
         self.on_came = self.on_ended = self.on_broke = self.on_up = None
         sock.setblocking(False)
@@ -203,6 +205,7 @@
             return
         except OSError as error:
             return self.breaks(error.errno)
+        self.traffic[0] += len(data)
         if data:
             if self.on_came is not None:
                 self.on_came(self, data, self.world.since())
@@ -230,7 +233,9 @@
             return
         try:
             while self.outbox:
-                del self.outbox[:self.sock.send(self.outbox)]
+                count = self.sock.send(self.outbox)
+                self.traffic[1] += count
+                del self.outbox[:count]
         except BlockingIOError:
             pass
         except OSError as error:
