--- a/molehill/emulator/life.py
+++ b/molehill/emulator/life.py
@@ -12,7 +12,7 @@
 from molehill import config as configuration
 from molehill import relay
 from molehill.config import MS
-from molehill.emulator.network import Listener, Sock
+from molehill.emulator.network import Letters, Listener, Sock
 
 TURN = 150_000                         # least ns between two looks of a relay's loop: about what a callback costs one core
 LEAST_FD = 3                           # after the standard streams
@@ -122,6 +122,14 @@
         Sock.forget(self)
 
 
+class TaskLetters(Held, Letters):
+    def __init__(self, network, machine):
+        Letters.__init__(self, network, machine)
+        Held.__init__(self)
+
+    mask, close = Letters.mask, Letters.close
+
+
 class Signals(Held):
     """The socket on which each signal comes as a byte."""
 
@@ -296,10 +304,16 @@
         return fd
 
     def tcp_socket(self, address):
+        return self._socket(TaskSock)
+
+    def udp_socket(self, address):
+        return self._socket(TaskLetters)
+
+    def _socket(self, kind):
         self.step("socket")
         if len(self.fds) >= self.most_fds():
             raise OSError(errno.EMFILE, "no descriptor is left")
-        return Descriptor(self, TaskSock(self.node.network, self.node.place))
+        return Descriptor(self, kind(self.node.network, self.node.place))
 
     def meet(self, folder: str) -> Descriptor:
         self.step("meet")
--- a/molehill/emulator/network.py
+++ b/molehill/emulator/network.py
@@ -7,10 +7,13 @@
 import errno
 import select
 import socket
+from collections import deque
 
 from molehill.config import SECOND
 
 BUFFER = 64 * 1024                     # bytes under way and unread in one direction: as kernels keep, in the small
+OVERTAKEN = 50_000_000                 # ns by which a datagram that others overtake is late at most
+LETTERS = 256                          # datagrams that a socket takes in unread, about what kernels do with small ones
 RETRY = (SECOND, 3 * SECOND, 7 * SECOND)       # when a connection that had no answer is asked for again, as kernels do
 ERRORS = {errno.ECONNREFUSED: ConnectionRefusedError, errno.ECONNRESET: ConnectionResetError, errno.EPIPE: BrokenPipeError}
 
@@ -42,10 +45,31 @@
 
 
 class Way:
-    """What one sends to another: bytes wait until `until`, take `delay` more, and no more than `rate` a second get through (0: all)."""
+    """What one sends to another: bytes wait until `until`, take `delay` more, and no more than `rate` a second get through (0: all).
+
+    Of datagrams those behind `until` are lost, or come at its end where it is a burst's; shares of the others as the names say.
+    """
 
     def __init__(self, world):
         self.world, self.until, self.delay, self.rate, self.free, self.touched = world, 0, 0, 0, 0, 0
+        self.bursts, self.lose, self.repeat, self.reorder, self.spoil_bytes = 0, 0.0, 0.0, 0.0, 0.0
+
+    def letters(self, when: int, data: bytes) -> list:
+        """(when it arrives, bytes) of each copy of a datagram that would arrive at `when`."""
+        chance, now = self.world.chance, self.world.now
+        if now < self.until and now >= self.bursts or self.lose and chance.random() < self.lose:
+            self.touched += 1
+            return []
+        if self.spoil_bytes and data and chance.random() < self.spoil_bytes:
+            place = chance.randrange(len(data))
+            data = data[:place] + bytes([data[place] ^ chance.randrange(1, 256)]) + data[place + 1:]
+            self.touched += 1
+        times = 1
+        if self.repeat and chance.random() < self.repeat:
+            self.touched, times = self.touched + 1, 2
+        if self.reorder and chance.random() < self.reorder:
+            self.touched, when = self.touched + 1, when + chance.randrange(1, OVERTAKEN)
+        return [(self.arrival(when, len(data)), data)] * times
 
     def arrival(self, when: int, size: int) -> int:
         """When what would arrive at `when` does."""
@@ -66,11 +90,17 @@
         self.world, self.latency, self.pieces, self.numbers = world, latency, pieces, 0
         self.machines: dict[str, Machine] = {}
         self.where: dict[tuple, Machine] = {}          # address -> the machine that has it
+        self.boxes: dict[tuple, Letters] = {}          # address -> the datagram socket that has it
         self.ways: dict[tuple, Way] = {}               # (from, to) -> what troubles that way; absent: nothing ever did
 
     def machine(self, name: str) -> Machine:
         return self.machines.setdefault(name, Machine(self.world, name))
 
+    def delivers(self, address, data: bytes, sender) -> None:
+        box = self.boxes.get(address)
+        if box is not None and not box.machine.cut:
+            box.landed(data, sender)
+
     def way(self, a: str, b: str) -> Way:
         return self.ways.setdefault((a, b), Way(self.world))
 
@@ -169,6 +199,60 @@
             self.forget()
 
 
+class Letters(Base):
+    """A datagram socket. A relay's side has the calls of `socket.socket`; a party's is told came(box, data, address)."""
+
+    def __init__(self, network, machine):
+        super().__init__(network, machine)
+        self.address, self.inbox, self.came, self.lost = None, deque(), None, 0
+        machine.socks.add(self)
+
+    def bind(self, address) -> None:
+        self.address = tuple(address)
+        self.network.boxes[self.address] = self
+        self.network.where.setdefault(self.address, self.machine)
+
+    def getsockname(self):
+        return self.address
+
+    def sendto(self, data, address) -> int:
+        """Danger: a datagram that finds nobody, or no room, is gone, and its sender hears nothing of it."""
+        network, address = self.network, tuple(address)
+        there = network.boxes.get(address)
+        due = self.world.now + self.world.chance.randrange(*network.latency)
+        way = network.ways.get((self.machine.name, there.machine.name)) if there is not None else None
+        if not self.machine.cut:
+            for when, copy in way.letters(due, bytes(data)) if way is not None else ((due, bytes(data)),):
+                self.world.at(when, network.delivers, address, copy, self.address)
+        return len(data)
+
+    def landed(self, data: bytes, sender) -> None:
+        if self.came is not None:
+            self.came(self, data, sender)
+        elif len(self.inbox) < LETTERS:
+            self.inbox.append((data, sender))
+            self.changed()
+        else:
+            self.lost += 1
+
+    def recvfrom(self, count: int):
+        if self.inbox:
+            data, sender = self.inbox.popleft()
+            return data[:count], sender
+        raise BlockingIOError(errno.EAGAIN, "nothing came")
+
+    def mask(self) -> int:
+        return select.POLLOUT | (select.POLLIN if self.inbox else 0)
+
+    def close(self) -> None:
+        if not self.closed:
+            if self.network.boxes.get(self.address) is self:
+                del self.network.boxes[self.address]
+            self.forget()
+
+    reset = close
+
+
 FRESH, DIALLING, OPEN, FAILED = "fresh", "dialling", "open", "failed"
 
 
--- a/molehill/emulator/run.py
+++ b/molehill/emulator/run.py
@@ -203,24 +203,33 @@
 
     def on_cut(self, fault, _, span) -> None:
         """The end of each cut is known as it begins, so what is under way waits for the last of them."""
-        for a, b in directions(self.scenario, fault.who):
-            way = self.network.way(a, b)
+        for way in self.ways(fault, span):
             way.until = max(way.until, self.world.now + span)
-            self.world.after(span, self.did, fault, way, way.touched)
+            if fault.kind == "burst":
+                way.bursts = max(way.bursts, self.world.now + span)
 
     on_burst = on_cut
 
     def on_delay(self, fault, _, span) -> None:
-        for a, b in directions(self.scenario, fault.who):
-            way = self.network.way(a, b)
+        for way in self.ways(fault, span):
             self.sets(span, way, "delay", int(fault.worth * MS), 0)
-            self.world.after(span, self.did, fault, way, way.touched)
 
     def on_narrow(self, fault, _, span) -> None:
-        for a, b in directions(self.scenario, fault.who):
-            way = self.network.way(a, b)
+        for way in self.ways(fault, span):
             self.sets(span, way, "rate", max(1, int(fault.worth)), 0, min)
+
+    def on_lose(self, fault, _, span) -> None:
+        for way in self.ways(fault, span):
+            self.sets(span, way, fault.kind, fault.worth, 0.0)
+
+    on_repeat = on_reorder = on_spoil_bytes = on_lose
+
+    def ways(self, fault, span: int) -> list:
+        """Those that it falls on; what it did there is told at its end."""
+        found = [self.network.way(a, b) for a, b in directions(self.scenario, fault.who)]
+        for way in found:
             self.world.after(span, self.did, fault, way, way.touched)
+        return found
 
     def did(self, fault, way, before: int) -> None:
         self.world.tell("cables", "cable did", kind=fault.kind, falls_on=fault.who, at_ms=fault.at_ms, touched=way.touched - before)
--- a/molehill/fleet/checker.py
+++ b/molehill/fleet/checker.py
@@ -9,13 +9,14 @@
 
 from molehill.config import MS, SECOND
 from molehill.emulator.referee import AFTER_READY, Referee
-from molehill.emulator.scenario import FAULTS
+from molehill.emulator.scenario import FAULTS, directions
 from molehill.emulator.world import START, World
 
 KEPT, UNKNOWN, BROKEN, VOID = "kept", "unknown", "broken", "void"
 WORDS = (VOID, BROKEN, UNKNOWN, KEPT)  # the first of them that any finding has is the run's
 LATE_MOST = 250 * MS                   # the rig late by more: void. A relay on the same cores was as late, and rule 1 leaves it 350 ms
 STOOD_MOST = 250 * MS                  # a relay that says it stood longer without having been made to: the machine's, so void
+CROSSES = 5 * MS                       # what is under way as a cut begins
 NEAR = SECOND                          # what a kill or a pause meets counts from so long before it
 
 Finding = namedtuple("Finding", "property word text facts")
@@ -71,13 +72,45 @@
     return [Finding("faults hit", VOID, f"touched nothing: {', '.join(idle)}", facts)] if idle else [Finding("faults hit", KEPT, "", facts)]
 
 
+def causes_first(history, scenario) -> list[Finding]:
+    """A call comes after its callback was asked for, an answer after its call: else the stamps of two processes can't be set beside each other."""
+    asked, called = {}, {}
+    for now, who, what, facts in history.rows:
+        if what == "asked":
+            asked.setdefault(facts["id"], now)
+        elif what == "call":
+            called[facts["call"]] = now
+            early = [ident for ident in facts["ids"] if ident not in asked]
+            if early:
+                return [Finding("causes first", VOID, "a call stands before its callback was asked for", {"ids": early[:3], "call": facts["call"]})]
+        elif what == "call answered" and facts["call"] not in called:
+            return [Finding("causes first", VOID, "an answer stands before its call", {"call": facts["call"]})]
+    return [Finding("causes first", KEPT, "", {})]
+
+
+def cuts_hold(history, scenario) -> list[Finding]:
+    """Counted where it would arrive, not at the cable: nothing that a relay says comes through a cut."""
+    slack = history.doubt + CROSSES
+    cuts = {}
+    for fault in scenario.faults:
+        for a, b in directions(scenario, fault.who) if fault.kind == "cut" else ():
+            cuts.setdefault((a, b), []).append((START + fault.at_ms * MS + slack, START + (fault.at_ms + fault.span_ms) * MS - slack))
+    for now, who, what, facts in history.rows:
+        way = {"call": lambda: (facts["relay"], facts["host"]), "notice": lambda: (facts["relay"], "platform")}.get(what, lambda: None)()
+        for begun, over in cuts.get(way, ()):
+            if begun < now < over:
+                return [Finding("cuts hold", VOID, "something came through a cut", {"way": "%s>%s" % way, "what": what, "at_ms": (now - START) / MS})]
+    return [Finding("cuts hold", KEPT, "", {})]
+
+
 def in_time(history, scenario) -> list[Finding]:
     """Whether the machine let the rig and the relays run as they were meant to."""
     if history.folder is None:
         return []
     facts = {process: round(late / MS, 1) for process, late in history.late.items()}
-    if not facts:
-        return [Finding("rig in time", VOID, "no process told how late it was", {})]
+    silent = [process for process, late in facts.items() if late < 0] or ["all"] * (not facts)
+    if silent:
+        return [Finding("rig in time", VOID, f"nothing tells how late these were: {silent}", facts)]
     worst = max(facts, key=facts.get)
     stood = most_stood(history, scenario)
     if facts[worst] > LATE_MOST / MS:
@@ -170,7 +203,7 @@
 
 
 PROPERTIES = {"six rules": six_rules, "no crash": no_crash, "invariants": invariants, "faults hit": faults_hit, "rig in time": in_time,
-              "figures": figures_true}
+              "figures": figures_true, "causes first": causes_first, "cuts hold": cuts_hold}
 
 
 def check(history, scenario, properties=None) -> dict:
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -186,12 +186,12 @@
 
 class Run(Script):
     """`folder`: takes files, logs and histories; `tree`: the program's checkout, this one unless another is named; `older`: that of an
-    older program, which the script may start; `mistake`: a known one, put into each relay."""
+    older program, which the script may start; `mistake`: a known one, put into each relay; `rig_mistake`: one of the rig's own."""
 
-    def __init__(self, scenario, folder, tree=None, older=None, mistake=None):
+    def __init__(self, scenario, folder, tree=None, older=None, mistake=None, rig_mistake=""):
         if older is None and any(fault.kind == "older" for fault in scenario.faults):
             raise scenarios.ScenarioError("$.faults: 'older' needs an older program: --older REV")
-        self.older, self.mistake = older, mistake
+        self.older, self.mistake, self.rig_mistake = older, mistake, rig_mistake
         self.scenario, self.folder, self.tree = scenarios.for_stage(scenario, "processes"), Path(folder), Path(tree or TREE)
         self.prepare()
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -224,7 +224,7 @@
     def start_party(self, role: str) -> None:
         spec = self.folder / f"{role}.spec"
         spec.write_bytes(msgspec.json.encode(Spec(role, scenarios.dump(self.scenario), self.slot, str(self.folder / f"{role}.history"),
-                                                  sorted(self.cabled))))
+                                                  sorted(self.cabled), self.rig_mistake)))
         with open(self.folder / f"{role}.log", "ab") as log:
             child = self.child([sys.executable, "-m", "molehill.fleet.party", str(spec)], cwd=TREE, stdin=subprocess.PIPE,
                                stdout=subprocess.PIPE, stderr=log, env={**os.environ, "PYTHONPATH": str(TREE)})
--- a/molehill/fleet/party.py
+++ b/molehill/fleet/party.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from contextlib import nullcontext
 from types import SimpleNamespace
 
 import msgspec
@@ -21,6 +22,7 @@
 from molehill.emulator.world import START
 from molehill.fleet.cable import Cables
 from molehill.fleet.places import Places
+from molehill.fleet.planted import planted
 from molehill.fleet.sockets import Network
 from molehill.fleet.world import IN, World
 
@@ -34,6 +36,7 @@
     slot: int
     history: str
     cabled: list[tuple[str, str]] = []
+    mistake: str = ""                  # of planted.py
 
 
 class Absent:
@@ -162,9 +165,10 @@
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
     with open(sys.argv[1], "rb") as file:
         spec = msgspec.json.decode(file.read(), type=Spec)
-    party = ROLES[spec.role](spec)
-    print("up", flush=True)
-    party.world.run()
+    with planted(spec.mistake, spec.role) if spec.mistake else nullcontext():
+        party = ROLES[spec.role](spec)
+        print("up", flush=True)
+        party.world.run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/molehill/fleet/planted.py
@@ -0,0 +1,77 @@
+"""Known mistakes of the rig itself, each made in memory: what its own checks have to find, or a good verdict means nothing.
+
+Those of relays are the emulator's (`molehill/emulator/planted.py`), put into processes by hooked.py. Used by measurements and tests only.
+"""
+from contextlib import contextmanager
+
+from molehill.fleet import cable, history
+from molehill.fleet.world import World
+
+
+def lets_all_through(before):
+    """It counts what it ought to hold back, and hands it on."""
+    def stands(self):
+        return False
+    return stands
+
+
+def other_way_round(before):
+    return lambda self, a, b: before(self, b, a)
+
+
+def some_twice(before):
+    def push(self, what, size=0):
+        before(self, what, size)
+        if size and self.way.chance.random() < 0.1:
+            before(self, what, size)
+    return push
+
+
+def order_of_processes(before):
+    """Events stand by process, not by time."""
+    def read(folder):
+        found = before(folder)
+        found.rows = sorted(found.rows, key=lambda row: (row[1].startswith("program"), row[0]))
+        return found
+    return read
+
+
+def stamped_late(before):
+    """The programs' clock reads 80 ms too much."""
+    def read(folder):
+        found = before(folder)
+        found.rows = sorted(((now + 80_000_000 * who.startswith("program"), who, what, facts) for now, who, what, facts in found.rows),
+                            key=lambda row: row[0])
+        return found
+    return read
+
+
+def never_late(before):
+    """A rig that does not see that it is late."""
+    def beat(self):
+        before(self)
+        self.late = -1
+    return beat
+
+
+# name -> (which process it is in: cables, or the checker's; the place, the attribute, what makes the wrong one of the right one)
+MISTAKES = {
+    "a cut lets all through": ("cables", cable.Way, "stands", lets_all_through),
+    "a cut falls on the other direction": ("cables", cable.Cables, "way", other_way_round),
+    "a cable says some things twice": ("cables", cable.Pipe, "push", some_twice),
+    "a rig that measures no lateness": ("cables", World, "beat", never_late),
+    "histories merged by process": ("checker", history, "read", order_of_processes),
+    "one process stamps late": ("checker", history, "read", stamped_late)}
+
+
+@contextmanager
+def planted(name: str, process: str):
+    """Within it, that mistake is made if it belongs to `process`."""
+    where, place, attribute, change = MISTAKES[name]
+    before = getattr(place, attribute)
+    if where == process:
+        setattr(place, attribute, change(before))
+    try:
+        yield
+    finally:
+        setattr(place, attribute, before)
--- a/molehill/fleet/play.py
+++ b/molehill/fleet/play.py
@@ -12,7 +12,9 @@
 from molehill.emulator.planted import planted
 from molehill.fleet import checker, history
 from molehill.fleet.conductor import NotPlayed, Run
+from molehill.fleet.planted import planted as rig_planted
 
+ON_VIRTUAL_CLOCK = ("faults hit", "causes first", "cuts hold")    # the referee has judged already, and nothing is ever late
 SCENARIO, VERDICT = "scenario.toml", "verdict.json"
 
 
@@ -38,7 +40,7 @@
     run.world.watchers.append(lambda *row: rows.append(row))
     told = run.play()
     failure = told["failure"]
-    verdict = checker.check(history.History(rows), scenario, {"faults hit": checker.faults_hit})
+    verdict = checker.check(history.History(rows), scenario, {name: checker.PROPERTIES[name] for name in ON_VIRTUAL_CLOCK})
     word = checker.KEPT if failure is None else checker.BROKEN
     text = "" if failure is None else f"rule {failure['rule']}: {failure['text']}"
     findings = [checker.Finding("six rules", word, text, dict(failure["facts"], at_ms=failure["at_ms"]) if failure else {})._asdict()]
@@ -54,7 +56,8 @@
     (folder / SCENARIO).write_text(scenarios.dump(scenario), encoding="utf-8")
     try:
         Run(scenario, folder, **programs).play()
-        verdict = judge(folder, scenario)
+        with rig_planted(programs["rig_mistake"], "checker") if programs.get("rig_mistake") else nullcontext():
+            verdict = judge(folder, scenario)
     except NotPlayed as error:
         verdict = {"word": checker.VOID, "ok": False, "findings": [checker.Finding("played", checker.VOID, str(error), {})._asdict()], "summary": {}}
     return {"stage": "processes", "seed": scenario.seed, **verdict}
--- a/molehill/runtime/kernel.py
+++ b/molehill/runtime/kernel.py
@@ -90,6 +90,10 @@
         """The socket that a passed descriptor is."""
         return socket.socket(fileno=fd)
 
+    @staticmethod
+    def udp_socket(address) -> socket.socket:
+        return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+
     @staticmethod
     def tcp_socket(address) -> socket.socket:
         return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
