--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -21,7 +21,7 @@
 from molehill.config import SECOND
 from molehill.emulator import scenario as scenarios
 from molehill.emulator.days import calm
-from molehill.emulator.network import Letters
+from molehill.emulator.network import Datagrams
 from molehill.emulator.run import Run
 from molehill.emulator.scenario import Category, EndpointPlan, Fault, ProgramPlan, Scenario, check
 from molehill.fleet import days, figures, history, play
@@ -118,7 +118,7 @@
     heard = [0]
     boxes = []
     for n, node in enumerate(run.nodes.values()):
-        box = Letters(run.network, node.place)
+        box = Datagrams(run.network, node.place)
         box.bind((f"10.0.{n // 250 + 1}.{n % 250 + 1}", 7000))
         box.came = lambda *_: heard.__setitem__(0, heard[0] + 1)
         boxes.append(box)
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -3,6 +3,7 @@
 A message about a faulty value names its key: `settings.allowed.connIdleMs: 'x' is not a time`.
 """
 import json
+import os
 import re
 from dataclasses import dataclass, fields, replace
 from typing import Optional
@@ -164,6 +165,25 @@
     return (fields.index("x1"), fields.index("x0") if "x0" in fields else None) if "x1" in fields else None
 
 
+@dataclass(slots=True)
+class Fleet:
+    """Membership among relays: who this one is to others, whom it is told of, what it may say."""
+    name: str                      # of the fleet: what bears another name is not read
+    listen: tuple[str, int]        # datagrams and streams
+    seeds: dict                    # name of a relay -> its address; this one's own is passed over
+    keys: list                     # bytes; the first signs, both are believed
+    bytes_per_s: int
+    spans: dict                    # of membership's settings, by name, in ns
+
+
+# name in the file -> its name in membership's settings
+FLEET_SPANS = {"roundMs": "round", "floorMs": "floor", "aloneAfterMs": "alone_after", "stalledMs": "stalled", "forgetAfterMs": "forget_after",
+               "syncEveryMs": "sync_every"}
+FLEET_BYTES = 20_000               # a second; 300 relays use a third of it (docs/design/membership.md)
+FLEET_SOCKETS = 6                  # datagrams, a listener, four streams
+KEY_LEAST, KEY_MOST = 16, 64       # bytes
+
+
 @dataclass(slots=True)
 class Config:
     name: str
@@ -185,6 +205,7 @@
     disk: int                      # bytes
     memory: int
     admin: Optional[tuple[str, int]] = None    # the operators' door; None: none is opened
+    fleet: Optional[Fleet] = None              # None: nothing of membership is imported
     required: tuple = ()           # keys that the file's settings name: a later file without one of them is broken
 
 
@@ -273,6 +294,52 @@
     return value
 
 
+def keys_from(path: str) -> list[bytes]:
+    """One or two keys in hex, a line each, from a file that nobody but its owner may read."""
+    try:
+        with open(path, encoding="ascii") as file:
+            if os.fstat(file.fileno()).st_mode & 0o077:
+                raise ConfigError(f"fleet.keyFile: {path}: others than its owner may read it")
+            return hex_keys(file.read().split(), "fleet.keyFile")
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"fleet.keyFile: {path}: {error}") from None
+
+
+def hex_keys(words, key: str) -> list[bytes]:
+    try:
+        keys = [bytes.fromhex(word) for word in words]
+    except (TypeError, ValueError):
+        raise ConfigError(f"{key}: not keys in hex") from None
+    if not 1 <= len(keys) <= 2 or not all(KEY_LEAST <= len(one) <= KEY_MOST for one in keys):
+        raise ConfigError(f"{key}: one or two keys of {KEY_LEAST} to {KEY_MOST} bytes are needed")
+    return keys
+
+
+def fleet(given: dict, own: str) -> Optional[Fleet]:
+    """`fleet` of the file: off without it. `keys` stand in it themselves where the whole file is as secret as a key file."""
+    rows = part(given, "fleet")
+    if not rows:
+        return None
+    reader, seeds = Reader(flat({name: value for name, value in rows.items() if name not in ("seeds", "keys")}), "fleet."), part(rows, "seeds", "fleet.")
+    known = {"name", "listen", "seeds", "keys", "keyFile", "bytesPerS", *FLEET_SPANS}
+    for name in rows:
+        if name not in known:
+            raise ConfigError(f"fleet.{name}: unknown; one of {', '.join(sorted(known))}")
+    spans = {}
+    for key, name in FLEET_SPANS.items():
+        positive(rows.get(key), f"fleet.{key}")
+        value = reader.get(key, nanos, None)
+        if value is not None:
+            spans[name] = value
+    positive(rows.get("bytesPerS"), "fleet.bytesPerS")
+    if "keyFile" not in rows and "keys" not in rows:
+        raise ConfigError("fleet.keyFile: missing; it names the file with the fleet's key")
+    keys = keys_from(str(rows["keyFile"])) if "keyFile" in rows else hex_keys(rows["keys"] if isinstance(rows["keys"], list) else [], "fleet.keys")
+    return Fleet(str(rows.get("name", "fleet")), address(rows.get("listen"), "fleet.listen"),
+                 {name: address(at, f"fleet.seeds.{name}") for name, at in seeds.items() if name != own}, keys,
+                 reader.get("bytesPerS", whole, FLEET_BYTES), spans)
+
+
 def check(given: dict, environ) -> Config:
     nested, limits, known = part(given, "settings"), part(given, "limits"), part(given, "known")
     pairs = flat(nested)
@@ -297,7 +364,10 @@
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: {sockets} is under the {LEAST_SOCKETS} that a relay needs")
     admin = environ.get("ROUTER_ADMIN") or given.get("admin")
-    most = sockets - STANDING - (ADMIN_SEATS + 3 if admin else 0)    # set aside, with an upgrade's two: neither side starves the other
+    name = environ.get("ROUTER_NAME") or str(given.get("name", "relay"))
+    members = fleet(given, name)
+    # Set aside, with an upgrade's two: neither side starves the other.
+    most = sockets - STANDING - (ADMIN_SEATS + 3 if admin else 0) - (FLEET_SOCKETS if members else 0)
     # Half is for calls and idle connections to hosts, and a slot's worth at least; a quarter at least for clients.
     outgoing = min(max(made.slots + OUTGOING, most // 2), most * 3 // 4)
     disk, memory = limit.get("disk_mb", real, DISK_MB), limit.get("memory_mb", real, MEMORY_MB)
@@ -305,7 +375,7 @@
         if not 0 < value < 1e9:
             raise ConfigError(f"limits.{key}: {value} is not a size in megabytes")
     return Config(
-        name=environ.get("ROUTER_NAME") or str(given.get("name", "relay")),
+        name=name,
         listen=address(environ.get("ROUTER_LISTEN") or given.get("listen"), "ROUTER_LISTEN"),
         discovery=address(environ.get("ROUTER_DISCOVERY") or given.get("discovery"),
                           "ROUTER_DISCOVERY" if environ.get("ROUTER_DISCOVERY") else "discovery"),
@@ -320,10 +390,10 @@
         sockets=most, client_sockets=most - outgoing,
         client_idle=min(sockets // IDLE_SHARE, most - outgoing), disk=int(disk * 1_000_000), memory=int(memory * 1_000_000),
         admin=address(admin, "ROUTER_ADMIN" if environ.get("ROUTER_ADMIN") else "admin") if admin else None,
-        required=tuple(keys_of(given)))
+        fleet=members, required=tuple(keys_of(given)))
 
 
-AT_ONCE = ("discovery", "settings", "categories", "tenants", "required")     # taken at SIGHUP
+AT_ONCE = ("discovery", "settings", "categories", "tenants", "fleet", "required")     # taken at SIGHUP
 LEFT_ALONE = ("seed", "known", "zones")                  # new with each start, or learnt
 BOUND = ("kinds", "zone_fees", "connection_idle", "list_on_request")         # of `settings`: built into what stands
 
--- a/molehill/emulator/life.py
+++ b/molehill/emulator/life.py
@@ -12,7 +12,7 @@
 from molehill import config as configuration
 from molehill import relay
 from molehill.config import MS
-from molehill.emulator.network import Letters, Listener, Sock
+from molehill.emulator.network import Datagrams, Listener, Sock
 
 TURN = 150_000                         # least ns between two looks of a relay's loop: about what a callback costs one core
 LEAST_FD = 3                           # after the standard streams
@@ -122,12 +122,12 @@
         Sock.forget(self)
 
 
-class TaskLetters(Held, Letters):
+class TaskDatagrams(Held, Datagrams):
     def __init__(self, network, machine):
-        Letters.__init__(self, network, machine)
+        Datagrams.__init__(self, network, machine)
         Held.__init__(self)
 
-    mask, close = Letters.mask, Letters.close
+    mask, close = Datagrams.mask, Datagrams.close
 
 
 class Signals(Held):
@@ -307,7 +307,7 @@
         return self._socket(TaskSock)
 
     def udp_socket(self, address):
-        return self._socket(TaskLetters)
+        return self._socket(TaskDatagrams)
 
     def _socket(self, kind):
         self.step("socket")
@@ -336,7 +336,7 @@
         """As `python -m molehill` does."""
         node, sink = self.node, Sink(self.node)
         config = configuration.check(node.given(), {})
-        node.most_fds = config.sockets + configuration.STANDING
+        node.most_fds = config.sockets + configuration.STANDING + (configuration.FLEET_SOCKETS if config.fleet else 0)
         self.signals = Descriptor(self, Signals())
         start = relay.Start(config, self, sink)
         if not start.wait(config, self.signals):
@@ -431,6 +431,8 @@
         counted = http.budget.total() + 2          # the socket of signals and the lock are not in the budget
         if http.giver is not None:
             counted += 2                           # nor are the operators' door and the meeting place
+        if http.membership is not None:
+            counted += http.membership.descriptors()
         return {"held": len(core.held), "calls": len(core.calls), "parked": len(core.parked), "owed_keys": len(core.owed_keys),
                 "used": core.used, "open": core.open, "module held": len(core.module.held), "streams": len(http.hosts.streams),
                 "notices": len(http.notices.waiting), "aborted": len(http.hosts.aborted),
--- a/molehill/emulator/network.py
+++ b/molehill/emulator/network.py
@@ -90,7 +90,7 @@
         self.world, self.latency, self.pieces, self.numbers = world, latency, pieces, 0
         self.machines: dict[str, Machine] = {}
         self.where: dict[tuple, Machine] = {}          # address -> the machine that has it
-        self.boxes: dict[tuple, Letters] = {}          # address -> the datagram socket that has it
+        self.boxes: dict[tuple, Datagrams] = {}          # address -> the datagram socket that has it
         self.ways: dict[tuple, Way] = {}               # (from, to) -> what troubles that way; absent: nothing ever did
 
     def machine(self, name: str) -> Machine:
@@ -199,7 +199,7 @@
             self.forget()
 
 
-class Letters(Base):
+class Datagrams(Base):
     """A datagram socket. A relay's side has the calls of `socket.socket`; a party's is told came(box, data, address)."""
 
     def __init__(self, network, machine):
--- a/molehill/emulator/run.py
+++ b/molehill/emulator/run.py
@@ -11,11 +11,12 @@
 from molehill.emulator.recount import Recount
 from molehill.emulator.referee import LOST, Referee
 from molehill.emulator.scenario import Scenario, directions
-from molehill.emulator.script import Script, relay_file
+from molehill.emulator.script import Script, fleet_part, relay_file
 from molehill.emulator.world import START, World
 
 AGAIN = 600 * MS                       # from a kill to the next start: the platform's figure
 KILLED_AFTER = 3700 * MS               # from SIGTERM to SIGKILL, likewise
+WORDS = 7000                           # what relays say to each other
 DOORS = 9000                           # operators' doors: a port for each start, as an upgrade has a new one
 QUIET = 3 * SECOND                     # after the last abandon time: ends and notices are out, rows are dropped
 
@@ -82,8 +83,10 @@
         """A relay's configuration, in the platform's form."""
         life = self.nodes[name].life
         admin = (self.addresses[name][0], DOORS + life) if self.upgrades else None
+        words = {relay: (address[0], WORDS) for relay, address in self.addresses.items()}
         return relay_file(self.scenario, name, f"{self.scenario.seed:x}{life:x}", self.addresses[name], self.platform.address,
-                          self.platform.known(name), "/state", admin, self.retuned.get(name, ()))
+                          self.platform.known(name), "/state", admin, self.retuned.get(name, ()),
+                          fleet_part(self.scenario, name, words[name], words))
 
     # Relays
 
--- a/molehill/emulator/scenario.py
+++ b/molehill/emulator/scenario.py
@@ -75,6 +75,12 @@
     worth: float = 0.0
 
 
+class FleetPlan(Base):
+    """Membership among the relays; spans as in a relay's file (`roundMs` and so on)."""
+    spans: dict[str, float] = {}
+    seeds: int = 3                 # emulated, each relay is told of so many others; on processes of all, each behind its cable
+
+
 class Scenario(Base):
     seed: int
     span_ms: int                   # how long load comes; the run goes on until all that was taken on is over
@@ -84,6 +90,7 @@
     programs: list[ProgramPlan]
     faults: list[Fault] = []
     surges: list[Surge] = []
+    fleet: FleetPlan | None = None
     strangers: StrangersPlan = msgspec.field(default_factory=StrangersPlan)
     sockets: int = 256
     disk_kb: int = 3000
--- a/molehill/emulator/script.py
+++ b/molehill/emulator/script.py
@@ -105,7 +105,18 @@
         self.sets(span, self.platform, "lose_answers", fault.worth, 0.0)
 
 
-def relay_file(scenario, name: str, seed: str, listen, discovery, known: dict, state: str, admin=None, retuned=()) -> dict:
+def fleet_part(scenario, name: str, listen, doors: dict, all_of_them: bool = False) -> dict:
+    """`fleet` of a relay's file; `doors`: name -> the address at which this relay finds that one. Empty where the scenario has none."""
+    plan = scenario.fleet
+    if plan is None:
+        return {}
+    others = [other for other in doors if other != name]
+    seeds = others if all_of_them else others[:plan.seeds]
+    return {"fleet": {"name": "rehearsed", "listen": "%s:%d" % listen, "seeds": {other: "%s:%d" % doors[other] for other in seeds},
+                      "keys": ["00" * 15 + f"{scenario.seed % 256:02x}"], **plan.spans}}
+
+
+def relay_file(scenario, name: str, seed: str, listen, discovery, known: dict, state: str, admin=None, retuned=(), fleet=None) -> dict:
     """A relay's configuration in the platform's form. `listen`, `discovery`, `admin`: (address, port); `retuned`: the launches allowed
     by each of its later files, which name one class more each."""
     s, grades = scenario, []
@@ -113,7 +124,7 @@
         row = {key: getattr(c, field) for field, key in CATEGORY_KEYS.items()}
         grades.append({**row, "aimMs": c.goal_ms or c.span_ms // 4, "lateShare": 0.1})
     grades += [{**grades[0], "name": f"later {n}"} for n in range(len(retuned))]
-    return {**({"admin": "%s:%d" % admin} if admin else {}), "name": name, "listen": "%s:%d" % listen, "discovery": "%s:%d" % discovery,
+    return {**(fleet or {}), **({"admin": "%s:%d" % admin} if admin else {}), "name": name, "listen": "%s:%d" % listen, "discovery": "%s:%d" % discovery,
             "seed": seed, "state": state,
             "limits": {"sockets": s.sockets, "disk_mb": s.disk_kb / 1000, "memory_mb": 64}, "known": known,
             "settings": {"grades": grades, "balancers": s.relays, "azs": ["a", "b"],
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -23,11 +23,11 @@
 from molehill.emulator.referee import LOST
 from molehill.emulator.run import AGAIN, KILLED_AFTER, QUIET, host_plans
 from molehill.emulator.scenario import FAULTS, directions
-from molehill.emulator.script import Script, relay_file
+from molehill.emulator.script import Script, fleet_part, relay_file
 from molehill.emulator.world import START
 from molehill.fleet.party import PARENT_GONE, Spec
-from molehill.fleet.places import Places, claim
-from molehill.fleet.sockets import Network
+from molehill.fleet.places import WORDS, Places, claim
+from molehill.fleet.sockets import CABLE, Network
 from molehill.fleet.world import IN, World
 
 LOOK = 10 * MS                         # how often children are looked at, and a door asked that has not said yes
@@ -76,11 +76,17 @@
         run, places = self.run, self.run.places
         address = run.network.seen_by(self.name, run.platform_at, "platform")
         given = relay_file(run.scenario, self.name, f"{run.scenario.seed:x}{self.number:x}", places.relay(self.n), address,
-                           run.known(self.name), str(self.folder), door or places.door(self.n, self.number), self.retuned)
+                           run.known(self.name), str(self.folder), door or places.door(self.n, self.number), self.retuned, self.fleet())
         whole = self.file.with_suffix(".new")
         whole.write_text(json.dumps(given), encoding="utf-8")
         whole.rename(self.file)
 
+    def fleet(self) -> dict:
+        """Told only the cables at which it finds the others; a seed may be any of them, so it has an address for each."""
+        places = self.run.places
+        doors = {f"relay{other}": (lambda host, port: (host, port + CABLE))(*places.words(self.n, other)) for other in range(self.run.scenario.relays)}
+        return fleet_part(self.run.scenario, self.name, (places.relay(self.n)[0], WORDS), doors, all_of_them=True)
+
     def start(self) -> Life:
         self.number += 1
         door = self.run.places.door(self.n, self.number)
@@ -484,6 +490,9 @@
         if FAULTS[fault.kind] == "pair":
             for a, b in directions(scenario, fault.who):
                 found |= {(a, b), (b, a)}
+    if scenario.fleet is not None:
+        relays = [f"relay{n}" for n in range(scenario.relays)]
+        found |= {(a, b) for a in relays for b in relays if a != b}
     return {(a, b) for a, b in found if a.startswith("relay")}
 
 
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -50,7 +50,7 @@
         self.lock = machine.disk.lock(config.state)
         if config.admin is not None:
             self.admin = Admin(self.scheduler, config.admin, lambda: self.process is not None and self.process.can_serve(),
-                               lambda: (self.process.core.figures if self.process else Figures(config.categories)).text())
+                               lambda: self.process.figures() if self.process else Figures(config.categories).text())
 
     def wait(self, config, signals) -> bool:
         """Until the lock is here, if another process has it; False if told to end before."""
@@ -92,6 +92,11 @@
         self.notices = engine.notices = Notices(self.scheduler, config, budget, engine.post)
         self.clients.turned_away = self.core.turned_away
         self.discovery = engine.discovery = Discovery(self.scheduler, config, budget, engine.post)
+        self.membership = None
+        if config.fleet is not None:
+            from molehill.membership.wiring import Membership     # only where it is asked for: it costs memory and a start's time
+            inherited = start.estate and start.estate.state.get("member")
+            self.membership = Membership(self.scheduler, config, self.log, inherited)
         start.process = self
 
     def begin(self, signals) -> None:
@@ -107,6 +112,10 @@
             unread["unread"] = self.scheduler.clock() - estate.state["began"]
             self.start.estate = None
             self.catch_up()
+        if self.membership is not None:
+            self.membership.begin()
+            if self.start.admin is not None:
+                self.start.admin.pages["/fleet"] = lambda: (200, self.membership.view())
         self.engine.post(ev.Begin())
         self.engine.keep_flushing(self.sink)
         self.engine.keep_counting()
@@ -165,6 +174,8 @@
         configuration.retake(self.config, new)
         self.engine.post(ev.Retuned(self.config.settings, names))
         self.config.settings, self.config.categories = self.core.set, self.core.classes.current
+        if self.membership is not None and new.fleet is not None:
+            self.membership.retake(new.fleet)
 
     # An upgrade: molehill/upgrade.py has its order
 
@@ -179,6 +190,9 @@
         if new.settings != self.config.settings or new.categories != self.config.categories:
             self.retune(new)
 
+    def figures(self) -> str:
+        return self.core.figures.text() + (self.membership.figures() if self.membership else "")
+
     def can_serve(self) -> bool:
         return self.clients.ready and not self.given
 
@@ -193,6 +207,8 @@
     def give(self, began: int):
         self.engine.post(ev.Step())        # what was read is decided, and in the log
         self.engine.freeze()
+        if self.membership is not None:
+            self.membership.close()        # the next process is the same member at the same address
         return upgrade.rows_of(self, began)
 
     def go_on(self, rows, began: int) -> None:
@@ -202,6 +218,8 @@
         self.hosts.go_on([row for row in rows if row[0]["k"] in ("call", "idle")])
         self.notices.go_on()
         self.engine.thaw()
+        if self.membership is not None:
+            self.membership.begin()
         self.engine.post(ev.Hold(False))
         self.clients.go_on([row for row in rows if row[0]["k"] == "client"], self.scheduler.clock() - began)
 
@@ -230,4 +248,6 @@
         while self.scheduler.clock() < until and (
                 self.clients.busy() or self.notices.waiting or self.hosts.out):
             self.scheduler.sleep(self.scheduler.clock() + 5 * MS)
+        if self.membership is not None:
+            self.membership.leave()
         self.scheduler.stopped = True
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -198,6 +198,8 @@
     rows.append(({"k": "listener"}, b"", process.clients.listener))
     state.update(k="state", lost=lost, began=began, version=process.discovery.version,
                  discovery="%s:%d" % process.config.discovery)
+    if process.membership is not None:
+        state["member"] = process.membership.estate()
     return [*rows, (state, b"", None)]
 
 
