Fleet rig: properties of membership judged from what relays say; five real members in the suite

Need: membership shown by real processes, with bounds that come from settings and not from the code that is checked.

Change: fleet/members.py reads relays' log lines and doors: no view goes back, alone in time, lost in time, not lost for nothing, views agree, bytes within the allowance; what the run was too short to show is unknown. docs/members.toml (one of five deaf, one paused, one killed) is played in the suite; each property finds a history made to break it.

--- a/molehill/fleet/checker.py
+++ b/molehill/fleet/checker.py
@@ -11,6 +11,7 @@
 from molehill.emulator.referee import AFTER_READY, Referee
 from molehill.emulator.scenario import FAULTS, directions
 from molehill.emulator.world import START, World
+from molehill.fleet import members
 
 KEPT, UNKNOWN, BROKEN, VOID = "kept", "unknown", "broken", "void"
 WORDS = (VOID, BROKEN, UNKNOWN, KEPT)  # the first of them that any finding has is the run's
@@ -151,6 +152,17 @@
     return [Finding("figures", KEPT, "", {})]
 
 
+def membership(history, scenario) -> list[Finding]:
+    """molehill/fleet/members.py; unknown where relays' logs have clocks of their own, or none said a word."""
+    if scenario.fleet is None or history.folder is None:
+        return []
+    if any(f.kind in ("clock", "drift") for f in scenario.faults):
+        return [Finding("membership", UNKNOWN, "relays' clocks are off, so what they say can't be set beside the script", {})]
+    if not members.says(history.folder, history):
+        return [Finding("membership", BROKEN, "no relay said a word of others", {})]
+    return [Finding(name, word, text, facts) for word, name, text, facts in members.check(history, scenario)] or [Finding("membership", KEPT, "", {})]
+
+
 # What was there for a fault to touch: kind -> (how long before it counts too, what of the history it touches)
 def of_relay(fault, who, what, facts) -> bool:
     return what in ("asked", "call", "notice") and facts.get("relay") == fault.who
@@ -203,7 +215,8 @@
 
 
 PROPERTIES = {"six rules": six_rules, "no crash": no_crash, "invariants": invariants, "faults hit": faults_hit, "rig in time": in_time,
-              "figures": figures_true, "causes first": causes_first, "cuts hold": cuts_hold}
+              "figures": figures_true, "causes first": causes_first, "cuts hold": cuts_hold,
+              "membership": membership}
 
 
 def check(history, scenario, properties=None) -> dict:
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -307,8 +307,10 @@
         waiting = set()
         for relay in self.relays.values():
             if relay.up:
-                waiting.add(relay.name)
-                self.figures(relay, waiting)
+                self.page(relay, "/metrics", waiting, lambda relay, body: self.world.tell(relay.name, "figures", rows=figures_of(body),
+                                                                                          cpu=cpu_of(relay.owner.child.pid)))
+                if self.scenario.fleet is not None:
+                    self.page(relay, "/fleet", waiting, lambda relay, body: self.world.tell(relay.name, "view", view=json.loads(body)))
         self.world.after(READ_WITHIN, setattr, self.world, "stopped", True)
         self.read_all(waiting)
 
@@ -317,16 +319,17 @@
             self.world.stopped = True
         self.world.after(LOOK, self.read_all, waiting)
 
-    def figures(self, relay, waiting) -> None:
-        reader = Messages()
+    def page(self, relay, target: str, waiting, told) -> None:
+        """One page of a relay's door."""
+        reader, place = Messages(), (relay.name, target)
+        waiting.add(place)
 
         def came(sock, data, sent_at) -> None:
             for _, _, body, _ in reader.feed(data, sent_at):
-                rows = dict(line.partition("|")[0].removeprefix("router.").rsplit(":", 1) for line in body.decode().splitlines())
-                self.world.tell(relay.name, "figures", rows=rows, cpu=cpu_of(relay.owner.child.pid))
-                waiting.discard(relay.name)
+                told(relay, body)
+                waiting.discard(place)
         self.network.connect(self.machine, relay.owner.door, came, lambda s: s.close(), lambda s: s.close(),
-                             lambda sock: sock.put(request("GET", "/metrics")))
+                             lambda sock: sock.put(request("GET", target)))
 
     def end_all(self) -> None:
         self.over = True
@@ -496,6 +499,10 @@
     return {(a, b) for a, b in found if a.startswith("relay")}
 
 
+def figures_of(body: bytes) -> dict:
+    return dict(line.partition("|")[0].removeprefix("router.").rsplit(":", 1) for line in body.decode().splitlines())
+
+
 def cpu_of(pid: int) -> float:
     """Seconds of a core that a process has used so far."""
     try:
--- a/molehill/fleet/show.py
+++ b/molehill/fleet/show.py
@@ -1,24 +1,12 @@
 """The story of one callback, host, relay or span, out of a kept run: stand-ins' events and the relays' own log lines, in order."""
 import re
-from datetime import datetime
 
 from molehill.config import MS
 from molehill.emulator.world import START
 from molehill.fleet import history
+from molehill.fleet.members import STAMP, log_rows
 
-STAMP = re.compile(r"timestamp='([^']+)'")
-PRIVATE = ("figures", "traffic", "cpu", "lateness", "accepted", "held")      # the rig's own bookkeeping
-
-
-def log_rows(folder, told):
-    """(time, relay, line) of what relays wrote; their wall clock is set beside the rig's as the run began."""
-    for path in sorted(folder.glob("relay*.log")):
-        for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
-            found = STAMP.search(line)
-            if found:
-                moment = datetime.fromisoformat(found.group(1).replace("Z", "+00:00"))
-                at = START + int(moment.timestamp() * 1000) * MS - told.wall
-                yield at, path.stem, "says " + STAMP.sub("", line).strip()
+PRIVATE = ("figures", "view", "traffic", "cpu", "lateness", "accepted", "held")      # the rig's own bookkeeping
 
 
 def callback_names(told, word: str) -> set[str]:
@@ -37,7 +25,7 @@
     patterns = [re.compile(rf"(?<![\w.-]){re.escape(name)}(?![\w-]|\.\d)") for name in names]
     rows = [(at, n, who, f"{what} " + " ".join(f"{name}={value}" for name, value in facts.items()))
             for n, (at, who, what, facts) in enumerate(told.rows) if what not in PRIVATE]
-    rows += [(at, 1 << 40, who, text) for at, who, text in log_rows(folder, told)]
+    rows += [(at, 1 << 40, who, "says " + STAMP.sub("", line).strip()) for at, who, line in log_rows(folder, told)]
     lines = []
     for at, _, who, text in sorted(rows, key=lambda row: row[:2]):
         ms = (at - START) / MS
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+from datetime import datetime, timezone
 from pathlib import Path
 
 import pytest
@@ -16,11 +17,11 @@
 from molehill.emulator import scenario as scenarios
 from molehill.emulator.days import calm
 from molehill.emulator.run import Run
-from molehill.emulator.scenario import Fault
+from molehill.emulator.scenario import Fault, FleetPlan
 from molehill.emulator.world import START
-from molehill.fleet import checker, play
+from molehill.fleet import checker, members, play
 from molehill.fleet.cable import Cables
-from molehill.fleet.history import History
+from molehill.fleet.history import History, read
 from molehill.fleet.places import Places, claim
 from molehill.fleet.sockets import Network
 from molehill.fleet.world import World
@@ -49,6 +50,55 @@
     assert play.judge(tmp_path)["word"] == checker.KEPT
 
 
+def test_five_that_know_of_each_other_one_deaf_one_paused_one_killed(tmp_path):
+    """Membership in real processes: alone and lost in time, nobody lost for nothing, all agree again."""
+    verdict = play.play(scenarios.load(FIVE.with_name("members.toml").read_text(encoding="utf-8")), "processes", tmp_path)
+    if verdict["word"] == checker.VOID and words(verdict).get("rig in time") == checker.VOID:
+        pytest.skip("the machine was late by more than the rig bears: this run shows nothing")
+    assert verdict["word"] == checker.KEPT and words(verdict)["membership"] == checker.KEPT, verdict["findings"]
+    said = members.says(tmp_path, read(tmp_path))
+    assert {"alone", "connected"} <= {facts["now"] for _, who, event, facts in said if who == "relay3" and event == "standing"}
+
+
+def line(ms, event, **facts):
+    stamp = datetime.fromtimestamp(1000 + ms / 1000, timezone.utc).isoformat().replace("+00:00", "Z")
+    return f"timestamp='{stamp}' event='{event}' " + " ".join(f"{name}={value!r}" for name, value in facts.items()) + "\n"
+
+
+def member(ms, name, now, turn=0, number=1):
+    return line(ms, "member", name=name, now=now, was="alive", number=number, turn=turn, by="x")
+
+
+def standing(ms, now):
+    return line(ms, "standing", now=now)
+
+
+@pytest.mark.parametrize("logs,name", [
+    ({0: standing(1, "connected") + member(2, "relay1", "alive", 2) + member(3, "relay1", "alive", 1)}, "no view goes back"),
+    ({2: standing(1, "connected")}, "alone in time"),
+    ({0: standing(1, "connected") + member(2, "relay2", "suspect"), 2: standing(1, "connected") + standing(1500, "alone")}, "lost in time"),
+    ({0: standing(1, "connected") + member(2, "relay1", "lost"), 2: standing(1500, "alone")}, "not lost for nothing")])
+def test_each_property_of_membership_finds_its_breach(tmp_path, logs, name):
+    scenario = calm(relays=3, fleet=FleetPlan({"roundMs": 100, "aloneAfterMs": 400}), faults=[Fault("cut", 1000, "relays>relay2", 9000)])
+    history = History([], folder=tmp_path)
+    history.wall = 1_000_000_000_000
+    for n in range(3):
+        (tmp_path / f"relay{n}.log").write_text(line(0, "member begins") + logs.get(n, ""))
+    found = [row for row in members.check(history, scenario) if row[0] == members.BROKEN]
+    assert [row[1] for row in found] == [name], found
+
+
+def test_views_that_have_had_no_time_to_agree_are_unknown_and_later_ones_are_judged(tmp_path):
+    scenario = calm(relays=2, fleet=FleetPlan({"roundMs": 100, "aloneAfterMs": 400}), faults=[Fault("cut", 1000, "relay0>relay1", 500)])
+    view = {"standing": "connected", "members": [{"name": "relay1", "state": "lost"}]}
+    seen = {"name": "relay0", "state": "alive"}
+    for ms, word in ((2000, members.UNKNOWN), (20_000, members.BROKEN)):
+        history = History([(START + ms * MS, "relay0", "view", {"view": view}),
+                           (START + ms * MS, "relay1", "view", {"view": {"standing": "connected", "members": [seen]}})], folder=tmp_path)
+        history.wall = 0
+        assert [row[:2] for row in members.check(history, scenario)] == [(word, "views agree")]
+
+
 def test_none_is_left_behind_when_the_tool_is_killed(tmp_path):
     tool = subprocess.Popen([sys.executable, "-m", "molehill.cli", "fleet", "run", str(FIVE), "--out", str(tmp_path)], stdout=subprocess.DEVNULL)
 
