--- a/molehill/membership/member.py
+++ b/molehill/membership/member.py
@@ -14,7 +14,7 @@
 RANK = {JOINING: 0, ALIVE: 1, SUSPECT: 2, LOST: 3, LEFT: 4}        # of two words on one incarnation the higher one stands
 ALONE, THINNED, CONNECTED, SUPERSEDED = "alone", "thinned", "connected", "superseded"
 HELPERS = 3                            # asked to probe where no answer came: SWIM's figure; more pay little
-TRIES = 2                              # direct probes a target and round, the second with the helpers: two losses in a row are common
+PASSERS = 2                            # by whom an answer goes that its asker may not hear straight
 SLOW_MOST = 3                          # steps by which own probes slow down, one for each sign that this relay is the one that is late
 CARRIED = 8                            # rumours in a message: with the head they fit 1,200 bytes (wire.py)
 REPEATS = 3                            # a rumour is told so many times the logarithm of the fleet's size
@@ -59,8 +59,8 @@
 
 
 class Message(NamedTuple):
-    """`kind`: ping, ack, nack, ask, word. `target`: who is to be probed; `seq` of the sender, or of the one answered; a ping by a helper has in
-    `asked` the (name, seq) of the one who asked for it."""
+    """`kind`: ping, again (a ping that had no answer), ack, nack, ask, pass, word. `target`: who is to be probed, answered or reached; `seq` of
+    the sender, or of the one answered; `asked`: of a ping by a helper the (name, seq) of the one who asked for it, of a pass (who answers, seq)."""
     kind: str
     sender: Who
     address: tuple
@@ -270,7 +270,7 @@
         probe.asked = 1                                # also without any: it was tried
         if peer is None:
             return
-        self.say(peer.address, "ping", seq=seq, target=probe.target, about=probe.target)
+        self.say(peer.address, "again", seq=seq, target=probe.target, about=probe.target)
         helpers = [n for n, p in self.peers.items() if n != probe.target and p.state in (ALIVE, SUSPECT)]
         for name in self.chance.sample(helpers, min(HELPERS, len(helpers))):
             self.say(self.peers[name].address, "ask", seq=seq, target=probe.target)
@@ -330,7 +330,7 @@
             return None
         if peer is not None and sender.process() < peer.who.process():
             self.counts["old"] += 1                    # another process has that name since: it is told so
-            self.say(source, "word", about=sender.name)
+            self.say(source, "word", rumours=(Rumour(peer.who, peer.state, peer.told, self.me.name),))
             return None
         if peer is None:
             peer = self.peers[sender.name] = Peer(sender, source, message.address, JOINING, now, sender.name)
@@ -361,8 +361,21 @@
             if name in self.peers or name in self.seeds:
                 self.say(self.peers[name].address if name in self.peers else self.seeds[name], "ack", seq=seq, target=self.me.name)
 
+    def on_again(self, message: Message, peer: Peer, now: int) -> None:
+        """Danger: the asker is heard here, and does not hear this one. So others pass the answer on."""
+        self.on_ping(message, peer, now)
+        if message.target == self.me.name:
+            helpers = [p.address for n, p in self.peers.items() if p is not peer and p.state in (ALIVE, SUSPECT)]
+            for address in self.chance.sample(helpers, min(PASSERS, len(helpers))):
+                self.say(address, "pass", seq=message.seq, target=peer.who.name, asked=(self.me.name, message.seq))
+
+    def on_pass(self, message: Message, peer: Peer, now: int) -> None:
+        there = self.peers.get(message.target)
+        if there is not None and message.asked is not None:
+            self.say(there.address, "ack", seq=message.seq, target=message.asked[0])
+
     def on_ack(self, message: Message, peer: Peer, now: int) -> None:
-        if message.seq in self.helped:
+        if message.seq in self.helped and self.helped[message.seq][2] == message.target:
             name, seq, *_ = self.helped.pop(message.seq)
             if name in self.peers:
                 self.say(self.peers[name].address, "ack", seq=seq, target=message.target)
@@ -412,6 +425,8 @@
 
     def told(self, rumour: Rumour, now: int) -> None:
         who, state = rumour.who, rumour.state
+        if self.superseded:
+            return                                     # Danger: it would take a higher number yet, and both processes would give up
         if who.name == self.me.name:
             return self.told_of_self(rumour, now)
         peer, grave = self.peers.get(who.name), self.graves.get(who.name)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,7 +17,7 @@
                                         Settings, Who)
 from molehill.membership.wire import HEAD, KINDS, MOST, STANDINGS, STATES, Unread, Wire
 from tests.ledger import net_given
-from tests.members import Fleet
+from tests.members import Fleet, agreed, rough
 
 SECOND = 1000 * MS
 
@@ -48,7 +48,7 @@
     return fleet.set.alone_after + fleet.set.stalled
 
 
-T4 = 20 * SECOND                       # after the last fault: a word to a lost one every five rounds, a turn more, a round of rumours
+T4 = agreed(Fleet(3))
 
 
 def test_the_last_one_is_alone_and_does_not_call_the_others_dead():
@@ -73,7 +73,9 @@
 def trip(cuts, names, x, y):
     """Whether a probe by x reaches y and an answer comes back, at most one helper between, as the note's table has it."""
     ok = lambda a, b: (a, b) not in cuts   # noqa: E731
-    return ok(x, y) and ok(y, x) or any(ok(x, h) and ok(h, y) and (ok(y, x) or ok(y, h) and ok(h, x)) for h in names if h not in (x, y))
+    others = [h for h in names if h not in (x, y)]
+    back = ok(y, x) or any(ok(y, h) and ok(h, x) for h in others)
+    return ok(x, y) and back or any(ok(x, h) and ok(h, y) and (ok(y, x) or ok(y, h) and ok(h, x)) for h in others)
 
 
 PAIRS = list(permutations(("r0", "r1", "r2"), 2))
@@ -103,14 +105,9 @@
         fleet.run(SECOND)
         for x, y in PAIRS:
             state = fleet.view(x)[y]
-            if not has[x]:
-                assert state in (ALIVE, SUSPECT)       # it hears no answer: it accuses nobody
-            elif trip(cuts, names, x, y) or has[y]:
-                assert state in (ALIVE, SUSPECT)       # never lost while it can answer, be it to a third one
-            else:
-                assert state == LOST
-        for x in names:
-            assert has[x] or fleet.m[x].standing == ALONE
+            # It hears no answer: it says so, and accuses nobody. Else who can answer is alive, and whom nobody hears is lost.
+            assert state == LOST if has[x] and not has[y] else state == ALIVE, (x, y, cuts)
+        assert all(fleet.m[x].standing == (CONNECTED if has[x] else ALONE) for x in names)
     fleet.heal()
     within(fleet, T4, fleet.all_alive)
 
@@ -164,35 +161,7 @@
 
 @pytest.mark.parametrize("seed", range(6))
 def test_rough_days_views_never_go_back_and_agree_in_the_end(seed):
-    """Losses, repeats by kills and restarts, pauses, cuts one way and both, all at once; the bounds are those of the settings."""
-    chance = Random(seed)
-    fleet = settled(chance.choice([3, 5, 8, 12]), seed=seed)
-    fleet.loss = chance.choice([0.0, 0.05, 0.2, 0.4])
-    best = {}
-    for _ in range(25):
-        name, what = chance.choice(fleet.names), chance.random()
-        if what < 0.25 and name in fleet.m and name not in fleet.asleep:
-            fleet.pause(name, chance.choice([200, 390, 1000, 3000]) * MS)
-        elif what < 0.4 and name in fleet.m and name not in fleet.asleep and len(fleet.m) > 2:
-            fleet.kill(name)
-        elif what < 0.6:
-            [fleet.start(gone) for gone in fleet.names if gone not in fleet.m and gone not in fleet.asleep]
-        elif what < 0.8:
-            fleet.cut([name], chance.sample(fleet.names, 2), both=chance.random() < 0.3)
-        else:
-            fleet.heal()
-        fleet.run(chance.randrange(300, 2500) * MS)
-        for viewer, member in fleet.m.items():
-            for peer in member.peers.values():
-                place = viewer, member.me.process(), peer.who.name
-                assert best.get(place, (0, 0, 0)) <= peer.who.order()
-                best[place] = peer.who.order()
-    fleet.heal()
-    fleet.loss = 0.0
-    fleet.run(4 * SECOND)
-    [fleet.start(gone) for gone in fleet.names if gone not in fleet.m]
-    within(fleet, 2 * T4, fleet.all_alive)
-    assert {m.standing for m in fleet.m.values()} == {CONNECTED}
+    assert rough(seed) is None
 
 
 def test_a_loss_takes_the_word_of_more_than_one_or_longer():
@@ -216,6 +185,8 @@
     within(fleet, T4, lambda: {m.peers["r1"].who.number for n, m in fleet.m.items() if n not in ("twin", "r1")} == {2})
     within(fleet, T4, lambda: twin.standing == CONNECTED)
     assert ("superseded", {"number": 2, "address": "twin:7000"}) in [row[2:] for row in fleet.news]
+    fleet.run(20 * SECOND)                 # whatever it is told by a stream: it once took a number above the other's, and both gave up
+    assert old.me.number == 1 and twin.standing == CONNECTED
     before = len(old.out)
     old.tick(fleet.now + SECOND)
     assert len(old.out) == before          # it says nothing under a name that is another's
