--- a/molehill/cli/fleet.py
+++ b/molehill/cli/fleet.py
@@ -26,10 +26,10 @@
 stage_option = click.option("--stage", type=click.Choice(STAGES), default="processes", show_default=True)
 
 
-def loaded(path, seed=None):
+def loaded(path, seed=None, members=False):
     """A file's scenario, with another seed if one is given; without a file, the day that the seed draws."""
     if path is None and seed is not None:
-        return days.drawn(seed)
+        return days.of_members(seed) if members else days.drawn(seed)
     made = given(path, None, ())
     return made if seed is None else plays.seeded(made, seed)
 
@@ -65,6 +65,7 @@
 
 scenario_argument = click.argument("scenario", required=False, type=click.Path())
 planted_option = click.option("--planted", type=click.Choice(sorted(MISTAKES)), help="With this known mistake put into each relay.")
+members_option = click.option("--members", is_flag=True, help="Days that seeds draw are of relays that know of each other.")
 older_option = click.option("--older", metavar="REV", help="The commit that `older` faults start.")
 
 
@@ -73,12 +74,13 @@
 @stage_option
 @click.option("--seed", type=int, help="In place of the scenario's; without a scenario, the day that it draws.")
 @planted_option
+@members_option
 @older_option
 @click.option("--out", type=click.Path(), help="Keeps histories, logs and the verdict there (processes).")
 @click.option("--json", "as_json", is_flag=True, help="The verdict as a line of JSON.")
-def run(scenario, stage, seed, planted, older, out, as_json) -> None:
+def run(scenario, stage, seed, planted, members, older, out, as_json) -> None:
     """Plays one scenario and prints its verdict."""
-    verdict = played(loaded(scenario, seed), stage, out, older, planted)
+    verdict = played(loaded(scenario, seed, members), stage, out, older, planted)
     if out and stage == "processes":
         (Path(out) / plays.VERDICT).write_text(json.dumps(verdict, indent=1, sort_keys=True), encoding="utf-8")
     (say if as_json else tell)(verdict)
@@ -90,10 +92,11 @@
 @stage_option
 @click.option("--seeds", required=True, metavar="A..B")
 @planted_option
+@members_option
 @older_option
 @click.option("--out", type=click.Path(), help="Keeps the folders of runs that were not kept there.")
 @click.option("--first", is_flag=True, help="Stops at the first broken one.")
-def sweep(scenario, stage, seeds, planted, older, out, first) -> None:
+def sweep(scenario, stage, seeds, planted, members, older, out, first) -> None:
     """Plays one scenario, or the days that they draw, with many seeds: a line for each that is not kept, then a summary in JSON."""
     verdicts = []
     with Progress(TextColumn("seed {task.fields[seed]}"), BarColumn(), TimeElapsedColumn(), console=Console(stderr=True)) as bar:
@@ -102,7 +105,7 @@
         for seed in todo:
             bar.update(task, seed=seed)
             folder = Path(out) / str(seed) if out and stage == "processes" else None
-            verdicts.append(played(loaded(scenario, seed), stage, folder, older, planted))
+            verdicts.append(played(loaded(scenario, seed, members), stage, folder, older, planted))
             if not verdicts[-1]["ok"]:
                 for row in verdicts[-1]["findings"]:
                     if row["word"] != checker.KEPT:
--- a/molehill/fleet/days.py
+++ b/molehill/fleet/days.py
@@ -4,7 +4,7 @@
 from msgspec.structs import replace
 
 from molehill.emulator import generator
-from molehill.emulator.scenario import EMULATED_ONLY, FAULTS, Fault, Scenario, check
+from molehill.emulator.scenario import EMULATED_ONLY, FAULTS, Fault, FleetPlan, Scenario, check
 
 # kind -> (weight, least and most worth)
 WAYS = {"cut": (6, (0, 0)), "burst": (1, (0, 0)), "delay": (2, (10, 800)), "narrow": (1, (500, 20_000))}
@@ -38,3 +38,38 @@
             until[fault.who] = fault.at_ms + fault.span_ms + BACK_MS
         kept.append(fault)
     return kept
+
+
+SPANS = {"roundMs": 200, "aloneAfterMs": 800, "stalledMs": 300, "floorMs": 60}
+AFTER_MS = 11_000                      # for views to agree, at 8 relays and these spans
+
+
+def of_members(seed: int) -> Scenario:
+    """Relays that know of each other: pauses just under and over each bound, losses, cuts of each direction, rings, halves, one deaf, one dumb,
+    kills and restarts, two or three at once; quiet enough at the end for all to agree again."""
+    chance = Random(f"members {seed}")
+    count = chance.choice([3, 3, 5, 5, 8])
+    names = [f"relay{n}" for n in range(count)]
+    faults, last = [], 0
+    for _ in range(chance.randrange(1, 4)):
+        who, at, span = chance.choice(names), chance.randrange(500, 3000), chance.choice([1000, 3000, 6000])
+        others = [name for name in names if name != who]
+        half = chance.sample(names, count // 2)
+        ring = [f"{names[n]}>{names[(n + 1) % count]}" for n in range(count)]
+        made = chance.choice([
+            [Fault("freeze", at, who, chance.choice([200, 290, 1000, 3000, 6000]))], [Fault("kill", at, who)], [Fault("restart", at, who)],
+            [Fault("upgrade", at, who)], [Fault("lose", at, "relays<>relays", span, chance.choice([0.05, 0.2, 0.4]))],
+            [Fault("cut", at, f"relays>{who}", span)], [Fault("cut", at, f"{who}>relays", span)], [Fault("cut", at, f"{who}>{chance.choice(others)}", span)],
+            [Fault("cut", at, f"{','.join(half)}<>{','.join(n for n in names if n not in half)}", span)],
+            [Fault("cut", at, way, span) for way in ring],
+            [Fault("repeat", at, "relays<>relays", span, 0.3), Fault("reorder", at, "relays<>relays", span, 0.3)],
+            [Fault("spoil_bytes", at, "relays<>relays", span, 0.1)], [Fault("delay", at, f"{who}<>relays", span, 120.0)],
+            [Fault("burst", at, f"{who}>relays", min(span, 3000))]])
+        faults += made
+        last = max(last, *(f.at_ms + f.span_ms + (4500 if f.kind == "restart" else 1500) for f in made))
+    calm = generator.make(seed, dict.fromkeys(FAULTS, 0) | {"hup": 1}, last + AFTER_MS - 6000, count)
+    kinds = [replace(e, kind="plain", rate=0, slots=32, span_ms=20.0, queue=32) for e in calm.endpoints[:2]]
+    places = [e.destination for e in kinds]
+    return check(replace(calm, faults=sorted(faults, key=lambda f: (f.at_ms, f.kind, f.who)), fleet=FleetPlan(SPANS), endpoints=kinds, surges=[],
+                         programs=[replace(p, rate=20.0 + 10 * count, destinations=places, leaves=0.0) for p in calm.programs[:1]],
+                         strangers=type(calm.strangers)(), sockets=256, disk_kb=3000, max_held=400, slots=32))
--- a/molehill/membership/member.py
+++ b/molehill/membership/member.py
@@ -479,7 +479,8 @@
         """How long a suspect has: Lifeguard's curve, from the most with one accuser to the least with CONFIRMED_BY more."""
         least = WAIT_LEAST * max(1.0, log(max(2, self.expected()), 10)) * self.set.round
         most = WAIT_MOST * least
-        share = log(accusers) / log(CONFIRMED_BY + 1)
+        enough = max(1, min(CONFIRMED_BY, self.expected() - 2))        # a small fleet has no more to say so
+        share = min(1.0, log(accusers) / log(enough + 1))
         return int(max(least, most - (most - least) * share))
 
     def spread(self, peer: Peer, by=None) -> None:
