Membership: two other detectors beside it, members from the door, a span that would make it alone refused

Need: the choice weighed by figures on cores of our own, and operators who see what is believed.

Two of the rig's planted mistakes had not been planted (a direction turned round twice; a lateness of -1 ns rounded to 0): mended, and lateness is judged unrounded.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -18,6 +18,7 @@
 from multiprocessing import Pool
 from random import Random
 
+from benchmarks.detectors import Accrual, Observers
 from molehill.membership.member import ALIVE, ALONE, CONNECTED, LOST, MS, SUSPECT, Member, Message, Settings
 from molehill.membership.planted import MISTAKES, planted
 from molehill.membership.wire import Unread, Wire
@@ -276,10 +277,19 @@
         super().on_ping(message._replace(asked=None), peer, now)
 
 
+def core(kind, size):
+    names = [f"r{n}" for n in range(size)]
+    return lambda *given: kind(*given, names)
+
+
+KINDS = {"ours": lambda size: Member, "plain SWIM": lambda size: Plain, "accrual": lambda size: core(Accrual, size),
+         "observers": lambda size: core(Observers, size)}
+
+
 def fleet_day(job) -> dict:
     size, loss, plain, seconds, seed = job
     import tests.members as members
-    kind, members.Member = members.Member, Plain if plain else Member
+    kind, members.Member = members.Member, KINDS[plain](size)
     try:
         fleet = Fleet(size, seed=seed, loss=loss)
         fleet.run(30 * SECOND)
@@ -308,19 +318,19 @@
 
 
 def fleets(sizes, seconds: int, jobs: int, seeds: int) -> None:
-    todo = [(size, loss, plain, seconds, seed) for size in sizes for loss in (0.01, 0.05, 0.2) for plain in (False, True) for seed in range(1, seeds + 1)]
+    todo = [(size, loss, plain, seconds, seed) for size in sizes for loss in (0.01, 0.05, 0.2) for plain in KINDS for seed in range(1, seeds + 1)]
     with Pool(jobs) as pool:
         rows = pool.map(fleet_day, todo, chunksize=1)
     for size in sizes:
         for loss in (0.01, 0.05, 0.2):
             text = []
-            for plain in (False, True):
+            for plain in KINDS:
                 some = [r for r in rows if (r["size"], r["loss"], r["plain"]) == (size, loss, plain)]
                 mean = {name: sum(r[name] for r in some) / len(some) for name in ("false", "lost", "messages", "knows_s")}
                 hours = seconds / 3600
-                text.append(f"{'plain' if plain else 'ours'}: {mean['false'] / hours / size:.1f} false suspicions and {mean['lost'] / hours / size:.2f} losses "
+                text.append(f"{plain}: {mean['false'] / hours / size:.1f} false suspicions and {mean['lost'] / hours / size:.2f} losses "
                             f"an hour and relay, {mean['messages']:.1f} messages a second, a dead one known after {mean['knows_s']:.1f} s")
-            print(f"{size} relays, {loss:.0%} lost: {'; '.join(text)}", flush=True)
+            print(f"{size} relays, {loss:.0%} lost:", *text, sep="\n    ", flush=True)
 
 
 # Bytes and cost
--- a/molehill/cli/fleet.py
+++ b/molehill/cli/fleet.py
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from urllib.request import urlopen
 
 import click
 from rich.console import Console
@@ -22,6 +23,7 @@
 from molehill.fleet import show as stories
 
 NOTHING_SHOWN = 3
+DOOR_WITHIN, MOST_OF_A_PAGE = 5, 1 << 22               # seconds; bytes, over ten thousand members
 EXITS = {checker.KEPT: KEPT, checker.BROKEN: BROKEN, checker.UNKNOWN: NOTHING_SHOWN, checker.VOID: NOTHING_SHOWN}
 stage_option = click.option("--stage", type=click.Choice(STAGES), default="processes", show_default=True)
 
@@ -142,6 +144,29 @@
         click.echo(line)
 
 
+@fleet.command("members")
+@click.argument("where")
+@click.option("--json", "as_json", is_flag=True)
+def members_of(where, as_json) -> None:
+    """What relays believe of each other: WHERE is a relay's door (ADDRESS:PORT), or the folder of a run that was kept."""
+    if Path(where).is_dir():
+        views = stories.views(kept_run(where))
+    else:
+        try:
+            with urlopen(f"http://{where}/fleet", timeout=DOOR_WITHIN) as page:
+                views = [json.loads(page.read(MOST_OF_A_PAGE))]
+        except (OSError, ValueError) as error:
+            raise click.UsageError(f"{where}: neither a kept run nor a door that tells of members: {error}") from None
+    if as_json:
+        return say(views)
+    for view in views:
+        click.echo(f"{view['name']}: {view['standing']} for {view['since_ms'] / 1000:.1f} s, reaches {view['reached']} of {view['expected']}, "
+                   f"hears {view['hears']}, heard by {view['heard_by']}")
+        for row in view["members"]:
+            click.echo(f"    {row['name']:<20} {row['state']:<8} for {row['since_ms'] / 1000:.1f} s by {row['by']}'s word, number {row['number']}.{row['turn']}, "
+                       f"at {row['address']}")
+
+
 @fleet.command()
 @click.argument("folder", type=click.Path())
 @click.argument("target", type=click.Path())
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -179,6 +179,7 @@
 # name in the file -> its name in membership's settings
 FLEET_SPANS = {"roundMs": "round", "floorMs": "floor", "aloneAfterMs": "alone_after", "stalledMs": "stalled", "forgetAfterMs": "forget_after",
                "syncEveryMs": "sync_every"}
+ROUND, ALONE_AFTER = 500 * MS, 2000 * MS       # membership's own defaults: config imports nothing of it
 FLEET_BYTES = 20_000               # a second; 300 relays use a third of it (docs/design/membership.md)
 FLEET_SOCKETS = 6                  # datagrams, a listener, four streams
 KEY_LEAST, KEY_MOST = 16, 64       # bytes
@@ -331,6 +332,8 @@
         value = reader.get(key, nanos, None)
         if value is not None:
             spans[name] = value
+    if spans.get("alone_after", ALONE_AFTER) < 2 * spans.get("round", ROUND):
+        raise ConfigError("fleet.aloneAfterMs: less than twice fleet.roundMs, so one lost answer would make it alone")
     positive(rows.get("bytesPerS"), "fleet.bytesPerS")
     if "keyFile" not in rows and "keys" not in rows:
         raise ConfigError("fleet.keyFile: missing; it names the file with the fleet's key")
--- a/molehill/fleet/checker.py
+++ b/molehill/fleet/checker.py
@@ -109,7 +109,7 @@
     if history.folder is None:
         return []
     facts = {process: round(late / MS, 1) for process, late in history.late.items()}
-    silent = [process for process, late in facts.items() if late < 0] or ["all"] * (not facts)
+    silent = [process for process, late in history.late.items() if late < 0] or ["all"] * (not facts)
     if silent:
         return [Finding("rig in time", VOID, f"nothing tells how late these were: {silent}", facts)]
     worst = max(facts, key=facts.get)
--- a/molehill/fleet/planted.py
+++ b/molehill/fleet/planted.py
@@ -16,7 +16,7 @@
 
 
 def other_way_round(before):
-    return lambda self, a, b: before(self, b, a)
+    return lambda scenario, who: [(b, a) for a, b in before(scenario, who)]
 
 
 def some_twice(before):
@@ -57,7 +57,7 @@
 # name -> (which process it is in: cables, or the checker's; the place, the attribute, what makes the wrong one of the right one)
 MISTAKES = {
     "a cut lets all through": ("cables", cable.Way, "stands", lets_all_through),
-    "a cut falls on the other direction": ("cables", cable.Cables, "way", other_way_round),
+    "a cut falls on the other direction": ("cables", cable, "directions", other_way_round),
     "a cable says some things twice": ("cables", cable.Pipe, "push", some_twice),
     "a rig that measures no lateness": ("cables", World, "beat", never_late),
     "histories merged by process": ("checker", history, "read", order_of_processes),
--- a/molehill/fleet/show.py
+++ b/molehill/fleet/show.py
@@ -33,3 +33,9 @@
                 not patterns or any(p.search(who) or p.search(text) for p in patterns)):
             lines.append(f"{ms:12.3f} {who:>10}  {text}")
     return lines
+
+
+def views(folder) -> list[dict]:
+    """What each relay that was up at the end believed of the others then."""
+    told = history.read(folder)
+    return [facts["view"] for _, _, what, facts in [*told.rows, *told.rest] if what == "view"]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -56,6 +56,8 @@
     if verdict["word"] == checker.VOID and words(verdict).get("rig in time") == checker.VOID:
         pytest.skip("the machine was late by more than the rig bears: this run shows nothing")
     assert verdict["word"] == checker.KEPT and words(verdict)["membership"] == checker.KEPT, verdict["findings"]
+    told = CliRunner().invoke(main, ["fleet", "members", str(tmp_path)]).output
+    assert told.count("connected for") == 5 and told.count(" alive ") == 20
     said = members.says(tmp_path, read(tmp_path))
     assert {"alone", "connected"} <= {facts["now"] for _, who, event, facts in said if who == "relay3" and event == "standing"}
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -294,7 +294,7 @@
 @pytest.mark.parametrize("rows,key", [
     (dict(listen="nowhere"), "fleet.listen"), (dict(seeds={"b": "x"}), "fleet.seeds.b"), (dict(keys=["zz"]), "fleet.keys"),
     (dict(keys=["00"] * 2), "fleet.keys"), (dict(roundMs=0), "fleet.roundMs"), (dict(roundMs="soon"), "fleet.roundMs"), (dict(gossip=1), "fleet.gossip"),
-    (dict(bytesPerS=-1), "fleet.bytesPerS"), (dict(keyFile="/nowhere"), "fleet.keyFile")])
+    (dict(bytesPerS=-1), "fleet.bytesPerS"), (dict(roundMs=1500), "fleet.aloneAfterMs"), (dict(keyFile="/nowhere"), "fleet.keyFile")])
 def test_a_faulty_key_of_the_fleet_is_named(rows, key):
     with pytest.raises(configuration.ConfigError, match=key.replace(".", r"\.")):
         configuration.check(fleet_given(**rows), {"ROUTER_STATE": "x"})
@@ -312,6 +312,7 @@
     made = configuration.check(rows, {"ROUTER_STATE": "x"})
     assert made.fleet.keys == [b"\xaa" * 16, b"\xbb" * 16] and made.sockets == configuration.check(net_given(), {"ROUTER_STATE": "x"}).sockets - 6
     assert configuration.check(net_given(), {"ROUTER_STATE": "x"}).fleet is None
+    assert (configuration.ROUND, configuration.ALONE_AFTER) == (Settings().round, Settings().alone_after)
 
 
 # In relays
