Membership: a missing library is named at the start; a flood of forged datagrams as a fault of the rig

Cause: with `fleet` configured where only requirements.txt is installed, the start ended in a traceback of msgspec's import. `flood`: a cable process sends forged datagrams to where a relay hears others.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -18,14 +18,17 @@
 from random import Random
 from tempfile import TemporaryDirectory
 
+from msgspec import structs
+
 from molehill.config import SECOND
 from molehill.emulator import scenario as scenarios
 from molehill.emulator.days import calm
 from molehill.emulator.network import Datagrams
 from molehill.emulator.run import Run
-from molehill.emulator.scenario import Category, EndpointPlan, Fault, ProgramPlan, Scenario, check
+from molehill.emulator.scenario import Category, EndpointPlan, Fault, FleetPlan, ProgramPlan, Scenario, check
 from molehill.fleet import days, figures, history, play
 from molehill.fleet.cable import Cables
+from molehill.fleet.compare import interval
 from molehill.fleet.conductor import cpu_of
 from molehill.fleet.places import Places, claim
 from molehill.fleet.planted import MISTAKES as OF_THE_RIG
@@ -172,6 +175,23 @@
     print(f"round trip: {row}; a cable's own processor time a datagram: {spent:.0f} us")
 
 
+def flood(seeds: int, rate: float) -> None:
+    """The 99th percentile of delivery with forged datagrams at each of three relays, beside the same seed without, in turn."""
+    rows = []
+    for seed in range(1, seeds + 1):
+        pair = []
+        for worth in (rate, 1.0)[:: 1 if seed % 2 else -1]:
+            day = play.seeded(large(3, 8, 120.0, [Fault("flood", 500, f"relay{n}", 7000, worth) for n in range(3)]), seed)
+            with TemporaryDirectory() as folder:
+                verdict = play.play(structs.replace(day, fleet=FleetPlan()), "processes", folder)
+                pair.append((worth, figures.delivery(history.read(folder)), verdict["word"]))
+        rows.append(sorted(pair, key=lambda row: -row[0]))
+    for name in ("p50", "p99"):
+        ratios = [a[1][name] / b[1][name] for a, b in rows]
+        print(f"{rate:.0f} forged a second and relay, {name}: {[a[1][name] for a, _ in rows]} ms for {[b[1][name] for _, b in rows]} without, ratio {interval(ratios)}, "
+              f"{[a[2] for a, _ in rows]}", flush=True)
+
+
 def serve_cables(scenario, slot: int) -> None:
     world = World("cables", 1)
     Cables(world, Network(world, ["relay0", "relay1"]), scenario, Places(slot), [("relay0", "relay1"), ("relay1", "relay0")])
@@ -180,7 +200,7 @@
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("what", choices=["planted", "stages", "long", "most", "words", "cables"])
+    parser.add_argument("what", choices=["planted", "stages", "long", "most", "words", "cables", "flood"])
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--relays", type=int, nargs="+", default=[16])
@@ -191,6 +211,8 @@
         planted(given.seeds, given.jobs)
     elif given.what == "stages":
         stages(given.seeds)
+    elif given.what == "flood":
+        flood(given.seeds, given.rate)
     elif given.what == "cables":
         cables()
     elif given.what == "long":
--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -38,6 +38,9 @@
             return 0
         process = Process(config, machine, sink, lambda old: configuration.load(os.environ, again=old), start)
         process.clients.listen(start.estate and start.estate.listener)
+    except configuration.ConfigError as error:
+        print(f"molehill: {error}", file=sys.stderr)
+        return 2
     except OSError as error:
         print(f"molehill: {config.state}, {config.listen}, {config.admin or 'no admin'}: {error}", file=sys.stderr)
         return 1
--- a/molehill/emulator/scenario.py
+++ b/molehill/emulator/scenario.py
@@ -124,12 +124,13 @@
     # On processes only
     "starve": "relay",                         # so many busy processes (worth) share its one core
     "clock": "relay", "drift": "relay",        # from its next start on its wall clock is so many ms off; gains that share (worth)
+    "flood": "relay",                          # so many forged datagrams a second (worth) at the address where it hears others
     "older": "relay"}                          # killed, and from then on of the older program, for that span
 
 STREAMS_TOO = ("cut", "burst", "delay", "narrow")
 EMULATED_ONLY = ("kill_step", "kill_again", "spoil", "disk_failing", "short_writes", "upgrade_new_dies", "upgrade_old_dies",
                  "upgrade_new_hangs", "upgrade_old_hangs")     # they count steps, or need a disk that errs on demand
-PROCESSES_ONLY = ("starve", "clock", "drift", "older")
+PROCESSES_ONLY = ("starve", "clock", "drift", "older", "flood")
 STAGES = ("emulated", "processes")
 
 
--- a/molehill/fleet/cable.py
+++ b/molehill/fleet/cable.py
@@ -19,6 +19,8 @@
 WINDOW = 256 * 1024                    # bytes of one connection's direction that wait here; then its writer waits, as behind full buffers
 LETTERS = 4096                         # datagrams of one direction that wait here; what comes beyond is lost, as in a full queue
 HELD = 5 * MS                          # what was held back so long is told with the time at which it was written
+FLOODS_FROM = "127.0.0.1"              # a stranger's address, none of the fleet's
+FLOOD_A_TURN = 200
 END, RESET = object(), object()
 
 
@@ -237,6 +239,9 @@
     # Faults
 
     def falls(self, script, fault) -> None:
+        if fault.kind == "flood":
+            relay = self.network.relays.index(fault.who)
+            return self.flood(fault, (self.places.relay(relay)[0], WORDS), Datagrams((FLOODS_FROM, 0)), self.world.now, 0)
         for a, b in directions(self.scenario, fault.who):
             way, span = self.way(a, b), fault.span_ms * MS
             before = way.counts.get(fault.kind, 0)
@@ -249,6 +254,18 @@
             script.during(span, (way, fault.kind), part, base, min if fault.kind == "narrow" else max, apply)
             self.world.after(span, self.did, fault, way, before)
 
+    def flood(self, fault, address, door, began: int, said: int) -> None:
+        """Datagrams of the right version and size, their key's byte drawn, signed by nobody."""
+        past = min(self.world.now - began, fault.span_ms * MS)
+        for _ in range(min(FLOOD_A_TURN, int(past * fault.worth / SECOND) - said)):
+            door.send(b"\x01" + self.world.chance.randbytes(200), address)
+            said += 1
+        if past < fault.span_ms * MS:
+            self.world.after(MS, self.flood, fault, address, door, began, said)
+        else:
+            door.sock.close()
+            self.world.tell("cables", "cable did", kind=fault.kind, falls_on=fault.who, at_ms=fault.at_ms, touched=said)
+
     def did(self, fault, way, before: int) -> None:
         self.world.tell("cables", "cable did", kind=fault.kind, falls_on=fault.who, at_ms=fault.at_ms,
                         touched=way.counts.get(fault.kind, 0) - before)
--- a/molehill/fleet/checker.py
+++ b/molehill/fleet/checker.py
@@ -204,7 +204,7 @@
     found = []
     for fault in scenario.faults:
         place = fault.kind, fault.who, fault.at_ms
-        if FAULTS[fault.kind] == "pair":
+        if FAULTS[fault.kind] == "pair" or fault.kind == "flood":
             found.append(did[place])
             continue
         if history.folder is not None and FAULTS[fault.kind] == "relay" and not hits[place]:
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -272,7 +272,7 @@
             self.world.tell("script", "begins", zero=zero, wall=time.time_ns() + 50 * MS)
             self.order(begin=zero)
             for fault in self.scenario.faults:
-                if FAULTS[fault.kind] == "relay" or fault.kind == "herd":
+                if FAULTS[fault.kind] == "relay" and fault.kind != "flood" or fault.kind == "herd":
                     self.world.at(START + fault.at_ms * MS, self.falls, fault)
                 elif fault.kind == "move":         # told by the platform, as each is by whoever carries it out
                     self.world.at(START + fault.at_ms * MS, self.on_move, fault, None, 0)
--- a/molehill/fleet/party.py
+++ b/molehill/fleet/party.py
@@ -155,7 +155,7 @@
 
 
 class TheCables(Party):
-    KINDS = tuple(kind for kind, on in scenarios.FAULTS.items() if on == "pair")
+    KINDS = tuple(kind for kind, on in scenarios.FAULTS.items() if on == "pair") + ("flood",)
 
     def make(self) -> None:
         self.cables = Cables(self.world, self.network, self.scenario, self.places, self.spec.cabled)
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -94,7 +94,10 @@
         self.discovery = engine.discovery = Discovery(self.scheduler, config, budget, engine.post)
         self.membership = None
         if config.fleet is not None:
-            from molehill.membership.wiring import Membership     # only where it is asked for: it costs memory and a start's time
+            try:
+                from molehill.membership.wiring import Membership     # only where it is asked for: it costs memory and a start's time
+            except ImportError as error:
+                raise configuration.ConfigError(f"fleet: {error}; pip install molehill[fleet]") from None
             inherited = start.estate and start.estate.state.get("member")
             self.membership = Membership(self.scheduler, config, self.log, inherited)
         start.process = self
