--- a/molehill/cli/emulate.py
+++ b/molehill/cli/emulate.py
@@ -5,7 +5,7 @@
 
 import click
 
-from molehill.emulator import scenario as scenarios
+from molehill.emulator import generator, scenario as scenarios
 from molehill.emulator import show as timeline
 from molehill.emulator import sweep as sweeps
 from molehill.emulator.planted import MISTAKES
@@ -13,14 +13,14 @@
 KEPT, BROKEN, BAD = 0, 1, 2
 
 
-def given(path, seed, weights):
-    """The scenario that a command is about: a file's, or the one that a seed makes."""
+def given(path, seed, weights, stage="emulated"):
+    """The scenario that a command is about: a file's, if it can be played on that stage, or the one that a seed makes."""
     if (path is None) == (seed is None):
         raise click.UsageError("either SCENARIO or --seed")
     try:
         if path is None:
             return sweeps.from_seed(seed, weigh(weights))
-        return scenarios.load(Path(path).read_text(encoding="utf-8"))
+        return scenarios.for_stage(scenarios.load(Path(path).read_text(encoding="utf-8")), stage)
     except (OSError, UnicodeDecodeError, scenarios.ScenarioError) as error:
         raise click.UsageError(f"{path}: {error}") from None
 
@@ -34,8 +34,8 @@
             found[kind] = float(number)
         except ValueError:
             raise click.UsageError(f"--weight {row}: not KIND=NUMBER") from None
-        if kind not in scenarios.FAULTS or found[kind] < 0:
-            raise click.UsageError(f"--weight {row}: one of {', '.join(scenarios.FAULTS)}, 0 or more")
+        if kind not in generator.ALL or found[kind] < 0:
+            raise click.UsageError(f"--weight {row}: one of {', '.join(generator.ALL)}, 0 or more")
     return found
 
 
--- a/molehill/cli/fleet.py
+++ b/molehill/cli/fleet.py
@@ -28,11 +28,11 @@
 stage_option = click.option("--stage", type=click.Choice(STAGES), default="processes", show_default=True)
 
 
-def loaded(path, seed=None, members=False):
+def loaded(path, stage, seed=None, members=False):
     """A file's scenario, with another seed if one is given; without a file, the day that the seed draws."""
     if path is None and seed is not None:
         return days.of_members(seed) if members else days.drawn(seed)
-    made = given(path, None, ())
+    made = given(path, None, (), stage)
     return made if seed is None else plays.seeded(made, seed)
 
 
@@ -82,7 +82,7 @@
 @click.option("--json", "as_json", is_flag=True, help="The verdict as a line of JSON.")
 def run(scenario, stage, seed, planted, members, older, out, as_json) -> None:
     """Plays one scenario and prints its verdict."""
-    verdict = played(loaded(scenario, seed, members), stage, out, older, planted)
+    verdict = played(loaded(scenario, stage, seed, members), stage, out, older, planted)
     if out and stage == "processes":
         (Path(out) / plays.VERDICT).write_text(json.dumps(verdict, indent=1, sort_keys=True), encoding="utf-8")
     (say if as_json else tell)(verdict)
@@ -107,7 +107,7 @@
         for seed in todo:
             bar.update(task, seed=seed)
             folder = Path(out) / str(seed) if out and stage == "processes" else None
-            verdicts.append(played(loaded(scenario, seed, members), stage, folder, older, planted))
+            verdicts.append(played(loaded(scenario, stage, seed, members), stage, folder, older, planted))
             if not verdicts[-1]["ok"]:
                 for row in verdicts[-1]["findings"]:
                     if row["word"] != checker.KEPT:
@@ -186,7 +186,7 @@
 def compare(scenario, a, b, stage, seeds) -> None:
     """B beside A on paired seeds; each is a commit, or KEY=VALUE[,KEY=VALUE] of the scenario. Figures are ratios B/A."""
     try:
-        found = compares.compare(loaded(scenario), a, b, seeds_of(seeds), stage,
+        found = compares.compare(loaded(scenario, stage), a, b, seeds_of(seeds), stage,
                                  lambda seed, rows: click.echo(f"seed {seed}: {json.dumps(rows)}", err=True))
     except compares.Unusable as error:
         raise click.UsageError(str(error)) from None
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -120,7 +120,7 @@
 
 @pytest.mark.parametrize("change,key", [
     ("relays = 0", "$.relays"), ("span_ms = -1", "$.span_ms"), ("seed = 'x'", "$.seed"), ("no_such = 1", "no_such"),
-    ("[[faults]]\nkind = 'flood'\nat_ms = 1\nwho = 'relay0'", "$.faults[0].kind"),
+    ("[[faults]]\nkind = 'monsoon'\nat_ms = 1\nwho = 'relay0'", "$.faults[0].kind"),
     ("[[faults]]\nkind = 'kill'\nat_ms = 1\nwho = 'h1-0'", "$.faults[0].who"),
     ("[[faults]]\nkind = 'kill'\nat_ms = -1\nwho = 'relay0'", "$.faults[0].at_ms"), ("= 3", "not TOML")])
 def test_a_faulty_scenario_is_named_by_its_key(tmp_path, change, key):
@@ -166,7 +166,7 @@
     shown = runner.invoke(main, ["emulate", "show", str(path), "--about", "relay0", "--last", "5"])
     assert shown.exit_code == 0 and shown.output.splitlines()[-1] == "all rules kept"
     assert runner.invoke(main, ["emulate", "shrink", str(path)]).exit_code == 2, "nothing fails there"
-    for bad in (["run"], ["run", str(path), "--seed", "1"], ["run", "--seed", "1", "--weight", "flood=1"], ["sweep", "--seeds", "4"]):
+    for bad in (["run"], ["run", str(path), "--seed", "1"], ["run", "--seed", "1", "--weight", "monsoon=1"], ["sweep", "--seeds", "4"]):
         assert runner.invoke(main, ["emulate", *bad]).exit_code == 2
 
 
