--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -289,8 +289,8 @@
 
 
 @pytest.mark.parametrize("change,text", [
-    ("kind = \"cut\"\nat_ms = 1000\nwho = \"relay0>h1-0\"", "kind = \"lose\"\nat_ms = 1000\nwho = \"relay0>h1-0\"\x00$.faults[0].kind"),
-    ("who = \"relay0>h1-0\"", "who = \"relay0>h9-0\"\x00$.faults[0].who"), ("who = \"relay0>h1-0\"", "who = \"h1-1>h1-0\"\x00$.faults[0].who"),
+    ("kind = \"cut\"\nat_ms = 1000\nwho = \"relay0>h1-0,h2-0\"", "kind = \"lose\"\nat_ms = 1000\nwho = \"relay0>h1-0,h2-0\"\x00$.faults[0].kind"),
+    ("who = \"relay0>h1-0,h2-0\"", "who = \"relay0>h9-0\"\x00$.faults[0].who"), ("who = \"relay0>h1-0,h2-0\"", "who = \"h1-1>h1-0\"\x00$.faults[0].who"),
     ("kind = \"kill\"", "kind = \"kill_step\"\x00$.faults[2].kind")])
 def test_bad_input_ends_with_two_and_the_key(tmp_path, change, text):
     new, key = text.split("\x00")
