--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -334,6 +334,7 @@
     def end_all(self) -> None:
         self.over = True
         self.world.tell("conductor", "lateness", most=self.world.late)
+        self.world.tell("conductor", "cpu", spent=time.process_time())
         for role, child in self.parties.items():
             if child.poll() is None:
                 self.world.tell(role, "cpu", spent=cpu_of(child.pid))
