Fleet rig: a connection is named by both its ends, so what a cable saw of one is not told of another

Followed by id: h4-1 had answered 200 after 19 ms, and the referee threw the answer away as its connection counted as hung up. The cable had told of another connection from the same port: the kernel gives one port to several, as long as they go to different addresses, and the history knew connections by that port alone (sockets.py `accepted`, cable.py `up`).

Ruled out: the relay (it had its answer), and the machine (82 ms late at most). Change: both ends name a connection; a test that fails without it.

--- a/molehill/fleet/cable.py
+++ b/molehill/fleet/cable.py
@@ -13,7 +13,7 @@
 from molehill.config import MS, SECOND
 from molehill.emulator.scenario import directions
 from molehill.fleet.places import WORDS
-from molehill.fleet.sockets import CABLE, Listener, Sock, at
+from molehill.fleet.sockets import CABLE, Listener, Sock, at, between
 from molehill.fleet.world import IN
 
 WINDOW = 256 * 1024                    # bytes of one connection's direction that wait here; then its writer waits, as behind full buffers
@@ -168,7 +168,7 @@
     pump = dial
 
     def up(self, sock) -> None:
-        self.peer = "%s:%d" % sock.sock.getsockname()
+        self.peer = between(sock.sock.getsockname(), self.address)
         if self.near.closed:
             self.world.tell("cables", "hung up", peer=self.peer)
         self.out.pump()
--- a/molehill/fleet/sockets.py
+++ b/molehill/fleet/sockets.py
@@ -22,6 +22,11 @@
     return base[0].rpartition(".")[0] + f".{n + 1}", base[1]
 
 
+def between(near, far) -> str:
+    """A connection by both its ends. Danger: the kernel gives one port to several connections, as long as they go to different addresses."""
+    return "%s:%d>%s:%d" % (*near, *far)
+
+
 class Machine:
     """A stand-in's place. What the kernel alone could tell is not known: who was refused by a dead one."""
 
@@ -107,7 +112,7 @@
             sock, address = taken
             made = Sock(self.network, self.machine, sock, name)
             made.state = OPEN
-            self.world.tell(self.machine.name, "accepted", conn=made.number, peer="%s:%d" % address)
+            self.world.tell(self.machine.name, "accepted", conn=made.number, peer=between(address, door.getsockname()))
             made.look()
             self.accepted(made)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,9 +21,9 @@
 from molehill.emulator.world import START
 from molehill.fleet import checker, members, play
 from molehill.fleet.cable import Cables
-from molehill.fleet.history import History, read
+from molehill.fleet.history import History, read, whole
 from molehill.fleet.places import Places, claim
-from molehill.fleet.sockets import Network
+from molehill.fleet.sockets import Network, between
 from molehill.fleet.world import World
 
 FIVE = Path(__file__).parent.parent / "docs" / "five.toml"
@@ -222,6 +222,17 @@
     assert w.cables.way("relay0", "relay1").counts[kind] > 0
 
 
+def test_what_a_cable_saw_is_told_of_the_right_one_of_two_connections_from_one_port():
+    """Danger: one port of the cable's leads to two hosts; that a relay hung up on one was taken for both, and an answer for none."""
+    ends = [between(("127.0.0.1", 40000), (f"127.9.1{n}.1", 8081)) for n in (0, 1)]
+    rows = [(n, f"h1-{n}", "accepted", dict(conn=f"hosts-{n}", peer=peer)) for n, peer in enumerate(ends)]
+    rows += [(5, "cables", "held", dict(peer=ends[0], span=3)), (5, "h1-0", "call", dict(conn="hosts-0", since=4)),
+             (6, "h1-1", "call", dict(conn="hosts-1", since=5)), (7, "cables", "hung up", dict(peer=ends[0]))]
+    told = whole(rows)
+    assert told[-1] == (7, "cables", "hung up", {"conn": "hosts-0"})
+    assert [facts["since"] for _, _, what, facts in told if what == "call"] == [2, 5]
+
+
 # The checker
 
 
