Membership: begun again after a broken hand-over, tasks of the time before end; seeds may go at a reload

Cause, on rereading: `close` and `begin` within one sleep of the beat left the old task going beside the new one, so a relay probed twice as often; and a file without a seed that the one before named was refused as cut off, as each key is.

Change: tasks belong to an era; names below `fleet.seeds` are no keys that a file has to keep; a `fleet` that begins or ends at SIGHUP is listed under at_next_start.

--- a/molehill/config.py
+++ b/molehill/config.py
@@ -83,14 +83,15 @@
     raise ConfigError(f"{text} is no number that can be used")
 
 
+LISTS = ("known", "fleet.seeds")
 TICKETED_ONLY = ("dedupScope", "dedupWindowMs")
 
 
 def keys_of(value, path: str = "") -> set[str]:
     """The keys that a file names, by path; by `*` those that each row of a list has, but for what only some effects need.
-    Not those below the list of hosts, which is none of ours."""
+    Not those below lists by name: of hosts, which is none of ours, and of seeds, which come and go."""
     found = {path} if path else set()
-    if isinstance(value, dict) and path != "known":
+    if isinstance(value, dict) and path not in LISTS:
         for name, part in value.items():
             found |= keys_of(part, f"{path}.{name}" if path else name)
     elif isinstance(value, list) and value and all(isinstance(row, dict) for row in value):
@@ -405,6 +406,8 @@
     """What differs and counts from the next start on."""
     found = [field.name for field in fields(old)
              if field.name not in (*AT_ONCE, *LEFT_ALONE) and getattr(old, field.name) != getattr(new, field.name)]
+    if (old.fleet is None) != (new.fleet is None):
+        found.append("fleet")
     return found + [f"settings.{name}" for name in BOUND if getattr(old.settings, name) != getattr(new.settings, name)]
 
 
--- a/molehill/membership/wiring.py
+++ b/molehill/membership/wiring.py
@@ -28,6 +28,7 @@
         self.wire = Wire(self.config.name, self.config.keys)
         self.seats, self.allowance, self.filled = Budget(SEATS), self.config.bytes_per_s * BURST, self.clock()
         self.sock = self.listener = None
+        self.era = 0                   # one more with each `begin` and `close`
         self.counts = dict.fromkeys(("bytes_out", "bytes_in", "forged", "unread", "over_budget", "streams"), 0)
         number = inherited["me"][1] if inherited else self.next_number(config.state)
         self.member = Member(Settings(**self.config.spans), config.name, self.config.listen, number, self.config.seeds,
@@ -71,13 +72,18 @@
         return number
 
     def begin(self) -> None:
-        """Opens its address, as soon as no other process has it, and takes part."""
-        self.stopped = False
-        self.scheduler.spawn_kept(self.live)
+        """Opens its address, as soon as no other process has it, and takes part.
 
-    def live(self) -> None:
+        Danger: closed and begun again within a moment, as when a hand-over breaks off, tasks of the time before would go on beside the new
+        ones. So each belongs to the era in which it began.
+        """
+        self.era += 1
+        era = self.era
+        self.scheduler.spawn_kept(lambda: self.live(era))
+
+    def live(self, era: int) -> None:
         machine = self.scheduler.machine
-        while self.listener is None and not self.stopped:
+        while self.listener is None and era == self.era:
             sock = None
             try:
                 sock = machine.udp_socket(self.config.listen)
@@ -90,19 +96,19 @@
                 if error.errno not in (errno.EADDRINUSE, errno.EMFILE, errno.ENFILE):
                     self.log.error("no membership", error=str(error))
                 self.scheduler.sleep(self.clock() + PAUSE)
-        if self.stopped:
+        if era != self.era:
             return
         self.log.info("member begins", number=self.member.me.number, seeds=len(self.config.seeds), listen="%s:%d" % self.config.listen)
-        self.scheduler.spawn_kept(self.hear)
-        self.scheduler.spawn_kept(self.accept)
-        while not self.stopped:
+        self.scheduler.spawn_kept(lambda: self.hear(era))
+        self.scheduler.spawn_kept(lambda: self.accept(era))
+        while era == self.era:
             self.member.tick(self.clock())
             self.carry()
             now = self.clock()
             self.scheduler.sleep(min(max(self.member.due(), now + MS), now + self.member.set.stalled // 4))
 
-    def hear(self) -> None:
-        while not self.stopped:
+    def hear(self, era: int) -> None:
+        while era == self.era:
             for _ in range(A_TURN):
                 try:
                     data, source = self.sock.recvfrom(MOST + 1)
@@ -182,8 +188,8 @@
     def make(scheduler, sock, kind, budget):
         return Stream(scheduler, sock, kind, budget, 2 * MOST)
 
-    def accept(self) -> None:
-        while not self.stopped:
+    def accept(self, era: int) -> None:
+        while era == self.era:
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
@@ -260,7 +266,7 @@
 
     def close(self) -> None:
         """Takes part no more; `begin` opens it again."""
-        self.stopped = True
+        self.era += 1
         for sock in (self.sock, self.listener):
             if sock is not None:
                 self.scheduler.cut(sock.fileno())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,9 +7,10 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from molehill import config as configuration
-from molehill.emulator.days import calm
+from molehill.emulator.days import calm, upgraded
 from molehill.emulator.run import Run
 from molehill.emulator.scenario import Fault, FleetPlan
 from molehill.emulator.world import START
@@ -315,9 +316,31 @@
     assert (configuration.ROUND, configuration.ALONE_AFTER) == (Settings().round, Settings().alone_after)
 
 
+def test_seeds_may_go_at_a_reload_and_a_fleet_that_begins_waits_for_a_start(tmp_path):
+    path = tmp_path / "file.json"
+    environ = {"ROUTER_CONFIG": str(path), "ROUTER_STATE": "x"}
+
+    def load(given, again=None):
+        path.write_text(json.dumps(given))
+        return configuration.load(environ, again)
+    before = load(fleet_given(seeds={"b": "127.0.0.1:7001", "c": "127.0.0.1:7002"}))
+    assert load(fleet_given(), before).fleet.seeds == {"b": ("127.0.0.1", 7001)}
+    assert "fleet" in configuration.waiting(load(net_given()), before)
+
+
 # In relays
 
 
+@pytest.mark.parametrize("kind,span", [("new_dies", 0), ("old_dies", 0), ("new_hangs", 700), ("old_hangs", 700)])
+def test_an_upgrade_that_breaks_off_leaves_one_member(kind, span):
+    """Danger: it takes part no more, or twice, after the next process has died with what passed."""
+    for step in range(5, 140, 27):
+        run = Run(replace(upgraded(kind, step, span), relays=3, fleet=FleetPlan({"roundMs": 250, "aloneAfterMs": 1000})))
+        verdict = run.play()
+        assert verdict["ok"], (step, verdict["failure"])
+        assert all(row["reached"] == 3 and row["standing"] == CONNECTED for row in views(run).values()) and len(views(run)) == 3
+
+
 def views(run):
     return {name: json.loads(node.process.membership.view()) for name, node in run.nodes.items() if node.up}
 
