Fleet rig: what a cable held back is matched to its call by order, not by how late a host's loop woke

By id: the call was written at 150.0 s, waited behind a cut, was given up and answered by a notice at 151.25, and came through at 151.50 with the cut's end. The history looked for what was held within 1 ms of the host's own lower bound, and the host's loop had woken 2 ms late.

Ruled out: the relay, which had hung up before its notice (the cable saw it). Change: what was passed on since the call before on that connection is this call's.

--- a/molehill/fleet/history.py
+++ b/molehill/fleet/history.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from molehill.config import MS
 from molehill.emulator.world import START
 
 
@@ -66,9 +65,9 @@
         if what == "accepted":
             peers[facts["conn"]] = facts["peer"]
         elif what == "call" and peers.get(facts["conn"]) in held:
-            since = facts["since"]
-            for passed, written in held[peers[facts["conn"]]]:
-                if since - MS <= passed <= now:
-                    since = min(since, written)
+            # Danger: by how much the host's loop woke late is not known. So what was passed on since the call before is this one's.
+            rows, since = held[peers[facts["conn"]]], facts["since"]
+            while rows and rows[0][0] <= now:
+                since = min(since, rows.pop(0)[1])
             made[n] = now, who, what, {**facts, "since": since}
     return made
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -226,11 +226,13 @@
     """Danger: one port of the cable's leads to two hosts; that a relay hung up on one was taken for both, and an answer for none."""
     ends = [between(("127.0.0.1", 40000), (f"127.9.1{n}.1", 8081)) for n in (0, 1)]
     rows = [(n, f"h1-{n}", "accepted", dict(conn=f"hosts-{n}", peer=peer)) for n, peer in enumerate(ends)]
-    rows += [(5, "cables", "held", dict(peer=ends[0], span=3)), (5, "h1-0", "call", dict(conn="hosts-0", since=4)),
-             (6, "h1-1", "call", dict(conn="hosts-1", since=5)), (7, "cables", "hung up", dict(peer=ends[0]))]
+    rows += [(5 * MS, "cables", "held", dict(peer=ends[0], span=3 * MS)),
+             (9 * MS, "h1-0", "call", dict(conn="hosts-0", since=8 * MS)),     # its loop woke late: written at 2, and no later
+             (10 * MS, "h1-1", "call", dict(conn="hosts-1", since=9 * MS)), (11 * MS, "h1-0", "call", dict(conn="hosts-0", since=10 * MS)),
+             (12 * MS, "cables", "hung up", dict(peer=ends[0]))]
     told = whole(rows)
-    assert told[-1] == (7, "cables", "hung up", {"conn": "hosts-0"})
-    assert [facts["since"] for _, _, what, facts in told if what == "call"] == [2, 5]
+    assert told[-1] == (12 * MS, "cables", "hung up", {"conn": "hosts-0"})
+    assert [facts["since"] // MS for _, _, what, facts in told if what == "call"] == [2, 9, 10]
 
 
 # The checker
