--- a/molehill/cli/fleet.py
+++ b/molehill/cli/fleet.py
@@ -71,13 +71,16 @@
 older_option = click.option("--older", metavar="REV", help="The commit that `older` faults start.")
 
 
+def about_days(command):
+    """What is played, on which stage, by which programs."""
+    for option in (older_option, members_option, planted_option, stage_option, scenario_argument):
+        command = option(command)
+    return command
+
+
 @fleet.command()
-@scenario_argument
-@stage_option
+@about_days
 @click.option("--seed", type=int, help="In place of the scenario's; without a scenario, the day that it draws.")
-@planted_option
-@members_option
-@older_option
 @click.option("--out", type=click.Path(), help="Keeps histories, logs and the verdict there (processes).")
 @click.option("--json", "as_json", is_flag=True, help="The verdict as a line of JSON.")
 def run(scenario, stage, seed, planted, members, older, out, as_json) -> None:
@@ -90,12 +93,8 @@
 
 
 @fleet.command()
-@scenario_argument
-@stage_option
+@about_days
 @click.option("--seeds", required=True, metavar="A..B")
-@planted_option
-@members_option
-@older_option
 @click.option("--out", type=click.Path(), help="Keeps the folders of runs that were not kept there.")
 @click.option("--first", is_flag=True, help="Stops at the first broken one.")
 def sweep(scenario, stage, seeds, planted, members, older, out, first) -> None:
--- a/molehill/fleet/cable.py
+++ b/molehill/fleet/cable.py
@@ -27,8 +27,8 @@
 class Way:
     """One direction between two parties: what lies on it, and what that touched."""
 
-    def __init__(self, world, name: str):
-        self.world, self.name, self.chance = world, name, world.chance
+    def __init__(self, world):
+        self.world, self.chance = world, world.chance
         self.cut = self.burst = False
         self.delay = self.narrow = self.lose = self.repeat = self.reorder = self.spoil_bytes = 0.0
         self.counts, self.free, self.pipes, self.letters = {}, 0, set(), deque()
@@ -208,7 +208,7 @@
                 self.line(relay, party, (door, port + CABLE), (door, port))
 
     def way(self, a: str, b: str) -> Way:
-        return self.ways.setdefault((a, b), Way(self.world, f"{a}>{b}"))
+        return self.ways.setdefault((a, b), Way(self.world))
 
     def line(self, a: str, b: str, door, address, bound=None) -> None:
         there, back = self.way(a, b), self.way(b, a)
--- a/molehill/fleet/figures.py
+++ b/molehill/fleet/figures.py
@@ -3,7 +3,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from molehill.config import MS, SECOND
+from molehill.config import SECOND
 from molehill.emulator.world import START
 
 LEAST_US, MOST_US, DIGITS = 1, 600_000_000, 3
@@ -73,7 +73,3 @@
         elif what == "ready" and who in down:
             rows.append((f"{who} away", down.pop(who), (now - START) / SECOND))
     return rows
-
-
-def at_ms(now: int) -> float:
-    return (now - START) / MS
--- a/molehill/fleet/places.py
+++ b/molehill/fleet/places.py
@@ -14,7 +14,6 @@
 RELAY, DOORS, PLATFORM, HOST, WORDS = 8081, 9000, 8500, 8081, 7000
 CLAIM = 40_001                         # port on 127.SLOT.0.1 that a run holds
 SLOTS = range(16, 240)
-MOST_RELAYS, MOST_HOSTS = 200, 200
 
 
 class Places:
