A call of several ends with the first member's time; what is read after it is no delivery

At fault: Hosts._answered and _time_up, which waited for the last of the members' times and took what came after the first's for the others' delivery (the core's, the module's and End's `lingers` served that).

Change: a call has one time, the earliest of its members', told to the host rounded up, and is closed then; an answer read after it, as this relay stood still, counts as called off (may have run, tells nothing of the host). A launch ends 5 ms before its callback's abandon time (EDGE, one batch): its client counts from when it sent, and an answer in between is late. `lingers` and `late` go.

--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -44,7 +44,6 @@
     closed: bool = False
     spent: bool = False
     unsent: bool = False           # kept back by this relay: no launch
-    lingers: bool = False          # its own time is up, its call still out with others: its outcome is to come
 
 
 # Events
@@ -151,7 +150,6 @@
     mark: Optional[str]
     body: bytes
     until: int                     # given up at that time
-    late: bool = False             # that time is up, and the call goes on for others
 
 
 @dataclass(slots=True)
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -420,7 +420,7 @@
             if number in out.ids:
                 c = self.held[number]
                 c.call, c.sent, c.launches = out.number, (self.now, host.zone), c.launches + 1
-                members.append(ev.Member(c.id, c.mark, c.body, min(self.now + span, c.due)))
+                members.append(ev.Member(c.id, c.mark, c.body, min(out.since + span, c.due)))
         self._log("launch", ids=[m.id for m in members], at=self.now, zone=host.zone, call=out.number)
         self.effects.append(ev.Call(out.number, host.id, host.address, self._kind(host).per_call > 1, members))
 
@@ -462,10 +462,6 @@
             return
         ends = [end for end in event.ends if end.id in out.ids]
         holds(len(ends) == len(event.ends), "one_outcome_each", call=event.call)
-        # Danger: the key of one that is over must wait for its call, which is still out with others.
-        self.inbox += [it.Outcome(end.id, 0, out.host, end.result, event.took, 0, False, lingers=True)
-                       for end in ends if end.lingers]
-        ends = [end for end in ends if not end.lingers]
         out.ids = [number for number in out.ids if all(end.id != number for end in ends)]
         if not out.ids:
             del self.calls[event.call]
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -87,20 +87,18 @@
         return all(running.written for running in self.running.values())
 
     def give(self):
-        """Rows (message, body, socket) for calls that are written and for idle connections, and the ids that are over in a
-        call that is not. What is in neither was not written whole, and never ran. Nothing of it is used here any more."""
-        rows, lost, self.given, self.lent = [], [], True, {}
+        """Rows (message, body, socket) for calls that are written and for idle connections. What is in none was not written
+        whole, and never ran. Nothing of it is used here any more."""
+        rows, self.given, self.lent = [], True, {}
         for number, running in self.running.items():
             stream, call = self.streams.get(number), running.call
-            members = [m for m in call.members if not m.late]
-            lost += [m.id for m in call.members if m.late]
-            if not running.written or not stream.open or not members or number in self.aborted:
+            if not running.written or not stream.open or not call.members or number in self.aborted:
                 if stream is not None:
                     stream.close()
                 continue
             sock, data = stream.detach()
             rows.append(({"k": "call", "n": number, "host": call.host, "at": "%s:%d" % call.address, "bundle": call.bundle,
-                          "start": running.start, "members": [[m.id, m.until] for m in members]}, data, sock))
+                          "start": running.start, "members": [[m.id, m.until] for m in call.members]}, data, sock))
             self.lent[number], call.members = replace(call), []        # its task here has nothing more to tell of it
         for host, streams in self.idle.items():
             for stream in [s for s in streams if s.quiet()]:
@@ -108,7 +106,7 @@
                 sock, data = stream.detach()
                 rows.append(({"k": "idle", "host": host, "since": since}, data, sock))
         self.idle = {}
-        return rows, lost
+        return rows
 
     def go_on(self, rows) -> None:
         """Takes back what `give` gave: the next process is gone, and what it had of these connections it never used."""
@@ -182,7 +180,7 @@
 
     def _written(self, call, start):
         """A connection with the whole request written on it, or None once the call's end is reported."""
-        until = min(member.until for member in call.members)
+        until = ends(call)
         if not self._may_go(call, start):
             return None
         for stream in (self.kept(call), None):
@@ -227,7 +225,7 @@
 
     def _request(self, call) -> bytes:
         now, host = self.clock(), "%s:%d" % call.address
-        wait = max(1, (max(member.until for member in call.members) - now) // MS)
+        wait = max(1, -(-(ends(call) - now) // MS))    # up: never less than what is really waited
         headers = [("Req-Deadline-Ms", str(wait))]
         if not call.bundle:
             member = call.members[0]
@@ -245,26 +243,28 @@
         Danger: half an answer that turned away proves nothing. Of one that is spoilt, only a first line with 200 to a
         call of one stands. So for that, and for an error, which proves as little, the rest is not waited for long.
         """
-        head = body = came = None
+        until, head, body, came, end = ends(call), None, None, None, None
         try:
-            while body is None:
-                until = min(member.until for member in call.members if not member.late)
-                try:
-                    if head is None:
-                        head, came = stream.answer(until), self.clock()
-                    settled = not call.bundle and head.status in (200, 500)
-                    body = stream.body(head, min(until, came + REST_WITHIN) if settled else until)
-                except Late:
-                    if head is not None and settled:
-                        raise Broken("the rest of the answer did not come") from None
-                    if self._time_up(call, stream, start):
-                        return
-        except (Broken, http.Malformed):
-            stream.close()
+            head, came = stream.answer(until), self.clock()
+            settled = not call.bundle and head.status in (200, 500)
+            body = stream.body(head, min(until, came + REST_WITHIN) if settled else until)
+        except (Broken, Late, http.Malformed) as error:
             seen = stream.parser.line or stream.buffer.peek(64)
-            served = not call.bundle and seen.startswith(b"HTTP/1.1 200 ") and b"\r\n" in seen
-            end = STATUS[200] if served else STATUS[500] if head is not None and settled else ev.End("", Result.RESET)
-            self._end(call, start, call.members, end, came=came)
+            if isinstance(error, Late) and not (head is not None and settled):
+                end = ev.End("", Result.TIMEOUT)
+            elif not call.bundle and seen.startswith(b"HTTP/1.1 200 ") and b"\r\n" in seen:
+                end = STATUS[200]
+            else:
+                end = STATUS[500] if head is not None and settled else ev.End("", Result.RESET)
+        # Danger: an answer that comes once the call's time is up is no delivery, whatever it says: the host has given the call up
+        # by then, as this relay told it to. What is read too late, since this relay stood still, may be such a one, and it
+        # tells nothing of the host.
+        if end is None or end.result is not Result.TIMEOUT:
+            if (came if head is not None and settled else self.clock()) > until:
+                end = ev.End("", Result.CANCELLED)
+        if end is not None:
+            stream.close()
+            self._end(call, start, call.members, end, came=came if end.result is not Result.TIMEOUT else None)
             return
         if head.keep and self.keep > 0 and stream.quiet():
             stream.idle_since, stream.parser.raw = self.clock(), b""
@@ -281,20 +281,6 @@
             self.counts["line busy"] += 1
         self._end(call, start, call.members, end, told, wait, came)
 
-    def _time_up(self, call, stream, start) -> bool:
-        """Ends the call once each member's time is up; till then the host holds all of it, and each one's key waits."""
-        now = self.clock()
-        late = [m for m in call.members if m.until <= now and not m.late]
-        for member in late:
-            member.late = True
-        if all(m.late for m in call.members):
-            stream.close()
-            self._end(call, start, call.members, ev.End("", Result.TIMEOUT))
-            return True
-        if late and call.number not in self.aborted:
-            self.post(ev.Ended(call.number, now - start, [ev.End(m.id, Result.TIMEOUT, lingers=True) for m in late]))
-        return False
-
     def _lines(self, call, body, wait):
         """Each callback's end by the answer's lines; one that no line names may have run."""
         told = {}
@@ -322,6 +308,11 @@
         return rate, min(left, 1.0) if left >= 0.0 else None
 
 
+def ends(call) -> int:
+    """When a call is given up: as soon as one of its members' time is up. It is one call, to the host as well, and has one time."""
+    return min(member.until for member in call.members)
+
+
 def retry_after(head) -> int:
     """The told wait in nanoseconds, whole or decimal seconds; 0 where none is told."""
     try:
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -151,7 +151,6 @@
     told_rate: float = 0.0      # the limit that the answer tells, calls a second from all relays; 0: none
     spent: bool = False         # the host says that it has had all its launches
     unsent: bool = False        # the relay itself kept it back: it counts as no launch
-    lingers: bool = False       # its abandon time came; the call is still out with others, the outcome to come
     told_left: Optional[float] = None   # share of that limit that is left, as the answer tells; None: not told
 
 
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -251,25 +251,26 @@
         """Rule 2: whether it may be launched now. Danger: in a long queue all go too late for an answer."""
         ends = min(callback.due, callback.ticket) if callback.ran else callback.due
         hosts = self._dest(callback.dest).hosts    # bounded, so that a slow spell long past shuts nobody out
-        took = min([callback.row.abandon // 16, *(self.h_route[h].now_best or 0 for h in hosts)])
+        took = max(self.EDGE, min([callback.row.abandon // 16, *(self.h_route[h].now_best or 0 for h in hosts)]))
         return callback.launches < self.set.max_launches and self.now + took < ends
 
+    EDGE = SECOND // 200    # a client counts from when it sent: its way here and one batch, as batches are no closer
+
     def _back(self):    # when a denied one may come again: a queue thins by then
         return min(SECOND, self.set.max_return) if self.set.tells_return else 0
 
     def _give_up(self, callback):
         """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
         effect = callback.row.effect
-        harmless = self.now < callback.due and (not callback.ran or effect is Effect.RERUNNABLE
-                                                or effect is Effect.TICKETED and callback.row.all_hosts)
+        harmless = self.now < callback.due - (self.EDGE if callback.ran else 0) \
+            and (not callback.ran or effect is Effect.RERUNNABLE
+                 or effect is Effect.TICKETED and callback.row.all_hosts)
         self.actions.append(it.Deny(callback.id, self._back()) if harmless else it.Scrap(callback.id))
         self._move(callback, OVER)
 
     def _outcome(self, event):
         if (callback := self.held.get(event.callback)) is None or callback.call is None:
             return
-        if event.lingers:                     # rule 5: over in time, but its key waits for the call's end
-            return self._give_up(callback) if callback.state is not OVER else None
         call, result, callback.call = callback.call, event.result, None
         h, dest = call[0], self.dests[self.h_dest[call[0]]]
         call[1] -= 1
@@ -632,7 +633,7 @@
             heappop(dest.lanes[callback.lane, callback.ran, callback.zone][callback.late])
             self._move(callback, OUT)
             callback.call, callback.launches, call[1] = call, callback.launches + 1, call[1] + 1
-            self.actions.append(it.Launch(callback.id, self.h_id[h], min(call[4], callback.due - now)))
+            self.actions.append(it.Launch(callback.id, self.h_id[h], min(call[4], callback.due - self.EDGE - now)))
             more = self._heads(dest) if call[1] < self.h_size[h] and self.h_state[h] is not CLOSED else []
             callback = next((c for c in more if c.zone in (None, self.h_zone[h])), None)
         lim.used, lim.credit, self.h_free[h] = now, lim.credit - 1.0, 0
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -192,11 +192,11 @@
     state, learnt = core.estate()
     rows += [({"k": "host", "row": listed(host, process.config)}, b"", None) for host in core.hosts.values()]
     rows += [({"k": "learnt", "row": row}, b"", None) for row in learnt]
-    calls, lost = process.hosts.give()
+    calls = process.hosts.give()
     process.notices.give()
     rows += process.clients.give() + calls
     rows.append(({"k": "listener"}, b"", process.clients.listener))
-    state.update(k="state", lost=lost, began=began, version=process.discovery.version,
+    state.update(k="state", lost=[], began=began, version=process.discovery.version,
                  discovery="%s:%d" % process.config.discovery)
     if process.membership is not None:
         state["member"] = process.membership.estate()
@@ -212,13 +212,14 @@
             process.clients.adopt(message, body, sock)
             continue
         if kind == "call":
-            message["members"] = [row for row in message["members"] if row[0] in held]
+            until = min(m[1] for m in message["members"])
+            message["members"] = [[number, until] for number, _ in message["members"] if number in held]
         ids = [number for number, _ in message.get("members", ())]
         if kind == "call" and not ids or message["host"] not in process.core.hosts:
             sock.close()
         elif process.hosts.adopt(message, body, sock):
             if kind == "call":
-                calls.append((message["n"], message["host"], ids, message["start"], max(m[1] for m in message["members"])))
+                calls.append((message["n"], message["host"], ids, message["start"], until))
             continue
         lost += ids
     return ev.Inherited(calls, lost, {route: until for route, until in estate.state["waits"]}, estate.learnt)
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -243,18 +243,11 @@
         until = self.now + span
         while self.now < until:
             due = self.core.next_step()
-            ends = [member.until for _, members in self.out.values() for member in members if not member.late]
+            ends = [member.until for _, members in self.out.values() for member in members]
             self.now = max(self.now + 1, min([until, *ends, *([due] if due is not None else [])]))
             for number, (call, members) in list(self.out.items()):
-                late = [m for m in members if m.until <= self.now and not m.late]
-                if not late or number not in self.out:
-                    continue
-                for m in late:
-                    m.late = True
-                if all(m.late for m in members):
+                if number in self.out and any(m.until <= self.now for m in members):
                     self.end(number, R.TIMEOUT)
-                else:                  # those whose time is up wait for the call's end
-                    self.post(ev.Ended(number, self.now, [ev.End(m.id, R.TIMEOUT, lingers=True) for m in late]))
             self.step()
 
     def take(self, cat=0, destination=1, key=None, span=None, gone=False, body=b"body", step=True):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -391,27 +391,24 @@
         assert core.held["b"].launches == 0
 
 
-@pytest.mark.parametrize("result", [R.TIMEOUT, R.FULFILLED])
-def test_one_whose_time_is_up_is_ended_in_time_and_its_key_waits_for_the_call(tmp_path, result):
+def test_a_call_of_several_ends_for_all_of_them_with_the_first_whose_time_is_up(tmp_path):
+    """Danger: waited for, its answer comes too late for the one and is no delivery for the others either."""
     world = wire(tmp_path, categories=[category("ticketed", ordered=True, abandon=20000)], slots=1, settle=100 * MS)
     world.take(destination=2)
     first = world.take(destination=2, key="k", span=700 * MS, step=False)
     other = world.take(destination=2, key="other", step=False)
     world.end(next(iter(world.out)), R.FULFILLED)
     world.step()
-    (number, (_, members)), = world.out.items()
+    (_, (_, members)), = world.out.items()
     assert [m.id for m in members] == [first, other]
+    assert members[0].until < world.rows[first][2], "it is given up before its client's time is up, which began sooner"
     later = world.take(destination=2, key="k")
-    world.advance(710 * MS)
-    assert list(world.notices) == [first] and not world.notices[first].denied, "its final answer comes in time"
+    world.advance(700 * MS)
+    assert not world.out and list(world.notices) == [first] and not world.notices[first].denied
     world.answer_notices()
-    world.step()
-    assert list(world.out) == [number] and list(world.core.held) == [other, later]
-    world.end(number, result)
-    world.step()
-    assert (later in world.sent) == (result is R.FULFILLED), "after silence the key rests"
+    assert list(world.core.held) == [other, later]
     world.advance(101 * MS)
-    assert later in world.sent
+    assert {other, later} <= {m.id for _, members in world.out.values() for m in members}, "both go on once their keys have rested"
 
 
 def test_callbacks_of_one_call_each_have_their_own_end(tmp_path):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -545,14 +545,20 @@
     assert drain(calls.made[0]) and drain(calls.made[0]) is None and not calls.hosts.idle
 
 
-def test_an_answer_that_lay_unread_while_the_relay_stood_still_counts_though_time_is_up(monkeypatch):
-    """Danger: thrown away for a time-out, a callback that was delivered is called again."""
+@pytest.mark.parametrize("bundle", [False, True])
+@pytest.mark.parametrize("stood,result", [(900 * MS, R.FULFILLED), (1100 * MS, R.CANCELLED)])
+def test_an_answer_that_is_read_after_the_time_that_was_told_is_no_delivery(monkeypatch, bundle, stood, result):
+    """Danger: while this relay stood still the host gave the call up, and what it wrote then stands for nothing: taken for a
+    delivery, the callback never gets its end. It tells nothing of the host either: no time-out of its."""
     calls = Calls(monkeypatch)
-    calls.call(span=SECOND)
-    calls.made[0].send(answered(200))
-    calls.net.clock.now += 1500 * MS       # no round between the answer and the end of the wait
+    calls.call("a", "b", bundle=True, span=SECOND) if bundle else calls.call(span=SECOND)
+    assert b"Req-Deadline-Ms: 1000\r\n" in drain(calls.made[0])
+    calls.made[0].send(answered(200, body=b"a delivered\r\nb delivered\r\n"))
+    calls.net.clock.now += stood           # no round between the answer and the end of the wait
     calls.net.settle()
-    assert [event.ends[0].result for event in calls.net.events] == [R.FULFILLED]
+    (event,) = calls.net.events
+    assert {end.result for end in event.ends} == {result}
+    assert bool(calls.hosts.idle) == (result is R.FULFILLED), "the connection is of no further use"
 
 
 def stands_after(calls, send):
@@ -564,9 +570,9 @@
     return sends
 
 
-@pytest.mark.parametrize("span", [SECOND // 2, SECOND])
-def test_an_answer_that_came_while_the_relay_stood_still_right_after_its_call_counts(monkeypatch, span):
-    """Danger: taken for more than the last answer, or for a wait that is over, a callback that was delivered is called again."""
+@pytest.mark.parametrize("span,result", [(SECOND // 2, R.CANCELLED), (SECOND, R.FULFILLED)])
+def test_an_answer_that_came_while_the_relay_stood_still_right_after_its_call_counts(monkeypatch, span, result):
+    """Danger: taken for more than the last answer, a callback that was delivered is called again; unless its time is up."""
     calls = Calls(monkeypatch)
     calls.call()
     calls.reply(answered(200))
@@ -574,7 +580,7 @@
     stream.send = stands_after(calls, stream.send)
     calls.call(span=span)
     calls.net.settle()
-    assert [event.ends[0].result for event in calls.net.events] == 2 * [R.FULFILLED] and len(calls.made) == 1
+    assert [event.ends[0].result for event in calls.net.events] == [R.FULFILLED, result] and len(calls.made) == 1
 
 
 @pytest.mark.parametrize("refusal,result", [
@@ -680,24 +686,19 @@
     assert [e.result for e in calls.reply(sent, close=True).ends] == [result] * 2
 
 
-def test_in_a_call_of_several_each_is_given_up_at_its_own_time(monkeypatch):
+def test_a_call_of_several_is_given_up_once_the_time_of_one_is_up(monkeypatch):
+    """Danger: what the host writes from then on is no delivery for the others either, however whole it is."""
     calls = Calls(monkeypatch)
     now = calls.net.clock()
     calls.hosts.call(ev.Call(1, "h1", ("127.0.0.1", 9), True, [
-        ev.Member("a", None, b"", now + SECOND), ev.Member("b", None, b"", now + 3 * SECOND)]))
+        ev.Member("a", None, b"", now + 3 * SECOND), ev.Member("b", None, b"", now + SECOND)]))
     calls.net.settle()
+    assert b"Req-Deadline-Ms: 1000\r\n" in drain(calls.made[0]), "the host hears when that is"
     calls.made[0].send(answered(200, body=b"a delivered\r\nb delivered\r\n")[:-4])
     calls.net.advance(1100 * MS)
-    assert [(e.id, e.result, e.lingers) for e in calls.net.events[0].ends] == [("a", R.TIMEOUT, True)]
-    event = calls.reply(b"ed\r\n")
-    assert [(e.id, e.result, e.lingers) for e in event.ends] == [(i, R.FULFILLED, False) for i in "ab"]
-    calls.hosts.call(ev.Call(2, "h1", ("127.0.0.1", 9), True, [
-        ev.Member(i, None, b"", calls.net.clock() + n * SECOND) for n, i in enumerate("cd", 1)]))
-    calls.net.advance(1500 * MS)
-    assert calls.hosts.out == 1 and drain(calls.made[0]) is not None
-    calls.net.advance(600 * MS)
-    assert [(e.id, e.result, e.lingers) for e in calls.net.events[-1].ends] == [(i, R.TIMEOUT, False) for i in "cd"]
-    assert calls.hosts.out == 0 and drain(calls.made[0]) is None and len(calls.net.events) == 4
+    (event,) = calls.net.events
+    assert [(e.id, e.result) for e in event.ends] == [(i, R.TIMEOUT) for i in "ab"] and event.took >= SECOND
+    assert calls.hosts.out == 0 and drain(calls.made[0]) is None, "closed, so that the host knows too"
 
 
 # Discovery and notices
