Lists of hosts are read up to a MiB and more; leaving hosts cost the same each

An answer of discovery was bounded like a callback's body, 64 KiB (http/parser.py `_length`, http/stream.py MOST): a list of about 400 entries, 220 indented, ended as "the body is too long", each watch failed, and the relay went on calling the hosts that it knew at its start. Ruled out as further caps on hosts or relays: the backlog (1,024), the descriptor budget (by limits.sockets), notices (batches of 50), the upgrade's rows (one a host), the module's arrays (grow); nothing else counts hosts or relays.

Change: HttpStream and its parser are told how large a body may be; discovery's line takes 1 MiB or a thirty-second of limits.memory_mb, if that is more (3,500 indented entries at least).

The test (whole and changes, plain, indented, in chunks) fails without it.

--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -1,5 +1,6 @@
 """Discovery: the list that is known at the start, and the watch that follows it."""
 import json
+from functools import partial
 
 from molehill import interface as it
 from molehill.config import MS, SECOND, ConfigError, address
@@ -12,6 +13,10 @@
 HOLD = 10 * SECOND                 # a watch that went silent is noticed within this and the next figure
 ANSWER_WITHIN = 1500 * MS          # after the hold; what is told counts as known 2 s after it
 PAUSE = 100 * MS                   # after an answer that came at once with no news: half of what ends a watch
+# The list is the one body that grows with the fleet. Danger: bounded as the others, one of some hundreds of hosts is never read,
+# and the relay calls whom it knew at its start. An entry takes some 160 bytes, indented 300, so this holds 3,500 at the least;
+# beyond, a thirty-second of the memory: it stands there as bytes, as text and as entries at once.
+LIST_LEAST, LIST_PART = 1 << 20, 32
 CONDITIONS = {"active": it.Condition.UP, "leaving": it.Condition.DRAINING, "left": it.Condition.GONE}
 
 
@@ -50,7 +55,8 @@
     def __init__(self, scheduler, config, budget, post):
         self.scheduler, self.config, self.post = scheduler, config, post
         self.clock, self.version, self.watching = scheduler.clock, 0, False
-        self.line, self.moves = Single(scheduler, lambda: config.discovery, "discovery", budget, HttpStream), 0
+        kind = partial(HttpStream, most=max(LIST_LEAST, config.memory // LIST_PART))
+        self.line, self.moves = Single(scheduler, lambda: config.discovery, "discovery", budget, kind), 0
 
     def begin(self, known=None) -> None:
         """The list as this relay last had it, `known` by the process before it or by the file; none at all rather than no
--- a/molehill/http/parser.py
+++ b/molehill/http/parser.py
@@ -36,8 +36,9 @@
 class Parser:
     """Finds one head after another in a buffer, each time looking only at bytes that are new."""
 
-    def __init__(self, buffer, answers: bool):
-        self.buffer, self.answers, self.seen = buffer, answers, 0
+    def __init__(self, buffer, answers: bool, most: int = BODY_MOST):
+        """`most`: bytes of a body."""
+        self.buffer, self.answers, self.seen, self.most = buffer, answers, 0, most
         self.raw = b""                 # the head read last, until its message is whole
         self.line = b""                # the start of the head read last, also of one that was malformed
 
@@ -73,7 +74,7 @@
             if not CHUNK.fullmatch(line):
                 raise Malformed(400, "not the length of a chunk")
             size = int(line.partition(b";")[0], 16)
-            if size > BODY_MOST:
+            if size > self.most:
                 raise Malformed(413, "the body is too long")
             ended = not size
             if size:
@@ -122,14 +123,13 @@
             raise Malformed(501, "no transfer encodings here")
         return Head(first, headers, keep, self._length(headers), chunked)
 
-    @staticmethod
-    def _length(headers) -> Optional[int]:
+    def _length(self, headers) -> Optional[int]:
         text = headers.get("content-length")
         if text is None:
             return None
         if not (text.isascii() and text.isdigit()) or len(text) > 12:
             raise Malformed(400, "not a length")
-        if int(text) > BODY_MOST:
+        if int(text) > self.most:
             raise Malformed(413, "the body is too long")
         return int(text)
 
--- a/molehill/http/stream.py
+++ b/molehill/http/stream.py
@@ -2,15 +2,15 @@
 from molehill.http.parser import BODY_MOST, HEAD_MOST, Malformed, Parser
 from molehill.runtime.stream import Broken, Stream
 
-MOST = HEAD_MOST + BODY_MOST + 1024    # bytes of one message, and some of the next
+MORE = HEAD_MOST + 1024                # bytes of one message beside its body, and some of the next
 
 
 class HttpStream(Stream):
-    """What is read are answers, or requests where `answers` is false."""
+    """What is read are answers, or requests where `answers` is false; `most`: bytes of a body."""
 
-    def __init__(self, scheduler, sock, kind, budget, answers: bool = True):
-        super().__init__(scheduler, sock, kind, budget, MOST)
-        self.parser, self.interim = Parser(self.buffer, answers), 0
+    def __init__(self, scheduler, sock, kind, budget, answers: bool = True, most: int = BODY_MOST):
+        super().__init__(scheduler, sock, kind, budget, MORE + most)
+        self.parser, self.interim = Parser(self.buffer, answers, most), 0
 
     def head(self, until):
         while (head := self.parser.head()) is None:
@@ -45,7 +45,7 @@
             return self.buffer.take(head.length)
         head.keep = False
         try:
-            while len(self.buffer) <= BODY_MOST:
+            while len(self.buffer) <= self.parser.most:
                 self.read(until)
         except Broken:
             return self.buffer.take(len(self.buffer))
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -46,6 +46,7 @@
     def __init__(self, now):
         self.hosts, self.lanes, self.limiter = [], {}, Limiter(now)
         self.out, self.waiting, self.sick, self.asked, self.asked_at = 0, 0, False, 0.0, now   # asked since
+        self.known = 0                        # hosts of it, listed or not
 
 
 class Relay:
@@ -455,6 +456,7 @@
 
     def _add(self, entry):
         h = self.hosts[entry.host] = self.spare.pop() if self.spare else len(self.h_id)
+        self._dest(entry.destination).known += 1
         kind = self.set.kinds[entry.kind] if entry.kind < len(self.set.kinds) else it.Kind(False, 1)
         route = Limiter(self.now) if kind.apart else self._dest(entry.destination).limiter
         row = (entry.host, entry.zone, kind.per_call, entry.destination, False, route,
@@ -471,10 +473,11 @@
         if (h := self.hosts.get(host)) is None or self.h_up[h]:
             return
         number = self.h_dest[h]
-        last = [self.h_dest[other] for other in self.hosts.values()].count(number) == 1
+        last = self.dests[number].known == 1
         if self.h_out[h] or last and (self.dests[number].waiting or self.dests[number].out):
             return self._at(self.now + self.LEFT, self._drop, host)
         self.spare.append(self.hosts.pop(host))
+        self.dests[number].known -= 1
         self.dests.pop(number if last else None, None)
 
     def _listed(self, h, up):
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -371,12 +371,12 @@
             self.clock.now = min(until, self.clock.now + step)
             self.settle(4)
 
-    def pair(self, kind="host", answers=True):
+    def pair(self, kind="host", make=HttpStream, **how):
         """A stream of the relay's and the other party's end."""
         ours, theirs = socket.socketpair()
         theirs.setblocking(False)
         assert self.budget.take(kind)
-        return HttpStream(self.scheduler, ours, kind, self.budget, answers), theirs
+        return make(self.scheduler, ours, kind, self.budget, **how), theirs
 
     def catch(self, monkeypatch):
         """Has new connections made as pairs; gives the other ends, and a list of refusals to play."""
@@ -385,7 +385,7 @@
         def opened(scheduler, address, kind, budget, make, spare=0):
             if refusals:
                 raise refusals.pop(0)
-            stream, theirs = self.pair(kind)
+            stream, theirs = self.pair(kind, make=make)
             stream.connect = lambda *_: None
             made.append(theirs)
             return stream
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -743,6 +743,33 @@
     assert watch.net.events[2].scope is it.Scope.WHOLE
 
 
+@pytest.mark.parametrize("indent", [None, 4])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_list_of_a_thousand_hosts_is_taken_whole_and_in_changes(monkeypatch, indent, chunked):
+    """Danger: bounded as a callback's body, a list of some hundreds of hosts is never read, and calls go to hosts of yesterday."""
+    watch = Watch(monkeypatch)
+    watch.watch()
+    for turn, status in enumerate(("active", "leaving", "active")):
+        rows = [entry(f"s-{n:08x}", address=f"10.1.{n >> 8}.{n & 255}:8081", status=status, group=n % 40) for n in range(1024)]
+        data = json.dumps({"index": turn + 1, "snapshot": not turn, "endpoints": rows}, indent=indent).encode()
+        assert len(data) > 2 * 64 * 1024
+        if chunked:
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            data = head + b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in cut(data, 60000)) + b"0\r\n\r\n"
+        else:
+            data = answered(200, body=data)
+        for part in cut(data, 30000):
+            watch.made[-1].sendall(part)
+            watch.net.settle()
+        assert len(watch.net.events[-1].hosts) == 1024 and len(watch.made) == 1
+        assert {h.condition for h in watch.net.events[-1].hosts} == {discovery.CONDITIONS[status]}
+    assert len(watch.net.events) == 4
+
+
+def cut(data, size):
+    return [data[at:at + size] for at in range(0, len(data), size)]
+
+
 def test_an_entry_that_can_t_be_read_does_not_take_the_others_with_it(monkeypatch):
     odd = []
     monkeypatch.setattr(discovery, "holds", lambda condition, name, **facts: odd.append(name))
