The end of a relay as named states; from 3.5 s on nothing is read that could not be answered

Process.stop (relay.py) looked every 5 ms whether a connection was inside a request, and set `stopped` otherwise; idle connections were closed by nothing but the exit. A request that came between that look and the loop's last poll was read in the last turn, posted to the core, and never answered: read, so not resent, and lost. Ruled out: requests in the socket at the exit (unread, resent by the protocol), requests logged (taken up by the next process), partial ones (never whole).

Change: molehill/ending.py, states serving, ending, letting go, last answers, cutting, ended, and one function for every change.

Tests: whole relay on loopback with a request that gets whole between the last two looks (fails without: it is held and unanswered); idle, unread, partial and silent connections at the client side.

--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -353,9 +353,17 @@
             listener.close()
             self.budget.give("listener")
 
-    def busy(self) -> int:
-        """Connections with a request that is being read or not answered yet."""
-        return sum(1 for conn in self.conns if not conn.stream.idle_since or len(conn.stream.buffer))
+    def close_idle(self) -> None:
+        """Closes what no request is on its way on, so that none is read from here on but such as lie there already; those get
+        their answer. Danger: one that this process has read, and not answered, when it ends is lost to its client."""
+        for conn in [conn for conn in self.conns if conn.stream.idle_since and conn.stream.quiet()]:
+            self.stir(conn)
+            conn.stream.close()
+
+    def close_unfinished(self) -> None:
+        """What has not got whole by now is not read any more."""
+        for conn in [conn for conn in self.conns if not conn.busy]:
+            conn.stream.close()
 
 
 def plain(text: str) -> bool:
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -7,10 +7,10 @@
 
 from molehill import config as configuration
 from molehill import holds, upgrade
-from molehill.config import MS
 from molehill.core import events as ev
 from molehill.core.figures import Figures
 from molehill.core.reducer import Core
+from molehill.ending import ENDED, SERVING, Ending
 from molehill.http.admin import Admin
 from molehill.http.clients import Clients
 from molehill.http.discovery import Discovery
@@ -24,11 +24,6 @@
 from molehill.store import Store
 from molehill.upgrade import Heir
 
-# After SIGTERM, with SIGKILL no sooner than at 3.7 s: clients may have no other relay, and what is taken on lives
-# through the restart, so all goes on until LET_GO; from then on each answer ends its connection.
-LET_GO, END = 3000 * MS, 3300 * MS
-LAST_WORDS = 200 * MS              # for answers and notices that are under way at the end
-
 
 def log_room(config) -> tuple[int, int]:
     """Bytes for the log's files together, and for what may be owed at once.
@@ -71,13 +66,14 @@
 class Process:
     def __init__(self, config, machine, sink, load_again, start=None):
         """`load_again(config)` reads the configuration anew, on SIGHUP, in place of that one; it raises ConfigError."""
-        self.config, self.sink, self.load_again, self.stopping = config, sink, load_again, False
+        self.config, self.sink, self.load_again = config, sink, load_again
         self.start = start = start or Start(config, machine, sink)
         self.log, self.scheduler, self.lock, self.given, self.giver = start.log, start.scheduler, start.lock, False, None
         holds.report = lambda name, count, facts: self.log.error("broken invariant", name=name, count=count,
                                                                  **{f"fact_{k}": v for k, v in facts.items()})
         if start.estate is not None and "discovery" in start.estate.state:    # it may have moved since this one's start
             config.discovery = configuration.address(start.estate.state["discovery"], "discovery")
+        self.ending = Ending(self)
         self.budget = budget = Budget(config.sockets, {"client": config.client_sockets})
         files, owed = log_room(config)
         self.store = Store(config.state, files, machine.disk)
@@ -147,9 +143,8 @@
     def on_signal(self, number) -> None:
         if number == signal.SIGHUP and not self.given:
             self.reload()
-        elif number != signal.SIGHUP and not self.stopping:
-            self.stopping = True
-            self.scheduler.spawn_kept(self.stop)
+        elif number != signal.SIGHUP:
+            self.ending.begin()
 
     def reload(self) -> None:
         """SIGHUP: the file is read and checked whole, then taken whole or not at all.
@@ -234,23 +229,5 @@
         self.clients.close_listener()
         self.discovery.line.close()
         self.core.figures.open_requests = 0
-        if self.stopping:
-            self.scheduler.stopped = True
-
-    def stop(self) -> None:
-        """Goes on serving kept connections, lets clients go with their answers, flushes, and ends in time."""
-        if self.given:
-            self.scheduler.stopped = True
-            return
-        now = self.scheduler.clock()
-        self.log.info("stopping", held=len(self.core.held), out=self.hosts.out)
-        self.engine.post(ev.Stop(now + END))
-        self.scheduler.at(now + LET_GO, self.clients.let_go)
-        self.scheduler.sleep(now + END)
-        until = now + END + LAST_WORDS
-        while self.scheduler.clock() < until and (
-                self.clients.busy() or self.notices.waiting or self.hosts.out):
-            self.scheduler.sleep(self.scheduler.clock() + 5 * MS)
-        if self.membership is not None:
-            self.membership.leave()
-        self.scheduler.stopped = True
+        if self.ending.state is not SERVING:
+            self.ending.move(ENDED)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -195,14 +195,24 @@
     assert door.say(sock, b"GET /health/ready HTTP/1.1\r\n\r\n").startswith(b"HTTP/1.1 200")
 
 
-def test_when_the_relay_ends_kept_connections_are_served_and_let_go_with_the_answer():
+def test_when_the_relay_ends_idle_connections_are_closed_and_kept_ones_let_go_with_the_answer():
     door = Door()
-    sock = door.connect()
+    sock, idle, silent, partly = [door.connect() for _ in range(4)]
     door.say(sock, ASK % b"id1")
+    door.say(partly, (ASK % b"id2")[:-1])
     door.clients.closing = True
-    assert door.clients.busy() == 1
-    door.answer(door.net.events[0])
-    assert b"Connection: close" in drain(sock) and drain(sock) is None and door.clients.busy() == 0
+    idle.send(ASK % b"id3")                # lies there unread
+    door.clients.close_idle()
+    door.net.settle()
+    assert drain(silent) is None and len(door.clients.conns) == 3
+    for event in [event for event in door.net.events if type(event) is ev.Arrived]:
+        door.answer(event)
+    for asked in (sock, idle):
+        assert b"Connection: close" in drain(asked) and drain(asked) is None
+    partly.send(b"b")
+    door.clients.close_unfinished()
+    door.net.settle()
+    assert not door.clients.conns and [e.fresh.id for e in door.net.events if type(e) is ev.Arrived] == ["id1", "id3"]
 
 
 def test_a_request_that_never_gets_whole_is_given_up():
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -118,7 +118,7 @@
     place.hear(client, b"HTTP/1.1 202")
     host = place.accept(place.host)
     place.hear(host, b"\r\n\r\nab")
-    place.relay.scheduler.spawn(place.relay.stop)
+    place.relay.ending.begin()
     other.send(b"GET /health/live HTTP/1.1\r\n\r\n")
     place.advance(2900 * MS)
     assert b"200 OK" in drain(other)
@@ -203,6 +203,35 @@
     assert relay.scheduler.stopped and client.send(b"x")
 
 
+def test_a_relay_that_was_told_to_end_goes_from_state_to_state_and_reads_nothing_that_it_can_t_answer(place):
+    """Danger: a request that gets whole in the very turn in which the relay ends is read, never answered, and lost."""
+    relay, client = place.relay, place.client()
+    client.send(ASK % b"id1")
+    place.hear(client, b"HTTP/1.1 202")    # its call is out at a host that hangs
+    seen, moved = [], relay.ending.move
+    relay.ending.move = lambda state: (seen.append((state, (place.clock.now - began) // (100 * MS))), moved(state))
+    began = place.clock.now
+    for _ in range(3):
+        relay.ending.begin()               # told again, it goes on with the first
+    place.advance(2900 * MS)
+    client.send(ASK % b"id2")
+    assert b"Connection: close" not in place.hear(client, b"HTTP/1.1 202")
+    other = place.client()
+    place.advance(200 * MS)
+    with pytest.raises(OSError):
+        socket.create_connection(place.address)
+    other.send((ASK % b"id3")[:-1])
+    place.advance(300 * MS)
+    assert drain(client) is None and not relay.scheduler.stopped, "idle ones are closed, one with a request begun is waited for"
+    place.advance(began + 3499 * MS - place.clock.now)
+    place.clock.now = began + 3510 * MS
+    place.turn(1)
+    other.send(b"b")                       # between two looks at what has come
+    place.turn(3)
+    assert relay.scheduler.stopped and "id3" not in relay.core.held and set(relay.core.held) == {"id1", "id2"}
+    assert seen == [("ending", 0), ("letting go", 30), ("last answers", 33), ("cutting", 35), ("ended", 35)]
+
+
 def test_the_log_s_files_leave_room_on_the_disk_and_in_memory():
     for disk, memory in ((3 * 10**6, 192 * 10**6), (10**9, 64 * 10**6)):
         files, owed = log_room(replace(net_config(), disk=disk, memory=memory))
