--- a/molehill/emulator/planted.py
+++ b/molehill/emulator/planted.py
@@ -74,17 +74,22 @@
 
 def kept_after_time_out(before):
     """The connection of a call that timed out is used again: its late answer is taken for the next call's."""
-    def time_up(self, call, stream, start):
+    def useless(self, call, stream, start, end, came):
+        if end.result is not it.Result.TIMEOUT:
+            return before(self, call, stream, start, end, came)
         close, stream.close = stream.close, lambda: None
         try:
-            over = before(self, call, stream, start)
+            before(self, call, stream, start, end, came)
         finally:
             stream.close = close
-        if over:
-            stream.idle_since = self.clock()
-            self.idle.setdefault(call.host, []).append(stream)
-        return over
-    return time_up
+        stream.idle_since = self.clock()
+        self.idle.setdefault(call.host, []).append(stream)
+    return useless
+
+
+def with_the_last(before):
+    """A call goes on until the last of its members' times, and what comes by then is taken for each one's delivery."""
+    return lambda call: max(member.until for member in call.members)
 
 
 def never_resent(before):
@@ -150,7 +155,8 @@
     "drain not heeded": (discovery, "CONDITIONS", lambda before: {**before, "leaving": it.Condition.UP}),
     "told wait not read": (hosts, "retry_after", lambda before: lambda head: 0),
     "wait heeded by host, not by destination": (config, "settings", routes_apart),
-    "late answer ends another callback": (hosts.Hosts, "_time_up", kept_after_time_out),
+    "late answer ends another callback": (hosts.Hosts, "_useless", kept_after_time_out),
+    "a call goes on after the time of one in it": (hosts, "ends", with_the_last),
     "notice sent once only": (notices.Notices, "_post", never_resent),
     "deadline read a second late": (clients.Clients, "fresh", late_by(config.SECOND)),
     "returning host fed without a budget": (Relay, "_health", full_at_once),
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -263,9 +263,7 @@
             if (came if head is not None and settled else self.clock()) > until:
                 end = ev.End("", Result.CANCELLED)
         if end is not None:
-            stream.close()
-            self._end(call, start, call.members, end, came=came if end.result is not Result.TIMEOUT else None)
-            return
+            return self._useless(call, stream, start, end, came if end.result is not Result.TIMEOUT else None)
         if head.keep and self.keep > 0 and stream.quiet():
             stream.idle_since, stream.parser.raw = self.clock(), b""
             self.idle.setdefault(call.host, []).append(stream)
@@ -281,6 +279,11 @@
             self.counts["line busy"] += 1
         self._end(call, start, call.members, end, told, wait, came)
 
+    def _useless(self, call, stream, start, end, came) -> None:
+        """No answer to it comes on that connection any more that would be worth having: nor may it carry another call."""
+        stream.close()
+        self._end(call, start, call.members, end, came=came)
+
     def _lines(self, call, body, wait):
         """Each callback's end by the answer's lines; one that no line names may have run."""
         told = {}
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -246,3 +246,15 @@
     assert day.end(9000) is None
     day.tell(9000, "relay0", "ready", life=2)
     assert day.end(10_400) is None and day.end(10_700) == 1
+
+
+@pytest.mark.parametrize("after,delivered", [(90, 1), (110, 0)])
+def test_an_answer_after_the_time_that_its_host_was_told_is_no_delivery(after, delivered):
+    day = Day()
+    day.take(0, "a")
+    day.take(0, "short", span=60)          # the call's time is the first of its callbacks'
+    day.answer(10 + after, day.call(10, "a"), ids=["a"])
+    day.take(300, "b")
+    day.take(300, "c", span=100)
+    day.answer(after + 300, day.call(301, "b", "c"), ids=["b", "c"])
+    assert day.referee.counts["delivered"] == 3 * delivered
