A 503 that ends a new connection is a host with no room for it, not a limit used up

It is the protocol's "too many connections", and at fault is Hosts._answered (STATUS[503] is FULL for both): the module halves the window and rests the whole destination, and its own answer to scarce connections (`_connection`, `tight`: idle ones are not kept) never sets in, so that 200 relays hold idle ones at 21 hosts and the rest find no room.

Change: such an answer to a connection's first call is NO_CONNECT, as the simulator has it; never ran, like FULL. A test fails without.

--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -22,15 +22,16 @@
 LINES = {"delivered": STATUS[200], "failed": STATUS[500], "refused": STATUS[503], "over": STATUS[410],
          "spent": STATUS[504]}
 REPORT = re.compile(r"\w+=\d+(\.\d+)?([eE][+-]?\d+)?( *, *\w+=\d+(\.\d+)?([eE][+-]?\d+)?)*", re.ASCII)
+NO_ROOM = ev.End("", Result.NO_CONNECT)
 KEPT_BACK = ev.End("", Result.NOT_SENT, unsent=True)
 OTHER = ev.End("", Result.ERROR)   # an answer that the protocol does not know: it may have run
 
 
 class Running:
-    """A call that is out; `written`: its last byte has gone on its connection."""
+    """A call that is out; `written`: its last byte has gone on its connection; `fresh`: the first one on that."""
 
     def __init__(self, call, start):
-        self.call, self.start, self.written = call, start, False
+        self.call, self.start, self.written, self.fresh = call, start, False, False
 
 
 class Hosts:
@@ -192,6 +193,7 @@
                                        OUTGOING)
                     self.counts["connected"] += 1
                 self.streams[call.number], stream.idle_since, stream.parser.line = stream, 0, b""
+                self.running[call.number].fresh = fresh
                 if not self._may_go(call, start):
                     stream.close()
                     return None
@@ -277,6 +279,10 @@
         if head.status == 503 and head.headers.get("x-line-busy") == "1":
             end = ev.End("", Result.NOT_SENT)
             self.counts["line busy"] += 1
+        elif head.status == 503 and not head.keep and self.running[call.number].fresh:
+            # Danger: a host that holds as many connections as it takes says so by this, and only to those who have none. Taken for a
+            # limit that is used up, relays that hold idle ones go on holding them, and the others wait for room that is there.
+            end = NO_ROOM
         self._end(call, start, call.members, end, told, wait, came)
 
     def _useless(self, call, stream, start, end, came) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -687,6 +687,15 @@
         ("e", R.NOT_SENT, 0, False, True), ("f", R.RESET, 0, False, False)]
 
 
+def test_a_host_with_no_room_for_another_connection_is_told_from_one_that_is_full(monkeypatch):
+    """Danger: taken for a used-up limit, relays that hold idle connections go on holding them, and others find no room."""
+    calls = Calls(monkeypatch)
+    for headers, result in ((b"Connection: close", R.NO_CONNECT), (b"X: y", R.FULL), (b"Connection: close", R.FULL)):
+        calls.call()                       # the third goes on the second's connection, which has been let in
+        assert [end.result for end in calls.reply(answered(503, headers)).ends] == [result]
+    assert len(calls.made) == 2
+
+
 @pytest.mark.parametrize("sent,result", [
     (answered(429, b"Retry-After: 1"), R.FULL), (answered(413), R.FULL), (answered(500), R.ERROR),
     (answered(200, body=b"a delivered\r\n")[:-4], R.RESET)])
