--- a/molehill/ending.py
+++ b/molehill/ending.py
@@ -3,7 +3,8 @@
 SERVING: as ever. ENDING: SIGTERM came; all goes on, as clients may have no other relay and what is taken on lives through the
 restart, but no call begins that the end would cut off. LETTING_GO: no connection is taken any more, and each answer ends its
 connection. LAST_ANSWERS: what stands idle is closed; who has begun a request gets its answer, calls and notices that are out are
-waited for. CUTTING: what is not whole by now is not read any more; what is gets its answer. ENDED: the loop stops. docs/design/ending.md tells what each party sees in each of them.
+waited for. CUTTING: what is not whole by now is not read any more; what is gets its answer. ENDED: the loop stops.
+docs/design/ending.md tells what each party sees in each of them.
 """
 from molehill.config import MS
 from molehill.core import events as ev
