Calls: whether an answer's end is settled stands once; the referee's standstills stand once

Found on rereading: Hosts._answered asked `head is not None and settled` three times, where `settled`, false until a head says otherwise, tells the same; the referee kept `frozen` beside `stood`, of which it is the end.

--- a/molehill/emulator/referee.py
+++ b/molehill/emulator/referee.py
@@ -89,7 +89,7 @@
         self.by_id, self.by_conn, self.hung = defaultdict(list), defaultdict(list), set()
         self.by_key, self.given, self.noticed, self.delivered, self.results = defaultdict(list), {}, {}, {}, {}
         self.told, self.waits, self.rests = {}, {}, {}
-        self.life, self.ready_at, self.up, self.frozen, self.lost, self.deaf = Counter(), {}, {}, {}, {}, {}
+        self.life, self.ready_at, self.up, self.lost, self.deaf = Counter(), {}, {}, {}, {}
         self.stood = {}                        # relay -> when it stood still last, from and to
         self.orders, self.counts, self.lately = 0, Counter(), deque(maxlen=LATELY)
         self.born, self.used = {}, set()       # message -> its second; connections that carried a call
@@ -170,7 +170,7 @@
         now, ready = self.world.now, self.ready_at.get(taken.relay)
         # Cut from the platform in either direction, no connection comes up for a notice; after it there has to be one, as after a start.
         heard = max(self.ways.over(*way) for way in ((taken.relay, "platform"), ("platform", taken.relay)))
-        if not self.up.get(taken.relay) or now < max(ready + AFTER_READY, self.frozen.get(taken.relay, 0) + self.lost_after,
+        if not self.up.get(taken.relay) or now < max(ready + AFTER_READY, self.stood.get(taken.relay, (0, 0))[1] + self.lost_after,
                                                      heard + AFTER_READY + self.lost_after):
             self.world.after(100 * MS, self.due, taken)
             return
@@ -335,7 +335,6 @@
         """A machine that stands still owes nothing meanwhile."""
         began, ended = self.stood.get(who, (0, 0))
         self.stood[who] = (began if now <= ended else now), max(until, ended)
-        self.frozen[who] = max(until, self.frozen.get(who, 0))
 
     def fault(self, now, who, kind, falls_on, span, worth) -> None:
         """A disk that takes nothing can't keep which answer was given, if the relay is killed meanwhile."""
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -245,25 +245,24 @@
         Danger: half an answer that turned away proves nothing. Of one that is spoilt, only a first line with 200 to a
         call of one stands. So for that, and for an error, which proves as little, the rest is not waited for long.
         """
-        until, head, body, came, end = ends(call), None, None, None, None
+        until, came, settled, end = ends(call), None, False, None
         try:
             head, came = stream.answer(until), self.clock()
             settled = not call.bundle and head.status in (200, 500)
             body = stream.body(head, min(until, came + REST_WITHIN) if settled else until)
         except (Broken, Late, http.Malformed) as error:
             seen = stream.parser.line or stream.buffer.peek(64)
-            if isinstance(error, Late) and not (head is not None and settled):
+            if isinstance(error, Late) and not settled:
                 end = ev.End("", Result.TIMEOUT)
             elif not call.bundle and seen.startswith(b"HTTP/1.1 200 ") and b"\r\n" in seen:
                 end = STATUS[200]
             else:
-                end = STATUS[500] if head is not None and settled else ev.End("", Result.RESET)
+                end = STATUS[500] if settled else ev.End("", Result.RESET)
         # Danger: an answer that comes once the call's time is up is no delivery, whatever it says: the host has given the call up
         # by then, as this relay told it to. What is read too late, since this relay stood still, may be such a one, and it
         # tells nothing of the host.
-        if end is None or end.result is not Result.TIMEOUT:
-            if (came if head is not None and settled else self.clock()) > until:
-                end = ev.End("", Result.CANCELLED)
+        if (end is None or end.result is not Result.TIMEOUT) and (came if settled else self.clock()) > until:
+            end = ev.End("", Result.CANCELLED)
         if end is not None:
             return self._useless(call, stream, start, end, came if end.result is not Result.TIMEOUT else None)
         if head.keep and self.keep > 0 and stream.quiet():
