A launch is logged as its first byte is about to go, not as its connection is asked for

The core logged "launch" in _go and only then asked for the connection, which takes 30 to 135 ms of handshake on the deployments, up to 1.5 s where connections come up late. A process killed in between left a callback that no host had seen as one that may have run: one that must not run twice was given up at the restart with no call at all, others had a launch and their window used up. On a relay with little to do nearly all that a kill finds untried is in just that state. Ruled out: that the host may have it all the same. Nothing is written before Begun is in the log, and a log that takes nothing aborts the call first (test with a failing log). Change: hosts posts Begun when the connection is up and before the first byte; the core logs the launch then. A connection that never came up is logged with its end, as it counts as a launch. What a fault of the module finds connecting is not taken for run either. A call whose time is up as its connection comes up in the same turn does not go. Tests: the state machine over kills plays connections that come up late; the older tests that took the record for part of the call now ask for it before the first byte, as strictly.

--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -41,11 +41,11 @@
 
 
 class Out:
-    """A call that is parked or out."""
-    __slots__ = ("number", "host", "spans", "ids", "since")
+    """A call that is parked or out; `begun`: the log has it, as its bytes may have gone."""
+    __slots__ = ("number", "host", "spans", "ids", "since", "begun")
 
-    def __init__(self, number, host, spans, now):
-        self.number, self.host, self.spans, self.since = number, host, spans, now
+    def __init__(self, number, host, spans, now, begun=False):
+        self.number, self.host, self.spans, self.since, self.begun = number, host, spans, now, begun
         self.ids = [number for number, _ in spans]
 
 
@@ -74,7 +74,7 @@
         self.guards, self.wake_at, self.stop_at = [], None, None
         self.held_back, self.under = False, {}        # no call is begun; calls that an earlier process wrote, by number
         self.on = {ev.Begin: self._begin, ev.Arrived: self._arrived, ev.Heard: self._heard,
-                   ev.Unheard: self._unheard, ev.Unlogged: self._unlogged, ev.Ended: self._ended,
+                   ev.Unheard: self._unheard, ev.Unlogged: self._unlogged, ev.Begun: self._begun, ev.Ended: self._ended,
                    ev.Noticed: self._noticed, ev.Listed: self._listed, ev.Step: self._step, ev.Stop: self._stop,
                    ev.Retuned: self._retuned, ev.Hold: self._hold, ev.Inherited: self._inherited}
 
@@ -188,7 +188,7 @@
             out = c.sent is not None
             yield {"k": "taken", **self._as_handed_in(c), "launches": c.launches - out,
                    "ran_at": c.ran_at, "ran_zone": c.ran_zone}, c.body
-            if out:
+            if out and (c.call not in self.calls or self.calls[c.call].begun):
                 yield {"k": "launch", "ids": [c.id], "at": c.sent[0], "zone": c.sent[1]}, b""
             if c.state is OWED:
                 yield {"k": "owed", "id": c.id, "denied": c.denied, "wait": c.wait}, b""
@@ -308,6 +308,7 @@
             elif record["k"] == "launch":
                 out = self.calls.get(record["call"])
                 if out is not None:
+                    out.begun = False
                     self.effects.append(ev.Abort(out.number))
                     self._ended(ev.Ended(out.number, 0, [ev.End(i, Result.NOT_SENT, unsent=True)
                                                              for i in out.ids]))
@@ -421,9 +422,24 @@
                 c = self.held[number]
                 c.call, c.sent, c.launches = out.number, (self.now, host.zone), c.launches + 1
                 members.append(ev.Member(c.id, c.mark, c.body, min(out.since + span, c.due)))
-        self._log("launch", ids=[m.id for m in members], at=self.now, zone=host.zone, call=out.number)
         self.effects.append(ev.Call(out.number, host.id, host.address, self._kind(host).per_call > 1, members))
 
+    def _begun(self, event):
+        """Danger: logged as out while its connection still comes up, a callback that no host has seen is taken for one that may
+        have run after a kill, and one that must not run twice is given up untried."""
+        out = self.calls.get(event.call)
+        if out is not None and not out.begun:
+            for callback in self._known(out.ids):
+                if callback.call == out.number:
+                    callback.sent = self.now, callback.sent[1]
+            self._log_launch(out)
+
+    def _log_launch(self, out):
+        ours = [c for c in self._known(out.ids) if c.call == out.number]
+        out.begun = True
+        if ours:
+            self._log("launch", ids=[c.id for c in ours], at=ours[0].sent[0], zone=ours[0].sent[1], call=out.number)
+
     def _route(self, host):
         return host.id if self._kind(host).apart else host.destination
 
@@ -462,6 +478,8 @@
             return
         ends = [end for end in event.ends if end.id in out.ids]
         holds(len(ends) == len(event.ends), "one_outcome_each", call=event.call)
+        if not out.begun and any(not end.unsent for end in ends):      # it counts as a launch, if one that never ran
+            self._log_launch(out)
         out.ids = [number for number in out.ids if all(end.id != number for end in ends)]
         if not out.ids:
             del self.calls[event.call]
@@ -482,7 +500,7 @@
                 closed, launches = True, 1
             self.inbox.append(it.Outcome(end.id, launches - 1, out.host, end.result, event.took, end.wait,
                                          closed, event.told_rate, end.spent, end.unsent, told_left=event.told_left))
-        if ended:
+        if ended and out.begun:        # else the log never had it as out
             self._log("end", ends=ended, at=self.now)
         self._release()
         if len(self.rests) > 2 * len(self.held) + 64:
@@ -568,7 +586,7 @@
     def _inherited(self, event):
         """Danger: a call that goes on with the next process, taken for ended, has its callback run twice."""
         for number, host, ids, start, until in event.calls:
-            self.calls[number] = Out(number, host, [(i, 0) for i in ids], start)
+            self.calls[number] = Out(number, host, [(i, 0) for i in ids], start, begun=True)
             self.under[number] = it.Underway(number, host, start, until - start)
             self.serial = max(self.serial, number)
             for callback in self._known(ids):
@@ -587,9 +605,10 @@
             self.effects.append(ev.Abort(out.number))
         ends = [c for c in self.held.values() if c.call is not None]
         for callback in ends:
-            self._settle_launch(callback, Result.RESET, self.now)
-        if ends:
-            self._log("end", ends=[[c.id, Result.RESET.value, False, False] for c in ends], at=self.now)
+            begun = self.calls[callback.call].begun if callback.call in self.calls else True
+            self._settle_launch(callback, Result.RESET if begun else Result.NOT_SENT, self.now, not begun)
+            if begun:
+                self._log("end", ends=[[callback.id, Result.RESET.value, False, False]], at=self.now)
         self.calls, self.parked, self.inbox, self.wake_at, self.guards = {}, {}, [], None, []
         self.seed += 1
         self.module = self.make_module(self.set, self.seed)
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -198,6 +198,7 @@
                     stream.close()
                     return None
                 request, begun = self._request(call), self.clock()
+                self.post(ev.Begun(call.number))       # in the log before its first byte; where that fails, the call is aborted
                 stream.send(request, until)
                 self.figures.relayed += len(call.members)
                 # More than the last answer, if no answer to this can have come. Danger: after a standstill in between, one can.
@@ -218,8 +219,10 @@
         return None
 
     def _may_go(self, call, start) -> bool:
-        """Whether the relay was not told meanwhile to wait, or that the host drains; else the call's end."""
-        if not self.given and call.number not in self.aborted \
+        """Whether its time is not up, and the relay was not told meanwhile to wait, or that the host drains; else the call's end.
+
+        Danger: a connection comes up in the very turn in which the call's time is up, and it is sent on after its end."""
+        if not self.given and call.number not in self.aborted and self.clock() < ends(call) \
                 and self.may_send(call.host, [m.id for m in call.members], self.clock()):
             return True
         self._end(call, start, call.members, KEPT_BACK)
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -190,14 +190,14 @@
         self.owed, self.ended, self.notices, self.rows, self.ran = {}, {}, {}, {}, {}
         self.answers, self.out, self.waits, self.gone, self.said = {}, {}, {}, set(), []
         self.unsure, self.counted = set(), {}
-        self.starts, self.sent, self.logged = 0, {}, []
+        self.starts, self.sent, self.logged, self.slow = 0, {}, [], False     # slow: connections do not come up by themselves
         self.start()
 
     def start(self):
         self.store = Store(self.folder, self.most, Disk())
         self.core = Core(self.set, self.starts, self.make, self.most * 7 // 20)
         self.store.replay(self.core.load)
-        self.out, self.waits, self.queue, self.starts = {}, {}, [], self.starts + 1
+        self.out, self.waits, self.queue, self.starts, self.begun = {}, {}, [], self.starts + 1, set()
         # callback -> how it ended in this life, None: in an earlier one, and the log says so
         self.counted = {i: None for i in self.ended if i not in self.core.held}
         self.post(ev.Listed(it.Scope.RESTORED, list(self.hosts.values())))
@@ -208,20 +208,23 @@
         """Nothing that is left of the effects is carried out; calls that are out may have run."""
         self.queue, self.notices, self.core = [], {}, None
         self.unsure |= {r["id"] for r in self.records() if r["k"] == "taken"}    # logged: it can't know who heard
-        self.ran.update({m.id: self.sent[m.id] for _, ms in self.out.values() for m in ms if m.id not in self.ran})
+        self.ran.update({m.id: self.sent[m.id] for n, (_, ms) in self.out.items() if n in self.begun for m in ms if m.id not in self.ran})
         self.store.close()
         self.start()
 
     def post(self, event):
         self.queue.append(event)
         while self.queue:
-            for effect in self.core.reduce(self.now, self.queue.pop(0)):
+            event = self.queue.pop(0)
+            for effect in self.core.reduce(self.now, event):
                 if self.effects_left is not None:
                     self.effects_left -= 1
                     if self.effects_left < 0:
                         self.effects_left = None
                         return self.kill()
                 getattr(self, "on_" + type(effect).__name__.lower())(effect)
+            if type(event) is ev.Begun and event.call in self.out:
+                self.goes(event.call)
         if self.store.wants_rewrite():
             assert self.store.rewrite(self.core.snapshot())
 
@@ -247,7 +250,7 @@
             self.now = max(self.now + 1, min([until, *ends, *([due] if due is not None else [])]))
             for number, (call, members) in list(self.out.items()):
                 if number in self.out and any(m.until <= self.now for m in members):
-                    self.end(number, R.TIMEOUT)
+                    self.end(number, R.TIMEOUT if number in self.begun else R.NO_CONNECT)
             self.step()
 
     def take(self, cat=0, destination=1, key=None, span=None, gone=False, body=b"body", step=True):
@@ -263,7 +266,16 @@
             self.step()
         return number
 
+    def goes(self, number):
+        """Its connection is up: from here on its bytes may be at the host."""
+        members = self.out[number][1]
+        assert self.logged == [m.id for m in members], "a launch is logged before its bytes go"
+        self.sent.update({m.id: self.now for m in members})
+        self.begun.add(number)
+
     def end(self, number, result, wait=0, ids=None, **more):
+        if number not in self.begun and result not in (R.NO_CONNECT, R.NOT_SENT):
+            self.post(ev.Begun(number))
         call, members = self.out[number]
         ids = [m.id for m in members] if ids is None else ids
         left = [m for m in members if m.id not in ids]
@@ -306,7 +318,6 @@
         return found
 
     def on_call(self, effect):
-        assert self.logged == [m.id for m in effect.members], "a launch is logged before its bytes go"
         host = self.hosts[effect.host]
         assert host.condition is it.Condition.UP, "rule 3"
         assert self.waits.get(host.destination, 0) <= self.now, "rule 6"
@@ -322,8 +333,9 @@
                 if key is not None and its_key == key and its_order < order and other in self.owed:
                     assert other in self.ended, "rule 5: an earlier one of its key is not over"
                     assert all(other != o.id for _, ms in self.out.values() for o in ms), "rule 5: it is still out"
-            self.sent[m.id] = self.now
         self.out[effect.number] = (effect, list(effect.members))
+        if not self.slow:
+            self.queue.append(ev.Begun(effect.number))
 
     def on_notify(self, effect):
         row = self.rows[effect.id][0]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -45,7 +45,9 @@
     assert [type(e) for e in first] == [ev.Append, ev.Answer]
     assert first[0].record["k"] == "taken" and first[1].status == 202
     then = effects_of(core, now, ev.Heard("a", "c"))
-    assert [type(e) for e in then] == [ev.Append, ev.Call] and then[0].record["k"] == "launch"
+    assert [type(e) for e in then] == [ev.Call]
+    begun = effects_of(core, now, ev.Begun(then[0].number))
+    assert [(type(e), e.record["k"]) for e in begun] == [(ev.Append, "launch")] and not effects_of(core, now, ev.Begun(then[0].number))
 
 
 def test_a_callback_keeps_its_category_over_new_settings_and_kills_and_the_table_stays_small(tmp_path):
@@ -94,8 +96,8 @@
     assert [e.client for e in effects if type(e) is ev.Answer] == ["c", "d"]
     assert len([e for e in effects if type(e) is ev.Append]) == 1
     effects = effects_of(core, now, ev.Unheard("a", "c"), ev.Heard("a", "d"), ev.Arrived("e", fresh()))
-    assert [type(e) for e in effects] == [ev.Append, ev.Call, ev.Answer]
-    effects = effects_of(core, now, ev.Ended(effects[1].number, 5, [ev.End("a", R.FULFILLED, closed=True)]),
+    assert [type(e) for e in effects] == [ev.Call, ev.Answer]
+    effects = effects_of(core, now, ev.Ended(effects[0].number, 5, [ev.End("a", R.FULFILLED, closed=True)]),
                          ev.Arrived("f", fresh()), ev.Step())
     assert [e.status for e in effects if type(e) is ev.Answer] == [202] and not core.held
 
@@ -208,6 +210,25 @@
     assert (number in world.notices) != again
 
 
+@pytest.mark.parametrize("rewritten", [True, False])
+@pytest.mark.parametrize("effect", ["exclusive", "ticketed", "rerunnable"])
+def test_what_a_restart_finds_without_a_byte_at_any_host_is_still_tried(tmp_path, effect, rewritten):
+    """Danger: logged as out while its connection came up, one that must not run twice is given up though no host has seen it."""
+    world = wire(tmp_path, categories=[category(effect, goal=19000, abandon=20000, window=2000)])
+    world.slow = True
+    number = world.take()
+    assert world.out and not world.begun
+    for lives in range(3):                 # killed again before its work is done
+        assert not rewritten or world.store.rewrite(world.core.snapshot())
+        world.now += SECOND
+        world.kill()
+        assert [m.id for _, ms in world.out.values() for m in ms] == [number] and not world.notices
+        assert world.core.held[number].launches == 1 and world.core.held[number].ran_at is None
+    world.end(next(iter(world.out)), R.NO_CONNECT)
+    world.kill()
+    assert world.core.held[number].launches == 1 + bool(world.out), "a connection that never came up is a launch that never ran"
+
+
 def test_what_may_go_no_more_after_a_restart_ends_at_once_though_it_is_not_its_turn(tmp_path):
     world = wire(tmp_path, categories=[category("rerunnable", abandon=90000, ordered=True),
                                        category("exclusive", abandon=90000, ordered=True)], slots=1)
@@ -380,7 +401,7 @@
     for listed, wait in ((it.Condition.DRAINING, 0), (it.Condition.UP, SECOND)):
         core, now = bare_core(), 1001 * SECOND
         effects_of(core, now, ev.Arrived("c", fresh()), ev.Arrived("d", fresh("b")), ev.Step())
-        call = effects_of(core, now, ev.Heard("a", "c"))[1]
+        call = effects_of(core, now, ev.Heard("a", "c"))[0]
         effects_of(core, now, ev.Listed(it.Scope.UPDATE, [
             ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, listed, 1.0)]))
         if wait:
@@ -436,7 +457,8 @@
     assert [e.status for e in effects if type(e) is ev.Answer] == [503]
     assert not any(type(e) is ev.Call for e in effects) and not core.held
     effects_of(core, now, ev.Arrived("c", fresh("b")), ev.Step())
-    logged, call = effects_of(core, now, ev.Heard("b", "c"))
+    (call,) = effects_of(core, now, ev.Heard("b", "c"))
+    (logged,) = effects_of(core, now, ev.Begun(call.number))
     effects = effects_of(core, now, ev.Unlogged([logged.record]))
     assert [e.call for e in effects if type(e) is ev.Abort] == [call.number] and not core.calls
     assert core.held["b"].sent is None and core.held["b"].ran_at is None
@@ -524,7 +546,7 @@
 def test_after_a_standstill_an_outcome_under_way_still_comes_before_the_guard():
     core, now = bare_core(), 1001 * SECOND
     effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())
-    call = effects_of(core, now, ev.Heard("a", "c"))[1]
+    call = effects_of(core, now, ev.Heard("a", "c"))[0]
     late = 1010 * SECOND + 160 * MS
     assert not [e for e in effects_of(core, late, ev.Step()) if type(e) is ev.Notify]
     effects = effects_of(core, late, ev.Ended(call.number, 9 * SECOND, [ev.End("a", R.TIMEOUT)]), ev.Step())
@@ -577,6 +599,11 @@
     def wait(self, span):
         self.world.advance(span * MS)
 
+    @rule(slow=st.booleans())
+    def connections(self, slow):
+        """From here on they come up at once, or only as their call ends."""
+        self.world.slow = slow
+
     @rule()
     def platform(self):
         self.world.answer_notices()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,6 +10,7 @@
 from molehill.http import discovery, hosts, notices
 from molehill.http.clients import ROOM, Clients
 from molehill.runtime.scheduler import CUT, LATE, READ, READY
+from molehill.runtime import stream as stream_module
 from molehill.runtime.stream import Broken
 from tests.ledger import MS, SECOND, Net, R, drain, net_config
 
@@ -427,9 +428,12 @@
     def __init__(self, monkeypatch):
         self.net, self.allowed = Net(), True
         self.made, self.refusals = self.net.catch(monkeypatch)
-        self.hosts = hosts.Hosts(self.net.scheduler, net_config(), self.net.budget, self.net.post,
+        self.hosts = hosts.Hosts(self.net.scheduler, net_config(), self.net.budget, self.post,
                                  lambda *_: self.allowed, Figures(()))
-        self.serial = 0
+        self.serial, self.on_begun = 0, lambda call: None
+
+    def post(self, event):
+        self.on_begun(event.call) if type(event) is ev.Begun else self.net.post(event)
 
     def call(self, *ids, bundle=False, span=2 * SECOND, host="h1"):
         self.serial += 1
@@ -459,6 +463,39 @@
         b"Idempotency-Key: m-a\r\nContent-Length: 2\r\n\r\naa")
 
 
+@pytest.mark.parametrize("logged", [True, False])
+def test_a_call_is_logged_once_its_connection_is_up_and_before_its_first_byte_which_else_does_not_go(monkeypatch, logged):
+    """Danger: logged before, what still connects as the process is killed counts as run; logged after, what ran counts as untried."""
+    calls, seen = Calls(monkeypatch), []
+
+    def begun(call):
+        seen.append((call, len(calls.made), drain(calls.made[-1])))
+        if not logged:
+            calls.hosts.abort(call)        # as the core has it where the log takes nothing
+    calls.on_begun = begun
+    calls.refusals.append(Broken("refused"))
+    calls.call()
+    assert not seen and [e.ends[0].result for e in calls.net.events] == [R.NO_CONNECT]
+    calls.call()
+    assert seen == [(2, 1, b"")] and bool(drain(calls.made[-1])) is logged
+    assert len(calls.net.events) == 1 and calls.net.budget.total() == logged
+
+
+def test_a_connection_that_comes_up_as_the_call_s_time_ends_carries_nothing(monkeypatch):
+    """Danger: both are found in one turn, and the callback is sent on after its end."""
+    calls = Calls(monkeypatch)
+    opened = stream_module.opened
+
+    def late(*given, **more):
+        made = opened(*given, **more)
+        calls.net.clock.now += 2 * SECOND
+        return made
+    monkeypatch.setattr("molehill.runtime.stream.opened", late)
+    calls.call(span=2 * SECOND)
+    assert [(e.ends[0].result, e.ends[0].unsent) for e in calls.net.events] == [(R.NOT_SENT, True)]
+    assert drain(calls.made[0]) is None and calls.net.budget.total() == 0
+
+
 @pytest.mark.parametrize("reply,expected", [
     (answered(200, b"Srv-Load: x0=0.4,x1=25"), (R.FULFILLED, 0, True, False, 25.0, 0.4)),
     (answered(500), (R.ERROR, 0, False, False, 0.0)),
