What a restart finds taken on and untried waits for its destination and keeps its place

Cause: by reading, three lines of the module. _taken denied at once what has no launch and no known host of its destination, also what an earlier process had taken on: a start while discovery is down knows only the file's list. _make_room gave one up for each that was read back beyond fifteen sixteenths of the room, and afterwards one for each newcomer. A backlog read back in one moment drained its tenant's bucket, so all beyond two seconds' worth of it went behind the rest. Change: NewCallback tells whether an earlier process or module had taken it on. Such a one is not turned away for want of a host, takes nothing from the bucket, and makes nobody give way; untried, it gives no place to newcomers, who are refused at the door. Ruled out: that it is held beyond its time (its end comes at its time as ever, test), or that a destination so remembered lets newcomers in (it needs a host that was heard of).

--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -268,7 +268,7 @@
         rests = self.rests.get(c.key, 0) if c.key is not None else 0
         self.inbox.append(it.NewCallback(c.id, c.category, c.tenant, c.key, c.due, c.destination,
                                          c.launches, c.ran_at, c.ran_zone, rests if rests > self.now else 0,
-                                         self.under.get(c.call)))
+                                         self.under.get(c.call), c.state is not ARRIVED))
         heappush(self.guards, (c.due + self.GUARD, c.id, False))
 
     def _heard(self, event):
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -137,6 +137,7 @@
     ran_zone: Optional[int] = None  # where that was
     rests_until: int = 0        # until when its key rests
     under: Optional[Underway] = None    # its last launch is out in that call
+    taken: bool = False         # an earlier process or module had taken it on
 
 
 @dataclass(slots=True)
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -25,6 +25,7 @@
         self.id, self.row, self.payoff, self.lane = new.callback, row, payoff, (new.category, over)
         self.key, self.due, self.goal = None, new.abandon_at, new.abandon_at - row.abandon + row.goal
         self.dest, self.state, self.launches, self.call = new.destination, None, new.launches, None
+        self.kept = False                     # found untried by a restart
         self.ran, self.zone, self.stale = False, None, self.due    # may have run, and is known only there;
         self.ticket = self.due if row.effect is Effect.RERUNNABLE else 0    # if so, it may go till then
 
@@ -113,9 +114,11 @@
     ASKED_SPAN = 60 * SECOND  # a minute of traffic outweighs its clumps
 
     def _taken(self, new):
-        if new.destination not in self.dests and not new.launches:    # no host of it was heard of
+        # Danger: a start while discovery is down knows old hosts or none. What was taken on before is not turned away for
+        # that, nor for what came with it in this one moment: it had its place and its share when it came.
+        if not (new.taken or new.destination in self.dests and self.dests[new.destination].known):
             return self.actions.append(it.Deny(new.callback, self._back()))
-        row, over = self.set.categories[new.category], self._over_share(new.tenant)
+        row, over = self.set.categories[new.category], not new.taken and self._over_share(new.tenant)
         callback = Callback(new, row, row.payoff * (self.set.over_share_payoff if over else 1.0), over)
         if self.set.halving and row.late_share > 0.0:    # its payoff falls no more from then on
             callback.stale = callback.goal - int(row.goal * log2(row.late_share))
@@ -132,7 +135,8 @@
         if self.now - dest.asked_at > self.ASKED_SPAN:
             dest.asked, dest.asked_at = dest.asked / 2, self.now - self.ASKED_SPAN // 2
         dest.asked += 1
-        self._make_room()
+        callback.kept = new.taken and not new.launches
+        self._make_room() if not new.taken else None
         self._at(callback.due if self._may_launch(callback) else self.now, self._time_up, callback.id)
         self._next_turn(callback.key)
 
@@ -222,10 +226,11 @@
 
     def _make_room(self):
         """Danger: callbacks for a sick destination fill the relay, newcomers for healthy ones are turned away
-        at its door. While it is nearly full, what holds a place for the least payoff gives way at once."""
+        at its door. While it is nearly full, what holds a place for the least payoff gives way at once; but not what
+        a restart found untried."""
         limit = self.set.max_held             # a sixteenth of it: what may come in one batch
         full = limit is not None and len(self.held) >= limit - limit // 16
-        waiting = [callback for callback in self.held.values() if callback.state in WAITING] if full else []
+        waiting = [c for c in self.held.values() if c.state in WAITING and (c.launches or not c.kept)] if full else []
         if waiting:
             self._give_up(min(waiting, key=self._keeping))
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -229,6 +229,44 @@
     assert world.core.held[number].launches == 1 + bool(world.out), "a connection that never came up is a launch that never ran"
 
 
+@pytest.mark.parametrize("hosts", [(), HOSTS[2:]])
+def test_a_restart_without_a_host_of_its_destination_has_what_is_untried_wait_for_the_list(tmp_path, hosts):
+    """Danger: discovery is down at the start, and what is owed is turned away for a destination that the file does not know yet."""
+    world = wire(tmp_path, categories=[category("exclusive", abandon=20000)])
+    world.slow = True
+    number = world.take()
+    listed, world.hosts = world.hosts, {h[0]: world.hosts[h[0]] for h in hosts}
+    world.kill()
+    world.advance(5 * SECOND)
+    assert not world.notices and not world.out
+    newcomer = world.take()
+    assert world.answers[newcomer] == 503, "a new one is turned away as ever"
+    world.hosts = listed
+    world.post(ev.Listed(it.Scope.WHOLE, list(listed.values())))
+    world.step()
+    assert [m.id for _, ms in world.out.values() for m in ms] == [number]
+    world.hosts = {}
+    world.kill()
+    world.advance(16 * SECOND)
+    assert list(world.notices) == [number] and not world.core.held[number].body, "its time ends it all the same"
+
+
+def test_what_a_restart_finds_untried_gives_no_place_to_newcomers_and_is_not_judged_by_the_moment_of_its_return(tmp_path):
+    """Danger: read back in one batch, a relay's backlog is over its room and its tenant's share at once, and is given up untried."""
+    world = wire(tmp_path, hosts=HOSTS[:1], max_held=32, slots=1, tenants=[it.Tenant(1.0, 2.0)], over_share_payoff=0.1,
+                 categories=[category("exclusive", abandon=60000)])
+    world.slow = True
+    held = []
+    for _ in range(29):
+        held.append(world.take())
+        world.now += SECOND                # just as many as its share allows
+    world.kill()
+    assert not any(world.core.module.held[number].lane[1] for number in held)
+    newcomers = [world.take() for _ in range(12)]
+    assert [world.answers[number] for number in newcomers].count(503) > 9 and not set(world.notices) & set(held)
+    assert set(held) <= set(world.core.held) and len(world.core.module.held) <= 32
+
+
 def test_what_may_go_no_more_after_a_restart_ends_at_once_though_it_is_not_its_turn(tmp_path):
     world = wire(tmp_path, categories=[category("rerunnable", abandon=90000, ordered=True),
                                        category("exclusive", abandon=90000, ordered=True)], slots=1)
