Tests: one relay on loopback sockets stands in tests/place.py, for the files that cross two sides

Cause: the tests of crossings that come next need the same relay, host, platform and client as tests/test_relay.py has, and test_upgrade.py took them from there.

--- /dev/null
+++ b/tests/place.py
@@ -0,0 +1,87 @@
+"""One whole relay on loopback sockets and a clock moved by hand, with the other parties' ends of its connections."""
+import os
+import socket
+from dataclasses import replace
+
+from molehill import config as configuration
+from molehill.core import events as ev
+from molehill.relay import Process
+from molehill.runtime.kernel import Kernel
+from molehill.runtime.log import Sink
+from tests.ledger import MS, Ticks, drain, net_config
+
+ASK = (b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nX-Consignee: dest=3\r\nCookie: subject=k\r\n"
+       b"Content-Length: 2\r\n\r\nab")
+
+
+class Place:
+    """Other parties of one relay: a host, the platform (discovery and notices) and a client."""
+
+    def __init__(self, folder):
+        self.folder, self.clock, self.open = folder, Ticks(), []
+        self.host, self.platform = self.listener(), self.listener()
+        self.start()
+
+    def listener(self):
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setblocking(False)
+        self.open.append(sock)
+        return sock
+
+    def config(self, **given):
+        at = "127.0.0.1:%d" % self.host.getsockname()[1]
+        known = {"index": 1, "endpoints": [{"name": "h1", "address": at, "zone": "a", "type": "m", "group": 3,
+                                            "status": "active", "weight": 1.0, "since_ms": 0}]}
+        return replace(net_config(known=known, state=str(self.folder), **given), listen=("127.0.0.1", 0),
+                       discovery=self.platform.getsockname())
+
+    def start(self):
+        self.relay = Process(self.config(), Kernel(self.clock), Sink(),
+                             lambda old: configuration.load(os.environ, again=old))
+        self.relay.clients.listen()
+        self.address = self.relay.clients.listener.getsockname()
+        self.relay.discovery.begin()
+        self.relay.engine.post(ev.Begin())
+        self.relay.clients.ready = True
+        self.turn()
+
+    def turn(self, rounds=40):
+        for _ in range(rounds):
+            self.relay.scheduler.turn(block=False)
+
+    def advance(self, span, step=5 * MS):
+        until = self.clock.now + span
+        while self.clock.now < until:
+            self.clock.now = min(until, self.clock.now + step)
+            self.turn(4)
+
+    def accept(self, listener):
+        for _ in range(200):
+            self.advance(5 * MS)
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                continue
+            sock.setblocking(False)
+            self.open.append(sock)
+            return sock
+        raise AssertionError("nobody came")
+
+    def client(self):
+        sock = socket.create_connection(self.address)
+        sock.setblocking(False)
+        self.open.append(sock)
+        return sock
+
+    def hear(self, sock, wanted):
+        data = b""
+        for _ in range(200):
+            self.advance(5 * MS)
+            data += drain(sock) or b""
+            if wanted in data:
+                return data
+        raise AssertionError(f"{wanted!r} did not come: {data!r}")
+
+    def close(self):
+        for sock in self.open:
+            sock.close()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,7 +12,7 @@
 from molehill.runtime.log import Sink
 from molehill.runtime.stream import Broken
 from tests.ledger import MS, SECOND, drain
-from tests.test_relay import Place
+from tests.place import Place
 
 ASK = b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: %s\r\nX-Consignee: dest=3\r\nCookie: subject=k\r\nContent-Length: 2\r\n\r\nab"
 DONE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
