A silent watch's replacement may be silent too; a whole list is given five seconds, not eleven and a half

Discovery._follow asked once more at once; where that call was silent too, the failure had the module rest one to three seconds with no watch, while what it missed counted as told half a second after. A call for the whole list, which has no hold, was waited for as long as a watch, 11.5 s, though it counts as told 6 s after it fell silent: after a SIGHUP that moves discovery, or where discovery counts anew. Ruled out: that asking at once presses an overloaded discovery: each such call has waited its whole time first, and a failure that is answered, or a connection that does not come up twice, rests as before. Change: silence is told from a connection that never came up; it has the call made anew as often as it comes. A whole list is waited for 5 s, twice that each further time, 20 s at most, should it come in slow pieces. Tests: three silent in a row, before a byte and in the middle of a list; the whole list. Both fail with the lines as they were.

--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -12,6 +12,8 @@
 
 HOLD = 10 * SECOND                 # a watch that went silent is noticed within this and the next figure
 ANSWER_WITHIN = 1500 * MS          # after the hold; what is told counts as known 2 s after it
+# A whole list has no hold: what it would tell counts as known 6 s after it fell silent. Longer each time, should it be so slow.
+WHOLE_WITHIN, WHOLE_MOST = 5 * SECOND, 20 * SECOND
 PAUSE = 100 * MS                   # after an answer that came at once with no news: half of what ends a watch
 # The list is the one body that grows with the fleet. Danger: bounded as the others, one of some hundreds of hosts is never read,
 # and the relay calls whom it knew at its start. An entry takes some 160 bytes, indented 300, so this holds 3,500 at the least;
@@ -51,6 +53,10 @@
             "type": name_of[0].get(host.kind), "group": host.destination, "weight": host.units}
 
 
+class Silent(Late):
+    """Discovery took a call and tells nothing, or only half."""
+
+
 class Discovery:
     def __init__(self, scheduler, config, budget, post):
         self.scheduler, self.config, self.post = scheduler, config, post
@@ -96,12 +102,21 @@
             self.post(ev.Listed(it.Scope.FAILED))
 
     def _follow(self) -> None:
-        began, before = self.clock(), self.version
-        try:
-            version, whole, hosts = self._ask()
-        except Late:                       # silent beyond its hold: once more, on a new connection
-            self.line.close()
-            version, whole, hosts = self._ask()
+        began, before, patience, again = self.clock(), self.version, WHOLE_WITHIN, True
+        while True:
+            try:
+                version, whole, hosts = self._ask(patience)
+                break
+            except Silent:
+                # Danger: the watch that takes its place may be silent too. Rested after that, as after a failure, the relay has
+                # no watch while what it misses counts as told. Each waits its whole time, so nobody is pressed by this.
+                self.line.close()
+                patience = min(2 * patience, WHOLE_MOST)
+            except Late:                   # it never came up: once more at once
+                self.line.close()
+                if not again:
+                    raise
+                again = False
         # Danger: a discovery that counts anew would keep its news until it has caught up.
         self.version = version if whole or version >= (before or 0) else None
         if whole or hosts:
@@ -109,15 +124,18 @@
         if version == before and self.clock() - began < PAUSE:
             self.scheduler.sleep(began + PAUSE)
 
-    def _ask(self):
-        until = self.clock() + HOLD + ANSWER_WITHIN
+    def _ask(self, patience):
+        until = self.clock() + (patience if self.version is None else HOLD + ANSWER_WITHIN)
         stream = self.line.get(self.clock() + self.config.connect_time_out)
         target = "/registry/instances"     # the whole list, at once
         if self.version is not None:
             target += f"?from={self.version}&hold_ms={HOLD // MS}"
         stream.send(http.request("GET", target, "%s:%d" % self.config.discovery), until)
-        head = stream.answer(until)
-        body = stream.body(head, until)
+        try:
+            head = stream.answer(until)
+            body = stream.body(head, until)
+        except Late as error:
+            raise Silent() from error
         if head.status != 200:
             raise ValueError(f"status {head.status}")
         if not head.keep:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -848,17 +848,39 @@
     assert watch.watch() and len(watch.made) == 2 and watch.net.budget.total() == 1
 
 
-def test_a_watch_that_went_silent_is_begun_once_more_on_a_new_connection(monkeypatch):
+@pytest.mark.parametrize("begun", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"])
+def test_a_watch_that_went_silent_is_begun_anew_at_once_and_so_is_the_one_in_its_place(monkeypatch, begun):
+    """Danger: the second rested, as after a failure, while what it missed counted as told."""
     watch = Watch(monkeypatch)
-    watch.watch()
-    watch.net.advance(11_400 * MS)
-    assert len(watch.made) == 1
-    watch.net.advance(200 * MS)
-    assert len(watch.made) == 2 and len(watch.net.events) == 1
+    for turn in range(1, 5):
+        watch.watch() if turn == 1 else None
+        watch.made[-1].send(begun)
+        watch.net.advance(11_400 * MS)
+        assert len(watch.made) == turn
+        watch.net.advance(100 * MS)
+        assert len(watch.made) == turn + 1 and drain(watch.made[-1]).startswith(b"GET /registry/instances?from=0&hold_ms=10000 ")
+    assert len(watch.net.events) == 1, "no failure that the module would rest after"
+    watch.refusals += [hosts.Late()] * 2   # the next two never come up
     watch.net.advance(11_600 * MS)
     assert watch.net.events[-1].scope is it.Scope.FAILED
 
 
+def test_a_whole_list_that_falls_silent_is_asked_for_again_before_it_counts_as_told(monkeypatch):
+    """Danger: no wait was asked for, so six seconds after its silence the list counts as told; a slow one gets longer each time."""
+    watch = Watch(monkeypatch)
+    watch.watch()
+    watch.discovery.move()
+    watch.net.settle()
+    for turn, span in enumerate((5000, 10000, 20000, 20000), start=2):
+        assert drain(watch.made[-1]).startswith(b"GET /registry/instances HTTP")
+        watch.net.advance((span - 100) * MS)
+        assert len(watch.made) == turn
+        watch.net.advance(100 * MS)
+        assert len(watch.made) == turn + 1
+    watch.tell(7, entry(), whole=True)
+    assert [h.id for h in watch.net.events[-1].hosts] == ["h1"] and b"GET /registry/instances?from=7&" in drain(watch.made[-1])
+
+
 def test_a_discovery_that_counts_anew_is_asked_for_its_whole_list(monkeypatch):
     watch = Watch(monkeypatch, {"index": 41, "endpoints": [entry()]})
     watch.watch()
