Settings that lack what a class needs, or name an unknown scope, end the start with the key

An absent semantics was read as at most once, an absent deadline as none left, an absent window or scope of a deduplicated class as no repeats at all, an unknown scope as one zone; each served by promises that nobody made. An unknown effect was refused before. Change: name, semantics and deadlineMs of each class, dedupScope and dedupWindowMs of a deduplicated one are asked for; the window is above 0, the scope all, zone or cell. Tests: seven more rows; each fails without its line.

--- a/molehill/config.py
+++ b/molehill/config.py
@@ -344,6 +344,24 @@
                  reader.get("bytesPerS", whole, FLEET_BYTES), spans)
 
 
+SCOPES = ("all", "zone", "cell")
+
+
+def check_class(row: dict, at: str) -> None:
+    """Raises for a class of message that lacks what its effect needs. Danger: a default in its place is a promise that nobody made,
+    and the relay would serve by it for a day before anybody asks."""
+    needed = ("name", "semantics", "deadlineMs")
+    if row.get("semantics") == "deduplicated":
+        needed += TICKETED_ONLY
+        if row.get("dedupScope", "all") not in SCOPES:
+            raise ConfigError(f"{at}dedupScope: '{row['dedupScope']}' is not one of {', '.join(SCOPES)}")
+        positive(row.get("dedupWindowMs"), f"{at}dedupWindowMs")
+    for key in needed:
+        if row.get(key) in (None, "", "-"):
+            raise ConfigError(f"{at}{key}: missing")
+    positive(row["deadlineMs"], f"{at}deadlineMs")
+
+
 def check(given: dict, environ) -> Config:
     nested, limits, known = part(given, "settings"), part(given, "limits"), part(given, "known")
     pairs = flat(nested)
@@ -354,7 +372,7 @@
     if len(names(nested, "grades")) != len(made.categories):
         raise ConfigError("settings.grades: two classes have one name")
     for n, row in enumerate(part_list(nested, "grades")):
-        positive(row.get("deadlineMs"), f"settings.grades.{n}.deadlineMs")
+        check_class(row, f"settings.grades.{n}.")
     positive(part(nested, "allowed", "settings.").get("maxAttempts"), "settings.allowed.maxAttempts")
     state = environ.get("ROUTER_STATE") or given.get("state")
     if not state:
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -421,7 +421,7 @@
 def net_given(**given):
     settings_given = dict(grades=[{"name": "notice", "semantics": "deduplicated", "dedupScope": "all",
                                    "dedupWindowMs": 9000, "deadlineMs": 15000, "serialByKey": True},
-                                   {"name": "plain", "deadlineMs": 4000}],
+                                   {"name": "plain", "semantics": "at_most_once", "deadlineMs": 4000}],
                           allowed={"connIdleMs": 10000, "connectTimeoutMs": 1500, "maxAttempts": 6}, azs=["a"], machineTypes=["m"],
                           telemetry={"fields": ["x0", "x1"], "how": "piggyback"})
     return {"listen": "127.0.0.1:81", "discovery": "127.0.0.1:82", "state": "/x", "settings": settings_given, **given}
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -61,6 +61,8 @@
     ("settings.allowed.maxAttempts", 0, "settings.allowed.maxAttempts"),
     ("settings.allowed.maxAttempts", True, "settings.allowed.maxAttempts"),
     ("settings.grades", GIVEN["settings"]["grades"] * 2, "settings.grades"),
+    *[(f"settings.grades.0.{key}", None, f"settings.grades.0.{key}") for key in ("name", "semantics", "deadlineMs", "dedupScope", "dedupWindowMs")],
+    ("settings.grades.0.dedupWindowMs", 0, "settings.grades.0.dedupWindowMs"), ("settings.grades.0.dedupScope", "town", "settings.grades.0.dedupScope"),
     ("settings.grades", [], "settings.grades"), ("settings.azs", "a", "settings.azs"),
     ("settings", [], "settings"), ("limits.sockets", 5, "limits.sockets"), ("limits.disk_mb", 0, "limits.disk_mb"),
     ("limits.memory_mb", "nan", "limits.memory_mb"), ("listen", "localhost", "ROUTER_LISTEN"),
