No record of the log stops a start, and a log that was cut or has odd records says so as a warning

Cause: by reading. Store.replay passed over four kinds of error; a record whose checksum is right and whose text is nested too deep, or whose fields raise anything else, ended the start with a trace. What was cut or passed over stood in an info line like every start's. Change: whatever a record raises counts as odd, what follows still counts; the line is a warning once cut or odd is above 0. Tests: five kinds of error, a deep record and a torn tail on a whole relay; the deep one ended the start before.

--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -79,8 +79,8 @@
         self.store = Store(config.state, files, machine.disk)
         self.core = Core(config.settings, config.seed, Relay, owed, list(config.categories))
         count = self.store.replay(self.core.load)
-        self.log.info("log read", records=count, held=len(self.core.held), cut=self.store.cut,
-                      odd=self.store.odd)
+        say = self.log.warning if self.store.cut or self.store.odd else self.log.info
+        say("log read", records=count, held=len(self.core.held), cut=self.store.cut, odd=self.store.odd)
         self.engine = engine = Engine(self.scheduler, self.core, self.store, self.log, config.period)
         self.clients = engine.clients = Clients(self.scheduler, config, budget, engine.post)
         self.hosts = engine.hosts = Hosts(self.scheduler, config, budget, engine.post, self.core.may_send,
--- a/molehill/store.py
+++ b/molehill/store.py
@@ -40,7 +40,7 @@
             try:
                 load(json.loads(line), body)
                 count += 1
-            except (ValueError, KeyError, TypeError, AttributeError):
+            except Exception:          # whatever it is: danger, one record that can't be read would keep the relay from its start
                 self.odd += 1          # whole, but of no use here: what follows it still counts
         self.cut, self.size = len(data) - at, at
         self.disk.truncate(self.fd, at)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,10 +3,12 @@
 import signal
 import socket
 from dataclasses import replace
+from zlib import crc32
 
 import pytest
 
 from molehill.relay import log_room
+from molehill.store import HEAD
 from tests.ledger import MS, SECOND, drain, net_config, net_given
 from tests.place import ASK, Place
 
@@ -152,6 +154,21 @@
     assert seen == [("ending", 0), ("letting go", 30), ("last answers", 33), ("cutting", 35), ("ended", 35)]
 
 
+def test_a_log_with_a_torn_tail_and_a_record_that_can_t_be_read_is_read_and_the_relay_says_so(place, capfd):
+    """Danger: one odd record keeps the relay from its start, or what was cut off is told to nobody."""
+    client = place.client()
+    client.send(ASK % b"id1")
+    place.hear(client, b"HTTP/1.1 202")
+    place.relay.store.close()
+    payload = b"[" * 100_000 + b"\n"
+    with open(place.relay.store.path, "ab") as log:
+        log.write(HEAD.pack(len(payload), crc32(payload)) + payload + b"torn")
+    capfd.readouterr()
+    place.start()
+    said = capfd.readouterr().err
+    assert "level='warning' event='log read' cut=4 held=1 odd=1" in said and list(place.relay.core.held) == ["id1"]
+
+
 def test_the_log_s_files_leave_room_on_the_disk_and_in_memory():
     for disk, memory in ((3 * 10**6, 192 * 10**6), (10**9, 64 * 10**6)):
         files, owed = log_room(replace(net_config(), disk=disk, memory=memory))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -41,14 +41,15 @@
     assert read(tmp_path)[1] == ROWS[:1] + ROWS[4:]
 
 
-def test_a_record_of_no_use_does_not_take_the_later_ones_with_it(tmp_path):
+@pytest.mark.parametrize("error", [KeyError, IndexError, OverflowError, RecursionError, ZeroDivisionError])
+def test_a_record_of_no_use_does_not_take_the_later_ones_with_it(tmp_path, error):
     store, _ = read(tmp_path)
     store.append(ROWS)
     found = []
 
     def load(record, body):
         if record["id"] == "c1":
-            raise KeyError("destination")
+            raise error("destination")
         found.append(record["id"])
     store = Store(str(tmp_path), 100_000, Disk())
     assert store.replay(load) == 4 and store.odd == 1 and found == ["c0", "c2", "c3", "c4"]
