Standard terms: idempotent, deduplicated, at most once; delivered, rejected, failed

Cause: the code's own words (rerunnable, ticketed, exclusive; fulfilled, denied, scrapped) hid terms that the field has. Change: names of code, comments and docstrings only, by token; no behaviour. Tests: as before, with the same names changed.

--- a/molehill/benchlink/codec.py
+++ b/molehill/benchlink/codec.py
@@ -2,7 +2,7 @@
 from molehill import interface as it
 from molehill.config import NS_DIGITS, ConfigError, named, nanos, real, whole
 
-RESULTS = {"S": it.Result.FULFILLED, "E": it.Result.ERROR, "F": it.Result.FULL, "T": it.Result.TIMEOUT,
+RESULTS = {"S": it.Result.DELIVERED, "E": it.Result.ERROR, "F": it.Result.FULL, "T": it.Result.TIMEOUT,
            "C": it.Result.NO_CONNECT, "R": it.Result.RESET, "X": it.Result.CANCELLED, "N": it.Result.NOT_SENT}
 CONDITIONS = {"up": it.Condition.UP, "draining": it.Condition.DRAINING, "removed": it.Condition.GONE}
 SCOPES = {"update": it.Scope.UPDATE, "replace": it.Scope.WHOLE, "restored": it.Scope.RESTORED,
@@ -71,9 +71,9 @@
         return f"deliver {instance} {action.callback} {action.host} {millis(action.time_out)}\n"
     if type(action) is it.Wake:
         return f"defer {instance} {millis(action.span)} {action.token}\n"
-    if type(action) is it.Deny:
+    if type(action) is it.Reject:
         return f"reject {instance} {action.callback} {millis(action.come_back)}\n"
-    if type(action) is it.Scrap:
+    if type(action) is it.Fail:
         return f"abort {instance} {action.callback}\n"
     if type(action) is it.CloseIdle:
         return f"release {instance} {action.host}\n"
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -10,8 +10,8 @@
 
 from molehill import interface as it
 
-EFFECTS = {"idempotent": it.Effect.RERUNNABLE, "deduplicated": it.Effect.TICKETED,
-           "at_most_once": it.Effect.EXCLUSIVE}
+EFFECTS = {"idempotent": it.Effect.IDEMPOTENT, "deduplicated": it.Effect.DEDUPLICATED,
+           "at_most_once": it.Effect.AT_MOST_ONCE}
 NS_DIGITS = 6                  # a millisecond holds 10^6 nanoseconds
 MS = 10 ** NS_DIGITS
 SECOND = 1000 * MS
@@ -84,7 +84,7 @@
 
 
 LISTS = ("known", "fleet.seeds")
-TICKETED_ONLY = ("dedupScope", "dedupWindowMs")
+DEDUPLICATED_ONLY = ("dedupScope", "dedupWindowMs")
 
 
 def keys_of(value, path: str = "") -> set[str]:
@@ -96,7 +96,7 @@
             found |= keys_of(part, f"{path}.{name}" if path else name)
     elif isinstance(value, list) and value and all(isinstance(row, dict) for row in value):
         common = set.intersection(*(keys_of(row, f"{path}.*") for row in value))
-        found |= {key for key in common if not key.endswith(TICKETED_ONLY)}
+        found |= {key for key in common if not key.endswith(DEDUPLICATED_ONLY)}
     return found
 
 
@@ -132,7 +132,7 @@
         at = f"grades.{n}."
         scope = given.get(at + "dedupScope", "")
         categories.append(it.Category(
-            get(at + "semantics", lambda text: named(text, EFFECTS), it.Effect.EXCLUSIVE),
+            get(at + "semantics", lambda text: named(text, EFFECTS), it.Effect.AT_MOST_ONCE),
             get(at + "aimMs", nanos, 0), get(at + "deadlineMs", nanos, 0), get(at + "worth", real, 1.0),
             get(at + "lateShare", real, 0.0), get(at + "dedupWindowMs", nanos, 0),
             scope == "zone", scope == "all", get(at + "serialByKey", flag, False)))
@@ -352,7 +352,7 @@
     and the relay would serve by it for a day before anybody asks."""
     needed = ("name", "semantics", "deadlineMs")
     if row.get("semantics") == "deduplicated":
-        needed += TICKETED_ONLY
+        needed += DEDUPLICATED_ONLY
         if row.get("dedupScope", "all") not in SCOPES:
             raise ConfigError(f"{at}dedupScope: '{row['dedupScope']}' is not one of {', '.join(SCOPES)}")
         positive(row.get("dedupWindowMs"), f"{at}dedupWindowMs")
--- a/molehill/core/figures.py
+++ b/molehill/core/figures.py
@@ -2,8 +2,8 @@
 
 Counts run from the start of the process. Gauges are kept as changes happen, never by a walk over all that is held.
 """
-FULFILLED, THROTTLED, FAULTED = "fulfilled", "throttled", "faulted"
-ENDS = (FULFILLED, THROTTLED, FAULTED)
+DELIVERED, THROTTLED, FAULTED = "fulfilled", "throttled", "faulted"
+ENDS = (DELIVERED, THROTTLED, FAULTED)
 COUNTS, GAUGES = ("relayed", "cfg_accepted", "cfg_invalid"), ("open_requests", "registry_entries", "out_of_rotation")
 PREFIX = "router"
 
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -13,7 +13,7 @@
 from molehill.config import MS, SECOND
 from molehill.core import events as ev
 from molehill.core.classes import Classes
-from molehill.core.figures import FAULTED, FULFILLED, THROTTLED, Figures
+from molehill.core.figures import FAULTED, DELIVERED, THROTTLED, Figures
 from molehill.holds import holds
 from molehill.interface import Result
 
@@ -346,7 +346,7 @@
             self.wake_at = None
             batch.append(it.Timer("wake"))
         actions = self.module.step(now, batch)
-        ended = {a.callback for a in actions if type(a) in (it.Deny, it.Scrap)}
+        ended = {a.callback for a in actions if type(a) in (it.Reject, it.Fail)}
         for event in batch:
             callback = self.held.get(event.callback) if type(event) is it.NewCallback else None
             if callback is not None and callback.state is ARRIVED and callback.id not in ended:
@@ -368,8 +368,8 @@
                 self._log("health", host=action.host, away=action.away, at=now)
                 self.effects.append(ev.Say(action.text))
             elif action.callback in self.held:
-                self._end_callback(self.held[action.callback], type(action) is it.Deny,
-                                   action.come_back if type(action) is it.Deny else 0)
+                self._end_callback(self.held[action.callback], type(action) is it.Reject,
+                                   action.come_back if type(action) is it.Reject else 0)
         for host, launches in groups.items():
             size = self._kind(self.hosts[host]).per_call
             for at in range(0, len(launches), size):
@@ -458,7 +458,7 @@
     def may_send(self, host, ids, now):
         """Whether these may still go there: asked once more just before a call's first byte.
 
-        Danger: a connection takes its time to come up, and a ticketed one that may have run outlives its window.
+        Danger: a connection takes its time to come up, and a deduplicated one that may have run outlives its window.
         """
         entry = self.hosts[host]
         return entry.condition is it.Condition.UP and self.waits.get(self._route(entry), 0) <= now \
@@ -466,7 +466,7 @@
 
     def _may_repeat(self, c, now):
         row = self.set.categories[c.category]
-        return c.ran_at is None or row.effect is not it.Effect.TICKETED or now < c.ran_at + row.window
+        return c.ran_at is None or row.effect is not it.Effect.DEDUPLICATED or now < c.ran_at + row.window
 
     def _unpark(self, out, ids):
         """Launches that never left the relay."""
@@ -506,7 +506,7 @@
                 self._settle_launch(callback, end.result, self.now, end.unsent)
                 ended.append([end.id, end.result.value, closed and callback.state is not OWED, end.unsent])
                 if closed and callback.state is not OWED:
-                    self._count(callback, FULFILLED if end.result is Result.FULFILLED else FAULTED)
+                    self._count(callback, DELIVERED if end.result is Result.DELIVERED else FAULTED)
                     self._move(callback, OVER)
             else:
                 closed, launches = True, 1
--- a/molehill/emulator/parties/programs.py
+++ b/molehill/emulator/parties/programs.py
@@ -77,7 +77,7 @@
 
 
 class Program:
-    """`plan`: rate (a second), until (ns), destinations, categories (rows: name, span, ordered, ticketed), keys, tries,
+    """`plan`: rate (a second), until (ns), destinations, categories (rows: name, span, ordered, deduplicated), keys, tries,
     heeds (advice), once (asks once on a connection and keeps it), leaves (share given up before the answer)."""
 
     def __init__(self, world, network, front, name: str, addresses, plan):
--- a/molehill/emulator/planted.py
+++ b/molehill/emulator/planted.py
@@ -146,7 +146,7 @@
     "ticket window off by a quarter": (config, "settings", settings_with(window=lambda w: w * 5 // 4)),
     "ticket's zone not heeded": (config, "settings", settings_with(all_hosts=lambda _: True, same_zone=lambda _: False)),
     "exclusive taken for rerunnable": (config, "settings", settings_with(
-        effect=lambda e: it.Effect.RERUNNABLE if e is it.Effect.EXCLUSIVE else e)),
+        effect=lambda e: it.Effect.IDEMPOTENT if e is it.Effect.AT_MOST_ONCE else e)),
     "order of keys not kept": (config, "settings", settings_with(ordered=lambda _: False)),
     "key's rest forgotten": (Relay, "_settle", lambda before: lambda self, key, until: None),
     "key's rest forgotten after a restart": (Core, "_hand_over", lambda before: lambda self, c: (
--- a/molehill/emulator/recount.py
+++ b/molehill/emulator/recount.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict, deque
 
 from molehill.config import MS
-from molehill.core.figures import FAULTED, FULFILLED, THROTTLED
+from molehill.core.figures import FAULTED, DELIVERED, THROTTLED
 from molehill.emulator.referee import CROSSING
 from molehill.emulator.scenario import FAULTS, directions
 
@@ -62,7 +62,7 @@
         self.fresh = {c: row for c, row in self.fresh.items() if self.world.now - row[0] <= CROSSING}
         self.fresh[conn] = self.world.now, relay, len(ids)
         for ident in ids if status == 200 else ():
-            self.end(relay, ident, FULFILLED)
+            self.end(relay, ident, DELIVERED)
 
     def hung_up(self, who, conn) -> None:
         """An answer that crossed the relay's hanging up may have come too late to count."""
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -15,7 +15,7 @@
 REST_WITHIN = 250 * MS             # for the rest of an answer whose outcome is known: pieces come close together
 SOONEST = MS                       # no answer comes within it: a host has to read the call, do its work and write
 # status -> outcome of a call of one; 200 in a call of several is read line by line
-STATUS = {200: ev.End("", Result.FULFILLED, closed=True), 500: ev.End("", Result.ERROR),
+STATUS = {200: ev.End("", Result.DELIVERED, closed=True), 500: ev.End("", Result.ERROR),
           429: ev.End("", Result.FULL), 503: ev.End("", Result.FULL),
           400: ev.End("", Result.FULL), 413: ev.End("", Result.FULL),
           410: ev.End("", Result.NOT_SENT, closed=True), 504: ev.End("", Result.NOT_SENT, spent=True)}
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -11,14 +11,14 @@
 Id = Union[int, str]
 
 
-class Effect(Enum):
-    RERUNNABLE = "rerunnable"   # may run again
-    TICKETED = "ticketed"       # carries a mark by which a repeat is known for a while
-    EXCLUSIVE = "exclusive"     # must never run twice
+class Effect(Enum):             # the values are those of the log on the disk, which older programs wrote
+    IDEMPOTENT = "rerunnable"   # may run again
+    DEDUPLICATED = "ticketed"   # carries a mark by which a repeat is known for a while
+    AT_MOST_ONCE = "exclusive"  # must never run twice
 
 
-class Result(Enum):
-    FULFILLED = "fulfilled"
+class Result(Enum):             # likewise
+    DELIVERED = "fulfilled"
     ERROR = "error"             # answered with an error; may have run
     FULL = "full"               # turned away unseen
     TIMEOUT = "timeout"         # no answer in time; may have run
@@ -32,7 +32,7 @@
         return self in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
     @property
-    def may_have_run(self):     # though it is not known to have been fulfilled
+    def may_have_run(self):     # though it is not known to have been delivered
         return self is Result.ERROR or self.may_run_still
 
 
@@ -56,9 +56,9 @@
     abandon: int                # given up after this span
     payoff: float
     late_share: float           # share of the payoff left at the abandon time (or the floor when halving)
-    window: int                 # ticketed: how long a repeat is dropped
-    same_zone: bool             # ticketed: only hosts of the first launch's zone drop repeats
-    all_hosts: bool             # ticketed: every host of the destination drops repeats
+    window: int                 # deduplicated: how long a repeat is dropped
+    same_zone: bool             # deduplicated: only hosts of the first launch's zone drop repeats
+    all_hosts: bool             # deduplicated: every host of the destination drops repeats
     ordered: bool               # callbacks of one key go in turn
 
 
@@ -191,13 +191,13 @@
 
 
 @dataclass(slots=True)
-class Deny:
+class Reject:
     callback: Id
     come_back: int              # 0 for no guidance
 
 
 @dataclass(slots=True)
-class Scrap:
+class Fail:
     callback: Id
 
 
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -1,4 +1,4 @@
-"""The decisions of a molehill relay: which callback is launched where and when, repeated, denied or scrapped.
+"""The decisions of a molehill relay: which callback is launched where and when, repeated, rejected or failed.
 
 Called as `relay = Relay(settings, seed)`, then `actions = relay.step(now, events)` once a batch with all that
 came in by `now`; the types of both lists stand in molehill/interface.py. It has no clock, input or output.
@@ -27,7 +27,7 @@
         self.dest, self.state, self.launches, self.call = new.destination, None, new.launches, None
         self.kept = False                     # found untried by a restart
         self.ran, self.zone, self.stale = False, None, self.due    # may have run, and is known only there;
-        self.ticket = self.due if row.effect is Effect.RERUNNABLE else 0    # if so, it may go till then
+        self.repeat_until = self.due if row.effect is Effect.IDEMPOTENT else 0    # if so, it may go till then
 
 
 class Limiter:
@@ -117,7 +117,7 @@
         # Danger: a start while discovery is down knows old hosts or none. What was taken on before is not turned away for
         # that, nor for what came with it in this one moment: it had its place and its share when it came.
         if not (new.taken or new.destination in self.dests and self.dests[new.destination].known):
-            return self.actions.append(it.Deny(new.callback, self._back()))
+            return self.actions.append(it.Reject(new.callback, self._back()))
         row, over = self.set.categories[new.category], not new.taken and self._over_share(new.tenant)
         callback = Callback(new, row, row.payoff * (self.set.over_share_payoff if over else 1.0), over)
         if self.set.halving and row.late_share > 0.0:    # its payoff falls no more from then on
@@ -204,11 +204,11 @@
         self.dirty.update(dict.fromkeys(self.dests, True))
 
     def _may_have_run(self, callback, sent, zone):
-        """Rule 2: from the first such launch on, a ticketed one goes only where and while it is known."""
-        if not callback.ran and callback.row.effect is Effect.TICKETED:
+        """Rule 2: from the first such launch on, a deduplicated one goes only where and while it is known."""
+        if not callback.ran and callback.row.effect is Effect.DEDUPLICATED:
             callback.zone = None if callback.row.all_hosts else zone
-            callback.ticket = sent + callback.row.window * 15 // 16    # a new connection takes its time
-            self._at(callback.ticket, self._time_up, callback.id)
+            callback.repeat_until = sent + callback.row.window * 15 // 16    # a new connection takes its time
+            self._at(callback.repeat_until, self._time_up, callback.id)
         callback.ran = True
 
     def _settle(self, key, until):
@@ -255,23 +255,23 @@
 
     def _may_launch(self, callback):
         """Rule 2: whether it may be launched now. Danger: in a long queue all go too late for an answer."""
-        ends = min(callback.due, callback.ticket) if callback.ran else callback.due
+        ends = min(callback.due, callback.repeat_until) if callback.ran else callback.due
         hosts = self._dest(callback.dest).hosts    # bounded, so that a slow spell long past shuts nobody out
         took = max(self.EDGE, min([callback.row.abandon // 16, *(self.h_route[h].now_best or 0 for h in hosts)]))
         return callback.launches < self.set.max_launches and self.now + took < ends
 
     EDGE = SECOND // 200    # a client counts from when it sent: its way here and one batch, as batches are no closer
 
-    def _back(self):    # when a denied one may come again: a queue thins by then
+    def _back(self):    # when a rejected one may come again: a queue thins by then
         return min(SECOND, self.set.max_return) if self.set.tells_return else 0
 
     def _give_up(self, callback):
-        """The final answer for what is not delivered: denied where that is harmless, else scrapped."""
+        """The final answer for what is not delivered: rejected where that is harmless, else failed."""
         effect = callback.row.effect
         harmless = self.now < callback.due - (self.EDGE if callback.ran else 0) \
-            and (not callback.ran or effect is Effect.RERUNNABLE
-                 or effect is Effect.TICKETED and callback.row.all_hosts)
-        self.actions.append(it.Deny(callback.id, self._back()) if harmless else it.Scrap(callback.id))
+            and (not callback.ran or effect is Effect.IDEMPOTENT
+                 or effect is Effect.DEDUPLICATED and callback.row.all_hosts)
+        self.actions.append(it.Reject(callback.id, self._back()) if harmless else it.Fail(callback.id))
         self._move(callback, OVER)
 
     def _outcome(self, event):
@@ -335,11 +335,11 @@
         apart = result is Result.TIMEOUT and event.took < call[4] or result is Result.RESET and call[5]
         if apart or result in (Result.NOT_SENT, Result.CANCELLED):
             return    # a time-out cut by an abandon time, a kept connection's reset: not the host's doing
-        if result is not Result.FULFILLED and call[2] >= lim.bad_at:
+        if result is not Result.DELIVERED and call[2] >= lim.bad_at:
             lim.rounds, lim.bad_at = lim.rounds + 1, now
         if result is Result.FULL:
             return self._refused(h, dest, lim, event)
-        if good := result is Result.FULFILLED:
+        if good := result is Result.DELIVERED:
             # Danger: tails beyond any tolerance read as slow. Slow is what is slow itself and in the mean.
             best = self._best(lim, event.took)
             slow = min(event.took, lim.smooth) > self.TOLERANCE * best
@@ -656,5 +656,5 @@
         waits for its goal time at least. Danger: to the end, those out at hosts that hang hold all slots."""
         span = lim.smooth + 6 * lim.dev if lim.smooth else callback.row.goal   # TCP: 4
         span = max(span, self.LEAST_TIME_OUT) << min(lim.rounds, 2)    # more outlasts the trouble
-        exclusive = callback.row.effect is Effect.EXCLUSIVE
+        exclusive = callback.row.effect is Effect.AT_MOST_ONCE
         return min(max(span, callback.row.goal), callback.due - self.now) if exclusive else span
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -73,7 +73,7 @@
             entry.setdefault("bound", (sent, self.table[host][1]))
         if result in (R.TIMEOUT, R.RESET, R.CANCELLED) and entry is not None and entry["key"]:
             self.rests[entry["key"]] = self.now + self.set.settle
-        if result is R.FULFILLED:
+        if result is R.DELIVERED:
             self.fails[host] = 0
             if number in self.open:
                 self.final[number] = self.open.pop(number)
@@ -89,7 +89,7 @@
         return it.Outcome(number, attempts, host, result, self.now - sent, wait if result is R.FULL else 0,
                           number in self.final, told[0], told_left=told[1])
 
-    def answer(self, number, result=R.FULFILLED, wait=0, told=(0.0, None)):
+    def answer(self, number, result=R.DELIVERED, wait=0, told=(0.0, None)):
         self.step([self.outcome(number, result, wait, told)])
 
     def advance(self, span):
@@ -137,8 +137,8 @@
         assert entry["due"] > now and len(entry["launches"]) < self.set.max_launches and action.time_out > 0
         if "bound" in entry:
             sent, zone = entry["bound"]
-            assert row.effect is not it.Effect.EXCLUSIVE, "rule 2: an exclusive callback that may have run"
-            if row.effect is it.Effect.TICKETED:
+            assert row.effect is not it.Effect.AT_MOST_ONCE, "rule 2: an exclusive callback that may have run"
+            if row.effect is it.Effect.DEDUPLICATED:
                 assert now <= sent + row.window, "rule 2: a repeat after the window"
                 assert row.all_hosts or self.table[host][1] == zone, "rule 2: a repeat out of scope"
         assert self.up.get(host), "rule 3: new work for a host that drains or is gone"
@@ -155,15 +155,15 @@
         self.out[number] = (host, now, min(now + action.time_out, entry["due"]))
         self.sent.append((now, host))
 
-    def on_deny(self, action):
+    def on_reject(self, action):
         entry = self.open[action.callback]
         row = entry["row"]
         assert action.callback not in self.out, "rule 2: denied with a launch out"
-        assert "bound" not in entry or row.effect is it.Effect.RERUNNABLE or (
-            row.effect is it.Effect.TICKETED and row.all_hosts), "rule 2: denied though it may have run"
+        assert "bound" not in entry or row.effect is it.Effect.IDEMPOTENT or (
+            row.effect is it.Effect.DEDUPLICATED and row.all_hosts), "rule 2: denied though it may have run"
         self.final[action.callback] = self.open.pop(action.callback)
 
-    def on_scrap(self, action):
+    def on_fail(self, action):
         self.final[action.callback] = self.open.pop(action.callback)
 
 
@@ -283,15 +283,15 @@
         if not left:
             del self.out[number]
         for i in ids:
-            if result is R.FULFILLED:
+            if result is R.DELIVERED:
                 self.ended.setdefault(i, "fulfilled")
                 self.counted.setdefault(i, "fulfilled")
             if result not in (R.FULL, R.NO_CONNECT, R.NOT_SENT):
                 self.ran.setdefault(i, self.sent[i])
         if wait:
             self.waits[self.hosts[call.host].destination] = self.now + wait
-        self.post(ev.Ended(number, 50 * MS if result is R.FULFILLED else self.now, [
-            ev.End(i, result, wait, result is R.FULFILLED, **more) for i in ids]))
+        self.post(ev.Ended(number, 50 * MS if result is R.DELIVERED else self.now, [
+            ev.End(i, result, wait, result is R.DELIVERED, **more) for i in ids]))
 
     def on_append(self, effect):
         assert self.store.append([(effect.record, effect.body)])
@@ -327,8 +327,8 @@
             assert m.id not in self.ended and m.until <= due, "rule 1: sent after its end"
             assert all(m.id != o.id for _, ms in self.out.values() for o in ms), "rule 2: two at once"
             if m.id in self.ran:
-                assert row.effect is not it.Effect.EXCLUSIVE, "rule 2"
-                assert row.effect is it.Effect.RERUNNABLE or self.now <= self.ran[m.id] + row.window, "rule 2"
+                assert row.effect is not it.Effect.AT_MOST_ONCE, "rule 2"
+                assert row.effect is it.Effect.IDEMPOTENT or self.now <= self.ran[m.id] + row.window, "rule 2"
             for other, (_, its_key, _, its_order) in self.rows.items():
                 if key is not None and its_key == key and its_order < order and other in self.owed:
                     assert other in self.ended, "rule 5: an earlier one of its key is not over"
@@ -339,7 +339,7 @@
 
     def on_notify(self, effect):
         row = self.rows[effect.id][0]
-        assert not effect.denied or effect.id not in self.ran or row.effect is not it.Effect.EXCLUSIVE, "rule 2"
+        assert not effect.denied or effect.id not in self.ran or row.effect is not it.Effect.AT_MOST_ONCE, "rule 2"
         self.notices[effect.id] = effect
         self.counted.setdefault(effect.id, "throttled" if effect.denied else "faulted")
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -34,7 +34,7 @@
     made = config.settings(codec.pairs([f"{key}={value}" for key, value in pairs.items()]))
     assert made == config.settings(pairs)
     assert made.connection_idle == 1500250000 and made.kinds == [it.Kind(False, 10), it.Kind(True, 1)]
-    assert made.categories[0] == it.Category(it.Effect.TICKETED, 10 * MS, 2000 * MS, 1.0, 0.0, 30 * MS, True,
+    assert made.categories[0] == it.Category(it.Effect.DEDUPLICATED, 10 * MS, 2000 * MS, 1.0, 0.0, 30 * MS, True,
                                              False, True)
     assert made.tenants == [it.Tenant(0.5, None)] and made.zone_fees == [0.5, 0.0] and made.max_held == 9
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -97,7 +97,7 @@
     assert len([e for e in effects if type(e) is ev.Append]) == 1
     effects = effects_of(core, now, ev.Unheard("a", "c"), ev.Heard("a", "d"), ev.Arrived("e", fresh()))
     assert [type(e) for e in effects] == [ev.Call, ev.Answer]
-    effects = effects_of(core, now, ev.Ended(effects[0].number, 5, [ev.End("a", R.FULFILLED, closed=True)]),
+    effects = effects_of(core, now, ev.Ended(effects[0].number, 5, [ev.End("a", R.DELIVERED, closed=True)]),
                          ev.Arrived("f", fresh()), ev.Step())
     assert [e.status for e in effects if type(e) is ev.Answer] == [202] and not core.held
 
@@ -150,7 +150,7 @@
     world.kill()
     for n in range(400):
         number = world.take()
-        world.end(next(iter(world.out)), R.FULFILLED)
+        world.end(next(iter(world.out)), R.DELIVERED)
     assert world.store.rewrite(world.core.snapshot()) and world.store.size < world.most // 10
     for _ in range(2):
         world.kill()
@@ -186,7 +186,7 @@
         effects = effects_of(core, now, ev.Arrived("c", fresh(number, body=body)))
     assert [(e.status, e.id) for e in effects] == [(503, "c")] and len(core.held) == 2
     effects_of(core, now, ev.Step(), ev.Heard("a", "c"), ev.Heard("b", "c"))
-    effects_of(core, now, *[ev.Ended(c, 1, [ev.End(o.ids[0], R.FULFILLED, closed=True)])
+    effects_of(core, now, *[ev.Ended(c, 1, [ev.End(o.ids[0], R.DELIVERED, closed=True)])
                             for c, o in core.calls.items()])
     assert core.used == 0 and core.open == 0
 
@@ -283,7 +283,7 @@
                                        category("exclusive", abandon=90000, ordered=True)], slots=1)
     world.take(0)
     second = world.take(1, destination=2, key="k")
-    world.end(next(iter(world.out)), R.FULFILLED)
+    world.end(next(iter(world.out)), R.DELIVERED)
     world.step()
     assert [m.id for _, ms in world.out.values() for m in ms] == [second]
     world.take(0)
@@ -309,7 +309,7 @@
     world = wire(tmp_path, categories=[category(effect, abandon=60000, ordered=True)], settle=3 * SECOND)
     first, second = world.take(key="k"), world.take(key="k")
     world.kill()
-    world.answer_notices()                 # the exclusive one is over, its key rests for the launch that may run still
+    world.answer_notices()                 # the at-most-once one is over, its key rests for the launch that may run still
     world.advance(SECOND)
     world.kill()
     world.advance(1900 * MS)
@@ -364,7 +364,7 @@
     for number in numbers:
         world.advance(9 * SECOND if not world.out else 1)
         assert [m.id for _, ms in world.out.values() for m in ms] == [number]
-        world.end(next(iter(world.out)), R.FULFILLED)
+        world.end(next(iter(world.out)), R.DELIVERED)
         world.step()
 
 
@@ -422,16 +422,16 @@
             world.take()
     restart()
     assert len(world.out) == 1, "one trial at a time"
-    world.end(next(iter(world.out)), R.FULFILLED)
+    world.end(next(iter(world.out)), R.DELIVERED)
     world.advance(100 * MS)
     assert not world.out, "under the budget"
     restart()
     assert len(world.out) <= 1, "its ramp was not over"
-    world.end(next(iter(world.out)), R.FULFILLED)
+    world.end(next(iter(world.out)), R.DELIVERED)
     for _ in range(120):
         world.advance(100 * MS)
         for number in list(world.out):
-            world.end(number, R.FULFILLED)
+            world.end(number, R.DELIVERED)
     restart()
     assert len(world.out) == 2, "well again: the window's start"
 
@@ -467,7 +467,7 @@
     world.take(destination=2)
     first = world.take(destination=2, key="k", span=700 * MS, step=False)
     other = world.take(destination=2, key="other", step=False)
-    world.end(next(iter(world.out)), R.FULFILLED)
+    world.end(next(iter(world.out)), R.DELIVERED)
     world.step()
     (_, (_, members)), = world.out.items()
     assert [m.id for m in members] == [first, other]
@@ -486,11 +486,11 @@
     world.take(destination=2)
     for _ in range(4):
         world.take(destination=2, step=False)
-    world.end(next(iter(world.out)), R.FULFILLED)
+    world.end(next(iter(world.out)), R.DELIVERED)
     world.step()
     (number, (call, members)), = world.out.items()
     assert call.bundle and len(members) == 4
-    for result, member in zip((R.FULFILLED, R.ERROR, R.FULL, R.NOT_SENT), list(members)):
+    for result, member in zip((R.DELIVERED, R.ERROR, R.FULL, R.NOT_SENT), list(members)):
         world.end(number, result, ids=[member.id], spent=result is R.NOT_SENT)
     world.step()
     assert set(world.notices) == {members[1].id, members[3].id}, "may have run; has had all its launches"
@@ -535,7 +535,7 @@
     for _ in range(20):
         world.advance(SECOND)
         for number in list(world.out):
-            world.end(number, R.FULFILLED)
+            world.end(number, R.DELIVERED)
         world.answer_notices()
     assert [world.ended.get(number) for number in numbers] == ["fulfilled"] * 3 and not world.core.held
 
@@ -569,7 +569,7 @@
         core.reduce(now + later, ev.Listed(it.Scope.UPDATE, [gone]))
     assert "h1" in core.hosts
     (number,) = core.calls
-    effects_of(core, now + 101 * SECOND, ev.Ended(number, 1, [ev.End("a", R.FULFILLED, closed=True)]),
+    effects_of(core, now + 101 * SECOND, ev.Ended(number, 1, [ev.End("a", R.DELIVERED, closed=True)]),
                ev.Listed(it.Scope.UPDATE, []), ev.Step())
     core.reduce(now + 162 * SECOND, ev.Listed(it.Scope.UPDATE, []))
     assert "h1" not in core.hosts and "never listed" not in core.away
@@ -607,7 +607,7 @@
     world.post(ev.Stop(world.now + 3 * SECOND))
     world.take()
     assert len(world.out) == 1, "there is time enough"
-    world.end(next(iter(world.out)), R.FULFILLED)
+    world.end(next(iter(world.out)), R.DELIVERED)
     world.advance(2950 * MS)
     number = world.take()
     assert not world.out, "an answer takes 50 ms there"
@@ -638,7 +638,7 @@
         self.world.take(cat, dest, key, gone=gone, body=b"b" * size, step=step)
 
     @precondition(lambda self: self.world.out)
-    @rule(pick=st.integers(0, 9), result=st.sampled_from([R.FULFILLED] * 3 + [
+    @rule(pick=st.integers(0, 9), result=st.sampled_from([R.DELIVERED] * 3 + [
         R.ERROR, R.FULL, R.NO_CONNECT, R.RESET, R.NOT_SENT]), wait=st.sampled_from([0, 0, 700]), spent=st.booleans())
     def answer(self, pick, result, wait, spent):
         number = sorted(self.world.out)[pick % len(self.world.out)]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -501,7 +501,7 @@
 
 
 @pytest.mark.parametrize("reply,expected", [
-    (answered(200, b"Srv-Load: x0=0.4,x1=25"), (R.FULFILLED, 0, True, False, 25.0, 0.4)),
+    (answered(200, b"Srv-Load: x0=0.4,x1=25"), (R.DELIVERED, 0, True, False, 25.0, 0.4)),
     (answered(500), (R.ERROR, 0, False, False, 0.0)),
     (answered(429, b"Retry-After: 1.25"), (R.FULL, 1250 * MS, False, False, 0.0)),
     (answered(503, b"Retry-After: 2"), (R.FULL, 2 * SECOND, False, False, 0.0)),
@@ -509,19 +509,19 @@
     (answered(503, b"X-Line-Busy: 1"), (R.NOT_SENT, 0, False, False, 0.0)),
     (answered(504), (R.NOT_SENT, 0, False, True, 0.0)), (answered(410), (R.NOT_SENT, 0, True, False, 0.0)),
     (answered(413), (R.FULL, 0, False, False, 0.0)), (answered(302), (R.ERROR, 0, False, False, 0.0)),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + answered(200), (R.FULFILLED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\nA: b\r\n\r\n", (R.FULFILLED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", (R.FULFILLED, 0, True, False, 0.0)),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" + answered(200), (R.DELIVERED, 0, True, False, 0.0)),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\nA: b\r\n\r\n", (R.DELIVERED, 0, True, False, 0.0)),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", (R.DELIVERED, 0, True, False, 0.0)),
     (b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
     (b"HTTP/1.1 429 No\r\nContent-Length: 5\r\nContent-Length: 0\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
     (b"HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
     (b"HTTP/1.1 100 Go\r\n\r\n" * 17 + answered(503), (R.RESET, 0, False, False, 0.0)),
     (b"ICY 200 OK\r\nContent-Length: 0\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
-    (answered(200, b"Srv-Load: x0=??,x1=25"), (R.FULFILLED, 0, True, False, 0.0)),
-    (answered(200, b"Srv-Load: x0=0.5,x1=2_5"), (R.FULFILLED, 0, True, False, 0.0)),
-    (answered(200, b"Srv-Load: x1=-25"), (R.FULFILLED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", (R.FULFILLED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 200 OK\r\nno header\r\n\r\n", (R.FULFILLED, 0, True, False, 0.0)),
+    (answered(200, b"Srv-Load: x0=??,x1=25"), (R.DELIVERED, 0, True, False, 0.0)),
+    (answered(200, b"Srv-Load: x0=0.5,x1=2_5"), (R.DELIVERED, 0, True, False, 0.0)),
+    (answered(200, b"Srv-Load: x1=-25"), (R.DELIVERED, 0, True, False, 0.0)),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", (R.DELIVERED, 0, True, False, 0.0)),
+    (b"HTTP/1.1 200 OK\r\nno header\r\n\r\n", (R.DELIVERED, 0, True, False, 0.0)),
     (b"HTTP/1.1 503 No\r\nno header\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
     (b"gibberish\r\n\r\n", (R.RESET, 0, False, False, 0.0))])
 def test_each_answer_is_the_outcome_that_the_protocol_names(monkeypatch, reply, expected):
@@ -534,7 +534,7 @@
     assert len(calls.net.events) == 1 and calls.hosts.out == 0
 
 
-@pytest.mark.parametrize("status,result", [(200, R.FULFILLED), (500, R.ERROR), (503, R.RESET), (410, R.RESET), (504, R.RESET)])
+@pytest.mark.parametrize("status,result", [(200, R.DELIVERED), (500, R.ERROR), (503, R.RESET), (410, R.RESET), (504, R.RESET)])
 @pytest.mark.parametrize("cut", [True, False])
 def test_half_an_answer_proves_nothing_but_a_200_and_the_launch_is_out_till_its_end(monkeypatch, status, result, cut):
     calls = Calls(monkeypatch)
@@ -578,7 +578,7 @@
     assert [(e.ends[0].result, e.ends[0].unsent) for e in calls.net.events] == [(R.NO_CONNECT, False)]
 
 
-@pytest.mark.parametrize("sent,result", [(b"", R.RESET), (b"HTTP/1.1 20", R.RESET), (b"HTTP/1.1 200 OK\r\n", R.FULFILLED),
+@pytest.mark.parametrize("sent,result", [(b"", R.RESET), (b"HTTP/1.1 20", R.RESET), (b"HTTP/1.1 200 OK\r\n", R.DELIVERED),
                                          (b"HTTP/1.1 500 X\r\n", R.RESET)])
 def test_a_connection_that_breaks_after_the_last_byte_is_a_reset_unless_200_was_written(monkeypatch, sent, result):
     calls = Calls(monkeypatch)
@@ -597,7 +597,7 @@
 
 
 @pytest.mark.parametrize("bundle", [False, True])
-@pytest.mark.parametrize("stood,result", [(900 * MS, R.FULFILLED), (1100 * MS, R.CANCELLED)])
+@pytest.mark.parametrize("stood,result", [(900 * MS, R.DELIVERED), (1100 * MS, R.CANCELLED)])
 def test_an_answer_that_is_read_after_the_time_that_was_told_is_no_delivery(monkeypatch, bundle, stood, result):
     """Danger: while this relay stood still the host gave the call up, and what it wrote then stands for nothing: taken for a
     delivery, the callback never gets its end. It tells nothing of the host either: no time-out of its."""
@@ -609,7 +609,7 @@
     calls.net.settle()
     (event,) = calls.net.events
     assert {end.result for end in event.ends} == {result}
-    assert bool(calls.hosts.idle) == (result is R.FULFILLED), "the connection is of no further use"
+    assert bool(calls.hosts.idle) == (result is R.DELIVERED), "the connection is of no further use"
 
 
 def stands_after(calls, send):
@@ -621,7 +621,7 @@
     return sends
 
 
-@pytest.mark.parametrize("span,result", [(SECOND // 2, R.CANCELLED), (SECOND, R.FULFILLED)])
+@pytest.mark.parametrize("span,result", [(SECOND // 2, R.CANCELLED), (SECOND, R.DELIVERED)])
 def test_an_answer_that_came_while_the_relay_stood_still_right_after_its_call_counts(monkeypatch, span, result):
     """Danger: taken for more than the last answer, a callback that was delivered is called again; unless its time is up."""
     calls = Calls(monkeypatch)
@@ -631,7 +631,7 @@
     stream.send = stands_after(calls, stream.send)
     calls.call(span=span)
     calls.net.settle()
-    assert [event.ends[0].result for event in calls.net.events] == [R.FULFILLED, result] and len(calls.made) == 1
+    assert [event.ends[0].result for event in calls.net.events] == [R.DELIVERED, result] and len(calls.made) == 1
 
 
 @pytest.mark.parametrize("refusal,result", [
@@ -652,7 +652,7 @@
     calls.reply(answered(200))
     calls.made[0].close()
     calls.call()
-    assert len(calls.made) == 2 and calls.reply(answered(200)).ends[0].result is R.FULFILLED
+    assert len(calls.made) == 2 and calls.reply(answered(200)).ends[0].result is R.DELIVERED
     assert len(calls.net.events) == 3 and calls.net.budget.total() == 1
 
 
@@ -666,7 +666,7 @@
         raise Broken("ECONNRESET")
     stream.send = breaks
     calls.call()
-    assert len(calls.made) == 2 and calls.reply(answered(200)).ends[0].result is R.FULFILLED
+    assert len(calls.made) == 2 and calls.reply(answered(200)).ends[0].result is R.DELIVERED
     (kept,) = calls.hosts.idle["h1"]
     calls.net.clock.now += 9001 * MS
     assert calls.hosts.kept(ev.Call(9, "h1", (), False, [])) is None and not kept.open, "too long idle"
@@ -723,7 +723,7 @@
     body = b"a delivered\r\nb failed\r\nc refused\r\nd over\r\ne spent\r\n"
     event = calls.reply(answered(200, b"Retry-After: 0.5", body=body))
     assert [(e.id, e.result, e.wait, e.closed, e.spent) for e in event.ends] == [
-        ("a", R.FULFILLED, 0, True, False), ("b", R.ERROR, 0, False, False),
+        ("a", R.DELIVERED, 0, True, False), ("b", R.ERROR, 0, False, False),
         ("c", R.FULL, 500 * MS, False, False), ("d", R.NOT_SENT, 0, True, False),
         ("e", R.NOT_SENT, 0, False, True), ("f", R.RESET, 0, False, False)]
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,7 +7,7 @@
 from tests.ledger import MS, R, SECOND, World, category, settings
 
 
-def feed(world, every, span, result=R.FULFILLED, took=50, **callback):
+def feed(world, every, span, result=R.DELIVERED, took=50, **callback):
     """A callback each `every` ms for `span` ms; launches are answered after `took` ms. Gives the launches."""
     before = len(world.sent)
     for _ in range(span // every):
@@ -187,7 +187,7 @@
             self.shown, self.shown_at = max(0.0, self.left / self.depth), now
         good, self.left = self.left >= 1.0, self.left - 1.0
         self.served, self.refused = self.served + good, self.refused + (not good)
-        return R.FULFILLED if good else R.FULL, (self.rate, self.shown)
+        return R.DELIVERED if good else R.FULL, (self.rate, self.shown)
 
 
 @pytest.mark.parametrize("asked", [0.8, 1.3])
@@ -393,7 +393,7 @@
             used_before = [host for when, host in world.sent[:-1] if host == destination]
             dropped = bool(used_before) and kept    # every connection idle for over two seconds is gone
             lost += dropped
-            world.answer(number, R.RESET if dropped else R.FULFILLED)
+            world.answer(number, R.RESET if dropped else R.DELIVERED)
             for other in sorted(world.out):
                 world.answer(other)
             world.advance(200 * MS)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
               category("exclusive", abandon=8000),
               category("ticketed", window=2500, same_zone=True, payoff=3.0)]
 HOSTS = ((1, 0, 0, 1), (2, 1, 0, 1), (3, 0, 1, 2), (4, 1, 1, 2), (5, 0, 2, 3))
-ANSWERS = [R.FULFILLED] * 4 + [R.ERROR, R.FULL, R.NO_CONNECT, R.RESET, R.CANCELLED, R.NOT_SENT]
+ANSWERS = [R.DELIVERED] * 4 + [R.ERROR, R.FULL, R.NO_CONNECT, R.RESET, R.CANCELLED, R.NOT_SENT]
 
 
 class Days(RuleBasedStateMachine):
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -47,7 +47,7 @@
     for row, c in zip(rows, site["class"]):
         assert (row.abandon, row.goal, row.window) == (c["deadline_ms"] * MS, c["aim_ms"] * MS, c.get("window_ms", 0) * MS)
         assert row.effect is config.EFFECTS[EFFECTS[c["effect"]]] and row.ordered is c.get("in_order", False)
-        assert row.all_hosts is (row.effect is it.Effect.TICKETED)
+        assert row.all_hosts is (row.effect is it.Effect.DEDUPLICATED)
     assert len(set(row.effect for row in rows)) == 3, "each effect is there"
     assert [kind.per_call for kind in made.settings.kinds] == [kind.get("batch", 1) for kind in site["fam"]["kind"]]
     assert made.settings.halving is (site["fam"]["late"] == "halves") and made.settings.tells_limit is ("fields" in site["tier"][0]["report"])
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -27,7 +27,7 @@
 
     def config(self):
         made = super().config(admin="127.0.0.1:1")
-        rows = [made.settings.categories[0], replace(made.settings.categories[1], effect=it.Effect.RERUNNABLE, abandon=30 * SECOND)]
+        rows = [made.settings.categories[0], replace(made.settings.categories[1], effect=it.Effect.IDEMPOTENT, abandon=30 * SECOND)]
         return replace(made, admin=("127.0.0.1", 0), settings=replace(made.settings, slots=4, categories=rows))
 
     def start(self):
