The end of a relay is called its shutdown

Cause: "ending" was our own word for the field's shutdown. No behaviour; the log line "stopping" is as it was.

--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -10,7 +10,7 @@
 from molehill.core import events as ev
 from molehill.core.figures import Figures
 from molehill.core.reducer import Core
-from molehill.ending import ENDED, SERVING, Ending
+from molehill.shutdown import ENDED, SERVING, Shutdown
 from molehill.http.admin import Admin
 from molehill.http.clients import Clients
 from molehill.http.discovery import Discovery
@@ -73,7 +73,7 @@
                                                                  **{f"fact_{k}": v for k, v in facts.items()})
         if start.estate is not None and "discovery" in start.estate.state:    # it may have moved since this one's start
             config.discovery = configuration.address(start.estate.state["discovery"], "discovery")
-        self.ending = Ending(self)
+        self.shutdown = Shutdown(self)
         self.budget = budget = Budget(config.sockets, {"client": config.client_sockets})
         files, owed = log_room(config)
         self.store = Store(config.state, files, machine.disk)
@@ -144,7 +144,7 @@
         if number == signal.SIGHUP and not self.given:
             self.reload()
         elif number != signal.SIGHUP:
-            self.ending.begin()
+            self.shutdown.begin()
 
     def reload(self) -> None:
         """SIGHUP: the file is read and checked whole, then taken whole or not at all.
@@ -229,5 +229,5 @@
         self.clients.close_listener()
         self.discovery.line.close()
         self.core.figures.open_requests = 0
-        if self.ending.state is not SERVING:
-            self.ending.move(ENDED)
+        if self.shutdown.state is not SERVING:
+            self.shutdown.move(ENDED)
--- a/molehill/shutdown.py
+++ b/molehill/shutdown.py
@@ -1,25 +1,25 @@
 """How a relay ends once it was told to: named states, one place for every change of them.
 
-SERVING: as ever. ENDING: SIGTERM came; all goes on, as clients may have no other relay and what is taken on lives through the
+SERVING: as ever. STOPPING: SIGTERM came; all goes on, as clients may have no other relay and what is taken on lives through the
 restart, but no call begins that the end would cut off. LETTING_GO: no connection is taken any more, and each answer ends its
 connection. LAST_ANSWERS: what stands idle is closed; who has begun a request gets its answer, calls and notices that are out are
 waited for. CUTTING: what is not whole by now is not read any more; what is gets its answer. ENDED: the loop stops.
-docs/design/ending.md tells what each party sees in each of them.
+docs/design/shutdown.md tells what each party sees in each of them.
 """
 from molehill.config import MS
 from molehill.core import events as ev
 from molehill.holds import holds
 
-SERVING, ENDING, LETTING_GO, LAST_ANSWERS, CUTTING, ENDED = "serving", "ending", "letting go", "last answers", "cutting", "ended"
-NEXT = {SERVING: (ENDING, ENDED), ENDING: (LETTING_GO, ENDED), LETTING_GO: (LAST_ANSWERS, ENDED), LAST_ANSWERS: (CUTTING, ENDED),
+SERVING, STOPPING, LETTING_GO, LAST_ANSWERS, CUTTING, ENDED = "serving", "stopping", "letting go", "last answers", "cutting", "ended"
+NEXT = {SERVING: (STOPPING, ENDED), STOPPING: (LETTING_GO, ENDED), LETTING_GO: (LAST_ANSWERS, ENDED), LAST_ANSWERS: (CUTTING, ENDED),
         CUTTING: (ENDED,), ENDED: ()}
 # From SIGTERM on, with SIGKILL no sooner than at 3.7 s: when each state begins at the latest; the last come as soon as nobody
 # is waited for.
-AT = {ENDING: 0, LETTING_GO: 3000 * MS, LAST_ANSWERS: 3300 * MS, CUTTING: 3500 * MS, ENDED: 3600 * MS}
+AT = {STOPPING: 0, LETTING_GO: 3000 * MS, LAST_ANSWERS: 3300 * MS, CUTTING: 3500 * MS, ENDED: 3600 * MS}
 LOOK_EVERY = 5 * MS                # whether anybody still waits for a last answer
 
 
-class Ending:
+class Shutdown:
     def __init__(self, process):
         self.process, self.scheduler, self.state, self.told = process, process.scheduler, SERVING, None
 
@@ -53,8 +53,8 @@
     def move(self, state) -> None:
         """Every change of the state, and what it brings with it."""
         process, before, self.state = self.process, self.state, state
-        holds(state in NEXT[before], "ending_state", before=before, after=state)
-        if state is ENDING:
+        holds(state in NEXT[before], "shutdown_state", before=before, after=state)
+        if state is STOPPING:
             process.log.info("stopping", held=len(process.core.held), out=process.hosts.out)
             process.engine.post(ev.Stop(self.told + AT[LAST_ANSWERS]))
         elif state is LETTING_GO:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -144,11 +144,11 @@
     client = place.client()
     client.send(b"GET /health/live HTTP/1.1\r\n\r\n")
     place.hear(client, b"200 OK")
-    place.relay.ending.begin()
+    place.relay.shutdown.begin()
     place.advance(3295 * MS)
     place.relay.clients.close_idle = lambda: None          # it comes too late for that look
     place.advance(10 * MS)
-    place.clock.now = place.relay.ending.told + 3499 * MS
+    place.clock.now = place.relay.shutdown.told + 3499 * MS
     client.send((ASK % b"id1")[:None if lies == "whole" else -1])
     place.clock.now += 2 * MS                              # both in one turn: the bytes, and the time of the cut
     place.advance(100 * MS)
@@ -315,7 +315,7 @@
 def test_a_watch_that_is_silent_as_the_relay_ends_holds_nothing_up(place):
     asks(place, place.accept(place.platform))
     place.advance(10 * SECOND, step=50 * MS)
-    place.relay.ending.begin()
+    place.relay.shutdown.begin()
     place.advance(3400 * MS)
     assert place.relay.scheduler.stopped
 
@@ -329,7 +329,7 @@
         sock, text = comes(place, place.platform, b"}\n")
         texts.append(text)
         if lives < 2:                      # read, and not answered
-            place.relay.ending.begin()
+            place.relay.shutdown.begin()
             place.advance(3600 * MS)
             assert place.relay.scheduler.stopped and list(place.relay.core.held) == ["id1"]
             kill(place)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -40,7 +40,7 @@
     place.hear(client, b"HTTP/1.1 202")
     host = place.accept(place.host)
     place.hear(host, b"\r\n\r\nab")
-    place.relay.ending.begin()
+    place.relay.shutdown.begin()
     other.send(b"GET /health/live HTTP/1.1\r\n\r\n")
     place.advance(2900 * MS)
     assert b"200 OK" in drain(other)
@@ -130,11 +130,11 @@
     relay, client = place.relay, place.client()
     client.send(ASK % b"id1")
     place.hear(client, b"HTTP/1.1 202")    # its call is out at a host that hangs
-    seen, moved = [], relay.ending.move
-    relay.ending.move = lambda state: (seen.append((state, (place.clock.now - began) // (100 * MS))), moved(state))
+    seen, moved = [], relay.shutdown.move
+    relay.shutdown.move = lambda state: (seen.append((state, (place.clock.now - began) // (100 * MS))), moved(state))
     began = place.clock.now
     for _ in range(3):
-        relay.ending.begin()               # told again, it goes on with the first
+        relay.shutdown.begin()               # told again, it goes on with the first
     place.advance(2900 * MS)
     client.send(ASK % b"id2")
     assert b"Connection: close" not in place.hear(client, b"HTTP/1.1 202")
@@ -151,7 +151,7 @@
     other.send(b"b")                       # between two looks at what has come
     place.turn(3)
     assert relay.scheduler.stopped and "id3" not in relay.core.held and set(relay.core.held) == {"id1", "id2"}
-    assert seen == [("ending", 0), ("letting go", 30), ("last answers", 33), ("cutting", 35), ("ended", 35)]
+    assert seen == [("stopping", 0), ("letting go", 30), ("last answers", 33), ("cutting", 35), ("ended", 35)]
 
 
 def test_a_log_with_a_torn_tail_and_a_record_that_can_t_be_read_is_read_and_the_relay_says_so(place, capfd):
