--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -1,6 +1,6 @@
-"""How soon sweeps find planted mistakes, how fast they play, and whether digests are the same in other processes.
+"""How soon sweeps find mutations, how fast they play, and whether digests are the same in other processes.
 
-    python benchmarks/emulator.py planted --seeds 60 --jobs 8     # a row a mistake: the first seed that finds it
+    python benchmarks/emulator.py mutations --seeds 60 --jobs 8     # a row a mistake: the first seed that finds it
     python benchmarks/emulator.py speed --seeds 40 --jobs 8       # seeds an hour on one core and on all
     python benchmarks/emulator.py upgrades --seeds 3 --jobs 8     # either process dies or hangs at each step of an upgrade
     python benchmarks/emulator.py replay --seeds 200 --jobs 8     # digests of this and another hash seed
@@ -19,7 +19,7 @@
 
 from molehill.emulator import sweep
 from molehill.emulator.days import upgraded
-from molehill.emulator.planted import MISTAKES
+from molehill.emulator.mutations import MUTATIONS
 
 
 # Mistakes that show in a gap of some milliseconds only: sweeps for them have more of the faults that lead there.
@@ -47,9 +47,9 @@
     return None
 
 
-def planted(seeds: int, jobs: int) -> None:
+def mutations(seeds: int, jobs: int) -> None:
     with ThreadPoolExecutor(jobs) as pool:             # a sweep of one process for each mistake, so many at once
-        jobs = {pool.submit(found, mistake, seeds, 1): mistake for mistake in MISTAKES}
+        jobs = {pool.submit(found, mistake, seeds, 1): mistake for mistake in MUTATIONS}
         for done in as_completed(jobs):
             row = done.result()
             text = f"not in {seeds} | |" if row is None else f"{row[0] + 1} | {row[1]}: {row[2]} |"
@@ -100,7 +100,7 @@
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("what", choices=["planted", "speed", "upgrades", "replay"])
+    parser.add_argument("what", choices=["mutations", "speed", "upgrades", "replay"])
     parser.add_argument("--seeds", type=int, default=60)
     parser.add_argument("--jobs", type=int, default=8)
     given = parser.parse_args()
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,6 +1,6 @@
-"""The fleet rig: planted mistakes found, the same day on both stages, how many relays a machine bears, a large fleet emulated.
+"""The fleet rig: mutations found, the same day on both stages, how many relays a machine bears, a large fleet emulated.
 
-    python benchmarks/fleet.py planted --seeds 8          # a row a mistake: the first drawn day that shows it, processes and emulated
+    python benchmarks/fleet.py mutations --seeds 8          # a row a mistake: the first drawn day that shows it, processes and emulated
     python benchmarks/fleet.py stages --seeds 5           # docs/five.toml on both stages, service beside service
     python benchmarks/fleet.py long --relays 16 --seconds 600    # one long run on processes with faults all along
     python benchmarks/fleet.py most --relays 8 16 32 64   # the rate that N relays bear with the rig in time; processor time of both
@@ -31,7 +31,7 @@
 from molehill.fleet.compare import interval
 from molehill.fleet.conductor import cpu_of
 from molehill.fleet.places import Places, claim
-from molehill.fleet.planted import MISTAKES as OF_THE_RIG
+from molehill.fleet.mutations import MUTATIONS as OF_THE_RIG
 from molehill.fleet.sockets import Network
 from molehill.fleet.world import World
 
@@ -60,7 +60,7 @@
     return play.seeded(scenarios.load(FIVE.read_text(encoding="utf-8")), seed)
 
 
-def planted(seeds: int, jobs: int = 2) -> None:
+def mutations(seeds: int, jobs: int = 2) -> None:
     todo = [(name, seeds, stage, False) for name in OF_RELAYS for stage in ("emulated", "processes")]
     todo += [(name, seeds, "processes", True) for name in OF_THE_RIG]
     with get_context("spawn").Pool(jobs, maxtasksperchild=1) as pool:
@@ -204,15 +204,15 @@
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("what", choices=["planted", "stages", "long", "most", "words", "cables", "flood"])
+    parser.add_argument("what", choices=["mutations", "stages", "long", "most", "words", "cables", "flood"])
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--relays", type=int, nargs="+", default=[16])
     parser.add_argument("--seconds", type=int, default=600)
     parser.add_argument("--rate", type=float, default=200.0)
     given = parser.parse_args()
-    if given.what == "planted":
-        planted(given.seeds, given.jobs)
+    if given.what == "mutations":
+        mutations(given.seeds, given.jobs)
     elif given.what == "stages":
         stages(given.seeds)
     elif given.what == "flood":
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,7 +1,7 @@
-"""Membership measured on its own pure module: every interleaving to a depth, planted mistakes, fleets of 3 to 300, the SWIM paper's own beside it.
+"""Membership measured on its own pure module: every interleaving to a depth, mutations, fleets of 3 to 300, the SWIM paper's own beside it.
 
     python benchmarks/membership.py model --relays 3 --depth 7     # every order of messages, losses, pauses, restarts and ticks
-    python benchmarks/membership.py planted --seeds 40             # a row a mistake: what found it, on which seed
+    python benchmarks/membership.py mutations --seeds 40             # a row a mistake: what found it, on which seed
     python benchmarks/membership.py fleets --relays 3 30 300       # time until all know, false suspicions an hour, bytes a relay a second
     python benchmarks/membership.py spoilt --packets 1000000       # the decoder against spoilt packets
     python benchmarks/membership.py cost                           # processor time and memory of one member among 300
@@ -20,7 +20,7 @@
 
 from benchmarks.detectors import Accrual, Observers
 from molehill.membership.member import ALIVE, ALONE, CONNECTED, LOST, MS, SUSPECT, Member, Message, Settings
-from molehill.membership.planted import MISTAKES, planted
+from tests.membership_mutations import MUTATIONS, mutated
 from molehill.membership.wire import Unread, Wire
 from tests.members import Fleet, agreed, hasty, rough, unsound
 
@@ -123,7 +123,7 @@
 
 def model(size: int, depth: int, most: int, mistake=None):
     """Breadth first, so the first breach has the shortest trace. (states, breach or None, its trace, depth that was finished)."""
-    with planted(mistake) if mistake else nullcontext():
+    with mutated(mistake) if mistake else nullcontext():
         start = World(size)
         # All know each other: what follows is about faults, not about joining.
         for _ in range(4):
@@ -235,7 +235,7 @@
 
 def first(job):
     mistake, seeds = job
-    with planted(mistake):
+    with mutated(mistake):
         for seed in range(1, seeds + 1):
             for name, play in (("one trouble", scripted), ("rough", rough)):
                 if found := play(seed):
@@ -243,11 +243,11 @@
     return mistake, None, "", ""
 
 
-def find_planted(seeds: int, jobs: int) -> None:
+def find_mutations(seeds: int, jobs: int) -> None:
     untouched = [found for seed in range(1, seeds + 1) for found in (scripted(seed), rough(seed)) if found]
     print(f"untouched: {len(untouched)} of {2 * seeds} days show anything {untouched[:2]}")
     with Pool(jobs) as pool:
-        for mistake, seed, name, found in pool.imap_unordered(first, [(mistake, seeds) for mistake in MISTAKES]):
+        for mistake, seed, name, found in pool.imap_unordered(first, [(mistake, seeds) for mistake in MUTATIONS]):
             print(f"| {mistake} | {f'{seed}, {name}: {found}' if seed else f'not in {seeds}'} |", flush=True)
 
 
@@ -406,7 +406,7 @@
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("what", choices=["model", "planted", "fleets", "spoilt", "cost"])
+    parser.add_argument("what", choices=["model", "mutations", "fleets", "spoilt", "cost"])
     parser.add_argument("--relays", type=int, nargs="+", default=[3])
     parser.add_argument("--depth", type=int, default=7)
     parser.add_argument("--states", type=int, default=300_000)
@@ -419,12 +419,12 @@
         for size in given.relays:
             states, wrong, trace, level = model(size, given.depth, given.states)
             print(f"{size} relays: {states} states, depth {level} finished: {wrong or 'all hold'} {trace}", flush=True)
-            for mistake in MISTAKES:
+            for mistake in MUTATIONS:
                 states, wrong, trace, _ = model(size, given.depth, given.states // 4, mistake)
                 if wrong:
                     print(f"  {mistake}: {wrong} after {states} states, in {len(trace)} moves: {trace}", flush=True)
-    elif given.what == "planted":
-        find_planted(given.seeds, given.jobs)
+    elif given.what == "mutations":
+        find_mutations(given.seeds, given.jobs)
     elif given.what == "fleets":
         fleets(given.relays, given.seconds, given.jobs, given.seeds)
     elif given.what == "spoilt":
--- a/molehill/cli/emulate.py
+++ b/molehill/cli/emulate.py
@@ -8,7 +8,7 @@
 from molehill.emulator import generator, scenario as scenarios
 from molehill.emulator import show as timeline
 from molehill.emulator import sweep as sweeps
-from molehill.emulator.planted import MISTAKES
+from molehill.emulator.mutations import MUTATIONS
 
 KEPT, BROKEN, BAD = 0, 1, 2
 
@@ -92,10 +92,10 @@
 @click.option("--seeds", required=True, metavar="A..B")
 @click.option("--jobs", type=click.IntRange(1, 256), default=1, show_default=True)
 @click.option("--out", type=click.Path(), help="A line of JSON a seed; seeds that stand there are not played again.")
-@click.option("--planted", type=click.Choice(sorted(MISTAKES)), help="With this known mistake put into the relay.")
+@click.option("--mutation", "--planted", "mutation", type=click.Choice(sorted(MUTATIONS)), help="With this known mistake put into the relay.")
 @click.option("--first", is_flag=True, help="Stops at the first failing seed.")
 @weight
-def sweep(seeds, jobs, out, planted, first, weights) -> None:
+def sweep(seeds, jobs, out, mutation, first, weights) -> None:
     """Plays a range of seeds on all the cores that are given, a line for each that fails, then a summary in JSON."""
     todo = seeds_of(seeds)
     try:
@@ -103,7 +103,7 @@
     except (OSError, ValueError) as error:
         raise click.UsageError(f"--out {out}: {error}") from None
     with click.progressbar(length=len(todo), file=sys.stderr) as bar:
-        for verdict in sweeps.sweep(todo, jobs, results, planted, weigh(weights)):
+        for verdict in sweeps.sweep(todo, jobs, results, mutation, weigh(weights)):
             bar.update(1)
             if not verdict["ok"]:
                 click.echo(f"seed {verdict['seed']}: rule {verdict['failure']['rule']}: {verdict['failure']['text']} "
--- a/molehill/cli/fleet.py
+++ b/molehill/cli/fleet.py
@@ -15,7 +15,7 @@
 
 from molehill.cli.emulate import BROKEN, KEPT, given, say, seeds_of
 from molehill.emulator import scenario as scenarios
-from molehill.emulator.planted import MISTAKES
+from molehill.emulator.mutations import MUTATIONS
 from molehill.emulator.scenario import STAGES
 from molehill.fleet import checker, days
 from molehill.fleet import compare as compares
@@ -66,14 +66,14 @@
 
 
 scenario_argument = click.argument("scenario", required=False, type=click.Path())
-planted_option = click.option("--planted", type=click.Choice(sorted(MISTAKES)), help="With this known mistake put into each relay.")
+mutation_option = click.option("--mutation", "--planted", "mutation", type=click.Choice(sorted(MUTATIONS)), help="With this known mistake put into each relay.")
 members_option = click.option("--members", is_flag=True, help="Days that seeds draw are of relays that know of each other.")
 older_option = click.option("--older", metavar="REV", help="The commit that `older` faults start.")
 
 
 def about_days(command):
     """What is played, on which stage, by which programs."""
-    for option in (older_option, members_option, planted_option, stage_option, scenario_argument):
+    for option in (older_option, members_option, mutation_option, stage_option, scenario_argument):
         command = option(command)
     return command
 
@@ -83,9 +83,9 @@
 @click.option("--seed", type=int, help="In place of the scenario's; without a scenario, the day that it draws.")
 @click.option("--out", type=click.Path(), help="Keeps histories, logs and the verdict there (processes).")
 @click.option("--json", "as_json", is_flag=True, help="The verdict as a line of JSON.")
-def run(scenario, stage, seed, planted, members, older, out, as_json) -> None:
+def run(scenario, stage, seed, mutation, members, older, out, as_json) -> None:
     """Plays one scenario and prints its verdict."""
-    verdict = played(loaded(scenario, stage, seed, members), stage, out, older, planted)
+    verdict = played(loaded(scenario, stage, seed, members), stage, out, older, mutation)
     if out and stage == "processes":
         (Path(out) / plays.VERDICT).write_text(json.dumps(verdict, indent=1, sort_keys=True), encoding="utf-8")
     (say if as_json else tell)(verdict)
@@ -97,7 +97,7 @@
 @click.option("--seeds", required=True, metavar="A..B")
 @click.option("--out", type=click.Path(), help="Keeps the folders of runs that were not kept there.")
 @click.option("--first", is_flag=True, help="Stops at the first broken one.")
-def sweep(scenario, stage, seeds, planted, members, older, out, first) -> None:
+def sweep(scenario, stage, seeds, mutation, members, older, out, first) -> None:
     """Plays one scenario, or the days that they draw, with many seeds: a line for each that is not kept, then a summary in JSON."""
     verdicts = []
     with Progress(TextColumn("seed {task.fields[seed]}"), BarColumn(), TimeElapsedColumn(), console=Console(stderr=True)) as bar:
@@ -106,7 +106,7 @@
         for seed in todo:
             bar.update(task, seed=seed)
             folder = Path(out) / str(seed) if out and stage == "processes" else None
-            verdicts.append(played(loaded(scenario, stage, seed, members), stage, folder, older, planted))
+            verdicts.append(played(loaded(scenario, stage, seed, members), stage, folder, older, mutation))
             if not verdicts[-1]["ok"]:
                 for row in verdicts[-1]["findings"]:
                     if row["word"] != checker.KEPT:
--- a/molehill/emulator/planted.py
+++ b/molehill/emulator/mutations.py
@@ -1,6 +1,6 @@
 """Known mistakes, each a small change of the relay made in memory: what a sweep has to find, or the net has a hole.
 
-Used by the sweep's own measurement and by tests only; `planted(name)` puts one in and takes it out again.
+Used by the sweep's own measurement and by tests only; `mutated(name)` puts one in and takes it out again.
 """
 from contextlib import contextmanager
 
@@ -134,7 +134,7 @@
 
 
 # name -> (where it is put, the attribute, what makes the wrong one of the right one)
-MISTAKES = {
+MUTATIONS = {
     "answered before it is logged": (Engine, "carry", answer_before_log),
     "launch not logged": (Core, "_log", without_record("launch")),
     "end not logged": (Core, "_log", without_record("end")),
@@ -170,9 +170,9 @@
 
 
 @contextmanager
-def planted(name: str):
-    """Within it, the relay makes that mistake. KeyError for a name that is not in MISTAKES."""
-    place, attribute, change = MISTAKES[name]
+def mutated(name: str):
+    """Within it, the relay makes that mistake. KeyError for a name that is not in MUTATIONS."""
+    place, attribute, change = MUTATIONS[name]
     before = place.__dict__[attribute]
     setattr(place, attribute, change(before))
     try:
--- a/molehill/emulator/sweep.py
+++ b/molehill/emulator/sweep.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from molehill.emulator import generator, scenario as scenarios
-from molehill.emulator.planted import planted
+from molehill.emulator.mutations import mutated
 from molehill.emulator.run import play
 
 RUNS_A_WORKER = 50                     # then a fresh process: what killed relays leave behind goes with the old one
@@ -23,7 +23,7 @@
 
 def play_one(scenario, mistake=None) -> dict:
     """The verdict; with a known mistake put into the relay, if one is named."""
-    with planted(mistake) if mistake else nullcontext():
+    with mutated(mistake) if mistake else nullcontext():
         return play(scenario)
 
 
--- a/molehill/fleet/hooked.py
+++ b/molehill/fleet/hooked.py
@@ -22,8 +22,8 @@
 def play(spec: dict) -> int:
     mistake = nullcontext()
     if spec.get("mistake"):
-        from molehill.emulator.planted import planted
-        mistake = planted(spec["mistake"])
+        from molehill.emulator.mutations import mutated
+        mistake = mutated(spec["mistake"])
     with mistake:
         return main(Kernel(off_clock(spec.get("clock_ms", 0), spec.get("drift", 0.0))))
 
--- a/molehill/fleet/planted.py
+++ b/molehill/fleet/mutations.py
@@ -1,6 +1,6 @@
 """Known mistakes of the rig itself, each made in memory: what its own checks have to find, or a good verdict means nothing.
 
-Those of relays are the emulator's (`molehill/emulator/planted.py`), put into processes by hooked.py. Used by measurements and tests only.
+Those of relays are the emulator's (`molehill/emulator/mutations.py`), put into processes by hooked.py. Used by measurements and tests only.
 """
 from contextlib import contextmanager
 
@@ -55,7 +55,7 @@
 
 
 # name -> (which process it is in: cables, or the checker's; the place, the attribute, what makes the wrong one of the right one)
-MISTAKES = {
+MUTATIONS = {
     "a cut lets all through": ("cables", cable.Way, "stands", lets_all_through),
     "a cut falls on the other direction": ("cables", cable, "directions", other_way_round),
     "a cable says some things twice": ("cables", cable.Pipe, "push", some_twice),
@@ -65,9 +65,9 @@
 
 
 @contextmanager
-def planted(name: str, process: str):
+def mutated(name: str, process: str):
     """Within it, that mistake is made if it belongs to `process`."""
-    where, place, attribute, change = MISTAKES[name]
+    where, place, attribute, change = MUTATIONS[name]
     before = getattr(place, attribute)
     if where == process:
         setattr(place, attribute, change(before))
--- a/molehill/fleet/party.py
+++ b/molehill/fleet/party.py
@@ -22,7 +22,7 @@
 from molehill.emulator.world import START
 from molehill.fleet.cable import Cables
 from molehill.fleet.places import Places
-from molehill.fleet.planted import planted
+from molehill.fleet.mutations import mutated
 from molehill.fleet.sockets import Network
 from molehill.fleet.world import IN, World
 
@@ -36,7 +36,7 @@
     slot: int
     history: str
     cabled: list[tuple[str, str]] = []
-    mistake: str = ""                  # of planted.py
+    mistake: str = ""                  # of mutations.py
 
 
 class Absent:
@@ -172,7 +172,7 @@
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
     with open(sys.argv[1], "rb") as file:
         spec = msgspec.json.decode(file.read(), type=Spec)
-    with planted(spec.mistake, spec.role) if spec.mistake else nullcontext():
+    with mutated(spec.mistake, spec.role) if spec.mistake else nullcontext():
         party = ROLES[spec.role](spec)
         print("up", flush=True)
         party.world.run()
--- a/molehill/fleet/play.py
+++ b/molehill/fleet/play.py
@@ -9,10 +9,10 @@
 
 from molehill.emulator import run as emulated
 from molehill.emulator import scenario as scenarios
-from molehill.emulator.planted import planted
+from molehill.emulator.mutations import mutated
 from molehill.fleet import checker, history
 from molehill.fleet.conductor import NotPlayed, Run
-from molehill.fleet.planted import planted as rig_planted
+from molehill.fleet.mutations import mutated as rig_mutated
 
 ON_VIRTUAL_CLOCK = ("faults hit", "causes first", "cuts hold")    # the referee has judged already, and nothing is ever late
 SCENARIO, VERDICT = "scenario.toml", "verdict.json"
@@ -25,7 +25,7 @@
     """
     scenarios.for_stage(scenario, stage)
     if stage == "emulated":
-        with planted(programs["mistake"]) if programs.get("mistake") else nullcontext():
+        with mutated(programs["mistake"]) if programs.get("mistake") else nullcontext():
             return on_virtual_clock(scenario)
     made = Path(folder) if folder else Path(tempfile.mkdtemp(prefix="molehill-fleet-"))
     try:
@@ -56,7 +56,7 @@
     (folder / SCENARIO).write_text(scenarios.dump(scenario), encoding="utf-8")
     try:
         Run(scenario, folder, **programs).play()
-        with rig_planted(programs["rig_mistake"], "checker") if programs.get("rig_mistake") else nullcontext():
+        with rig_mutated(programs["rig_mistake"], "checker") if programs.get("rig_mistake") else nullcontext():
             verdict = judge(folder, scenario)
     except NotPlayed as error:
         verdict = {"word": checker.VOID, "ok": False, "findings": [checker.Finding("played", checker.VOID, str(error), {})._asdict()], "summary": {}}
--- a/molehill/membership/planted.py
+++ b/tests/membership_mutations.py
@@ -90,7 +90,7 @@
 
 
 # name -> (attribute of Member, what makes the wrong one of the right one)
-MISTAKES = {"time is not looked at": ("stands", deaf_ears), "old ears after a pause": ("woke", nothing), "refutes by the same turn": ("told_of_self", same_turn),
+MUTATIONS = {"time is not looked at": ("stands", deaf_ears), "old ears after a pause": ("woke", nothing), "refutes by the same turn": ("told_of_self", same_turn),
             "an older process is believed": ("meets", older_believed), "a suspicion is a loss": ("patience", at_once),
             "accuses on no word from anybody": ("unanswered", on_no_word), "answers the helper alone": ("on_ping", helper_alone),
             "an old rumour raises": ("told", raised), "the earlier of two processes serves on": ("meets_itself", serves_on),
@@ -98,8 +98,8 @@
 
 
 @contextmanager
-def planted(name: str):
-    attribute, change = MISTAKES[name]
+def mutated(name: str):
+    attribute, change = MUTATIONS[name]
     before = getattr(Member, attribute)
     setattr(Member, attribute, change(before))
     try:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -144,7 +144,7 @@
     assert {f.kind for f in weighed.faults} <= {"drain", "freeze"}
 
 
-BROKEN = ["emulate", "sweep", "--seeds", "0..3", "--planted", "order of keys not kept"]
+BROKEN = ["emulate", "sweep", "--seeds", "0..3", "--mutation", "order of keys not kept"]
 
 
 def test_the_command_runs_sweeps_resumes_shrinks_and_shows(tmp_path):
