--- a/molehill/emulator/mutations.py
+++ b/molehill/emulator/mutations.py
@@ -133,6 +133,23 @@
     return health
 
 
+def logged_as_asked_for(before):
+    """A launch is in the log before its connection is up."""
+    def go(self, out):
+        before(self, out)
+        if out.number in self.calls:
+            self._log_launch(out)
+    return go
+
+
+def taken_for_new(before):
+    """What a restart takes up is told to the module as if it came just now."""
+    def hand_over(self, c):
+        before(self, c)
+        self.inbox[-1].taken = False
+    return hand_over
+
+
 # name -> (where it is put, the attribute, what makes the wrong one of the right one)
 MUTATIONS = {
     "answered before it is logged": (Engine, "carry", answer_before_log),
@@ -165,6 +182,15 @@
     "ids with other contents taken for the same": (ev.Fresh, "contents", lambda before: lambda self: b"same"),
     "time not counted over a standstill": (clients, "STOOD_MOST", lambda before: 0),
     "new notice waits for others' rest": (notices.Notices, "_wake", lambda before: lambda self: None),
+    "launch logged while its connection comes up": (Core, "_go", logged_as_asked_for),
+    "what a restart finds taken for new": (Core, "_hand_over", taken_for_new),
+    "a connection that came up late is written on": (hosts.Hosts, "_may_go", lambda before: lambda self, call, start: True),
+    "a call behind a connection in doubt is launched anew": (it.Result, "may_have_run", lambda before: property(
+        lambda self: self is not it.Result.RESET and before.fget(self))),
+    "a connection closed over what lies unread": (clients, "finish", lambda before: lambda stream, span, most: None),
+    "a whole list waited for as long as a watch": (discovery, "WHOLE_WITHIN", lambda before: discovery.HOLD + discovery.ANSWER_WITHIN),
+    "ids lately over forgotten by a rewrite": (Core, "snapshot", lambda before: lambda self: (
+        row for row in before(self) if row[0].get("k") != "done")),
     "idle clients never ended": (clients.Clients, "crowded", lambda before: lambda self, conn: False),
 }
 
--- a/molehill/emulator/referee.py
+++ b/molehill/emulator/referee.py
@@ -20,6 +20,7 @@
 NO_END = 3600 * SECOND                 # of a call that tells none
 LATELY = 200                           # answers among which those under way at the start of a cut are looked for
 WORST = 10                             # seconds in a row of which the worst are told
+EARLY = 500 * MS                       # an end so long before its time is a giving up; a request read right after a start may have waited 400 ms
 FELL_BY = 2 / 3                        # of the load from relays that knew
 
 
@@ -90,6 +91,7 @@
         self.by_key, self.given, self.noticed, self.delivered, self.results = defaultdict(list), {}, {}, {}, {}
         self.told, self.waits, self.rests = {}, {}, {}
         self.life, self.ready_at, self.up, self.lost, self.deaf = Counter(), {}, {}, {}, {}
+        self.untried = {}                      # (id, body) that a restart found with no call and half of its time left -> its relay
         self.stood = {}                        # relay -> when it stood still last, from and to
         self.orders, self.counts, self.lately = 0, Counter(), deque(maxlen=LATELY)
         self.born, self.used = {}, set()       # message -> its second; connections that carried a call
@@ -307,6 +309,8 @@
                 self.breach(1, "two final answers that differ", id=id, relay=relay)
         for taken in self.taken.get(id, ()):
             taken.told = True
+            if (id, taken.body) in self.untried and not self.by_id.get(id) and now < taken.due - EARLY:
+                self.counts["given up untried after a restart"] += 1
 
     def notice_answered(self, now, who, id) -> None:
         self.noticed.setdefault(id, now)
@@ -330,6 +334,11 @@
 
     def ready(self, now, who, life) -> None:
         self.up[who], self.ready_at[who] = True, now if life > 1 else now - AFTER_READY
+        if life > 1:
+            for taken in [taken for rows in self.taken.values() for taken in rows if taken.relay == who]:
+                at = min(ask["at"] for ask in self.asks[taken.id] if ask["body"] == taken.body)
+                if taken.state == "held" and taken.owed and not taken.told and not self.by_id.get(taken.id) and 2 * (taken.due - now) >= taken.due - at:
+                    self.untried[taken.id, taken.body] = who
 
     def stands(self, now, who, until) -> None:
         """A machine that stands still owes nothing meanwhile."""
@@ -384,6 +393,10 @@
             left = {name: count for name, count in rows.items() if count}
             if left:
                 self.breach(0, "rows left in a relay that holds nothing", relay=relay, left=left)
+        self.counts["untried at a restart"] = len(self.untried)
+        if 2 * self.counts["given up untried after a restart"] > len(self.untried):
+            self.breach(1, "over half of what restarts found untried was given up with no call", found=len(self.untried),
+                        given_up=self.counts["given up untried after a restart"])
         asked = self.counts["asked"] + self.counts["no connection left"]
         if asked and self.counts["no connection left"] > self.set.crowd_share * asked:
             self.breach(0, "programs crowded out of their own connections", share=self.counts["no connection left"] / asked)
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -258,3 +258,23 @@
     day.take(300, "c", span=100)
     day.answer(after + 300, day.call(301, "b", "c"), ids=["b", "c"])
     assert day.referee.counts["delivered"] == 3 * delivered
+
+
+@pytest.mark.parametrize("ends,called,broken", [([1500, 1600, 1700], (), True), ([1500, 1600, 4600], (), True), ([1500, 4600, 4700], (), False),
+                                                ([4600, 4700, 4800], (), False), ([1500, 1600, 1700], "abc", False), ([1500, 1600, 1700], "ab", False)])
+def test_over_half_of_what_a_restart_finds_untried_given_up_with_no_call_fails_the_day(ends, called, broken):
+    day = Day()
+    for ident in "abc":
+        day.take(0, ident, span=5000)
+    day.take(0, "d", span=1200)            # less than half of its time is left when the relay is back: not among them
+    day.tell(600, "relay0", "killed", life=1)
+    day.tell(1000, "relay0", "started", life=2)
+    day.tell(1000, "relay0", "ready", life=2)
+    for ident in called:
+        day.answer(1300, day.call(1200, ident), status=503)
+    for at, ident in sorted(zip([1100, *ends], "dabc")):
+        day.tell(at, "platform", "notice", id=ident, result="dead", wait=0, relay="relay0")
+        day.tell(at, "platform", "notice answered", id=ident)
+    assert day.end(6000) is None
+    day.referee.close({}, {})
+    assert bool(day.world.failure) is broken and day.referee.counts["untried at a restart"] == 3
