--- a/molehill/cli/emulate.py
+++ b/molehill/cli/emulate.py
@@ -13,13 +13,13 @@
 KEPT, BROKEN, BAD = 0, 1, 2
 
 
-def given(path, seed, weights, stage="emulated"):
+def given(path, seed, weights, stage="emulated", customers=False):
     """The scenario that a command is about: a file's, if it can be played on that stage, or the one that a seed makes."""
     if (path is None) == (seed is None):
         raise click.UsageError("either SCENARIO or --seed")
     try:
         if path is None:
-            return sweeps.from_seed(seed, weigh(weights))
+            return sweeps.from_seed(seed, weigh(weights), customers)
         return scenarios.for_stage(scenarios.load(Path(path).read_text(encoding="utf-8")), stage)
     except (OSError, UnicodeDecodeError, scenarios.ScenarioError) as error:
         raise click.UsageError(f"{path}: {error}") from None
@@ -51,7 +51,8 @@
 
 
 weight = click.option("--weight", "weights", multiple=True, metavar="KIND=N", help="How often a kind of fault falls; 0: never.")
-which = [click.argument("scenario", required=False, type=click.Path()), click.option("--seed", type=int), weight]
+drawn = click.option("--customers", is_flag=True, help="Settings are drawn too: each seed plays another customer.")
+which = [click.argument("scenario", required=False, type=click.Path()), click.option("--seed", type=int), weight, drawn]
 
 
 def about_a_scenario(command):
@@ -68,9 +69,9 @@
 @emulate.command()
 @about_a_scenario
 @click.option("--save", type=click.Path(), help="Writes the scenario as TOML.")
-def run(scenario, seed, weights, save) -> None:
+def run(scenario, seed, weights, customers, save) -> None:
     """Plays one scenario and prints its verdict."""
-    made = given(scenario, seed, weights)
+    made = given(scenario, seed, weights, customers=customers)
     if save:
         Path(save).write_text(scenarios.dump(made), encoding="utf-8")
     verdict = sweeps.play_one(made)
@@ -80,9 +81,9 @@
 
 @emulate.command()
 @about_a_scenario
-def replay(scenario, seed, weights) -> None:
+def replay(scenario, seed, weights, customers) -> None:
     """Plays twice, the second time in a process with another hash seed, and compares digests of every event."""
-    made = given(scenario, seed, weights)
+    made = given(scenario, seed, weights, customers=customers)
     digests = sweeps.twice(made)
     click.echo(json.dumps({"same": digests[0] == digests[1], "digests": digests}))
     sys.exit(KEPT if digests[0] == digests[1] else BROKEN)
@@ -95,7 +96,8 @@
 @click.option("--mutation", "--planted", "mutation", type=click.Choice(sorted(MUTATIONS)), help="With this known mistake put into the relay.")
 @click.option("--first", is_flag=True, help="Stops at the first failing seed.")
 @weight
-def sweep(seeds, jobs, out, mutation, first, weights) -> None:
+@drawn
+def sweep(seeds, jobs, out, mutation, first, weights, customers) -> None:
     """Plays a range of seeds on all the cores that are given, a line for each that fails, then a summary in JSON."""
     todo = seeds_of(seeds)
     try:
@@ -103,11 +105,13 @@
     except (OSError, ValueError) as error:
         raise click.UsageError(f"--out {out}: {error}") from None
     with click.progressbar(length=len(todo), file=sys.stderr) as bar:
-        for verdict in sweeps.sweep(todo, jobs, results, mutation, weigh(weights)):
+        for verdict in sweeps.sweep(todo, jobs, results, mutation, weigh(weights), customers):
             bar.update(1)
             if not verdict["ok"]:
                 click.echo(f"seed {verdict['seed']}: rule {verdict['failure']['rule']}: {verdict['failure']['text']} "
-                           f"at {verdict['failure']['at_ms']:.1f} ms {verdict['failure']['facts']}")
+                           f"at {verdict['failure']['at_ms']:.1f} ms {verdict['failure']['facts']}; "
+                           f"molehill emulate show --seed {verdict['seed']}" + " --customers" * customers
+                           + "".join(f" --weight {row}" for row in weights))
                 if first:
                     break
     summary = results.summary()
@@ -119,9 +123,9 @@
 @about_a_scenario
 @click.option("--out", type=click.Path(), help="Where the smaller scenario goes; else it is printed.")
 @click.option("--tries", type=click.IntRange(1), default=200, show_default=True)
-def shrink(scenario, seed, weights, out, tries) -> None:
+def shrink(scenario, seed, weights, customers, out, tries) -> None:
     """Makes a failing scenario smaller while it still breaks the same rule in the same way."""
-    made = given(scenario, seed, weights)
+    made = given(scenario, seed, weights, customers=customers)
     try:
         small, verdict, played = sweeps.shrink(made, tries)
     except ValueError as error:
@@ -139,9 +143,9 @@
 @about_a_scenario
 @click.option("--about", multiple=True, help="Only events that name this party, id or key.")
 @click.option("--last", type=click.IntRange(1), default=200, show_default=True)
-def show(scenario, seed, weights, about, last) -> None:
+def show(scenario, seed, weights, customers, about, last) -> None:
     """A readable timeline of a run, by party."""
-    verdict, lines = timeline.timeline(given(scenario, seed, weights), about, last)
+    verdict, lines = timeline.timeline(given(scenario, seed, weights, customers=customers), about, last)
     for line in lines:
         click.echo(line)
     sys.exit(KEPT if verdict["ok"] else BROKEN)
--- a/molehill/emulator/generator.py
+++ b/molehill/emulator/generator.py
@@ -34,9 +34,23 @@
     "upgrade_new_hangs": (1, (100, 6000), (1, 250)), "upgrade_old_hangs": (1, (100, 6000), (1, 250)),
     "herd": (2, (0, 0), (0.3, 1)), "zone_dark": (2, (500, 6000), (0, 1)), "lower": (3, (2000, 8000), (0.2, 0.9))}
 ALL = {**KINDS, **ASKED_FOR}
+EFFECTS = ("idempotent", "deduplicated", "at_most_once")
 
 
-def make(seed: int, weights=None, span_ms: int = 10_000, relays: int = 3) -> Scenario:
+def customer(seed: int) -> dict:
+    """Settings that another customer might have, as fields of a scenario: its classes, what fits into a call, what is held."""
+    chance, rows = Random(f"customer {seed}"), []
+    for n in range(chance.randint(1, 6)):
+        effect, span = chance.choice(EFFECTS), chance.choice([1000, 2000, 4000, 8000, 15000])
+        rows.append(Category(f"class-{n}", effect, span, goal_ms=int(span * chance.choice([0.05, 0.25, 0.6])), payoff=chance.choice([1.0, 1.0, 4.0]),
+                             ordered=chance.random() < 0.5, window_ms=chance.choice([span // 4, span, 2 * span]) if effect == "deduplicated" else 0,
+                             scope=chance.choice(["all", "zone"])))
+    return {"categories": rows, "per_call": chance.choice([1, 2, 4, 10]), "slots": chance.choice([1, 2, 8, 32]),
+            "max_held": chance.choice([8, 60, 400]), "settle_ms": chance.choice([0, 150, 500, 1500])}
+
+
+def make(seed: int, weights=None, span_ms: int = 10_000, relays: int = 3, customers: bool = False) -> Scenario:
+    """`customers`: with settings drawn too, so that each seed plays another customer."""
     chance = Random(f"day {seed}")
     window = chance.choice([1500, 2500, 6000])
     categories = [
@@ -44,6 +58,10 @@
                  scope=chance.choice(["all", "zone"])),
         Category("rate", "idempotent", chance.choice([2000, 4000])),
         Category("refund", "at_most_once", chance.choice([3000, 6000]), payoff=4.0, ordered=chance.random() < 0.7)]
+    drawn = customer(seed) if customers else {}
+    if customers:
+        categories = drawn["categories"]
+        window = max([c.window_ms for c in categories]) or window
     endpoints = [EndpointPlan(destination=n + 1, hosts=chance.choice([1, 2, 2, 3]), kind=chance.choice(["plain", "apart", "bundle"]),
                               span_ms=chance.choice([5.0, 20.0, 20.0, 80.0]), slots=chance.choice([4, 16, 32]),
                               queue=chance.choice([0, 8, 32]), rate=chance.choice([0, 0, 15, 40]))
@@ -52,7 +70,7 @@
     programs = [ProgramPlan(rate=chance.choice([10.0, 25.0, 50.0]), destinations=places, keys=chance.choice([1, 5, 30]),
                             heeds=chance.random() < 0.7, leaves=chance.choice([0.0, 0.0, 0.03])) for _ in range(2)]
     if chance.random() < 0.4:
-        programs.append(ProgramPlan(rate=chance.choice([20.0, 60.0]), destinations=places, once=True, categories=["rate"]))
+        programs.append(ProgramPlan(rate=chance.choice([20.0, 60.0]), destinations=places, once=True, categories=[c.name for c in categories if c.name == "rate"]))
     surges = [Surge(chance.randrange(span_ms), chance.randrange(200, 2000), chance.choice([2.0, 5.0]))
               for _ in range(chance.choice([0, 0, 1]))]
     more = 1 + sum(s.span_ms * (s.by - 1) for s in surges) / span_ms
@@ -72,11 +90,12 @@
             place = fault.who.split("-")[0]
             fault.at_ms, fault.span_ms = fault.at_ms % EARLY_MS, max(fault.span_ms, chance.randrange(*LONG_MS))
             faults += [replace(fault, who=host) for host in hosts if host != fault.who and host.split("-")[0] == place]
-    return check(Scenario(seed=seed, span_ms=span_ms, relays=relays, categories=categories, endpoints=endpoints,
+    day = check(Scenario(seed=seed, span_ms=span_ms, relays=relays, categories=categories, endpoints=endpoints,
                           programs=programs, faults=sorted(faults, key=lambda f: (f.at_ms, f.kind, f.who)), surges=surges,
                           strangers=strangers, sockets=chance.choice([96, 128, 256]), max_held=chance.choice([60, 400]),
                           slots=chance.choice([8, 32]), disk_kb=chance.choice([120, 300, 3000]),
                           settle_ms=chance.choice([300, 500, 1500])))
+    return check(replace(day, **drawn))
 
 
 def tighten(chance, endpoint: EndpointPlan, load: float) -> None:
--- a/molehill/emulator/sweep.py
+++ b/molehill/emulator/sweep.py
@@ -17,8 +17,8 @@
 RUNS_A_WORKER = 50                     # then a fresh process: what killed relays leave behind goes with the old one
 
 
-def from_seed(seed: int, weights=None):
-    return generator.make(seed, weights)
+def from_seed(seed: int, weights=None, customers=False):
+    return generator.make(seed, weights, customers=customers)
 
 
 def play_one(scenario, mistake=None) -> dict:
@@ -28,8 +28,8 @@
 
 
 def _work(job) -> dict:
-    seed, mistake, weights = job
-    return play_one(from_seed(seed, weights), mistake)
+    seed, mistake, weights, customers = job
+    return play_one(from_seed(seed, weights, customers), mistake)
 
 
 class Results:
@@ -64,14 +64,14 @@
                 "service": round(sum(row["service"] for row in rows) / len(rows), 4) if rows else None}
 
 
-def sweep(seeds, jobs: int, results: Results, mistake=None, weights=None):
+def sweep(seeds, jobs: int, results: Results, mistake=None, weights=None, customers=False):
     """Yields each seed's verdict as it comes, those that `results` has at once."""
     todo = []
     for seed in seeds:
         if seed in results.rows:
             yield results.rows[seed]
         else:
-            todo.append((seed, mistake, weights))
+            todo.append((seed, mistake, weights, customers))
     if not todo:
         return
     with get_context("spawn").Pool(jobs, maxtasksperchild=RUNS_A_WORKER) as pool:
@@ -97,7 +97,7 @@
 def smaller(scenario):
     """Scenarios with a little less of something, the largest steps first."""
     change = msgspec.structs.replace
-    lists = ("faults", "programs", "surges", "endpoints")
+    lists = ("faults", "programs", "surges", "endpoints", "categories")
     for name in lists:
         rows = getattr(scenario, name)
         step = len(rows) // 2
@@ -123,7 +123,9 @@
 def fitting(scenario):
     """The scenario with what hangs in the air taken out, or None where it can't stand."""
     change, places = msgspec.structs.replace, {e.destination for e in scenario.endpoints}
-    programs = [change(p, destinations=[d for d in p.destinations if d in places]) for p in scenario.programs]
+    names = {c.name for c in scenario.categories}
+    programs = [change(p, destinations=[d for d in p.destinations if d in places], categories=[c for c in p.categories if c in names])
+                for p in scenario.programs if not p.categories or names & set(p.categories)]
     made = change(scenario, programs=[p for p in programs if p.destinations])
     relays = {f"relay{n}" for n in range(made.relays)} | {"platform"}
     hosts = {f"h{e.destination}-{n}" for e in made.endpoints for n in range(e.hosts)}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -40,6 +40,20 @@
     kept(sweep.play_one(generator.make(seed, {kind: 2 for kind in generator.ASKED_FOR}, span_ms=5000)))
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_rough_days_of_customers_that_nobody_knows_keep_the_rules(seed):
+    """Classes, effects, windows, deadlines and bounds are drawn: nothing in a relay may be fitted to one customer's."""
+    kept(sweep.play_one(generator.make(seed, span_ms=4000, customers=True)))
+
+
+def test_each_seed_draws_another_customer_and_the_faults_of_a_seed_are_the_same_without():
+    drawn = [generator.make(seed, customers=True) for seed in range(100)]
+    effects = {frozenset(c.effect for c in day.categories) for day in drawn}
+    assert len({scenarios.dump(msgspec.structs.replace(day, seed=0)) for day in drawn}) == 100 and len(effects) == 7, "each mixture of effects"
+    assert {day.per_call for day in drawn} == {1, 2, 4, 10} and all(scenarios.load(scenarios.dump(day)) == day for day in drawn)
+    assert drawn[5].endpoints == generator.make(5).endpoints and generator.make(5) == generator.make(5, customers=False)
+
+
 @pytest.mark.parametrize("path", ONCE_FAILED, ids=lambda path: path.stem)
 def test_what_once_failed_keeps_the_rules(path):
     kept(sweep.play_one(scenarios.load(path.read_text(encoding="utf-8"))))
