--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,19 +12,12 @@
 from molehill.interface import Result
 from molehill.runtime.stream import Stream
 from tests.ledger import MS, SECOND, drain
-from tests.place import ASK, Place
+from tests.place import ASK
 
 PLAIN = ASK.replace(b"notice", b"plain")       # at most once, where a notice is deduplicated
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
-@pytest.fixture
-def place(tmp_path):
-    made = Place(tmp_path)
-    yield made
-    made.close()
-
-
 def end_of(sock):
     """What a peer reads up to the end of its connection, and how that ends: in order, or by a reset that may eat what came before."""
     sock.setblocking(True)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,14 +10,7 @@
 from molehill.relay import log_room
 from molehill.store import HEAD
 from tests.ledger import MS, SECOND, drain, net_config, net_given
-from tests.place import ASK, Place
-
-
-@pytest.fixture
-def place(tmp_path):
-    made = Place(tmp_path)
-    yield made
-    made.close()
+from tests.place import ASK
 
 
 def test_a_callback_goes_through_and_one_of_its_key_waits_for_it(place):
