Strangers' copies say in their request the time that the referee is told

Change: the request says what is told, the class's span or 3 s. Ruled out: the relay: its call told the host 1000 ms and was answered after 115.

--- a/molehill/emulator/parties/strangers.py
+++ b/molehill/emulator/parties/strangers.py
@@ -7,6 +7,8 @@
          b"POST /api HTTP/1.1\r\nReq-Id: x\r\nReq-Kind: nothing\r\nContent-Length: 0\r\n\r\n",
          b"POST /api HTTP/1.1\r\n" + b"X: y\r\n" * 4000)
 
+LONGEST = 3 * SECOND                   # of a copy's time, which is what its request says
+
 
 class Strangers:
     """`plan`: copies (share of requests whose id they use too), rate (connections a second), until."""
@@ -22,7 +24,7 @@
         if self.world.now >= self.plan.until or self.world.chance.random() >= self.plan.copies:
             return
         headers = [("Req-Id", ident), ("Req-Kind", message.category.name), ("X-Consignee", f"dest={message.destination}"),
-                   ("Req-Deadline-Ms", "3000"), ("Cookie", "subject=strange")]
+                   ("Req-Deadline-Ms", str(min(message.category.span, LONGEST) // MS)), ("Cookie", "subject=strange")]
         if message.mark is not None:
             headers.append(("Idempotency-Key", f"strange-{ident}"))
         body = b"strange " + ident.encode()
@@ -39,7 +41,7 @@
         def up(sock):
             self.world.tell("strangers", "asked", id=ident, message=None, relay=relay, category=message.category.name,
                             key="strange" if message.category.ordered else None, destination=message.destination,
-                            due=self.world.now + min(span, 3 * SECOND), mark=None, body=body[:40].decode())
+                            due=self.world.now + min(span, LONGEST), mark=None, body=body[:40].decode())
             sock.put(request("POST", "/api", headers, body))
         self.network.connect(self.place, self.addresses[relay], came, lambda s: s.close(), lambda s: s.close(), up)
 
