--- a/tests/place.py
+++ b/tests/place.py
@@ -17,8 +17,9 @@
 class Place:
     """Other parties of one relay: a host, the platform (discovery and notices) and a client."""
 
-    def __init__(self, folder):
-        self.folder, self.clock, self.open = folder, Ticks(), []
+    def __init__(self, folder, machine=Kernel):
+        """`machine(clock)`: what each process of the relay is handed."""
+        self.folder, self.clock, self.open, self.machine = folder, Ticks(), [], machine
         self.host, self.platform = self.listener(), self.listener()
         self.start()
 
@@ -36,7 +37,7 @@
                        discovery=self.platform.getsockname())
 
     def start(self):
-        self.relay = Process(self.config(), Kernel(self.clock), Sink(),
+        self.relay = Process(self.config(), self.machine(self.clock), Sink(),
                              lambda old: configuration.load(os.environ, again=old))
         self.relay.clients.listen()
         self.address = self.relay.clients.listener.getsockname()
