A failing accept waits or yields, so that it neither stops the relay nor spins

Ruled out: the poller (it was never reached). Now sixteen tries yield to the others, further ones wait 20 ms each, and failures are counted. The same mistake: the last look at the listener in a shutdown ended at the first such error, and the connections behind it were reset (test); the meeting place of upgrades spun over a failing accept.

--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -71,9 +71,11 @@
         self.budget.take("listener")
         self.scheduler.spawn_kept(self.accept)
 
-    PAUSE = 20 * MS                    # between looks at the budget while no connection can be taken
+    PAUSE = 20 * MS                    # between tries while no connection can be taken
+    RETRIES_AT_ONCE = 16               # of accept(2) in a row, as each may have failed for one connection alone
 
     def accept(self) -> None:
+        failures = 0                   # in a row
         while self.listener is not None:
             if self.held_back:
                 self.scheduler.wait(self.listener.fileno(), 0)
@@ -89,10 +91,18 @@
                 if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK):
                     self.scheduler.wait(self.listener.fileno(), READ)
                     self.first_waits = self.clock() - self.scheduler.stood
-                elif error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    continue
+                failures += 1
+                self.counts["accept failed"] += 1
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     self.close_idlest(ROOM)
                     self.scheduler.sleep(self.clock() + self.PAUSE)
+                elif failures <= self.RETRIES_AT_ONCE:
+                    self.scheduler.pause()
+                else:
+                    self.scheduler.sleep(self.clock() + self.PAUSE)
                 continue
+            failures = 0
             self.open(sock).late = self.clock() - self.first_waits
 
     def open(self, sock, data=b"", kind=NEW) -> Conn:
@@ -346,12 +356,16 @@
         listener, self.listener, self.closing = self.listener, None, True
         if listener is None:
             return
+        failures = 0
         while self.budget.take("client", OUTGOING):
             try:
                 sock, _ = listener.accept()
-            except OSError:
+            except OSError as error:
                 self.budget.give("client")
-                break
+                failures += 1
+                if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK) or failures > self.RETRIES_AT_ONCE:
+                    break
+                continue               # danger: with one connection that is gone, those behind it would be reset
             self.open(sock)
         self.listener = listener
         self.close_listener()
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -145,6 +145,7 @@
             try:
                 sock, _ = self.listener.accept()
             except OSError:
+                self.scheduler.sleep(self.clock() + TRY_AGAIN)
                 continue
             line = Line(self.scheduler, sock)
             try:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -127,3 +127,23 @@
     hand_in(place, client, b"id1")
     place.advance(SECOND)
     assert drain(client) == b"" and calls[0] - before < 300, "it neither stops the others nor takes the core"
+
+
+def test_the_end_takes_the_connections_behind_one_that_is_gone(place):
+    """Danger: at the last look at the listener, an aborted connection has all those behind it reset."""
+    listener, codes = place.relay.clients.listener, [errno.ECONNABORTED, errno.EPROTO]
+    place.relay.scheduler.cut(listener.fileno())
+
+    class Failing:
+        fileno, close = staticmethod(listener.fileno), staticmethod(listener.close)
+
+        @staticmethod
+        def accept():
+            if codes:
+                raise OSError(codes.pop(), "accept")
+            return listener.accept()
+    client = place.client()
+    client.send(ASK % b"id1")
+    place.relay.clients.listener = Failing()
+    place.relay.clients.let_go()
+    assert b"Connection: close" in place.hear(client, b"HTTP/1.1 202")
