--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,11 +2,16 @@
 import errno
 import socket
 import time
+from dataclasses import replace
+from threading import Timer
 
 import pytest
 
+from molehill.relay import Process, Start
 from molehill.runtime.kernel import Disk, Kernel
-from tests.ledger import MS, SECOND, Ticks, drain
+from molehill.runtime.log import Sink
+from molehill.store import Store
+from tests.ledger import MS, SECOND, Ticks, drain, net_config
 from tests.place import ASK, Place
 from tests.test_crossings import comes, kill
 
@@ -147,3 +152,42 @@
     place.relay.clients.listener = Failing()
     place.relay.clients.let_go()
     assert b"Connection: close" in place.hear(client, b"HTTP/1.1 202")
+
+
+def begun(folder, disk, signals):
+    """A start on the kernel's clock and that disk, waited for; its process, or None if it was told to end."""
+    machine = Kernel()
+    machine.disk = disk
+    config = replace(net_config(state=str(folder)), listen=("127.0.0.1", 0))
+    start = Start(config, machine, Sink())
+    if not start.wait(config, signals):
+        return None
+    return Process(config, machine, Sink(), lambda old: old, start)
+
+
+@pytest.fixture
+def signals():
+    """The side on which a process hears of signals, and the other one."""
+    pair = socket.socketpair()
+    pair[0].setblocking(False)
+    yield pair
+    for side in pair:
+        side.close()
+
+
+@pytest.mark.parametrize("calls", [("write", "truncate"), ("truncate",), ("open",), ("read",), ("lock",), ("makedirs", "unlink")])
+def test_a_start_waits_until_the_disk_lets_it(tmp_path, signals, calls, capfd):
+    """Danger: a restart into a second of failing disk is a relay that will not start."""
+    store = Store(str(tmp_path), 100_000, Disk())
+    store.append([({"k": "rest", "key": "a", "until": 1}, b"")])
+    store.close()
+    with open(store.path, "ab") as log:
+        log.write(b"torn")
+    (tmp_path / "log.new").write_bytes(b"half")
+    disk, until = FailingDisk(), time.monotonic() + 0.3
+    disk.failing = dict.fromkeys(calls, errno.EIO)
+    Timer(0.3, disk.failing.clear).start()
+    process = begun(tmp_path, disk, signals[0])
+    assert time.monotonic() >= until - 0.01 and process.core.rests and not process.can_serve()
+    assert "waiting for the disk" in capfd.readouterr().err
+    process.store.close()
