Log: nothing behind an end that is not known to be whole; spoilt bytes cost their record alone

Ruled out: the rewrite, which had failed as files could not be made; the 202, which came after a write that succeeded. Change: after a failed write its remains are cut off, or overwritten by a filler record, before anything else is written, and till then nothing is taken on. The reading finds whole records again behind spoilt bytes by a mark that stands nowhere else (bodies that hold it are encoded). Records of one append are read all or none: of five that were refused with 503, two whole ones would have been taken on after a kill. Why not storage/: its records need a salt in each segment and another form on the disk, and a reader for both; the present form needed a search and a rule.

--- a/molehill/emulator/disk.py
+++ b/molehill/emulator/disk.py
@@ -51,6 +51,9 @@
         self.fds[self.serial] = [self.files[path], 0]      # by the file, not its name: a rename changes nothing
         return self.serial
 
+    def is_file(self, path: str, fd: int) -> bool:
+        return self.files.get(path) is self.fds[fd][0]
+
     def read(self, path: str) -> bytes:
         return bytes(self.files[path])
 
--- a/molehill/runtime/kernel.py
+++ b/molehill/runtime/kernel.py
@@ -27,6 +27,11 @@
         """A descriptor to read and write by; `anew`: empty, whatever was there."""
         return os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | (os.O_TRUNC if anew else 0), 0o600)
 
+    @staticmethod
+    def is_file(path: str, fd: int) -> bool:
+        """Whether that path is the open file."""
+        return os.path.samestat(os.stat(path), os.fstat(fd))
+
     @staticmethod
     def read(path: str) -> bytes:
         with open(path, "rb") as file:
--- a/molehill/store.py
+++ b/molehill/store.py
@@ -1,79 +1,225 @@
 """The log in the folder that lasts: append-only records with checksums, read again at the next start.
 
-A record is a length and a CRC-32, then a line of JSON and the callback's bytes. What was written outlasts the
-process without a sync. A torn tail is cut off when the log is opened. Once the log has grown past its mark it is
+A record is a length and a CRC-32, then a line of JSON that begins with MARK, and the callback's bytes. What was written
+outlasts the process without a sync. MARK stands nowhere but at the start of a record, so whole records are found again
+behind bytes that were torn or spoilt. The records of one append count together: of an append that a kill or a failed
+write cut off, none is read.
+
+Nothing is appended while the end of the log is not known to be whole: what a failed write left there is cut off, or
+overwritten by a record that says nothing, before anything else is written. Once the log has grown past its mark it is
 written anew with just what is owed, and takes the old one's place by a rename.
 """
+import base64
 import json
 import os.path
 import struct
 import zlib
+from typing import Callable, Iterator, NamedTuple
 
 HEAD = struct.Struct(">II")
+MARK = b'{"k":"'                   # how each record's JSON begins; JSON escapes it in texts, and a body that holds it is encoded
 BLOCK = 512                        # files count in whole blocks of so many bytes
+FILLER = "filler"                  # kind of a record that only covers what a failed write left
+FOLLOWING = "more"                 # key of a record: how many records of the same append follow it
+ENCODED = "b64"                    # key of a record: its body is in base64
+
+
+class Piece(NamedTuple):
+    """A stretch of the log's bytes: a whole record, or what lies between two."""
+    at: int
+    end: int
+    payload: bytes | None          # None: no record
+    torn: bool = False             # no record, and cut off by the end of the log
+
+
+def encode(record: dict, body: bytes = b"") -> bytes:
+    """One record's bytes. `record` has its kind as its first key, `k`."""
+    if MARK in body:
+        record, body = {**record, ENCODED: True}, base64.b64encode(body)
+    payload = json.dumps(record, separators=(",", ":")).encode("ascii") + b"\n" + body
+    return HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def encode_together(rows) -> bytes:
+    """Rows (record, body) of one append; read again all or none."""
+    last = len(rows) - 1
+    return b"".join(encode({**record, FOLLOWING: last - n} if n < last else record, body) for n, (record, body) in enumerate(rows))
+
+
+def decode(payload: bytes) -> tuple[dict, bytes]:
+    """A record and its body. Raises ValueError and the like for what is none."""
+    line, _, body = payload.partition(b"\n")
+    record = json.loads(line)
+    if record.pop(ENCODED, False):
+        body = base64.b64decode(body)
+    return record, body
+
+
+def filler(size: int) -> bytes:
+    """A record that says nothing, of so many bytes, or as few more as a record needs."""
+    shortest = encode({"k": FILLER})
+    return encode({"k": FILLER}, b" " * max(0, size - len(shortest)))
+
+
+def payload_at(data: bytes, at: int) -> bytes | None:
+    """The payload of the whole record that begins there, or None."""
+    if at + HEAD.size > len(data):
+        return None
+    length, check = HEAD.unpack_from(data, at)
+    payload = data[at + HEAD.size:at + HEAD.size + length]
+    return payload if len(payload) == length and zlib.crc32(payload) == check else None
+
+
+def next_record(data: bytes, start: int) -> int:
+    """Where the next whole record behind `start` begins; the end of the data if there is none."""
+    found = data.find(MARK, start + 1 + HEAD.size)
+    while found >= 0:
+        if payload_at(data, found - HEAD.size) is not None:
+            return found - HEAD.size
+        found = data.find(MARK, found + 1)
+    return len(data)
+
+
+def scan(data: bytes) -> Iterator[Piece]:
+    """The log's bytes in order, piece by piece."""
+    at = 0
+    while at < len(data):
+        payload = payload_at(data, at)
+        if payload is not None:
+            end = at + HEAD.size + len(payload)
+            yield Piece(at, end, payload)
+        else:
+            end = next_record(data, at)
+            whole = len(data) - at >= HEAD.size and at + HEAD.size + HEAD.unpack_from(data, at)[0] == end
+            yield Piece(at, end, None, torn=end == len(data) and not whole)
+        at = end
+
+
+def write_all(disk, fd: int, data: bytes) -> bool:
+    """Writes all of it, however short single writes are; False if the file would not take it."""
+    view = memoryview(data)
+    try:
+        while view:
+            count = disk.write(fd, view)
+            if not count:
+                return False
+            view = view[count:]
+    except OSError:
+        return False
+    return True
 
 
 class Store:
+    """One log. Its constructor and `read` raise OSError; all else reports failure by its result."""
+
     NAME, NEW = "log", "log.new"
 
     def __init__(self, folder: str, most: int, disk):
         """`most`: bytes that this log and a new one beside it may take up together; `disk` as of runtime/kernel.py."""
         self.disk = disk
         self.path, self.new_path = os.path.join(folder, self.NAME), os.path.join(folder, self.NEW)
-        self.most, self.size, self.live, self.cut, self.odd, self.failed = most, 0, 0, 0, 0, False
+        self.most, self.size, self.live, self.failed = most, 0, 0, False
+        self.full = False          # the last append had no room
+        self.tail = 0              # bytes behind `size` that a failed write may have left
+        self.cut = self.odd = self.spoilt = 0      # as read: bytes cut off; records of no use; stretches that can't be read
+        self.data = b""            # as read, until it is replayed
         disk.makedirs(folder)
         if disk.exists(self.new_path):
             disk.unlink(self.new_path)   # a rewrite that was cut off before its rename
         self.fd = disk.open(self.path)
 
-    def replay(self, load) -> int:
-        """Hands each whole record to `load`, in order; cuts off what follows the last whole one."""
-        data = self.disk.read(self.path)
-        at = count = 0
-        while at + HEAD.size <= len(data):
-            length, check = HEAD.unpack_from(data, at)
-            payload = data[at + HEAD.size:at + HEAD.size + length]
-            if len(payload) < length or zlib.crc32(payload) != check:
-                break
-            at += HEAD.size + length
-            line, _, body = payload.partition(b"\n")
+    def read(self) -> None:
+        """Reads the file and settles its end; `replay` then gives what it holds."""
+        self.data = self.disk.read(self.path)
+        end = self._committed()
+        self.cut, self.size, self.tail = len(self.data) - end, end, len(self.data) - end
+        self.data = self.data[:end]
+        if not self.tail:
+            self.disk.seek(self.fd, end)
+        elif not self.settle_end():
+            raise OSError("the end of the log can't be settled")
+
+    def _committed(self) -> int:
+        """Where the last append that was not cut off ends."""
+        end, begun = 0, None       # begun: where an append begins whose last record has not come
+        for piece in scan(self.data):
+            if piece.payload is None:
+                if piece.torn:
+                    break
+                end, begun = piece.end, None
+            elif b'"%s":' % FOLLOWING.encode() in piece.payload.partition(b"\n")[0]:
+                begun = piece.at if begun is None else begun
+            else:
+                end, begun = piece.end, None
+        return end if begun is None else min(end, begun)
+
+    def lines(self) -> Iterator[bytes]:
+        """The line of JSON of each record that was read, for a look before the replay."""
+        for piece in scan(self.data):
+            if piece.payload is not None:
+                yield piece.payload.partition(b"\n")[0]
+
+    def replay(self, load: Callable, load_spoilt: Callable = lambda data: None) -> int:
+        """Hands each record and its body to `load`, in order, and bytes that can't be read to `load_spoilt`; how many records
+        were of use. What is handed over is not kept."""
+        if not self.data:
+            self.read()
+        count = 0
+        for piece in scan(self.data):
+            if piece.payload is None:
+                self.spoilt += 1
+                load_spoilt(self.data[piece.at:piece.end])
+                continue
             try:
-                load(json.loads(line), body)
+                record, body = decode(piece.payload)
+                record.pop(FOLLOWING, None)
+                load(record, body)
                 count += 1
             except Exception:          # whatever it is: danger, one record that can't be read would keep the relay from its start
                 self.odd += 1          # whole, but of no use here: what follows it still counts
-        self.cut, self.size = len(data) - at, at
-        self.disk.truncate(self.fd, at)
-        self.disk.seek(self.fd, at)
+        self.data = b""
         return count
 
-    @staticmethod
-    def encode(record, body=b"") -> bytes:
-        payload = json.dumps(record, separators=(",", ":")).encode("ascii") + b"\n" + body
-        return HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+    def settle_end(self) -> bool:
+        """Has the log end with its last whole record, or with a filler behind it; whether that is so now."""
+        if not self.tail:
+            return True
+        try:
+            self.disk.truncate(self.fd, self.size)
+            self.disk.seek(self.fd, self.size)
+        except OSError:
+            return self._cover_tail()
+        self.tail = 0
+        return True
+
+    def _cover_tail(self) -> bool:
+        cover = filler(self.tail)
+        try:
+            self.disk.seek(self.fd, self.size)
+        except OSError:
+            return False
+        self.tail = max(self.tail, len(cover))
+        if not self._write(self.fd, cover):
+            return False
+        self.size, self.tail = self.size + len(cover), 0
+        return True
 
     def append(self, rows) -> bool:
         """Writes (record, body) rows, all or none; False if the file would not take them."""
-        data = b"".join(self.encode(record, body) for record, body in rows)
-        if self.size + len(data) + BLOCK > self.most or not self._write(self.fd, data):
-            try:                       # whatever part came in is cut off again
-                self.disk.truncate(self.fd, self.size)
-                self.disk.seek(self.fd, self.size)
-            except OSError:
-                pass
-            self.failed = True
+        data = encode_together(rows)
+        self.failed = True
+        self.full = self.size + len(data) + BLOCK > self.most
+        if self.full or not self.settle_end():
             return False
-        self.size += len(data)
+        if not self._write(self.fd, data):
+            self.tail = len(data)
+            self.settle_end()
+            return False
+        self.size, self.failed = self.size + len(data), False
         return True
 
     def _write(self, fd, data) -> bool:
-        view = memoryview(data)
-        try:
-            while view:
-                view = view[self.disk.write(fd, view):]
-        except OSError:
-            return False
-        return True
+        return write_all(self.disk, fd, data)
 
     def wants_rewrite(self) -> bool:
         """After a failure, or past 9/20 of the room, which leaves room beside it for what is owed, 7/20 at most;
@@ -82,27 +228,46 @@
 
     def rewrite(self, rows) -> bool:
         """A new log with these rows in place of the old one; on failure the old one stays as it is."""
-        data = b"".join(self.encode(record, body) for record, body in rows)
+        data = b"".join(encode(record, body) for record, body in rows)
         if self.size + len(data) + 2 * BLOCK > self.most:
             return False
         try:
             fd = self.disk.open(self.new_path, anew=True)
         except OSError:
             return False
-        try:
-            if not self._write(fd, data):
-                raise OSError("short write")
-            self.disk.rename(self.new_path, self.path)
-        except OSError:
-            self.disk.close(fd)
+        if not self._write(fd, data) or not self._renamed(fd):
+            self._close(fd)
             try:
                 self.disk.unlink(self.new_path)
             except OSError:
                 pass
             return False
-        self.disk.close(self.fd)
-        self.fd, self.size, self.live, self.failed = fd, len(data), len(data), False
+        # Danger: a failing close of the old file must not leave the new one unused: what is written to the old one is lost.
+        old, self.fd = self.fd, fd
+        self.size = self.live = len(data)
+        self.tail, self.failed = 0, False
+        self._close(old)
         return True
 
+    def _renamed(self, fd: int) -> bool:
+        """Danger: a rename that reports a failure may have been done all the same."""
+        try:
+            self.disk.rename(self.new_path, self.path)
+        except OSError:
+            try:
+                return self.disk.is_file(self.path, fd)
+            except OSError:
+                return False
+        return True
+
+    def _close(self, fd: int) -> None:
+        try:
+            self.disk.close(fd)
+        except OSError:
+            pass                   # Linux frees the descriptor all the same
+
     def close(self) -> None:
-        self.disk.close(self.fd)
+        """Nothing is written any more: its descriptor's number may be another file's from here on."""
+        if self.fd >= 0:
+            self._close(self.fd)
+            self.fd = -1
