Spans go by the monotonic clock, also over restarts; a start waits until its disk lets it

Ruled out: the scheduler and the module, which already went by one clock that only advances. Change: one process goes by CLOCK_MONOTONIC alone. The log's times are that clock plus an epoch that stands in a clock record with the boot's id (log_clock.py): same boot, same epoch. After a reboot, or with no usable record (said in the log line), the wall clock is the base, never earlier than the latest time logged. Rows of a hand-over are of the machine's one monotonic clock; their version is 2, older processes are waited out by the lock. Log lines and a member's first number take the wall clock. startup.py holds what stands before a relay serves: lock and log are opened in the loop, every 50 ms, and said every 10 s; errors that waiting does not mend end the start with ROUTER_STATE. flock errors other than a lack of locks no longer count as a lock held. Also: SIGTERM in the moment of a hand-over ended the new process with all connections that it had taken over; it ends by its shutdown now. What the log refuses and has happened already (ends, notices owed) is written before anything else; while it refuses, no call is begun, as each opened a connection for nothing. A hand-over with such rows unwritten breaks off. A launch that can't be read counts as one. The core's test of refused launches expects the word that the log works before a call.

--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -6,9 +6,10 @@
 import sys
 
 from molehill import config as configuration
-from molehill.relay import Process, Start
+from molehill.relay import Process
 from molehill.runtime.kernel import Kernel
 from molehill.runtime.log import Sink
+from molehill.startup import Start
 
 
 def watch_signals() -> socket.socket:
--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -77,6 +77,11 @@
     records: list
 
 
+@dataclass(slots=True)
+class LogWorks:                    # the log takes records again
+    pass
+
+
 @dataclass(slots=True)
 class Begun:                       # a connection is up, and the call's first byte is about to go
     call: int
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -5,6 +5,7 @@
 where a call may not go yet: its client has not heard that the callback is taken on, or an earlier callback of its
 key ended by a notice that the platform has not answered.
 """
+import re
 from collections import OrderedDict
 from dataclasses import replace
 from heapq import heappop, heappush
@@ -23,6 +24,9 @@
 NEXT = {None: (ARRIVED, HELD), ARRIVED: (TAKEN, OVER), TAKEN: (HELD, OWED, OVER), HELD: (OWED, OVER),
         OWED: (OVER,), OVER: ()}
 TAKEN_ON, DENIED, FAILED = 202, 503, 500       # answers to clients
+RECORD_KIND = re.compile(rb'"k":"([a-z]+)"')
+RECORDS_BUT_LAUNCH = (b"taken", b"end", b"owed", b"over", b"done", b"class", b"rest", b"health", b"clock", b"filler")
+LONG_AGO = 0           # of a launch at an unknown time: before any window that is still open
 RECORD_ROOM = 600      # bytes of the log for a callback beside its own text: fixed fields, launches, its end
 
 
@@ -74,8 +78,9 @@
         self.shown: dict[str, tuple[bool, bool]] = {}  # host that is listed -> how it counts in the gauges
         self.guards, self.wake_at, self.stop_at = [], None, None
         self.held_back, self.under = False, {}        # no call is begun; calls that an earlier process wrote, by number
+        self.log_fails = False                        # the log takes no records: no call is begun either
         self.on = {ev.Begin: self._begin, ev.Arrived: self._arrived, ev.Heard: self._heard,
-                   ev.Unheard: self._unheard, ev.Unlogged: self._unlogged, ev.Begun: self._begun, ev.Ended: self._ended,
+                   ev.Unheard: self._unheard, ev.Unlogged: self._unlogged, ev.LogWorks: self._log_works, ev.Begun: self._begun, ev.Ended: self._ended,
                    ev.Noticed: self._noticed, ev.Listed: self._listed, ev.Step: self._step, ev.Stop: self._stop,
                    ev.Retuned: self._retuned, ev.Hold: self._hold, ev.Inherited: self._inherited}
 
@@ -145,6 +150,19 @@
         elif kind == "health":
             self._well(record["host"], record["away"], record["at"])
 
+    def load_spoilt(self, data):
+        """Bytes of the log that can't be read. Danger: they may be a launch, whose callback would run twice. So those that it may
+        have launched, all that look untried if it names none, count as launched, unless a repeat is harmless."""
+        kind = RECORD_KIND.search(data)
+        if kind is not None and kind[1] in RECORDS_BUT_LAUNCH:
+            return
+        untried = [c for c in self.held.values() if c.sent is None and c.ran_at is None
+                   and self.set.categories[c.category].effect is not it.Effect.IDEMPOTENT]
+        named = [c for c in untried if b'"%s"' % c.id.encode() in data]
+        for callback in named or untried:
+            callback.launches += 1
+            callback.sent = LONG_AGO, None
+
     def _well(self, host, away, at):
         """Rule 4 over restarts: a host is away from its closing until it has answered for the whole ramp."""
         self.away[host] = None if away else at + (self.set.ramp_time or 0)
@@ -310,7 +328,11 @@
         self._release()
 
     def _unlogged(self, event):
-        """What could not be written: callbacks not taken on after all, launches that do not go."""
+        """What could not be written: callbacks not taken on after all, launches that do not go.
+
+        Danger: with launches refused as fast as they are asked for, each opens a connection at its host for nothing.
+        """
+        self.log_fails = True
         for record in event.records:
             if record["k"] == "taken" and record["id"] in self.held:
                 callback = self.held[record["id"]]
@@ -325,6 +347,10 @@
                     self._ended(ev.Ended(out.number, 0, [ev.End(i, Result.NOT_SENT, unsent=True)
                                                              for i in out.ids]))
 
+    def _log_works(self, _):
+        self.log_fails = False
+        self._release()
+
     # Calls
 
     def _end_callback(self, callback, denied, wait):
@@ -415,7 +441,7 @@
 
     def _release(self):
         """Sends off the parked calls that may go now."""
-        if self.held_back:
+        if self.held_back or self.log_fails:
             return
         for out in list(self.parked.values()):
             if not any(self._blocked(callback) for callback in self._known(out.ids)):
--- a/molehill/emulator/life.py
+++ b/molehill/emulator/life.py
@@ -273,7 +273,7 @@
 
     def __init__(self, node, number: int):
         self.node, self.world, self.name, self.number, self.state = node, node.world, node.name, number, UP
-        self.disk, self.clock, self.fds = node.disk, node.clock, {}
+        self.disk, self.clock, self.wall, self.boot_id, self.fds = node.disk, node.clock, node.wall, "emulated", {}
         self.process, self.signals, self.steps, self.warm = None, None, 0, False
         self.kill_at, self.hang_at = None, None    # steps; a hang's with its span
         self.wakes, self.woke, self.parked = 0, 0, None
--- a/molehill/emulator/node.py
+++ b/molehill/emulator/node.py
@@ -21,6 +21,7 @@
         self.life, self.lives, self.owner, self.acting = 0, [], None, None     # lives: those that are up
         self.most_fds, self.fds_share, self.frozen_until, self.graves = 1 << 30, 1.0, 0, []
         self.locked, self.meeting = Lock(), Meeting()
+        self.wall_step = 0             # nanoseconds by which its wall clock is off
         self.on_kill = []              # each is told (node) when the relay is gone, with the disk as it was left
         self.on_ready = []             # each is told (node, life) when a process can serve
         self.place.make_sock = TaskSock
@@ -39,6 +40,10 @@
     def clock(self) -> int:
         return self.world.now
 
+    def wall(self) -> int:
+        """Unix time as this machine has it; a fault may step it."""
+        return self.world.now + self.wall_step
+
     def step(self, what: str, size: int = 0) -> int:
         return self.acting.step(what, size) if self.acting is not None else size
 
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -443,7 +443,8 @@
 
     def on_clock(self, fault, relay, span) -> None:
         """Its next process has the wall clock wrong, as after a machine's own start; it is killed for that."""
-        relay.hook = {**relay.hook, "clock_ms" if fault.kind == "clock" else "drift": fault.worth}
+        off = {"clock_ms": fault.worth} if fault.kind == "clock" else {"drift": fault.worth, "drift_from": time.monotonic_ns()}
+        relay.hook = {**relay.hook, **off}
         self.hit(fault, relay.kill())
 
     on_drift = on_clock
--- a/molehill/membership/wiring.py
+++ b/molehill/membership/wiring.py
@@ -9,6 +9,7 @@
 from molehill.membership.wire import MOST, Unread, Wire
 from molehill.runtime.scheduler import READ
 from molehill.runtime.stream import Broken, Budget, Late, Short, Stream, connected, listening
+from molehill.store import write_all
 
 A_TURN = 64                            # datagrams read before others have their turn: a flood does not hold callbacks up
 SEATS = 4                              # streams at once
@@ -59,11 +60,12 @@
                 before = int(disk.read(path))
             except (OSError, ValueError):
                 pass                   # as if it were lost
-        number = max(before + 1, self.clock() // MS)
+        number = max(before + 1, self.scheduler.machine.wall() // MS)
         try:
             fd = disk.open(path + ".new", anew=True)
             try:
-                disk.write(fd, b"%d" % number)
+                if not write_all(disk, fd, b"%d" % number):
+                    raise OSError("short write")
             finally:
                 disk.close(fd)
             disk.rename(path + ".new", path)
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -8,59 +8,18 @@
 from molehill import config as configuration
 from molehill import holds, upgrade
 from molehill.core import events as ev
-from molehill.core.figures import Figures
 from molehill.core.reducer import Core
 from molehill.shutdown import ENDED, SERVING, Shutdown
-from molehill.http.admin import Admin
 from molehill.http.clients import Clients
 from molehill.http.discovery import Discovery
 from molehill.http.hosts import Hosts
 from molehill.http.notices import Notices
+from molehill.log_clock import Base
 from molehill.policy import Relay
 from molehill.runtime.engine import Engine
-from molehill.runtime.log import logger
-from molehill.runtime.scheduler import READ, Scheduler
+from molehill.runtime.scheduler import READ
 from molehill.runtime.stream import Budget
-from molehill.store import Store
-from molehill.upgrade import Heir
-
-
-def log_room(config) -> tuple[int, int]:
-    """Bytes for the log's files together, and for what may be owed at once.
-
-    A rewrite stands beside the log, so what is owed takes 7/20 at most (Store.wants_rewrite has the sum). The files
-    may lie in memory and what is owed is held there once more: together under half of it.
-    """
-    files = min(config.disk * 15 // 16, config.memory * 5 // 16)
-    return files, files * 7 // 20
-
-
-class Start:
-    """What stands before a relay has its log: the loop, the log lines, the operators' door, and the folder's lock."""
-
-    def __init__(self, config, machine, sink):
-        self.scheduler, self.log = Scheduler(machine), logger(sink, config.name, machine.clock)
-        self.process = self.estate = self.admin = self.heir = None
-        self.seen = []                 # signals that came before the relay was there
-        self.lock = machine.disk.lock(config.state)
-        if config.admin is not None:
-            self.admin = Admin(self.scheduler, config.admin, lambda: self.process is not None and self.process.can_serve(),
-                               lambda: self.process.figures() if self.process else Figures(config.categories).text())
-
-    def wait(self, config, signals) -> bool:
-        """Until the lock is here, if another process has it; False if told to end before."""
-        if self.lock is not None:
-            return True
-        heir = self.heir = Heir(self.scheduler, config, self.log, signals)
-        heir.begin()
-        self.scheduler.run()
-        return self.found()
-
-    def found(self) -> bool:
-        """Takes what the search for the lock brought."""
-        heir = self.heir
-        self.lock, self.estate, self.seen = heir.lock, heir.estate, heir.seen
-        return heir.finish()
+from molehill.startup import Start, log_room
 
 
 class Process:
@@ -68,6 +27,8 @@
         """`load_again(config)` reads the configuration anew, on SIGHUP, in place of that one; it raises ConfigError."""
         self.config, self.sink, self.load_again = config, sink, load_again
         self.start = start = start or Start(config, machine, sink)
+        if start.store is None:
+            start.open_log()
         self.log, self.scheduler, self.lock, self.given, self.giver = start.log, start.scheduler, start.lock, False, None
         holds.report = lambda name, count, facts: self.log.error("broken invariant", name=name, count=count,
                                                                  **{f"fact_{k}": v for k, v in facts.items()})
@@ -75,13 +36,14 @@
             config.discovery = configuration.address(start.estate.state["discovery"], "discovery")
         self.shutdown = Shutdown(self)
         self.budget = budget = Budget(config.sockets, {"client": config.client_sockets})
-        files, owed = log_room(config)
-        self.store = Store(config.state, files, machine.disk)
-        self.core = Core(config.settings, config.seed, Relay, owed, list(config.categories))
-        count = self.store.replay(self.core.load)
-        say = self.log.warning if self.store.cut or self.store.odd else self.log.info
-        say("log read", records=count, held=len(self.core.held), cut=self.store.cut, odd=self.store.odd)
-        self.engine = engine = Engine(self.scheduler, self.core, self.store, self.log, config.period)
+        self.store, log_clock = start.store, start.log_clock
+        self.core = Core(config.settings, config.seed, Relay, log_room(config)[1], list(config.categories))
+        count = self.store.replay(lambda record, body: self.core.load(log_clock.from_log(record), body), self.core.load_spoilt)
+        spoilt = self.store.cut or self.store.odd or self.store.spoilt or log_clock.base is Base.UNKNOWN
+        say = self.log.warning if spoilt else self.log.info
+        say("log read", records=count, held=len(self.core.held), cut=self.store.cut, odd=self.store.odd, spoilt=self.store.spoilt,
+            time_base=log_clock.base.value)
+        self.engine = engine = Engine(self.scheduler, self.core, self.store, self.log, config.period, log_clock)
         self.clients = engine.clients = Clients(self.scheduler, config, budget, engine.post)
         self.hosts = engine.hosts = Hosts(self.scheduler, config, budget, engine.post, self.core.may_send,
                                          self.core.figures)
--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -7,10 +7,14 @@
 
 
 class Engine:
-    def __init__(self, scheduler, core, store, log, period):
+    def __init__(self, scheduler, core, store, log, period, log_clock):
         self.scheduler, self.core, self.store, self.log, self.period = scheduler, core, store, log, period
         self.clock, self.queue, self.busy = scheduler.clock, [], False
-        self.last, self.planned, self.stuck = 0, None, False
+        self.log_clock = log_clock             # of molehill/log_clock.py
+        self.last, self.planned = 0, None
+        self.unwritten = []                    # rows that the log would not take, and has to have before any other
+        self.rewrite_at = 0                    # no rewrite is tried sooner
+        self.refused = 0                       # records refused since the log stopped taking them
         self.clients = self.hosts = self.notices = self.discovery = None     # set when wiring
 
     def post(self, event) -> None:
@@ -37,9 +41,23 @@
 
     def keep_small(self) -> None:
         if self.store.wants_rewrite():
-            failed, self.stuck = self.stuck, not self.store.rewrite(self.core.snapshot())
-            if self.stuck and not failed:
+            self.rewrite()
+
+    REWRITE_AGAIN = 100 * MS               # a failed rewrite costs as much as one that succeeds
+
+    def rewrite(self) -> bool:
+        """Has the log written anew with what is owed now, unless that failed a moment ago; whether it was."""
+        if self.clock() < self.rewrite_at:
+            return False
+        rows = [(self.log_clock.record(self.scheduler.machine), b"")]
+        rows += [(self.log_clock.to_log(record), body) for record, body in self.core.snapshot()]
+        if not self.store.rewrite(rows):
+            if not self.rewrite_at:
                 self.log.warning("log not rewritten", size=self.store.size)
+            self.rewrite_at = self.clock() + self.REWRITE_AGAIN
+            return False
+        self.rewrite_at, self.unwritten = 0, []
+        return True
 
     def carry(self, effects) -> None:
         rows = []
@@ -71,13 +89,48 @@
         else:
             self.log.info(effect.text)
 
+    REVERSIBLE = ("taken", "launch")       # kinds of record that the core can do without: what they tell has not happened yet
+
+    REVERSIBLE = ("taken", "launch")       # kinds of record that the core can do without: what they tell has not happened yet
+
     def flush(self, rows):
-        """Writes records; what the log does not take, not even written anew, goes back to the core."""
-        if rows and not self.store.append(rows) and not self.store.rewrite(self.core.snapshot()):
+        """Writes records. Of what the log does not take, not even written anew, the reversible goes back to the core, and the rest
+        is written before anything else is."""
+        if not rows:
+            return []
+        rows = [(self.log_clock.to_log(record), body) for record, body in rows]
+        if self.write(self.unwritten + rows):
+            return []
+        if not self.refused:
             self.log.error("log full or failing", records=len(rows), size=self.store.size)
-            self.queue.append(ev.Unlogged([record for record, _ in rows]))
+            self.scheduler.at(self.clock() + self.PROBE_EVERY, self.probe)
+        self.refused += len(rows)
+        self.unwritten += [row for row in rows if row[0]["k"] not in self.REVERSIBLE]
+        self.queue.append(ev.Unlogged([record for record, _ in rows if record["k"] in self.REVERSIBLE]))
         return []
 
+    def write(self, rows) -> bool:
+        """Whether the log has these rows now, and with them all that was unwritten."""
+        if not self.store.append(rows) and not self.rewrite():
+            return False
+        self.unwritten = []
+        if self.refused:
+            self.log.warning("log written again", refused=self.refused)
+            self.refused = 0
+            self.queue.append(ev.LogWorks())
+        return True
+
+    PROBE_EVERY = 100 * MS                 # while the log takes nothing
+
+    def probe(self) -> None:
+        """Looks whether the log takes records again, as no call is begun until it does."""
+        if not self.refused:
+            return
+        if self.busy or not self.write(self.unwritten or [(self.log_clock.record(self.scheduler.machine), b"")]):
+            self.scheduler.at(self.clock() + self.PROBE_EVERY, self.probe)
+        elif self.queue:
+            self.post(self.queue.pop(0))
+
     def plan(self) -> None:
         """Has the module stepped as soon as the period allows if anything came in, else when it is due."""
         due = self.clock() if self.core.inbox else self.core.next_step()
--- a/molehill/runtime/kernel.py
+++ b/molehill/runtime/kernel.py
@@ -10,10 +10,19 @@
 import time
 
 
-def wall_clock():
-    """Wall time in nanoseconds that only advances: read once, then carried on by the monotonic clock."""
-    base = time.time_ns() - time.monotonic_ns()
-    return lambda: base + time.monotonic_ns()
+BOOT_ID = "/proc/sys/kernel/random/boot_id"    # one text from boot to boot: as long the monotonic clock runs on
+
+
+def read_boot_id() -> str:
+    """Tells this boot of the machine from others; empty where the kernel does not say."""
+    try:
+        with open(BOOT_ID, encoding="ascii") as file:
+            return file.read().strip()
+    except (OSError, ValueError):
+        return ""
+
+
+NO_LOCKS = (errno.ENOSYS, errno.EOPNOTSUPP, errno.EINVAL, errno.ENOLCK)
 
 
 class Disk:
@@ -49,13 +58,20 @@
             if error.errno in (errno.EWOULDBLOCK, errno.EACCES):
                 os.close(fd)
                 return None
+            if error.errno not in NO_LOCKS:
+                os.close(fd)
+                raise
             # a file system without locks: nobody else can be told from here, as ever before
         return fd
 
 
 class Kernel:
-    def __init__(self, clock=None):
-        self.clock, self.disk = clock or wall_clock(), Disk()
+    """`clock()`: nanoseconds of the monotonic clock, by which all spans go; `wall()`: Unix time in nanoseconds, which may be
+    stepped at any moment: for what is shown, and carried over a reboot; `boot_id`: changes when the monotonic clock begins anew."""
+
+    def __init__(self, clock=None, wall=None):
+        self.clock, self.wall = clock or time.monotonic_ns, wall or time.time_ns
+        self.boot_id, self.disk = read_boot_id(), Disk()
 
     @staticmethod
     def poller():
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -13,14 +13,14 @@
 import signal
 from dataclasses import dataclass, field
 
-from molehill.config import MS, SECOND
+from molehill.config import MS, SECOND, ConfigError
 from molehill.core import events as ev
 from molehill.http.discovery import listed
 from molehill.runtime.line import Line
 from molehill.runtime.scheduler import CUT, READ
 from molehill.runtime.stream import Broken, Late
 
-VERSION = 1
+VERSION = 2                        # 1 had times of the wall clock in its rows
 CALM_WITHIN = 100 * MS             # for requests that are answered and calls that are written: a quarter of a client's wait
 STEP_WITHIN = SECOND               # for a message of the other process: many times what it takes, well within the 6 s for a yes
 # For all that passes, as the relay stands meanwhile: half of the time within which it owes a notice (300 ms). Some 10 ms are taken.
@@ -50,40 +50,51 @@
 
 
 class Heir:
-    """The new process, until it has the lock."""
+    """The new process, until it has the lock and the log. `start`: of molehill/startup.py."""
 
-    def __init__(self, scheduler, config, log, signals):
-        self.scheduler, self.config, self.log, self.signals = scheduler, config, log, signals
-        self.clock, self.machine = scheduler.clock, scheduler.machine
-        self.estate, self.lock, self.seen, self.told_to_end = None, None, [], False
+    def __init__(self, start, signals):
+        self.start, self.scheduler, self.config, self.log, self.signals = start, start.scheduler, start.config, start.log, signals
+        self.clock, self.machine = self.scheduler.clock, self.scheduler.machine
+        self.estate, self.seen, self.told_to_end, self.fault = None, [], False, None
 
     def begin(self) -> None:
-        """The loop is to stop once the lock is here, with what the process before gave or without."""
+        """The loop is to stop once lock and log are here, with what the process before gave or without."""
         self.scheduler.spawn_kept(self.on_signals)
         self.scheduler.spawn_kept(self.seek)
 
     def finish(self) -> bool:
-        """After the loop; False: told to end."""
+        """After the loop; False: told to end. Raises ConfigError for a folder that can't be used."""
         self.scheduler.cut(self.signals.fileno())
         self.scheduler.stopped = False
+        if self.fault is not None:
+            raise self.fault
         return not self.told_to_end
 
     def on_signals(self) -> None:
         while self.scheduler.wait(self.signals.fileno(), READ) != CUT:
             self.seen += self.signals.recv(64)         # the relay acts on them once it is there
-            if signal.SIGTERM in self.seen or signal.SIGINT in self.seen:
+            # Danger: with the connections of the process before, it owes their answers; it ends by its shutdown, not here.
+            if self.estate is None and (signal.SIGTERM in self.seen or signal.SIGINT in self.seen):
                 self.told_to_end = self.scheduler.stopped = True
 
     def seek(self) -> None:
+        try:
+            self.seek_lock()
+            while not self.told_to_end and not self.start.try_log():
+                self.scheduler.sleep(self.clock() + TRY_AGAIN)
+        except ConfigError as error:
+            self.fault = error
+        self.scheduler.stopped = True
+
+    def seek_lock(self) -> None:
         said, ask_at, again = 0, 0, TRY_AGAIN
-        while not self.told_to_end:
+        while not self.told_to_end and self.start.lock is None:
             if self.config.admin is not None and self.clock() >= ask_at and self.ask():
                 again = min(2 * again, SELDOM)
                 ask_at = self.clock() + again
-            if self.estate is None:
-                self.lock = self.machine.disk.lock(self.config.state)
-            if self.estate is not None or self.lock is not None:
-                self.scheduler.stopped = True
+            if self.start.lock is None:
+                self.start.try_lock()
+            if self.start.lock is not None:
                 return
             if self.clock() - said >= SAY_EVERY:
                 said = self.clock()
@@ -99,7 +110,7 @@
             while self.take(estate, *line.receive(self.clock() + STEP_WITHIN)):
                 pass
             line.send({"k": "mine"}, self.clock() + STEP_WITHIN)
-            self.estate, self.lock = estate, estate.lock
+            self.estate, self.start.lock = estate, estate.lock
         except (Broken, Late, OSError, KeyError, TypeError, ValueError) as error:
             estate.close(self.machine)                 # the lock's copy too: it stays with whoever has it
             if not isinstance(error, OSError):
@@ -169,6 +180,8 @@
         self.scheduler.pause()             # danger: their clients have not heard, and the next process could not know
         rows, error, until = process.give(began), None, self.clock() + PASS_WITHIN
         try:
+            if process.engine.unwritten:       # danger: the next process goes by the log, and would not know of it
+                raise Broken("the log does not take records")
             for message, body, sock in rows:
                 line.send(message, until, body, sock and sock.fileno())
             line.send({"k": "lock"}, until, fd=process.lock)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -506,7 +506,8 @@
     assert [e.status for e in effects if type(e) is ev.Answer] == [503]
     assert not any(type(e) is ev.Call for e in effects) and not core.held
     effects_of(core, now, ev.Arrived("c", fresh("b")), ev.Step())
-    (call,) = effects_of(core, now, ev.Heard("b", "c"))
+    assert not effects_of(core, now, ev.Heard("b", "c")), "danger: each launch that can't be logged opens a connection for nothing"
+    (call,) = effects_of(core, now, ev.LogWorks())
     (logged,) = effects_of(core, now, ev.Begun(call.number))
     effects = effects_of(core, now, ev.Unlogged([logged.record]))
     assert [e.call for e in effects if type(e) is ev.Abort] == [call.number] and not core.calls
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,5 +1,7 @@
 """Calls that fail as Linux documents, a disk that fails for a while, and a wall clock that is stepped: one whole relay each time."""
 import errno
+import json
+import signal
 import socket
 import time
 from dataclasses import replace
@@ -7,6 +9,9 @@
 
 import pytest
 
+from molehill import log_clock
+from molehill.config import ConfigError
+from molehill.log_clock import Base
 from molehill.relay import Process, Start
 from molehill.runtime.kernel import Disk, Kernel
 from molehill.runtime.log import Sink
@@ -175,7 +180,7 @@
         side.close()
 
 
-@pytest.mark.parametrize("calls", [("write", "truncate"), ("truncate",), ("open",), ("read",), ("lock",), ("makedirs", "unlink")])
+@pytest.mark.parametrize("calls", [("write", "truncate"), ("seek", "truncate"), ("open",), ("read",), ("lock",), ("makedirs", "unlink")])
 def test_a_start_waits_until_the_disk_lets_it(tmp_path, signals, calls, capfd):
     """Danger: a restart into a second of failing disk is a relay that will not start."""
     store = Store(str(tmp_path), 100_000, Disk())
@@ -191,3 +196,91 @@
     assert time.monotonic() >= until - 0.01 and process.core.rests and not process.can_serve()
     assert "waiting for the disk" in capfd.readouterr().err
     process.store.close()
+
+
+def test_a_start_that_waits_for_its_disk_ends_at_sigterm(tmp_path, signals):
+    disk = FailingDisk()
+    disk.failing = {"open": errno.EIO}
+    Timer(0.1, signals[1].send, [bytes([signal.SIGTERM])]).start()
+    assert begun(tmp_path, disk, signals[0]) is None
+
+
+@pytest.mark.parametrize("code", [errno.ENOTDIR, errno.EACCES, errno.EROFS])
+def test_a_folder_that_can_t_be_used_ends_the_start_with_the_key(tmp_path, signals, code):
+    for call in ("lock", "open", "makedirs"):
+        disk = FailingDisk()
+        disk.failing = {call: code}
+        with pytest.raises(ConfigError, match="ROUTER_STATE"):
+            begun(tmp_path / call, disk, signals[0])
+
+
+def test_while_the_log_takes_nothing_ends_are_kept_and_no_call_is_begun(failing):
+    """Danger: an end that the log did not take is forgotten, and after a kill its callback runs once more; a launch that it refuses is
+    asked for anew at once, each time with a connection of its own."""
+    client, disk = failing.client(), failing.disk
+    hand_in(failing, client, b"id1")
+    hand_in(failing, client, b"id2")                # waits for its turn
+    host = failing.accept(failing.host)
+    failing.hear(host, b"\r\n\r\nab")
+    disk.left, disk.failing = 0, {"open": errno.ENOSPC}
+    host.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    before = failing.relay.hosts.counts["connected"]
+    failing.advance(600 * MS)
+    assert failing.relay.hosts.counts["connected"] - before <= 1 and list(failing.relay.core.held) == ["id2"]
+    disk.left, disk.failing = None, {}
+    failing.advance(200 * MS)
+    assert b"Req-Id: id2" in failing.hear(host, b"\r\n\r\nab")
+    kill(failing)
+    assert list(failing.relay.core.held) == ["id2"] and "id1" in failing.relay.core.done
+
+
+@pytest.mark.parametrize("spoilt, untried", [(b'"k":"launch"', []), (b'"zone"', ["b"]), (b'"k":"health"', ["a", "b"])])
+def test_a_launch_that_can_t_be_read_is_not_taken_for_none(place, spoilt, untried):
+    """Danger: with the record of its launch, one that must not run twice looks untried."""
+    core = place.relay.core
+    for ident in "ab":
+        core.load({"k": "taken", "id": ident, "category": 1, "tenant": 0, "key": None, "destination": 3, "due": place.clock.now + SECOND,
+                   "mark": None}, b"x")
+    core.load_spoilt(b'\x00\x00\x00\x40\x01\x02\x03\x04{' + spoilt + b':[' + (b'"a"' if spoilt == b'"zone"' else b"") + b"]")
+    assert [c.id for c in core.held.values() if c.sent is None] == untried
+
+
+NOW, WALL = 50 * SECOND, 1_700_000_000 * SECOND
+
+
+class Machine:
+    boot_id, clock, wall = "this", staticmethod(lambda: NOW), staticmethod(lambda: WALL)
+
+
+def clock_line(**changed):
+    return json.dumps({"k": "clock", "boot": "this", "epoch": 7, "at": 7 + NOW - SECOND, **changed}, separators=(",", ":")).encode()
+
+
+@pytest.mark.parametrize("lines, base, epoch", [
+    ([], Base.FIRST, WALL - NOW),
+    ([clock_line()], Base.SAME_BOOT, 7),
+    ([clock_line(), b'{"k":"end","ends":[],"at":%d}' % (7 + NOW)], Base.SAME_BOOT, 7),
+    ([clock_line(boot="other")], Base.REBOOTED, WALL - NOW),
+    ([clock_line(boot="other", at=WALL + HOUR)], Base.REBOOTED, WALL + HOUR - NOW),     # the wall clock was set back meanwhile
+    ([b'{"k":"launch","ids":[],"at":%d}' % (WALL - SECOND)], Base.UNKNOWN, WALL - NOW),   # of a version without clock records
+    ([clock_line(epoch=None)], Base.UNKNOWN, WALL - NOW),
+    ([clock_line(epoch=True)], Base.UNKNOWN, WALL - NOW),
+    ([clock_line(boot="")], Base.UNKNOWN, WALL - NOW),
+    ([clock_line(at=7 + NOW + HOUR)], Base.UNKNOWN, WALL - NOW),                          # ahead of a clock that can't run back
+])
+def test_the_log_s_clock_goes_on_or_is_found_anew_by_the_wall_clock(lines, base, epoch):
+    assert log_clock.find(lines, Machine) == log_clock.LogClock(epoch, base)
+
+
+def test_times_go_to_the_log_and_back_and_all_that_stands_in_it_is_moved(place):
+    """Danger: a time that is not moved with the others means another moment to the next process."""
+    clock = log_clock.LogClock(7, Base.SAME_BOOT)
+    client = place.client()
+    hand_in(place, client, b"id1")
+    place.hear(place.accept(place.host), b"\r\n\r\nab")
+    place.relay.core.rests["k"], place.relay.core.away["h1"] = place.clock.now, place.clock.now
+    for record, _ in place.relay.core.snapshot():
+        moved = clock.to_log(record)
+        assert clock.from_log(moved) == record
+        times = [key for key, value in record.items() if isinstance(value, int) and abs(value - place.clock.now) < 60 * SECOND]
+        assert all(moved[key] == record[key] + 7 for key in times)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -39,7 +39,7 @@
         self.open += [signals, other]
         self.live.append(start.scheduler)
         if start.lock is None:
-            start.heir = upgrade.Heir(start.scheduler, config, start.log, signals)
+            start.heir = upgrade.Heir(start, signals)
             start.heir.begin()
             start.signals, start.given_config = signals, config
             return start
