Failing tests: own errors at connect, SIGHUP and SIGTERM across a hand-over

By reading, then confirmed. Each error of connect(2) counts as the host's failure: six of this machine's own close the only host and use up launches. A configuration read once the rows of a hand-over are made is lost with the old process, and the next one watches the old address. A SIGTERM that is heard in the same turn as the end of a hand-over ends the new process with all that it has taken over.

--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -72,10 +72,13 @@
 
     def on_signals(self) -> None:
         while self.scheduler.wait(self.signals.fileno(), READ) != CUT:
-            self.seen += self.signals.recv(64)         # the relay acts on them once it is there
-            # Danger: with the connections of the process before, it owes their answers; it ends by its shutdown, not here.
-            if self.estate is None and (signal.SIGTERM in self.seen or signal.SIGINT in self.seen):
-                self.told_to_end = self.scheduler.stopped = True
+            self.heard(self.signals.recv(64))
+
+    def heard(self, numbers: bytes) -> None:
+        """Signals that have come, a byte each."""
+        self.seen += numbers                           # the relay acts on them once it is there
+        if signal.SIGTERM in self.seen or signal.SIGINT in self.seen:
+            self.told_to_end = self.scheduler.stopped = True
 
     def seek(self) -> None:
         try:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -15,6 +15,7 @@
 from molehill.relay import Process, Start
 from molehill.runtime.kernel import Disk, Kernel
 from molehill.runtime.log import Sink
+from molehill.runtime.stream import Stream
 from molehill.store import Store
 from tests.ledger import MS, SECOND, Ticks, drain, net_config
 from tests.place import ASK, Place
@@ -284,3 +285,24 @@
         assert clock.from_log(moved) == record
         times = [key for key, value in record.items() if isinstance(value, int) and abs(value - place.clock.now) < 60 * SECOND]
         assert all(moved[key] == record[key] + 7 for key in times)
+
+
+@pytest.mark.parametrize("code", [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EAGAIN, errno.EPERM, errno.ENOMEM])
+def test_an_error_of_this_machine_at_connect_says_nothing_of_the_host(place, monkeypatch, code):
+    """Danger: hosts that are well are ejected, and callbacks lose their launches, for what this machine lacks."""
+    tries, connect = [], Stream.connect
+
+    def failing_connect(self, address, until):
+        if address == place.host.getsockname() and len(tries) < 40:
+            tries.append(place.clock.now)
+            self.sock = type("Sock", (), {"connect_ex": lambda _, __: code, "fileno": self.sock.fileno, "close": self.sock.close})()
+        return connect(self, address, until)
+    monkeypatch.setattr(Stream, "connect", failing_connect)
+    client = place.client()
+    hand_in(place, client, b"id1")
+    place.advance(500 * MS)
+    held, module = place.relay.core.held["id1"], place.relay.core.module
+    assert held.launches == 0 and module.h_state == ["open"] and module.h_bad == [0.0]
+    assert 2 <= len(tries) <= 30, "tried again, and not as fast as it fails"
+    place.advance(500 * MS)
+    place.hear(place.accept(place.host), b"Req-Id: id1")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,9 +1,11 @@
 """One relay's two processes on loopback sockets and one clock moved by hand: what passes, and a kill of either at each step."""
 import os
+import signal
 import socket
 from dataclasses import replace
 
 import pytest
+from greenlet import greenlet
 
 from molehill import interface as it
 from molehill import upgrade
@@ -286,3 +288,46 @@
     two.open[-1].send(bytes([1, 15]))
     two.advance(50 * MS)
     assert start.scheduler.stopped and not start.found()
+
+
+def test_a_file_that_is_read_in_the_middle_of_a_hand_over_counts_for_the_next_process(two):
+    """Danger: SIGHUP comes once the rows are made, and discovery's new address is known to nobody who serves."""
+    old, moved = two.old, two.listener().getsockname()
+    give = old.give
+
+    def crossed(began):
+        rows = give(began)
+        two.file = {"discovery": moved, "discovery_in_file": "%s:%d" % moved}
+        old.on_signal(signal.SIGHUP)
+        return rows
+    old.give = crossed
+    made = two.succeed(two.start())
+    assert made.config.discovery == moved and made.discovery.moves == 1
+
+
+@pytest.mark.parametrize("moment", ["lock", "mine"])
+def test_a_start_that_is_told_to_end_as_it_takes_over_drops_nothing(two, monkeypatch, moment):
+    """Danger: it has every connection by then, or is about to, and ends with all of them unanswered."""
+    client = two.client()
+    start = two.start()
+    send, take = upgrade.Line.send, upgrade.Heir.take
+
+    def told_then_takes(self, estate, message, body, fd):
+        if message["k"] == moment:
+            self.heard(bytes([signal.SIGTERM]))
+        return take(self, estate, message, body, fd)
+
+    def sends_then_told(self, message, *given, **named):
+        send(self, message, *given, **named)
+        if message["k"] == moment:
+            start.scheduler.ready.append((greenlet(lambda _: start.heir.heard(bytes([signal.SIGTERM])), start.scheduler.hub), None))
+    monkeypatch.setattr(upgrade.Heir, "take", told_then_takes)
+    monkeypatch.setattr(upgrade.Line, "send", sends_then_told)
+    two.advance(100 * MS)
+    assert start.scheduler.stopped
+    if start.found():
+        made = two.run(start, start.given_config, start.signals)
+        assert made.shutdown.told is not None
+    client.send(ASK % (b"id1", b"notice"))
+    two.advance(100 * MS)
+    assert b" 202 " in (drain(client) or b"")
