Own errors of connect spare the host; a hand-over loses neither SIGHUP nor SIGTERM

EINTR and EALREADY mean that the connection comes up. The state row of a hand-over told the address of discovery as of before a SIGHUP that came right behind it, and the next process read the file but kept that address; it now takes the file's if the file tells another one than the old process had read. The new process ended at SIGTERM whatever it had taken over in that turn; it now breaks the hand-over off, or ends by the relay's shutdown. Ruled out by reading: an upgrade in the middle of a log's rewrite (the rewrite is one synchronous call, and a half one is removed by the next owner alone); shutdown(2) on a reset socket (its error ends the task that serves that connection, in clients and door alike); ENETUNREACH as the host's (it is told by this machine's routes).

--- a/molehill/config.py
+++ b/molehill/config.py
@@ -208,6 +208,7 @@
     memory: int
     admin: Optional[tuple[str, int]] = None    # the operators' door; None: none is opened
     fleet: Optional[Fleet] = None              # None: nothing of membership is imported
+    discovery_in_file: Optional[str] = None    # as the file that was read last has it, whatever a variable says
     required: tuple = ()           # keys that the file's settings name: a later file without one of them is broken
 
 
@@ -412,11 +413,12 @@
         sockets=most, client_sockets=most - outgoing,
         client_idle=min(sockets // IDLE_SHARE, most - outgoing), disk=int(disk * 1_000_000), memory=int(memory * 1_000_000),
         admin=address(admin, "ROUTER_ADMIN" if environ.get("ROUTER_ADMIN") else "admin") if admin else None,
-        fleet=members, required=tuple(keys_of(given)))
+        fleet=members, required=tuple(keys_of(given)),
+        discovery_in_file=str(given["discovery"]) if "discovery" in given else None)
 
 
 AT_ONCE = ("discovery", "settings", "categories", "tenants", "fleet", "required")     # taken at SIGHUP
-LEFT_ALONE = ("seed", "known", "zones")                  # new with each start, or learnt
+LEFT_ALONE = ("seed", "known", "zones", "discovery_in_file")                  # new with each start, or learnt
 BOUND = ("kinds", "zone_fees", "connection_idle", "list_on_request")         # of `settings`: built into what stands
 
 
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -8,10 +8,11 @@
 from molehill.interface import Result
 from molehill.http import parser as http
 from molehill.http.stream import HttpStream
-from molehill.runtime.stream import Broken, Late, Short, connected
+from molehill.runtime.stream import Broken, Late, LocalError, Short, connected
 
 SECOND_DIGITS = 9
 SWEEP = 200 * MS                   # looks at idle connections: an ended one gives its descriptor back soon
+LOCAL_ERROR_REST = 20 * MS         # before a call is given back for which this machine lacked something
 REST_WITHIN = 250 * MS             # for the rest of an answer whose outcome is known: pieces come close together
 SOONEST = MS                       # no answer comes within it: a host has to read the call, do its work and write
 # status -> outcome of a call of one; 200 in a call of several is read line by line
@@ -207,7 +208,13 @@
                     self._end(call, start, call.members, ev.End("", Result.RESET))
                     return None
                 return stream
-            except Short:                  # this relay's own trouble: it tells nothing of the host
+            except Short as error:         # this relay's own trouble: it tells nothing of the host
+                if stream is not None:
+                    stream.close()
+                if isinstance(error, LocalError):
+                    # Danger: asked for anew as fast as it fails, it takes the whole core.
+                    self.counts["local error"] += 1
+                    self.scheduler.sleep(min(until, self.clock() + LOCAL_ERROR_REST))
                 self._end(call, start, call.members, KEPT_BACK)
                 return None
             except (Broken, Late) as error:
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -34,6 +34,7 @@
                                                                  **{f"fact_{k}": v for k, v in facts.items()})
         if start.estate is not None and "discovery" in start.estate.state:    # it may have moved since this one's start
             config.discovery = configuration.address(start.estate.state["discovery"], "discovery")
+            config.discovery_in_file = start.estate.state.get("discovery_in_file")
         self.shutdown = Shutdown(self)
         self.budget = budget = Budget(config.sockets, {"client": config.client_sockets})
         self.store, log_clock = start.store, start.log_clock
@@ -111,8 +112,7 @@
     def reload(self) -> None:
         """SIGHUP: the file is read and checked whole, then taken whole or not at all.
 
-        New settings and a new address of discovery count at once, the latter for the watch and for all notices; whatever
-        else differs counts from the next start on.
+        What does not count at once counts from the next start on.
         """
         try:
             new = self.load_again(self.config)
@@ -121,10 +121,16 @@
             self.log.error("configuration not taken", error=str(error))
             return
         self.core.figures.cfg_accepted += 1
-        moved = new.discovery != self.config.discovery
-        self.log.info("configuration taken", discovery="%s:%d" % new.discovery, moved=moved,
+        self.log.info("configuration taken", discovery="%s:%d" % new.discovery, moved=new.discovery != self.config.discovery,
                       classes=sorted(new.categories), at_next_start=configuration.waiting(self.config, new))
-        self.retune(new)
+        self.take(new)
+
+    def take(self, new) -> None:
+        """New settings and a new address of discovery count at once, the latter for the watch and for all notices."""
+        moved = new.discovery != self.config.discovery
+        if moved or new.settings != self.config.settings or new.categories != self.config.categories:
+            self.retune(new)
+        self.config.discovery_in_file = new.discovery_in_file
         if moved:
             self.notices.move()
             self.discovery.move()
@@ -146,9 +152,9 @@
         except configuration.ConfigError as error:
             self.log.error("configuration not taken", error=str(error))
             return
-        new.discovery = self.config.discovery      # the old one's, which may have moved
-        if new.settings != self.config.settings or new.categories != self.config.categories:
-            self.retune(new)
+        if new.discovery_in_file == self.config.discovery_in_file:
+            new.discovery = self.config.discovery      # the old one's, which may have moved by another file or a variable
+        self.take(new)
 
     def figures(self) -> str:
         return self.core.figures.text() + (self.membership.figures() if self.membership else "")
--- a/molehill/runtime/stream.py
+++ b/molehill/runtime/stream.py
@@ -17,6 +17,16 @@
     """This process has no descriptor to spare."""
 
 
+class LocalError(Short):
+    """This machine lacks what a connection needs: it tells nothing of the other side."""
+
+
+# Errors of connect(2) and send(2) that are this machine's own: no local port, no route, no buffer, a rule of its firewall.
+OWN_ERRORS = (errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENETUNREACH, errno.ENETDOWN, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN,
+              errno.EPERM, errno.EACCES)
+UNDER_WAY = (errno.EINPROGRESS, errno.EINTR, errno.EALREADY)       # of connect(2): it goes on by itself
+
+
 class Late(Exception):
     """The time that was given is up."""
 
@@ -107,11 +117,11 @@
             code = self.sock.connect_ex(address)
         except (OSError, OverflowError, UnicodeError) as error:
             raise Broken(str(error)) from None
-        if code == errno.EINPROGRESS:
+        if code in UNDER_WAY:
             self._wait(WRITE, until)
             code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            raise Broken(errno.errorcode.get(code, str(code)))
+        if code and code != errno.EISCONN:
+            raise (LocalError if code in OWN_ERRORS else Broken)(errno.errorcode.get(code, str(code)))
 
     def send(self, data: bytes, until) -> None:
         """Writes all; where it raises, the last byte has not gone."""
@@ -124,7 +134,7 @@
             except BlockingIOError:
                 self._wait(WRITE, until)
             except OSError as error:
-                raise Broken(str(error)) from None
+                raise (LocalError if error.errno in OWN_ERRORS else Broken)(str(error)) from None
 
     def read(self, until) -> None:
         """Some more bytes into the buffer; Broken at the end of the stream."""
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -68,7 +68,7 @@
         self.scheduler.stopped = False
         if self.fault is not None:
             raise self.fault
-        return not self.told_to_end
+        return self.estate is not None or not self.told_to_end     # told to end, it ends by the relay's shutdown
 
     def on_signals(self) -> None:
         while self.scheduler.wait(self.signals.fileno(), READ) != CUT:
@@ -78,12 +78,14 @@
         """Signals that have come, a byte each."""
         self.seen += numbers                           # the relay acts on them once it is there
         if signal.SIGTERM in self.seen or signal.SIGINT in self.seen:
-            self.told_to_end = self.scheduler.stopped = True
+            self.told_to_end = True
+            self.scheduler.stopped = self.scheduler.stopped or self.estate is None
 
     def seek(self) -> None:
         try:
             self.seek_lock()
-            while not self.told_to_end and not self.start.try_log():
+            # Danger: with the connections of the process before it owes their answers, so it goes on although told to end.
+            while (self.estate is not None or not self.told_to_end) and not self.start.try_log():
                 self.scheduler.sleep(self.clock() + TRY_AGAIN)
         except ConfigError as error:
             self.fault = error
@@ -112,6 +114,8 @@
             line.send({"k": "hello", "v": VERSION}, self.clock() + STEP_WITHIN)
             while self.take(estate, *line.receive(self.clock() + STEP_WITHIN)):
                 pass
+            if self.told_to_end:
+                raise Broken("told to end")
             line.send({"k": "mine"}, self.clock() + STEP_WITHIN)
             self.estate, self.start.lock = estate, estate.lock
         except (Broken, Late, OSError, KeyError, TypeError, ValueError) as error:
@@ -214,7 +218,7 @@
     rows += process.clients.give() + calls
     rows.append(({"k": "listener"}, b"", process.clients.listener))
     state.update(k="state", lost=[], began=began, version=process.discovery.version,
-                 discovery="%s:%d" % process.config.discovery)
+                 discovery="%s:%d" % process.config.discovery, discovery_in_file=process.config.discovery_in_file)
     if process.membership is not None:
         state["member"] = process.membership.estate()
     return [*rows, (state, b"", None)]
