--- a/molehill/emulator/parties/endpoint.py
+++ b/molehill/emulator/parties/endpoint.py
@@ -14,10 +14,19 @@
 # The brief's figures for rule 4: how long it is cold after an outage; the share of its calls a second that it can do when
 # cold; it falls over if asked for more than PUSHED times what it can do, for so long.
 RAMP, COLD, PUSHED, FALL_SPAN = 10 * SECOND, 0.17, 2.0, 1500 * MS
-SLACK = 2.0                            # for chance, as the bench has it: in deviations of a count
+# What it bears beyond that, for chance: so many times the root of the calls that it can do in that time, and so many more calls. Where
+# that is few, the other pair.
+FEW = 30
+SLACK, SLACK_OF_FEW = (2.0, 2), (3.0, 3)
 OUTAGE = 5 * SECOND                    # an outage is one that lasted so long: the shortest of the bench's that leave one cold
 
 
+def slow_start_budget(calls: float) -> float:
+    """Calls that a returning host bears in FALL_SPAN, `calls` being what it can do in it by the settings."""
+    roots, more = SLACK_OF_FEW if calls < FEW else SLACK
+    return calls + roots * calls ** 0.5 + more
+
+
 class Endpoint:
     """`plan`: destination, zone, kind, span (ns for a call), slots, queue, rate (calls a second; 0: none), apart, per_call."""
 
@@ -28,6 +37,7 @@
         self.recent, self.down_since, self.up_since, self.seen_failing = deque(), None, None, set()
         self.begun, self.spends, self.usual = deque(), False, plan.rate    # spends: calls that are refused use its limit up too
         self.conns, self.listener = {}, None
+        self.most_fed = 0.0                    # greatest share of its budget that it was given after a return
         self.open()
 
     def open(self) -> None:
@@ -129,8 +139,12 @@
         able = self.able() * (COLD + (1 - COLD) * along)
         counted = [who for at, who in self.begun if at >= self.up_since]
         bears = PUSHED * able * FALL_SPAN / SECOND
-        if len(counted) > max(8.0, bears + SLACK * bears ** 0.5):
-            known = sum(who in self.seen_failing or who in self.place.knocked for who in counted)
+        budget = slow_start_budget(bears)
+        known = sum(who in self.seen_failing or who in self.place.knocked for who in counted)
+        if len(counted) > self.most_fed * budget:
+            self.most_fed = len(counted) / budget
+            self.world.tell(self.name, "slow start", calls=len(counted), known=known, budget=round(budget, 3))
+        if len(counted) > budget:
             self.world.tell(self.name, "fell over", calls=len(counted), known=known, able=round(able, 3))
             self.became("erring")
 
--- a/molehill/emulator/referee.py
+++ b/molehill/emulator/referee.py
@@ -94,12 +94,13 @@
         self.untried = {}                      # (id, body) that a restart found with no call and half of its time left -> its relay
         self.stood = {}                        # relay -> when it stood still last, from and to
         self.orders, self.counts, self.lately = 0, Counter(), deque(maxlen=LATELY)
+        self.budget_share = 0.0                # greatest share of slow start's budget that a returning host was given
         self.born, self.used = {}, set()       # message -> its second; connections that carried a call
         self.seconds = defaultdict(lambda: [0.0, 0.0])     # second -> payoff asked for in it, and delivered of that
         self.on = {"asked": self.asked, "heard": self.heard, "call": self.call, "call answered": self.answered,
                    "call spoilt": self.spoilt, "hung up": self.hung_up, "call connection over": self.conn_over,
                    "notice": self.notice, "notice answered": self.notice_answered, "told": self.was_told,
-                   "fell over": self.fell, "started": self.started, "ready": self.ready, "killed": self.died,
+                   "fell over": self.fell, "slow start": self.returning, "started": self.started, "ready": self.ready, "killed": self.died,
                    "ended": self.died, "disk lost": self.disk_lost, "wants": self.wants,
                    "no connection left": self.crowded, "escaped": self.escaped, "frozen": self.stands, "fault": self.fault,
                    "signal": self.signalled}
@@ -294,6 +295,10 @@
                         if ask["body"] == body and ask["key"] is not None and ask["row"].ordered:
                             self.rests[call.relay, ask["key"]] = now + self.set.settle_ms * MS, call.number, now
 
+    def returning(self, now, who, calls, known, budget) -> None:
+        """Calls to a host that is back from an outage, the most so far."""
+        self.budget_share = max(self.budget_share, calls / budget)
+
     def fell(self, now, who, calls, known, able) -> None:
         self.counts["fell over"] += 1
         if known >= FELL_BY * calls:
@@ -409,5 +414,6 @@
         return {"service": round(self.counts["payoff"] / wanted, 6) if wanted else 1.0,
                 "worst_10_s": round(min((done / asked for asked, done in spans if asked), default=1.0), 6),
                 "waste": round(1 - min(1.0, self.counts["delivered"] / max(1, self.counts["calls"])), 6),
+                "slow_start_share": round(self.budget_share, 3),
                 "connections_a_callback": round(len(self.used) / delivered, 6),
                 **{name: self.counts[name] for name in sorted(self.counts)}}
--- a/molehill/emulator/sweep.py
+++ b/molehill/emulator/sweep.py
@@ -14,6 +14,7 @@
 from molehill.emulator.mutations import mutated
 from molehill.emulator.run import play
 
+WORST_KEPT = 5                         # seeds with the greatest share of slow start's budget, in a summary
 RUNS_A_WORKER = 50                     # then a fresh process: what killed relays leave behind goes with the old one
 
 
@@ -58,8 +59,10 @@
     def summary(self) -> dict:
         rows = [self.rows[seed] for seed in sorted(self.rows)]
         failed = [row for row in rows if not row["ok"]]
+        fed = sorted(((row.get("slow_start_share", 0.0), row["seed"]) for row in rows), reverse=True)[:WORST_KEPT]
         kinds = Counter(f"rule {row['failure']['rule']}: {row['failure']['text']}" for row in failed)
         return {"seeds": len(rows), "failed": [row["seed"] for row in failed], "kinds": dict(sorted(kinds.items())),
+                "slow_start_worst": {str(seed): share for share, seed in fed if share},
                 "callbacks": sum(row.get("wanted", 0) for row in rows), "virtual_s": round(sum(row["virtual_s"] for row in rows)),
                 "service": round(sum(row["service"] for row in rows) / len(rows), 4) if rows else None}
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -10,6 +10,7 @@
 from molehill.core.reducer import Core
 from molehill.emulator import generator, scenario as scenarios, sweep
 from molehill.emulator.days import calm, upgraded
+from molehill.emulator.parties.endpoint import slow_start_budget
 from molehill.emulator.run import Run
 from molehill.config import MS
 from molehill.emulator.scenario import EndpointPlan, Fault, ProgramPlan, ScenarioError
@@ -29,6 +30,15 @@
     assert verdict["service"] == 1.0 and verdict["delivered"] == verdict["wanted"] > 50
 
 
+@pytest.mark.parametrize("calls, budget", [(25, 25 + 15 + 3), (16, 16 + 12 + 3), (29.99, 49.42), (30, 42.95), (100, 122)])
+def test_a_returning_host_bears_what_the_page_says_and_the_greatest_share_is_told(calls, budget):
+    assert round(slow_start_budget(calls), 2) == budget
+    results = sweep.Results()
+    for seed, share in enumerate([0.0, 0.5, 1.2]):
+        results.add({"seed": seed, "ok": True, "virtual_s": 1, "service": 1.0, "slow_start_share": share})
+    assert results.summary()["slow_start_worst"] == {"2": 1.2, "1": 0.5}
+
+
 @pytest.mark.parametrize("seed", range(14))
 def test_rough_days_keep_the_rules(seed):
     kept(sweep.play_one(generator.make(seed, span_ms=5000)))
