--- a/molehill/cli/fleet.py
+++ b/molehill/cli/fleet.py
@@ -28,10 +28,10 @@
 stage_option = click.option("--stage", type=click.Choice(STAGES), default="processes", show_default=True)
 
 
-def loaded(path, stage, seed=None, members=False):
+def loaded(path, stage, seed=None, members=False, soak=False):
     """A file's scenario, with another seed if one is given; without a file, the day that the seed draws."""
     if path is None and seed is not None:
-        return days.of_members(seed) if members else days.drawn(seed)
+        return days.of_members(seed) if members else days.soaked(seed) if soak else days.drawn(seed)
     made = given(path, None, (), stage)
     return made if seed is None else plays.seeded(made, seed)
 
@@ -68,12 +68,13 @@
 scenario_argument = click.argument("scenario", required=False, type=click.Path())
 mutation_option = click.option("--mutation", "--planted", "mutation", type=click.Choice(sorted(MUTATIONS)), help="With this known mistake put into each relay.")
 members_option = click.option("--members", is_flag=True, help="Days that seeds draw are of relays that know of each other.")
+soak_option = click.option("--soak", is_flag=True, help="Days that seeds draw have stepped clocks, failing calls and a failing disk too.")
 older_option = click.option("--older", metavar="REV", help="The commit that `older` faults start.")
 
 
 def about_days(command):
     """What is played, on which stage, by which programs."""
-    for option in (older_option, members_option, mutation_option, stage_option, scenario_argument):
+    for option in (older_option, soak_option, members_option, mutation_option, stage_option, scenario_argument):
         command = option(command)
     return command
 
@@ -83,9 +84,9 @@
 @click.option("--seed", type=int, help="In place of the scenario's; without a scenario, the day that it draws.")
 @click.option("--out", type=click.Path(), help="Keeps histories, logs and the verdict there (processes).")
 @click.option("--json", "as_json", is_flag=True, help="The verdict as a line of JSON.")
-def run(scenario, stage, seed, mutation, members, older, out, as_json) -> None:
+def run(scenario, stage, seed, mutation, members, soak, older, out, as_json) -> None:
     """Plays one scenario and prints its verdict."""
-    verdict = played(loaded(scenario, stage, seed, members), stage, out, older, mutation)
+    verdict = played(loaded(scenario, stage, seed, members, soak), stage, out, older, mutation)
     if out and stage == "processes":
         (Path(out) / plays.VERDICT).write_text(json.dumps(verdict, indent=1, sort_keys=True), encoding="utf-8")
     (say if as_json else tell)(verdict)
@@ -97,7 +98,7 @@
 @click.option("--seeds", required=True, metavar="A..B")
 @click.option("--out", type=click.Path(), help="Keeps the folders of runs that were not kept there.")
 @click.option("--first", is_flag=True, help="Stops at the first broken one.")
-def sweep(scenario, stage, seeds, mutation, members, older, out, first) -> None:
+def sweep(scenario, stage, seeds, mutation, members, soak, older, out, first) -> None:
     """Plays one scenario, or the days that they draw, with many seeds: a line for each that is not kept, then a summary in JSON."""
     verdicts = []
     with Progress(TextColumn("seed {task.fields[seed]}"), BarColumn(), TimeElapsedColumn(), console=Console(stderr=True)) as bar:
@@ -106,7 +107,7 @@
         for seed in todo:
             bar.update(task, seed=seed)
             folder = Path(out) / str(seed) if out and stage == "processes" else None
-            verdicts.append(played(loaded(scenario, stage, seed, members), stage, folder, older, mutation))
+            verdicts.append(played(loaded(scenario, stage, seed, members, soak), stage, folder, older, mutation))
             if not verdicts[-1]["ok"]:
                 for row in verdicts[-1]["findings"]:
                     if row["word"] != checker.KEPT:
--- a/molehill/emulator/referee.py
+++ b/molehill/emulator/referee.py
@@ -357,7 +357,7 @@
                 for call in self.lately:       # an answer that was just written is behind the cut as well
                     if (call.host, call.relay) == (host, relay) and now - call.answered <= self.crossing:
                         call.reached = self.ways.reaches(now, host, relay)
-        if kind in ("disk_full", "disk_failing"):
+        if kind in ("disk_full", "disk_failing", "disk_error"):
             self.deaf[falls_on] = max(now + span * MS, self.deaf.get(falls_on, 0))
 
     def signalled(self, now, who, number) -> None:
--- a/molehill/emulator/run.py
+++ b/molehill/emulator/run.py
@@ -169,6 +169,9 @@
     def on_freeze(self, fault, node, span) -> None:
         node.freeze(span)
 
+    def on_wall_step(self, fault, node, span) -> None:
+        node.wall_step += int(fault.worth) * MS
+
     def on_lose_disk(self, fault, node, span) -> None:
         node.kill()
         if node.owner is not None:
--- a/molehill/emulator/scenario.py
+++ b/molehill/emulator/scenario.py
@@ -121,16 +121,19 @@
     "cut": "pair", "burst": "pair",            # nothing comes through; or it comes all at once when the span is over
     "delay": "pair", "narrow": "pair",         # by so many ms, give or take half (worth); so many bytes a second (worth)
     "lose": "pair", "repeat": "pair", "reorder": "pair", "spoil_bytes": "pair",    # that share of datagrams (worth)
-    # On processes only
+    # On processes only, but for the step of the wall clock
     "starve": "relay",                         # so many busy processes (worth) share its one core
     "clock": "relay", "drift": "relay",        # from its next start on its wall clock is so many ms off; gains that share (worth)
+    # Its wall clock is stepped by so many ms (worth), for good. Its calls on sockets, or on its files, fail with that errno (worth).
+    "wall_step": "relay", "accept_error": "relay", "connect_error": "relay", "disk_error": "relay",
     "flood": "relay",                          # so many forged datagrams a second (worth) at the address where it hears others
     "older": "relay"}                          # killed, and from then on of the older program, for that span
 
 STREAMS_TOO = ("cut", "burst", "delay", "narrow")
 EMULATED_ONLY = ("kill_step", "kill_again", "spoil", "disk_failing", "short_writes", "upgrade_new_dies", "upgrade_old_dies",
                  "upgrade_new_hangs", "upgrade_old_hangs")     # they count steps, or need a disk that errs on demand
-PROCESSES_ONLY = ("starve", "clock", "drift", "older", "flood")
+PROCESSES_ONLY = ("starve", "clock", "drift", "older", "flood", "accept_error", "connect_error", "disk_error")
+SHIMMED = ("wall_step", "accept_error", "connect_error", "disk_error")       # on processes they need molehill/fleet/shims.py
 STAGES = ("emulated", "processes")
 
 
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -22,11 +22,12 @@
 from molehill.emulator.parties.wire import Messages, request
 from molehill.emulator.referee import LOST
 from molehill.emulator.run import AGAIN, KILLED_AFTER, QUIET, host_plans
-from molehill.emulator.scenario import FAULTS, directions
+from molehill.emulator.scenario import FAULTS, SHIMMED, directions
 from molehill.emulator.script import Script, fleet_part, relay_file
 from molehill.emulator.world import START
 from molehill.fleet.party import PARENT_GONE, Spec
 from molehill.fleet.places import WORDS, Places, claim
+from molehill.fleet.shims import write_control
 from molehill.fleet.sockets import CABLE, Network
 from molehill.fleet.world import IN, World
 
@@ -67,6 +68,9 @@
         self.run, self.world, self.n, self.name = run, run.world, n, f"relay{n}"
         self.folder, self.file = run.folder / f"{self.name}.state", run.folder / f"{self.name}.json"
         self.lives, self.owner, self.number, self.retuned, self.hook, self.is_older = [], None, 0, [], {}, False
+        self.shim, self.wrong = run.folder / f"{self.name}.shim", {}
+        if any(fault.kind in SHIMMED and fault.who == self.name for fault in run.scenario.faults):
+            self.hook = {"shim": str(self.shim)}
 
     @property
     def up(self) -> bool:
@@ -183,6 +187,11 @@
             self.owner.child.kill()
         return hit
 
+    def goes_wrong(self, key: str, value) -> None:
+        """In its process from now on, and in those after it; None: no longer."""
+        self.wrong = {**self.wrong, key: value}
+        write_control(self.shim, self.wrong)
+
     def set_limit(self, which, value) -> None:
         """Of the process that serves; back to what it was with `value` None."""
         if self.owner is not None and self.owner.child.poll() is None:
@@ -449,6 +458,25 @@
 
     on_drift = on_clock
 
+    def on_wall_step(self, fault, relay, span) -> None:
+        relay.goes_wrong("wall_ms", relay.wrong.get("wall_ms", 0) + fault.worth)
+        self.hit(fault, True)
+
+    def fails(self, fault, relay, span, key: str) -> None:
+        self.hit(fault, relay.up)
+        self.during(span, (relay.name, key), int(fault.worth), None, max, lambda code: relay.goes_wrong(key, code))
+
+    def on_accept_error(self, fault, relay, span) -> None:
+        self.fails(fault, relay, span, "accept")
+
+    def on_connect_error(self, fault, relay, span) -> None:
+        self.fails(fault, relay, span, "connect")
+
+    def on_disk_error(self, fault, relay, span) -> None:
+        """Everything fails in the first half of it; then plain writes go well, and all else fails as before."""
+        self.fails(fault, relay, span, "files")
+        self.during(span // 2, (relay.name, "disk"), int(fault.worth), None, max, lambda code: relay.goes_wrong("disk", code))
+
     def on_older(self, fault, relay, span) -> None:
         self.hit(fault, relay.kill())
         relay.is_older = True
--- a/molehill/fleet/days.py
+++ b/molehill/fleet/days.py
@@ -1,4 +1,5 @@
 """Days drawn from a seed for either stage: the emulator's rough days with the kinds that processes can play, and ways that are cut or slow."""
+import errno
 from random import Random
 
 from msgspec.structs import replace
@@ -40,6 +41,35 @@
     return kept
 
 
+# kind -> (weight, least and most span in ms, what `worth` is drawn from): for soaks, beside those of the emulator
+SHIMS = {
+    "wall_step": (4, (0, 0), (3_600_000, -3_600_000, 10_000, -10_000, 900, -900)),
+    "accept_error": (2, (200, 1500), (errno.ECONNABORTED, errno.EPROTO, errno.EMFILE, errno.ENOBUFS)),
+    "connect_error": (2, (200, 1500), (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EINTR, errno.ETIMEDOUT, errno.EHOSTUNREACH)),
+    "disk_error": (3, (200, 1500), (errno.EIO, errno.ENOSPC))}
+# Ends and beginnings of processes that a soak lays over them, and how soon after them
+ENDS = ("kill", "kill", "restart", "upgrade", "hup", "freeze", "herd")
+CROSSED_MS = 1600
+
+
+def soaked(seed: int, relays: int = 10, span_ms: int = 4000, shims: int = 4) -> Scenario:
+    """A drawn day with that many faults of a relay's machine, half of them with the end of a process laid over them."""
+    made, chance = drawn(seed, relays, span_ms, 1, {"dead": 0, "vanished": 0}), Random(f"soak {seed}")
+    faults = list(made.faults)
+    for _ in range(shims):
+        kind = chance.choices(list(SHIMS), [weight for weight, *_ in SHIMS.values()])[0]
+        _, (least, most), worths = SHIMS[kind]
+        fault = Fault(kind, chance.randrange(300, span_ms), f"relay{chance.randrange(relays)}", chance.randint(least, most), float(chance.choice(worths)))
+        faults.append(fault)
+        if chance.random() < 0.5:
+            end = chance.choice(ENDS)
+            at = fault.at_ms + chance.randrange(CROSSED_MS)
+            faults.append(Fault(end, at, "platform" if end == "herd" else fault.who, chance.randrange(50, 600) if end == "freeze" else 0,
+                                chance.choice([0.2, 0.4]) if end == "herd" else 0.0))
+    categories = [replace(c, span_ms=min(c.span_ms, 4000)) for c in made.categories]
+    return check(replace(made, categories=categories, faults=sorted(faults, key=lambda f: (f.at_ms, f.kind, f.who))))
+
+
 SPANS = {"roundMs": 200, "aloneAfterMs": 800, "stalledMs": 300, "floorMs": 60}
 AFTER_MS = 11_000                      # for views to agree, at 8 relays and these spans
 
--- /dev/null
+++ b/molehill/fleet/shims.py
@@ -0,0 +1,123 @@
+"""A relay's machine with faults in it: a wall clock that is stepped, calls on sockets that fail, a disk that fails for a while.
+
+The rig writes what is wrong now as JSON into a control file, by a rename; the relay's process looks at it every few milliseconds. So a
+fault goes on over the process's restarts until the rig ends it. Nothing but what the kernel documents is made to happen.
+
+| key | meaning |
+| --- | --- |
+| `wall_ms` | the wall clock is off by so much |
+| `accept`, `connect` | errno that half of these calls fail with |
+| `disk` | errno: a write takes half and then fails; files can't be made, cut off or renamed |
+| `files` | errno: plain writes go well; files can't be made, cut off or renamed |
+"""
+import errno
+import json
+import os
+import socket
+import time
+from random import Random
+
+from molehill.config import MS
+from molehill.runtime.kernel import Disk, Kernel
+
+LOOK_EVERY = 5 * MS                    # at the control file
+SHARE = 0.5                            # of calls on sockets, while they fail
+
+
+class Control:
+    """What is wrong now."""
+
+    def __init__(self, path: str):
+        self.path, self.looked, self.stamp, self.wrong = path, 0, None, {}
+
+    def now(self) -> dict:
+        at = time.monotonic_ns()
+        if at - self.looked >= LOOK_EVERY:
+            self.looked = at
+            try:
+                stamp = os.stat(self.path).st_mtime_ns
+                if stamp != self.stamp:
+                    with open(self.path, encoding="utf-8") as file:
+                        self.wrong, self.stamp = json.load(file), stamp
+            except FileNotFoundError:
+                pass
+        return self.wrong
+
+
+def write_control(path, wrong: dict) -> None:
+    """For the rig: what is wrong from now on."""
+    new = f"{path}.new"
+    with open(new, "w", encoding="utf-8") as file:
+        json.dump(wrong, file)
+    os.rename(new, path)
+
+
+class FailingDisk(Disk):
+    def __init__(self, control: Control):
+        self.control, self.half = control, set()
+
+    def check(self, what: str, *keys: str) -> None:
+        wrong = self.control.now()
+        for key in keys:
+            if wrong.get(key):
+                raise OSError(wrong[key], what)
+
+    def open(self, path: str, anew: bool = False) -> int:
+        if anew:
+            self.check("open", "disk", "files")
+        return Disk.open(path, anew)
+
+    def truncate(self, fd: int, size: int) -> None:
+        self.check("ftruncate", "disk", "files")
+        Disk.truncate(fd, size)
+
+    def rename(self, old: str, new: str) -> None:
+        self.check("rename", "disk", "files")
+        Disk.rename(old, new)
+
+    def write(self, fd: int, data) -> int:
+        """Half of it at first, as a device does that fails in the middle, then the error."""
+        if not self.control.now().get("disk"):
+            self.half.discard(fd)
+            return Disk.write(fd, data)
+        if fd in self.half or len(data) < 2:
+            self.half.discard(fd)
+            self.check("write", "disk")
+        self.half.add(fd)
+        return Disk.write(fd, bytes(data)[:len(data) // 2])
+
+
+class FailingSocket(socket.socket):
+    control, chance = None, None       # of the process; set by its machine
+
+    def fails(self, what: str) -> int:
+        code = self.control.now().get(what, 0)
+        return code if code and self.chance.random() < SHARE else 0
+
+    def accept(self):
+        code = self.fails("accept")
+        if code:
+            raise OSError(code, "accept")
+        return super().accept()
+
+    def connect_ex(self, address):
+        code = self.fails("connect")
+        if code == errno.EINTR:
+            done = super().connect_ex(address)
+            return code if done == errno.EINPROGRESS else done
+        return code or super().connect_ex(address)
+
+
+class ShimmedKernel(Kernel):
+    """`path`: the control file; `clock`, `wall` as of Kernel."""
+
+    def __init__(self, path: str, clock=None, wall=None):
+        super().__init__(clock, wall)
+        self.control, true_wall = Control(path), self.wall
+        self.wall = lambda: true_wall() + int(self.control.now().get("wall_ms", 0) * MS)
+        self.disk = FailingDisk(self.control)
+        FailingSocket.control, FailingSocket.chance = self.control, Random(path)
+
+    @staticmethod
+    def tcp_socket(address) -> socket.socket:
+        return FailingSocket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
