Failing test: a returning host whose sibling drains is given twice what it can do

Its sibling was told to drain, so each relay took the whole destination's load for what the one listed host can do.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -118,6 +118,27 @@
     assert len(launches) > 60                  # and it is fed again
 
 
+def drained(world, host):
+    world.step([world.news(it.Scope.UPDATE, [it.HostEntry(*world.table[host], it.Condition.DRAINING, 1.0)])])
+
+
+@pytest.mark.parametrize("together", [False])
+def test_a_host_that_returns_alone_bears_no_more_than_beside_the_other(together):
+    """Danger: taken to bear all that its destination is asked for, one whose sibling drains is given twice what it can do."""
+    world = World(settings(slots=40, categories=[category(abandon=20000)]))
+    feed(world, 50, 8000)
+    feed(world, 50, 6000, result=R.NO_CONNECT)
+    if not together:
+        drained(world, 2)
+    back, able = world.now, 1.7 * 20 / 2       # of each host: what is asked of both, with room
+    launches = [when for when, host in feed(world, 50, 8000) if host == 1]
+    assert len(launches) > 20
+    for start in launches:
+        cold = 0.2 + 0.8 * min(1.0, max(0, start + 1500 * MS - back) / (10 * SECOND))
+        calls = 2.0 * cold * able * 1.5
+        assert sum(start <= when < start + 1500 * MS for when in launches) <= calls + 3 * calls ** 0.5 + 3
+
+
 def test_what_waits_goes_when_the_rest_after_failures_is_over_though_nothing_new_comes():
     world = World(settings(slots=40, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
     number = world.take()
