Slow start: a host counts for its part of the usual list, not for all that its destination is asked for

Cause: _gap takes what a host can do for what its destination is asked for, shared by the hosts that are listed now; with a sibling draining, the one that returns was given twice its part. The most hosts that were up at once, forgotten 30 s after one leaves, is the divisor now. Ruled out: known hosts, listed or not, as divisor (in rolling replacements the old ones would count for 30 s).

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -48,6 +48,7 @@
         self.hosts, self.lanes, self.limiter = [], {}, Limiter(now)
         self.out, self.waiting, self.sick, self.asked, self.asked_at = 0, 0, False, 0.0, now   # asked since
         self.known = 0                        # hosts of it, listed or not
+        self.usual = 0                        # hosts that were listed as up at once, the most of late
 
 
 class Relay:
@@ -429,11 +430,12 @@
 
     def _gap(self, h):
         """Rule 4: the span between two calls to a host that was away. What it can do is about what is asked
-        of it, and a relay's fair part is what that relay is asked for, or an even part of a told rate."""
+        of it, and a relay's fair part is what that relay is asked for, or an even part of a told rate. Danger: it can do no more
+        for its siblings being away, so each host counts for its part of a usual list."""
         s, dest = self.set, self.dests[self.h_dest[h]]
         cold = s.cold_from or 1.0             # no such rule: as warm as ever
         warm = (self.now - self.h_since[h]) / s.ramp_time if self.h_state[h] is RAMP and s.ramp_time else 0.0
-        lim, hosts = self.h_route[h], max(1, len(dest.hosts))
+        lim, hosts = self.h_route[h], max(1, dest.usual, len(dest.hosts))
         told = lim.told / s.relays / (hosts if lim is dest.limiter else 1)
         can = max(self.BUDGET * self._asked(dest) / hosts, told)
         rate = can * (s.fall_multiple or 1.0) * (cold + (1.0 - cold) * min(1.0, warm))
@@ -490,12 +492,24 @@
         if self.h_up[h] != up:
             self.h_up[h], hosts = up, self._dest(self.h_dest[h]).hosts
             (hosts.append if up else hosts.remove)(h)
+            self._count_usual(self.h_dest[h])
+            if not up:
+                self._at(self.now + self.LEFT, self._forget_usual, self.h_dest[h])
             if up and self.h_state[h] is OPEN:
                 # Danger: hosts are replaced faster than rests after refusals end. A new one gave no cause.
                 self.h_route[h].paused, self.h_route[h].rounds = self.h_route[h].waits, 0
             self.dirty[self.h_dest[h]] = True
         self._at(self.now + self.LEFT, self._drop, self.h_id[h]) if not up else None
 
+    def _count_usual(self, number):
+        dest = self._dest(number)
+        dest.usual = max(dest.usual, len(dest.hosts))
+
+    def _forget_usual(self, number):
+        """By now clients have got used to fewer hosts, or others have come in place of those that left."""
+        if number in self.dests:
+            self.dests[number].usual = len(self.dests[number].hosts)
+
     def _launch_all(self):
         dirty, self.dirty = {**self.starved, **self.dirty}, {}
         for number in sorted(dirty, key=self._urgency, reverse=True) if self.starved else dirty:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -122,7 +122,7 @@
     world.step([world.news(it.Scope.UPDATE, [it.HostEntry(*world.table[host], it.Condition.DRAINING, 1.0)])])
 
 
-@pytest.mark.parametrize("together", [False])
+@pytest.mark.parametrize("together", [True, False])
 def test_a_host_that_returns_alone_bears_no_more_than_beside_the_other(together):
     """Danger: taken to bear all that its destination is asked for, one whose sibling drains is given twice what it can do."""
     world = World(settings(slots=40, categories=[category(abandon=20000)]))
