--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -139,6 +139,31 @@
         assert sum(start <= when < start + 1500 * MS for when in launches) <= calls + 3 * calls ** 0.5 + 3
 
 
+@pytest.mark.parametrize("failures, pause, returns", [(2, 2500, True)])
+def test_few_failures_over_a_long_time_are_an_outage_too(failures, pause, returns):
+    """Danger: a relay with few slots sees two calls fail in five seconds, and feeds the host by the window alone as it returns."""
+    world = World(settings(slots=2, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
+    feed(world, 100, 8000)
+    for _ in range(failures):
+        world.take()
+        while not world.out:
+            world.advance(20 * MS)
+        world.advance(pause * MS)
+        world.answer(min(world.out), R.TIMEOUT)
+    for _ in range(60):
+        world.take()
+    while not world.out:
+        world.advance(20 * MS)
+    back, sent = world.now, len(world.sent)
+    while world.now < back + 1500 * MS:
+        world.advance(20 * MS)
+        for number in list(world.out):
+            world.answer(number)
+    able = 1.7 * 10
+    calls = 2.0 * 0.2 * able * 1.5
+    assert (len(world.sent) - sent <= calls + 3 * calls ** 0.5 + 3) == returns
+
+
 def test_what_waits_goes_when_the_rest_after_failures_is_over_though_nothing_new_comes():
     world = World(settings(slots=40, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
     number = world.take()
