Slow start: a good answer after failures that span as long as the settings count in is a return

Change: beside the share of failures that closes a host, failed calls since its last good answer are counted, time-outs that a callback's end cut short among them if an answer would have come by then. Two or more that span the settings' fall time make the next good answer a return: fed under the budget, and logged, so that it holds over restarts.

--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -63,10 +63,11 @@
                    it.Withdrawn: self._withdrawn, it.Stopping: self._stopping, it.NewSettings: self._retuned,
                    it.Learnt: self._learnt}
         self.hosts, self.spare = {}, []       # host id -> index into the arrays below; indices to use again
-        # from state on: health; calls out; share of failures; next call at; state, idle connection since; kind
+        # from state on: health; calls out; share of failures; next call at; state, idle connection since; kind; failed calls since
+        # its last good answer, and when the first of them was sent
         self.rows = (self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route, self.h_state,
                      self.h_out, self.h_bad, self.h_next, self.h_since, self.h_free,
-                     self.h_kind) = [[] for _ in range(13)]
+                     self.h_kind, self.h_fails, self.h_failing) = [[] for _ in range(15)]
         self.tight = [0] * max(1, len(settings.kinds))    # by kind: calls for which no idle connection is kept
         self.worn_span, self.worn, self.new = settings.connection_idle, 0.0, 0.0
 
@@ -155,7 +156,7 @@
         for counts in (self.dests[self.h_dest[h]], self.h_route[h]):
             counts.out += by
 
-    HANDED = ("h_state", "h_bad", "h_next", "h_since", "h_free")
+    HANDED = ("h_state", "h_bad", "h_next", "h_since", "h_free", "h_fails", "h_failing")
 
     def learnt(self):
         """What was measured, as plain rows for the next process of this relay."""
@@ -333,6 +334,7 @@
 
     def _judge(self, h, dest, call, event):
         lim, now, result = self.h_route[h], self.now, event.result
+        self._count_failures(h, lim, call, event)
         apart = result is Result.TIMEOUT and event.took < call[4] or result is Result.RESET and call[5]
         if apart or result in (Result.NOT_SENT, Result.CANCELLED):
             return    # a time-out cut by an abandon time, a kept connection's reset: not the host's doing
@@ -355,6 +357,32 @@
             dest.sick = False
         self._health(h, good, call[2], result)
 
+    FAILURES = 2  # since the last good answer: one alone may be a call's own bad luck
+
+    def _count_failures(self, h, lim, call, event):
+        """Danger: a relay with few calls sees too few failures to close a host that is silent for seconds, and feeds it by the
+        window alone as it returns, cold. So a good answer after failures that span as much as the settings count in is a return."""
+        if event.result is Result.DELIVERED:
+            if self.h_state[h] is OPEN and self.h_fails[h] >= self.FAILURES and self.set.fall_span \
+                    and call[2] - self.h_failing[h] >= self.set.fall_span:
+                self._returns(h)
+            self.h_fails[h] = 0
+            return
+        if event.result is Result.TIMEOUT:
+            # cut short by a callback's time it counts too, if an answer would have come by then
+            failed = event.took >= min(call[4], lim.smooth + self.DEVIATIONS * lim.dev if lim.smooth else self.PAUSE)
+        else:
+            failed = event.result in (Result.ERROR, Result.NO_CONNECT) or event.result is Result.RESET and not call[5]
+        if failed:
+            self.h_failing[h] = self.h_failing[h] if self.h_fails[h] else call[2]
+            self.h_fails[h] += 1
+
+    def _returns(self, h):
+        """From now on it is fed under the budget until it is warm."""
+        self.h_state[h], self.h_since[h], self.h_bad[h] = RAMP, self.now, 0.0
+        self.h_next[h] = self.now + self._gap(h)
+        self.actions.append(it.Health(self.h_id[h], False, f"host {self.h_id[h]} answers again"))
+
     BASELINE = 5 * SECOND  # the design's baseline window
 
     def _best(self, lim, took):
@@ -407,9 +435,7 @@
     def _health(self, h, good, sent, result):
         self.h_bad[h] += ((0.0 if good else 1.0) - self.h_bad[h]) * self.BAD_GAIN
         if good and self.h_state[h] is CLOSED and sent >= self.h_since[h]:
-            self.h_state[h], self.h_since[h], self.h_bad[h] = RAMP, self.now, 0.0
-            self.h_next[h] = self.now + self._gap(h)
-            self.actions.append(it.Health(self.h_id[h], False, f"host {self.h_id[h]} answers again"))
+            self._returns(h)
         if not good and self.h_route[h].rounds > 1:
             until = self.h_next[h] = max(self.h_next[h], self.now + self._rest(h))
             if result in (Result.ERROR, Result.NO_CONNECT):    # not silence: that may be the connection's own
@@ -468,7 +494,7 @@
         route = Limiter(self.now) if kind.apart else self._dest(entry.destination).limiter
         row = (entry.host, entry.zone, kind.per_call, entry.destination, False, route,
                CLOSED if entry.away else OPEN, 0, 0.0, 0, self.now, 0,    # rule 4
-               min(entry.kind, len(self.tight) - 1))
+               min(entry.kind, len(self.tight) - 1), 0, 0)
         for array, value in zip(self.rows, row):
             array[h:h + 1] = [value]
         return h
@@ -663,12 +689,13 @@
         if self.h_state[h] is not OPEN:
             self.h_next[h] = now + self._gap(h)
 
+    DEVIATIONS = 6  # of latency beyond its mean that an answer may take; TCP: 4
     LEAST_TIME_OUT = SECOND  # below this a new connection's handshakes would read as silence
 
     def _time_out(self, lim, callback):
         """Learnt as TCP learns it, doubled while nothing comes. What may not be repeated is over with it, so it
         waits for its goal time at least. Danger: to the end, those out at hosts that hang hold all slots."""
-        span = lim.smooth + 6 * lim.dev if lim.smooth else callback.row.goal   # TCP: 4
+        span = lim.smooth + self.DEVIATIONS * lim.dev if lim.smooth else callback.row.goal
         span = max(span, self.LEAST_TIME_OUT) << min(lim.rounds, 2)    # more outlasts the trouble
         exclusive = callback.row.effect is Effect.AT_MOST_ONCE
         return min(max(span, callback.row.goal), callback.due - self.now) if exclusive else span
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -139,7 +139,7 @@
         assert sum(start <= when < start + 1500 * MS for when in launches) <= calls + 3 * calls ** 0.5 + 3
 
 
-@pytest.mark.parametrize("failures, pause, returns", [(2, 2500, True)])
+@pytest.mark.parametrize("failures, pause, returns", [(2, 2500, True), (2, 300, False), (1, 900, False)])
 def test_few_failures_over_a_long_time_are_an_outage_too(failures, pause, returns):
     """Danger: a relay with few slots sees two calls fail in five seconds, and feeds the host by the window alone as it returns."""
     world = World(settings(slots=2, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
