Soak: the four mends taken out, a relay that stands by itself, shims that say what they did

Accept fails always in its span, not half of the time. Slow start's share is told apart where most calls came from relays that knew.

--- a/molehill/emulator/mutations.py
+++ b/molehill/emulator/mutations.py
@@ -4,13 +4,14 @@
 """
 from contextlib import contextmanager
 
-from molehill import config
+from molehill import config, log_clock, startup, store
 from molehill import interface as it
 from molehill.core import events as ev
 from molehill.core import reducer
 from molehill.http import clients, discovery, hosts, notices
 from molehill.policy import OPEN, RAMP, Relay
 from molehill.runtime.engine import Engine
+from molehill.runtime.scheduler import READ
 from molehill.store import Store
 
 Core = reducer.Core
@@ -150,8 +151,46 @@
     return hand_over
 
 
-# name -> (where it is put, the attribute, what makes the wrong one of the right one)
+def accepts_without_a_wait(before):
+    """An error of accept(2) is met by the next try at once."""
+    def accept(self):
+        while self.listener is not None:
+            if self.held_back or not self.budget.take("client", config.OUTGOING):
+                self.scheduler.sleep(self.clock() + self.PAUSE)
+                continue
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                self.budget.give("client")
+                self.scheduler.wait(self.listener.fileno(), READ)
+                continue
+            except OSError:
+                self.budget.give("client")
+                continue
+            self.open(sock)
+    return accept
+
+
+def wall_time(before):
+    def find(lines, machine):
+        return log_clock.LogClock(machine.wall() - machine.clock(), log_clock.Base.FIRST)
+    return find
+
+
+def end_taken_for_whole(before):
+    def settle_end(self):
+        self.tail = 0
+        return True
+    return settle_end
+
+
+# name -> (where it is put, the attribute, what makes the wrong one of the right one), or several such for one mistake
 MUTATIONS = {
+    "log written on behind a torn record": ((Store, "settle_end", end_taken_for_whole),
+                                            (store, "next_record", lambda before: lambda data, start: len(data))),
+    "log's times are wall time": (log_clock, "find", wall_time),
+    "accept goes on without a wait": (clients.Clients, "accept", accepts_without_a_wait),
+    "a start opens its log once": (startup.Start, "try_log", lambda before: lambda self: (self.open_log(), True)[1]),
     "answered before it is logged": (Engine, "carry", answer_before_log),
     "launch not logged": (Core, "_log", without_record("launch")),
     "end not logged": (Core, "_log", without_record("end")),
@@ -198,10 +237,13 @@
 @contextmanager
 def mutated(name: str):
     """Within it, the relay makes that mistake. KeyError for a name that is not in MUTATIONS."""
-    place, attribute, change = MUTATIONS[name]
-    before = place.__dict__[attribute]
-    setattr(place, attribute, change(before))
+    rows = MUTATIONS[name]
+    rows = rows if isinstance(rows[0], tuple) else (rows,)
+    before = [place.__dict__[attribute] for place, attribute, _ in rows]
+    for (place, attribute, change), right in zip(rows, before):
+        setattr(place, attribute, change(right))
     try:
         yield
     finally:
-        setattr(place, attribute, before)
+        for (place, attribute, _), right in zip(rows, before):
+            setattr(place, attribute, right)
--- a/molehill/emulator/referee.py
+++ b/molehill/emulator/referee.py
@@ -94,7 +94,8 @@
         self.untried = {}                      # (id, body) that a restart found with no call and half of its time left -> its relay
         self.stood = {}                        # relay -> when it stood still last, from and to
         self.orders, self.counts, self.lately = 0, Counter(), deque(maxlen=LATELY)
-        self.budget_share = 0.0                # greatest share of slow start's budget that a returning host was given
+        # Greatest share of slow start's budget that a returning host was given, in all, and where most came from relays that knew
+        self.budget_share = self.budget_share_known = 0.0
         self.born, self.used = {}, set()       # message -> its second; connections that carried a call
         self.seconds = defaultdict(lambda: [0.0, 0.0])     # second -> payoff asked for in it, and delivered of that
         self.on = {"asked": self.asked, "heard": self.heard, "call": self.call, "call answered": self.answered,
@@ -298,6 +299,8 @@
     def returning(self, now, who, calls, known, budget) -> None:
         """Calls to a host that is back from an outage, the most so far."""
         self.budget_share = max(self.budget_share, calls / budget)
+        if known >= FELL_BY * calls:
+            self.budget_share_known = max(self.budget_share_known, calls / budget)
 
     def fell(self, now, who, calls, known, able) -> None:
         self.counts["fell over"] += 1
@@ -414,6 +417,6 @@
         return {"service": round(self.counts["payoff"] / wanted, 6) if wanted else 1.0,
                 "worst_10_s": round(min((done / asked for asked, done in spans if asked), default=1.0), 6),
                 "waste": round(1 - min(1.0, self.counts["delivered"] / max(1, self.counts["calls"])), 6),
-                "slow_start_share": round(self.budget_share, 3),
+                "slow_start_share": round(self.budget_share, 3), "slow_start_share_known": round(self.budget_share_known, 3),
                 "connections_a_callback": round(len(self.used) / delivered, 6),
                 **{name: self.counts[name] for name in sorted(self.counts)}}
--- a/molehill/fleet/checker.py
+++ b/molehill/fleet/checker.py
@@ -19,6 +19,7 @@
 # The conductor sees nothing that is judged, and stamps what it does as it does it: it may be late behind the script by so much.
 CONDUCTOR, SCRIPT_MOST = "conductor", SECOND
 STOOD_MOST = 250 * MS                  # a relay that says it stood longer without having been made to: the machine's, so void
+ALONE_AMONG, ALONE_BY = 5, 5           # a relay that stood so many times as long as any of so many others did so by itself
 CROSSES = 5 * MS                       # what is under way as a cut begins
 NEAR = SECOND                          # what a kill or a pause meets counts from so long before it
 
@@ -119,11 +120,22 @@
         bound = SCRIPT_MOST if process == CONDUCTOR else LATE_MOST
         if late > bound:
             return [Finding("rig in time", VOID, f"{process} was {facts[process]} ms late, {bound // MS} at most", facts)]
+    if stands_by_itself(stood, history.late):
+        return [Finding("rig in time", BROKEN, f"of all on this machine one relay alone stood: {stood} ms", facts)]
     if stood and max(stood.values()) > STOOD_MOST / MS:
         return [Finding("rig in time", VOID, f"relays stood {stood} ms, {STOOD_MOST // MS} at most", facts)]
     return [Finding("rig in time", KEPT, "", {**facts, **{f"{who} stood": ms for who, ms in stood.items()}})]
 
 
+def stands_by_itself(stood: dict, late: dict) -> bool:
+    """Whether one relay stood, and not the machine: no stand-in and no other relay was late by anything like it. `stood` in ms."""
+    spans = sorted(stood.values())
+    if len(spans) < ALONE_AMONG or spans[-1] <= STOOD_MOST / MS:
+        return False
+    others = max([spans[-2], *(span / MS for process, span in late.items() if process != CONDUCTOR)])
+    return spans[-1] > ALONE_BY * others
+
+
 def most_stood(history, scenario) -> dict:
     """Relay -> ms that it stood at most by its own word, for those that nothing of the script made stand."""
     made_to = {f.who for f in scenario.faults if f.kind in ("freeze", "starve", "upgrade")}
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -463,7 +463,7 @@
         self.hit(fault, True)
 
     def fails(self, fault, relay, span, key: str) -> None:
-        self.hit(fault, relay.up)
+        self.hit(fault, True)              # also one that is down: its next start is into it
         self.during(span, (relay.name, key), int(fault.worth), None, max, lambda code: relay.goes_wrong(key, code))
 
     def on_accept_error(self, fault, relay, span) -> None:
--- a/molehill/fleet/shims.py
+++ b/molehill/fleet/shims.py
@@ -6,7 +6,8 @@
 | key | meaning |
 | --- | --- |
 | `wall_ms` | the wall clock is off by so much |
-| `accept`, `connect` | errno that half of these calls fail with |
+| `accept` | errno that all these calls fail with |
+| `connect` | errno that half of these calls fail with |
 | `disk` | errno: a write takes half and then fails; files can't be made, cut off or renamed |
 | `files` | errno: plain writes go well; files can't be made, cut off or renamed |
 """
@@ -21,14 +22,19 @@
 from molehill.runtime.kernel import Disk, Kernel
 
 LOOK_EVERY = 5 * MS                    # at the control file
-SHARE = 0.5                            # of calls on sockets, while they fail
+SHARES = {"accept": 1.0, "connect": 0.5}       # of these calls that fail
 
 
 class Control:
-    """What is wrong now."""
+    """What is wrong now. Each call that is made to fail says so once on standard error, where the relay's log lines go."""
 
     def __init__(self, path: str):
-        self.path, self.looked, self.stamp, self.wrong = path, 0, None, {}
+        self.path, self.looked, self.stamp, self.wrong, self.said = path, 0, None, {}, set()
+
+    def say(self, call: str, code: int) -> None:
+        if (call, code) not in self.said:
+            self.said.add((call, code))
+            os.write(2, f"shim: {call} fails with {errno.errorcode[code]}\n".encode())
 
     def now(self) -> dict:
         at = time.monotonic_ns()
@@ -60,6 +66,7 @@
         wrong = self.control.now()
         for key in keys:
             if wrong.get(key):
+                self.control.say(what, wrong[key])
                 raise OSError(wrong[key], what)
 
     def open(self, path: str, anew: bool = False) -> int:
@@ -92,7 +99,10 @@
 
     def fails(self, what: str) -> int:
         code = self.control.now().get(what, 0)
-        return code if code and self.chance.random() < SHARE else 0
+        if not code or self.chance.random() >= SHARES[what]:
+            return 0
+        self.control.say(what, code)
+        return code
 
     def accept(self):
         code = self.fails("accept")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -130,6 +130,29 @@
     assert not there()
 
 
+@pytest.mark.parametrize("stood, late_ms, alone", [([0, 9, 11, 7, 646], 20, True), ([0, 9, 11, 200, 646], 20, False), ([0, 9, 11, 7, 646], 150, False),
+                                                   ([0, 9, 11, 7, 240], 20, False), ([0, 646], 20, False)])
+def test_a_relay_that_stands_where_nothing_else_does_stands_by_itself(stood, late_ms, alone):
+    """Danger: a loop that spins in a relay is taken for a busy machine, and the day that shows it for void."""
+    assert checker.stands_by_itself({f"relay{n}": ms for n, ms in enumerate(stood)}, {"hosts": late_ms * MS, "conductor": 500 * MS}) is alone
+
+
+def test_faults_of_their_machines_reach_relays_that_are_processes(tmp_path):
+    """Each of four, one with a kill in it: it was there, and the rules hold. A run in which the machine was late shows nothing."""
+    faults = [Fault("accept_error", 500, "relay1", 800, 103.0), Fault("disk_error", 600, "relay0", 1600, 5.0), Fault("wall_step", 700, "relay0", 0, -3.6e6),
+              Fault("connect_error", 800, "relay2", 800, 99.0), Fault("kill", 1000, "relay0")]
+    for turn in range(3):
+        folder = tmp_path / str(turn)
+        verdict = play.play(five(relays=3, span_ms=3000, faults=faults), "processes", folder)
+        if words(verdict).get("rig in time") != checker.VOID:
+            break
+    assert verdict["word"] == checker.KEPT, verdict["findings"]
+    said = [(folder / f"relay{n}.log").read_text(encoding="utf-8") for n in range(3)]
+    assert "ftruncate fails" in said[0] or "open fails" in said[0]
+    assert "waiting for the disk" in said[0] and "the log's own clock" in said[0]
+    assert "accept fails" in said[1] and "connect fails" in said[2]
+
+
 # Cables
 
 
