Test of the soak's faults: the disk fails until after the killed relay's next process is there

The fault lasts 5 s now; the run shows each of the four faults, one start that waits for its disk, and all rules kept.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -139,7 +139,7 @@
 
 def test_faults_of_their_machines_reach_relays_that_are_processes(tmp_path):
     """Each of four, one with a kill in it: it was there, and the rules hold. A run in which the machine was late shows nothing."""
-    faults = [Fault("accept_error", 500, "relay1", 800, 103.0), Fault("disk_error", 600, "relay0", 1600, 5.0), Fault("wall_step", 700, "relay0", 0, -3.6e6),
+    faults = [Fault("accept_error", 500, "relay1", 800, 103.0), Fault("disk_error", 600, "relay0", 5000, 5.0), Fault("wall_step", 700, "relay0", 0, -3.6e6),
               Fault("connect_error", 800, "relay2", 800, 99.0), Fault("kill", 1000, "relay0")]
     for turn in range(3):
         folder = tmp_path / str(turn)
