--- a/molehill/fleet/days.py
+++ b/molehill/fleet/days.py
@@ -46,7 +46,7 @@
     "wall_step": (4, (0, 0), (3_600_000, -3_600_000, 10_000, -10_000, 900, -900)),
     "accept_error": (2, (200, 1500), (errno.ECONNABORTED, errno.EPROTO, errno.EMFILE, errno.ENOBUFS)),
     "connect_error": (2, (200, 1500), (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EINTR, errno.ETIMEDOUT, errno.EHOSTUNREACH)),
-    "disk_error": (3, (200, 1500), (errno.EIO, errno.ENOSPC))}
+    "disk_error": (3, (300, 4000), (errno.EIO, errno.ENOSPC))}       # a restart takes over a second
 # Ends and beginnings of processes that a soak lays over them, and how soon after them
 ENDS = ("kill", "kill", "restart", "upgrade", "hup", "freeze", "herd")
 CROSSED_MS = 1600
