--- /dev/null
+++ b/molehill/core/permission.py
@@ -0,0 +1,64 @@
+"""Whether a callback may be sent to a host now: the one place that answers it, asked as a call is begun and once more before its first byte.
+
+The decision module chooses what goes where; this is what no choice may break. Some reasons are ordinary: things change between the
+choice and the call, and the callback goes back to the module. The others (`Refusal.is_fault`) the module has to have excluded. They
+are refused all the same, and counted as broken invariants.
+"""
+from enum import Enum
+from typing import Optional
+
+from molehill import interface as it
+
+
+class Refusal(Enum):
+    """Why a callback may not be sent now; the values stand in log lines."""
+
+    CLIENT_NOT_TOLD = "its client has not been told that it is taken on"
+    TIME_UP = "its time is up"
+    HOST_NOT_UP = "the host is not listed as up"
+    TOLD_TO_WAIT = "the route was told to wait"
+    WINDOW_OVER = "it may have run, and the window for repeats is over"
+    RELAY_ENDS = "the relay ends before an answer could come"
+    MAY_HAVE_RUN = "it may have run, and runs at most once"
+    CALL_IS_OUT = "another call of it is out"
+    KEY_BUSY = "an earlier one of its key is not over"
+
+    @property
+    def is_fault(self) -> bool:
+        """Whether the decision module has to have excluded it."""
+        return self in FAULTS
+
+
+FAULTS = (Refusal.MAY_HAVE_RUN, Refusal.CALL_IS_OUT, Refusal.KEY_BUSY)
+
+
+def of_repeat(callback, category: it.Category, now: int) -> Optional[Refusal]:
+    """Why it may not run once more now; None: it may, or nothing of it may have run. Rule 2."""
+    if callback.ran_at is None or category.effect is it.Effect.IDEMPOTENT:
+        return None
+    if category.effect is it.Effect.AT_MOST_ONCE:
+        return Refusal.MAY_HAVE_RUN
+    return Refusal.WINDOW_OVER if now >= callback.ran_at + category.window else None
+
+
+def of_route(host, wait_until: int, now: int) -> Optional[Refusal]:
+    """Why nothing may go to that host now. Rules 3 and 6."""
+    if host.condition is not it.Condition.UP:
+        return Refusal.HOST_NOT_UP
+    return Refusal.TOLD_TO_WAIT if now < wait_until else None
+
+
+def of_begin(callback, heard: bool, first_of_key: bool, stop_at: Optional[int], now: int) -> Optional[Refusal]:
+    """Why no call of it may be begun now. Rules 1 and 5.
+
+    `heard`: its client knows that it is taken on, and it has no end yet; `first_of_key`: nothing of its key stands before it.
+    """
+    if callback.call is not None:
+        return Refusal.CALL_IS_OUT
+    if not heard:
+        return Refusal.CLIENT_NOT_TOLD
+    if now >= callback.due:
+        return Refusal.TIME_UP
+    if not first_of_key:
+        return Refusal.KEY_BUSY
+    return Refusal.RELAY_ENDS if stop_at is not None and now >= stop_at else None
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -6,13 +6,14 @@
 key ended by a notice that the platform has not answered.
 """
 import re
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import replace
 from heapq import heappop, heappush
 
 from molehill import interface as it
 from molehill.config import MS, SECOND
 from molehill.core import events as ev
+from molehill.core import permission
 from molehill.core.classes import Classes
 from molehill.core.figures import FAULTED, DELIVERED, THROTTLED, Figures
 from molehill.holds import holds
@@ -69,6 +70,8 @@
         self.done: OrderedDict[str, object] = OrderedDict()    # id lately over -> its contents
         self.calls, self.parked, self.serial = {}, {}, 0
         self.owed_keys: dict[str, int] = {}
+        self.by_key: dict[str, dict[str, Callback]] = {}     # those that go in turn and are not over, in the order of hand-in
+        self.refusals: Counter[permission.Refusal] = Counter()    # why callbacks were not sent, since the last line of counts
         self.rests: dict[str, int] = {}
         self.unsettled: dict[str, bool] = {}          # while the log is read: keys with a launch whose end it does not tell
         self.hosts: dict[str, ev.Host] = {}
@@ -232,6 +235,8 @@
         callback.state = state
         if before is None:
             self.used += callback.room
+            if callback.key is not None and self.set.categories[callback.category].ordered:
+                self.by_key.setdefault(callback.key, {})[callback.id] = callback
         self.open += (state in (ARRIVED, TAKEN, HELD)) - (before in (ARRIVED, TAKEN, HELD))
         self.figures.open_requests += (state in (TAKEN, HELD)) - (before in (TAKEN, HELD))
         key = callback.key
@@ -247,6 +252,11 @@
         if state is OVER:
             self.used -= callback.room
             del self.held[callback.id]
+            line = self.by_key.get(key)
+            if line is not None:
+                line.pop(callback.id, None)
+                if not line:
+                    del self.by_key[key]
             if before in (HELD, OWED):
                 self.done[callback.id] = callback.contents
             while len(self.done) > self.DONE_KEPT:
@@ -449,7 +459,7 @@
 
     def _go(self, out):
         host = self.hosts[out.host]
-        ready = [c.id for c in self._known(out.ids) if c.state is HELD and self.may_send(out.host, (c.id,), self.now)]
+        ready = [c.id for c in self._known(out.ids) if self._may_begin(c, host)]
         self._unpark(out, [number for number in out.ids if number not in ready])
         if not out.ids:
             return
@@ -481,18 +491,28 @@
     def _route(self, host):
         return host.id if self._kind(host).apart else host.destination
 
+    def _may_begin(self, callback, host) -> bool:
+        """Whether a call of it may be begun there now."""
+        first = next(iter(self.by_key.get(callback.key, {}).values()), callback) is callback
+        return self._allowed(permission.of_begin(callback, callback.state is HELD, first, self.stop_at, self.now), callback.id) \
+            and self.may_send(host.id, (callback.id,), self.now)
+
+    def _allowed(self, refusal, number) -> bool:
+        if refusal is None:
+            return True
+        self.refusals[refusal] += 1
+        holds(not refusal.is_fault, "may_be_sent", id=number, why=refusal.value)
+        return False
+
     def may_send(self, host, ids, now):
         """Whether these may still go there: asked once more just before a call's first byte.
 
         Danger: a connection takes its time to come up, and a deduplicated one that may have run outlives its window.
         """
         entry = self.hosts[host]
-        return entry.condition is it.Condition.UP and self.waits.get(self._route(entry), 0) <= now \
-            and all(self._may_repeat(callback, now) for callback in self._known(ids))
-
-    def _may_repeat(self, c, now):
-        row = self.set.categories[c.category]
-        return c.ran_at is None or row.effect is not it.Effect.DEDUPLICATED or now < c.ran_at + row.window
+        return self._allowed(permission.of_route(entry, self.waits.get(self._route(entry), 0), now), ids) \
+            and all(self._allowed(permission.of_repeat(callback, self.set.categories[callback.category], now), callback.id)
+                    for callback in self._known(ids))
 
     def _unpark(self, out, ids):
         """Launches that never left the relay."""
--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -1,9 +1,11 @@
 """The client side: takes connections, reads requests, answers them."""
 import errno
 from collections import Counter
+from enum import Enum
 
 from molehill.config import MS, OUTGOING, SECOND
 from molehill.core import events as ev
+from molehill.holds import holds
 from molehill.http import parser as http
 from molehill.runtime.scheduler import LATE, READ
 from molehill.http.stream import HttpStream
@@ -38,12 +40,32 @@
 }
 
 
+class CloseReason(Enum):
+    """Why a client's connection ended; the values stand in the log's counts."""
+
+    CLIENT = "ended by its client"
+    LAST_ANSWER = "its answer said so"
+    MALFORMED = "no request that can be read"
+    LATE = "nothing came in time"
+    UNANSWERED = "no answer in time"
+    ROOM = "idle, room for others"
+    SHUTDOWN_IDLE = "idle at the shutdown"
+    SHUTDOWN_UNFINISHED = "no whole request at the shutdown"
+    HAND_OVER = "passed to the next process"
+    HAND_OVER_BUSY = "no answer in time for a hand-over"
+
+
+# With these the relay closes of itself, and may do so only where no request has been read and not answered.
+OWES_NOTHING = (CloseReason.ROOM, CloseReason.SHUTDOWN_IDLE, CloseReason.SHUTDOWN_UNFINISHED)
+
+
 class Conn:
     """A client's connection; `ask` is the id of the request that waits for its answer."""
 
     def __init__(self, stream):
         self.stream, self.task, self.ask, self.reply, self.kind = stream, None, None, None, NEW
         self.busy = False              # its request is whole, and the answer not written yet
+        self.reason = None             # why it ends
         self.since, self.late = stream.scheduler.clock(), 0    # late: how long it may have waited to be accepted
 
 
@@ -140,12 +162,19 @@
                 if now - conn.stream.idle_since < (span if kind is NEW else max(span, least)):
                     break
                 if conn.stream.quiet():
-                    self.counts["closed idle"] += 1
-                    self.stir(conn)
-                    conn.stream.close()
+                    self.close(conn, CloseReason.ROOM)
                     return True
         return False
 
+    def close(self, conn, reason: CloseReason) -> None:
+        """Ends a connection, for the first reason that it is given. The one place where this side does."""
+        holds(reason not in OWES_NOTHING or not conn.busy, "closed_owing_nothing", reason=reason.value)
+        if conn.reason is None:
+            conn.reason = reason
+            self.counts[f"closed: {reason.value}"] += 1
+        self.stir(conn)
+        conn.stream.close()
+
     def crowded(self, conn) -> bool:
         """Whether this connection is to end with its first answer, since as many stand idle as may and none can go.
 
@@ -157,16 +186,18 @@
         return not self.close_idlest(CROWD) and conn.kind is NEW
 
     def serve(self, conn) -> None:
-        stream = conn.stream
+        reason = CloseReason.CLIENT
         try:
             while self.exchange(conn):
                 pass
-        except (Broken, Late, OSError):
+            reason = CloseReason.LAST_ANSWER
+        except Late:
+            reason = CloseReason.UNANSWERED if conn.busy else CloseReason.LATE
+        except (Broken, OSError):
             pass
         finally:
-            self.stir(conn)
             self.conns.pop(conn, None)
-            stream.close()
+            self.close(conn, reason)
 
     def exchange(self, conn) -> bool:
         """One request and its answer; whether the connection goes on."""
@@ -191,7 +222,8 @@
             self.counts["malformed"] += 1
             stream.send(http.answer(error.status, body=str(error).encode(), close=True),
                         self.clock() + WRITE_WITHIN)
-            return self.part(stream)
+            self.finish(conn, CloseReason.MALFORMED)
+            return False
         close = not head.keep or self.closing or self.short or self.crowded(conn)
         conn.kind = ONCE if conn.kind is NEW else AGAIN
         data = http.answer(status, headers, text, close)
@@ -200,18 +232,20 @@
         else:
             self.tell(conn, data)
         if close:
-            return self.part(stream)
+            self.finish(conn, CloseReason.LAST_ANSWER)
+            return False
         conn.busy = False
         return True
 
-    def part(self, stream) -> bool:
+    def finish(self, conn, reason: CloseReason) -> None:
         """Ends a connection behind its last answer; till then it counts as busy, so that neither an end nor an upgrade cuts it.
 
         Danger: closed over bytes that lie unread or are on their way, it is reset, and a 202 that was just written is lost with
         it. What comes once the sending has ended is read away and never handed over, as its answer could not be written.
         """
-        finish(stream, LINGER, LINGER_MOST)
-        return False
+        conn.reason = reason
+        self.counts[f"closed: {reason.value}"] += 1
+        finish(conn.stream, LINGER, LINGER_MOST)
 
     def request(self, stream):
         """A request's head and body."""
@@ -332,12 +366,13 @@
         """Those whose answer can't be written in time: the core learns that they have not heard."""
         for conn in self.conns:
             if conn.busy:
-                conn.stream.close()
+                self.close(conn, CloseReason.HAND_OVER_BUSY)
 
     def give(self):
         """The connections, as rows (message, body, socket). Nothing of them is used here any more."""
         rows = []
         for conn in [conn for conn in self.conns if conn.stream.open]:
+            conn.reason = CloseReason.HAND_OVER
             sock, data = conn.stream.detach()
             rows.append(({"k": "client", "kind": conn.kind}, data, sock))
         return rows
@@ -381,13 +416,12 @@
         """Closes what no request is on its way on, so that none is read from here on but such as lie there already; those get
         their answer. Danger: one that this process has read, and not answered, when it ends is lost to its client."""
         for conn in [conn for conn in self.conns if conn.stream.idle_since and conn.stream.quiet()]:
-            self.stir(conn)
-            conn.stream.close()
+            self.close(conn, CloseReason.SHUTDOWN_IDLE)
 
     def close_unfinished(self) -> None:
         """What has not got whole by now is not read any more."""
         for conn in [conn for conn in self.conns if not conn.busy]:
-            conn.stream.close()
+            self.close(conn, CloseReason.SHUTDOWN_UNFINISHED)
 
 
 def plain(text: str) -> bool:
--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -154,8 +154,9 @@
         done, self.hosts.counts = dict(sorted(self.hosts.counts.items())), Counter()
         came, self.clients.counts = dict(sorted(self.clients.counts.items(), key=str)), Counter()
         stood, self.scheduler.most_stood = self.scheduler.most_stood, 0
+        kept_back, self.core.refusals = {why.name.lower(): n for why, n in self.core.refusals.items()}, Counter()
         if done or came or self.core.held:
-            self.log.info("counts", clients=came, stood_ms=stood // MS, held=len(self.core.held), out=self.hosts.out, outcomes=done,
+            self.log.info("counts", clients=came, stood_ms=stood // MS, held=len(self.core.held), out=self.hosts.out, outcomes=done, not_sent=kept_back,
                           notices=len(self.notices.waiting), log_bytes=self.store.size, broken=sum(counts.values()))
 
     FLUSH_EVERY = 100 * MS                 # for log lines that nobody took at once
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -334,7 +334,7 @@
                 crowd.append(sock)
         door.net.clock.now += 5 * MS
         assert len(door.clients.conns) <= bound
-    assert all(drain(sock) == b"" for sock in pool) and door.clients.counts["closed idle"] > bound
+    assert all(drain(sock) == b"" for sock in pool) and door.clients.counts["closed: idle, room for others"] > bound
     for sock in (*crowd, *pool):
         sock.close()
     door.net.settle()
--- /dev/null
+++ b/tests/test_permission.py
@@ -0,0 +1,49 @@
+"""What may be sent, begun and closed: the one place that answers it, case by case."""
+from types import SimpleNamespace
+
+import pytest
+
+from molehill import interface as it
+from molehill.core import permission
+from molehill.core.permission import Refusal
+from molehill.core.reducer import Out
+from tests.ledger import SECOND, category
+from tests.place import ASK
+
+
+NOW = 100 * SECOND
+WAYS = {it.Effect.IDEMPOTENT: None, it.Effect.DEDUPLICATED: Refusal.WINDOW_OVER, it.Effect.AT_MOST_ONCE: Refusal.MAY_HAVE_RUN}
+
+
+@pytest.mark.parametrize("effect", it.Effect)
+@pytest.mark.parametrize("ran_ago", [None, 2, 3])
+def test_what_may_have_run_goes_again_by_its_effect_and_window(effect, ran_ago):
+    callback = SimpleNamespace(ran_at=None if ran_ago is None else NOW - ran_ago * SECOND)
+    refusal = permission.of_repeat(callback, category(effect.value, window=3000), NOW)
+    within = effect is it.Effect.DEDUPLICATED and ran_ago == 2
+    assert refusal is (None if ran_ago is None or within else WAYS[effect])
+
+
+@pytest.mark.parametrize("wrong, refusal", [
+    ({}, None), ({"call": 1}, Refusal.CALL_IS_OUT), ({"heard": False}, Refusal.CLIENT_NOT_TOLD), ({"due": NOW}, Refusal.TIME_UP),
+    ({"first": False}, Refusal.KEY_BUSY), ({"stop_at": NOW}, Refusal.RELAY_ENDS), ({"stop_at": NOW + 1}, None)])
+def test_a_call_is_begun_only_where_nothing_stands_against_it(wrong, refusal):
+    callback = SimpleNamespace(call=wrong.get("call"), due=wrong.get("due", NOW + 1))
+    assert permission.of_begin(callback, wrong.get("heard", True), wrong.get("first", True), wrong.get("stop_at"), NOW) is refusal
+
+
+def test_a_module_that_launches_what_is_out_or_out_of_turn_is_stopped_and_counted(place):
+    """The rules hold whatever the module decides: what it had to exclude is a broken invariant, and is not sent."""
+    client = place.client()
+    for ident in (b"id1", b"id2"):
+        client.send(ASK % ident)
+        place.hear(client, b"HTTP/1.1 202")
+    place.hear(place.accept(place.host), b"\r\n\r\nab")
+    core = place.relay.core
+    for ident, why in (("id1", "another call"), ("id2", "an earlier one")):
+        out = Out(99, "h1", [(ident, SECOND)], place.clock.now)
+        core.parked[99] = out
+        with pytest.raises(AssertionError, match=f"may_be_sent.*{why}"):
+            core._go(out)
+        assert 99 not in core.calls
+        del core.parked[99]
