Referee: a standstill that ends later than was told began when it did

Ruled out: the relay (it says 1,075 ms), the clock. Told again, an event now bears its true beginning; tested both ways, an answer that was there long before a standstill is still a breach.

--- a/molehill/emulator/referee.py
+++ b/molehill/emulator/referee.py
@@ -348,10 +348,11 @@
                 if taken.state == "held" and taken.owed and not taken.told and not self.by_id.get(taken.id) and 2 * (taken.due - now) >= taken.due - at:
                     self.untried[taken.id, taken.body] = who
 
-    def stands(self, now, who, until) -> None:
-        """A machine that stands still owes nothing meanwhile."""
+    def stands(self, now, who, until, since=None) -> None:
+        """A machine that stands still owes nothing meanwhile; told again, `since` is when it began."""
         began, ended = self.stood.get(who, (0, 0))
-        self.stood[who] = (began if now <= ended else now), max(until, ended)
+        begins = now if since is None else since
+        self.stood[who] = (min(began, begins) if begins <= ended else begins), max(until, ended)
 
     def fault(self, now, who, kind, falls_on, span, worth) -> None:
         """A disk that takes nothing can't keep which answer was given, if the relay is killed meanwhile."""
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -431,12 +431,13 @@
         life = relay.owner
         if not relay.up:
             return
-        self.world.tell(relay.name, "frozen", until=self.world.now + span)
+        began = self.world.now
+        self.world.tell(relay.name, "frozen", until=began + span)
 
         def apply(stopped) -> None:
             if life.child.poll() is None:
                 if not stopped:
-                    self.world.tell(relay.name, "frozen", until=self.world.now)    # as late as it really was
+                    self.world.tell(relay.name, "frozen", until=self.world.now, since=began)    # as late as it really was
                 life.child.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
         self.hit(fault, True)
         self.during(span, (relay.name, life.number, "stopped"), True, False, max, apply)
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -278,3 +278,17 @@
     assert day.end(6000) is None
     day.referee.close({}, {})
     assert bool(day.world.failure) is broken and day.referee.counts["untried at a restart"] == 3
+
+
+@pytest.mark.parametrize("since, rule", [(START + 20 * MS, None), (START + 118 * MS, 1)])
+def test_a_standstill_that_ends_later_than_was_told_began_when_it_did(since, rule):
+    """An answer that lay unread over the end of its call's time says nothing; one that was there long before the standstill does."""
+    day = Day()
+    day.take(0, "a")
+    call = day.call(10, "a")
+    if since < START + 100 * MS:
+        day.tell(20, "relay0", "frozen", until=START + 119 * MS)
+    day.answer(15 if rule else 50, call)
+    day.tell(120, "relay0", "frozen", until=START + 120 * MS, since=since)
+    day.call(300, "a")
+    assert day.end(301) == rule
