Failing tests: meeting place, listener and host sockets whose calls fail for a moment

Found by asking of each call that the relay makes what its documented errors do. meet(2 calls in the folder) fails with ENOSPC: the process ends though it had all that serving needs. socket, bind or listen fail with ENFILE, ENOBUFS or ENOMEM as the listener is opened: the start ends. getsockopt(SO_ERROR) or close on a host's socket raise: the error escapes the call, which is then reported as one that may have run, and its descriptor is counted for ever.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -321,3 +321,81 @@
     client = place.client()
     hand_in(place, client, b"id1")
     place.hear(place.accept(place.host), b"Req-Id: id1")
+
+
+def test_a_meeting_place_that_can_t_be_made_does_not_end_the_start(tmp_path, signals):
+    """Danger: the folder takes no file, and the relay ends over what only an upgrade needs."""
+    machine, meet, failing = Kernel(), Kernel.meet, [True]
+    machine.meet = lambda folder: fail(errno.ENOSPC) if failing else meet(machine, folder)
+    config = replace(net_config(state=str(tmp_path)), listen=("127.0.0.1", 0), admin=("127.0.0.1", 0))
+    process = Process(config, machine, Sink(), lambda old: old)
+    process.clients.listen()
+    process.begin(signals[0])
+    assert process.can_serve()
+    turn_until(process, lambda: True)
+    failing.clear()
+    turn_until(process, lambda: (tmp_path / Kernel.MEETING).exists())
+
+
+@pytest.mark.parametrize("call, code", [("tcp_socket", errno.ENFILE), ("tcp_socket", errno.ENOBUFS), ("bind", errno.ENOMEM)])
+def test_a_listener_that_can_t_be_opened_for_a_moment_is_opened_later(tmp_path, signals, call, code):
+    """Danger: a restart in a moment in which the machine lacks something is a relay that will not start."""
+    machine, failing, make = Kernel(), [True], Kernel.tcp_socket
+
+    def tcp_socket(address):
+        if call == "tcp_socket" and failing:
+            fail(code)
+        sock = make(address)
+        return type("Sock", (), {"bind": lambda _, where: fail(code) if failing else sock.bind(where),
+                                 "__getattr__": lambda _, name: getattr(sock, name)})()
+    machine.tcp_socket = tcp_socket
+    process = Process(replace(net_config(state=str(tmp_path)), listen=("127.0.0.1", 0)), machine, Sink(), lambda old: old)
+    process.clients.listen()
+    process.begin(signals[0])
+    assert not process.can_serve()
+    failing.clear()
+    turn_until(process, process.can_serve)
+    socket.create_connection(process.clients.listener.getsockname()).close()
+
+
+@pytest.mark.parametrize("call", ["getsockopt", "close"])
+def test_calls_on_a_host_s_socket_that_fail_leave_no_descriptor_counted_and_no_launch_in_doubt(place, monkeypatch, call):
+    """Danger: an error that nobody foresaw counts as a call that may have run, or its descriptor is counted for ever."""
+    failing, make = [True], place.relay.scheduler.machine.tcp_socket
+
+    def tcp_socket(address):
+        if call == "socket" and failing:
+            fail(errno.ENFILE)
+        sock = make(address)
+
+        def close(_):
+            sock.close()
+            if failing:
+                fail(errno.EIO)
+        changes = {"close": close, "connect_ex": lambda _, where: sock.connect_ex(where) and (failing and call == "close" and errno.ECONNREFUSED
+                                                                                              or errno.EINPROGRESS)}
+        if call == "getsockopt":
+            changes["getsockopt"] = lambda _, *what: fail(errno.ENOBUFS) if failing else sock.getsockopt(*what)
+        return type("Sock", (), {**changes, "__getattr__": lambda _, name: getattr(sock, name)})()
+    place.relay.scheduler.machine.tcp_socket = tcp_socket
+    client = place.client()
+    client.send(ASK.replace(b"notice", b"plain") % b"id1")     # runs at most once
+    place.hear(client, b"HTTP/1.1 202")
+    place.advance(400 * MS)
+    failing.clear()
+    host = place.accept(place.host)
+    place.hear(host, b"Req-Id: id1")
+    used = place.relay.budget.used
+    assert used["host"] == 1 and used.get("notices", 0) <= 1 and used.get("discovery", 0) <= 1
+
+
+def fail(code):
+    raise OSError(code, "made to fail")
+
+
+def turn_until(process, done):
+    until = time.monotonic() + 5
+    process.scheduler.turn(block=False)
+    while not done():
+        assert time.monotonic() < until
+        process.scheduler.turn()
