Calls that fail for a moment end neither a start nor a call; a late answer is a 503, not a close

Causes: the meeting place of upgrades and the clients' listener were opened once, and any error ended the process; both are tried again now, the relay is not ready before it listens, and errors that do not pass (an address in use) still end the start. getsockopt and close raised out of the task of a call: their errors are read like connect's, and a descriptor is given back before its close may fail. socket(2) that fails rests a call 20 ms, as connect does.

--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -9,7 +9,7 @@
 from molehill.http import parser as http
 from molehill.runtime.scheduler import LATE, READ
 from molehill.http.stream import HttpStream
-from molehill.runtime.stream import Broken, Late, finish, listening
+from molehill.runtime.stream import PASSING, Broken, Late, finish, listening
 
 # A client that sends no whole request is owed an end within three seconds of connecting. Both fit in, and half a
 # second of the relay's own lateness; true clients connect to send at once, and wait 0.4 s for the answer.
@@ -89,9 +89,27 @@
 
     def listen(self, listener=None) -> None:
         """Takes connections, on the listener that an earlier process handed over or on a new one."""
-        self.listener = listener or listening(self.scheduler.machine, self.config.listen)
+        try:
+            self.listener = listener or listening(self.scheduler.machine, self.config.listen)
+        except OSError as error:
+            if error.errno not in PASSING:
+                raise
+            self.counts["listen failed"] += 1
         self.budget.take("listener")
-        self.scheduler.spawn_kept(self.accept)
+        self.scheduler.spawn_kept(self.serve_listener)
+
+    def serve_listener(self) -> None:
+        """Danger: a restart in a moment in which the machine lacks something must not be a relay that will not start."""
+        while self.listener is None and not self.closing:
+            self.scheduler.sleep(self.clock() + self.PAUSE)
+            try:
+                self.listener = listening(self.scheduler.machine, self.config.listen)
+            except OSError:
+                self.counts["listen failed"] += 1
+        self.accept()
+
+    def can_serve(self) -> bool:
+        return self.ready and (self.listener is not None or self.closing)
 
     PAUSE = 20 * MS                    # between tries while no connection can be taken
     RETRIES_AT_ONCE = 16               # of accept(2) in a row, as each may have failed for one connection alone
@@ -285,9 +303,10 @@
         until = self.clock() + ANSWER_WITHIN
         while conn.reply is None:
             if self.scheduler.wait(until=until) == LATE:
+                # Withdrawn, it has surely not run. Danger: closed without an answer, it is lost to its client.
                 self.counts["not answered"] += 1
                 self.post(ev.Unheard(fresh.id, conn))
-                raise Late()
+                conn.reply = conn.reply or (503, 0, "not answered")
         status, wait, why = conn.reply
         self.counts[why or status] += 1
         return status, ((("Retry-After", seconds(wait)),) if wait else ()), b""
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -160,7 +160,7 @@
         return self.core.figures.text() + (self.membership.figures() if self.membership else "")
 
     def can_serve(self) -> bool:
-        return self.clients.ready and not self.given
+        return self.clients.can_serve() and not self.given
 
     def hold(self) -> None:
         """Finishes what has begun, and begins nothing."""
--- a/molehill/runtime/stream.py
+++ b/molehill/runtime/stream.py
@@ -2,6 +2,7 @@
 
 Sockets come from the machine that the scheduler was handed, so the same code runs on the kernel and in the emulator.
 """
+import contextlib
 import errno
 import socket
 
@@ -31,6 +32,11 @@
     """The time that was given is up."""
 
 
+def broken_by(error: Exception) -> Broken:
+    """What a failed call on a connection means: this machine's own trouble, or the connection's."""
+    return (LocalError if getattr(error, "errno", None) in OWN_ERRORS else Broken)(str(error))
+
+
 class Budget:
     """Counts the descriptors of each kind, within one figure for all and one for kinds that have their own."""
 
@@ -79,8 +85,9 @@
         if self.open:
             self.open = False
             self.scheduler.cut(self.sock.fileno())
-            self.sock.close()
             self.budget.give(self.kind)
+            with contextlib.suppress(OSError):     # Linux frees the descriptor all the same
+                self.sock.close()
 
     def detach(self):
         """Its socket and what is unread of its message, for another process: to its users here it breaks."""
@@ -115,13 +122,13 @@
     def connect(self, address, until) -> None:
         try:
             code = self.sock.connect_ex(address)
+            if code in UNDER_WAY:
+                self._wait(WRITE, until)
+                code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         except (OSError, OverflowError, UnicodeError) as error:
-            raise Broken(str(error)) from None
-        if code in UNDER_WAY:
-            self._wait(WRITE, until)
-            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            raise broken_by(error) from None
         if code and code != errno.EISCONN:
-            raise (LocalError if code in OWN_ERRORS else Broken)(errno.errorcode.get(code, str(code)))
+            raise broken_by(OSError(code, errno.errorcode.get(code, str(code))))
 
     def send(self, data: bytes, until) -> None:
         """Writes all; where it raises, the last byte has not gone."""
@@ -134,7 +141,7 @@
             except BlockingIOError:
                 self._wait(WRITE, until)
             except OSError as error:
-                raise (LocalError if error.errno in OWN_ERRORS else Broken)(str(error)) from None
+                raise broken_by(error) from None
 
     def read(self, until) -> None:
         """Some more bytes into the buffer; Broken at the end of the stream."""
@@ -194,6 +201,8 @@
 
 
 BACKLOG = 1024
+# Errors of socket(2), bind(2) and listen(2) that pass by themselves
+PASSING = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.EINTR)
 
 
 def listening(machine, address) -> socket.socket:
@@ -218,7 +227,7 @@
         sock = scheduler.machine.tcp_socket(address)
     except OSError as error:
         budget.give(kind)
-        raise Short(str(error)) from None
+        raise LocalError(str(error)) from None
     return make(scheduler, sock, kind, budget)
 
 
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -154,10 +154,21 @@
 
     def __init__(self, process):
         self.process, self.scheduler, self.clock, self.log = process, process.scheduler, process.scheduler.clock, process.log
-        self.listener = self.scheduler.machine.meet(process.config.state)
+        self.listener = None
+        self.meet()
         self.scheduler.spawn_kept(self.serve)
 
+    def meet(self) -> None:
+        """Opens the meeting place. Danger: a folder that takes no file now is no reason to end: only an upgrade needs the place."""
+        try:
+            self.listener = self.scheduler.machine.meet(self.process.config.state)
+        except OSError as error:
+            self.log.error("no meeting place for upgrades", error=str(error))
+
     def serve(self) -> None:
+        while self.listener is None:
+            self.scheduler.sleep(self.clock() + SELDOM)
+            self.meet()
         while not self.process.given:
             self.scheduler.wait(self.listener.fileno(), READ)
             try:
