--- a/molehill/emulator/generator.py
+++ b/molehill/emulator/generator.py
@@ -32,6 +32,7 @@
 ASKED_FOR = {                          # likewise, drawn only where weights name them
     "upgrade": (3, (0, 0), (0, 0)), "upgrade_new_dies": (3, (0, 0), (1, 250)), "upgrade_old_dies": (3, (0, 0), (1, 250)),
     "upgrade_new_hangs": (1, (100, 6000), (1, 250)), "upgrade_old_hangs": (1, (100, 6000), (1, 250)),
+    "wall_step": (4, (0, 0), (-4_000_000, 4_000_000)),
     "herd": (2, (0, 0), (0.3, 1)), "zone_dark": (2, (500, 6000), (0, 1)), "lower": (3, (2000, 8000), (0.2, 0.9))}
 ALL = {**KINDS, **ASKED_FOR}
 EFFECTS = ("idempotent", "deduplicated", "at_most_once")
