--- a/molehill/emulator/life.py
+++ b/molehill/emulator/life.py
@@ -429,7 +429,7 @@
         """How many rows each map of the relay has that has to be empty again once nothing is held."""
         core, http = self.process.core, self.process
         counted = http.budget.total() + 2          # the socket of signals and the lock are not in the budget
-        if http.giver is not None:
+        if http.handover_server is not None:
             counted += 2                           # nor are the operators' door and the meeting place
         if http.membership is not None:
             counted += http.membership.descriptors()
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -29,7 +29,7 @@
         self.start = start = start or Start(config, machine, sink)
         if start.store is None:
             start.open_log()
-        self.log, self.scheduler, self.lock, self.given, self.giver = start.log, start.scheduler, start.lock, False, None
+        self.log, self.scheduler, self.lock, self.given, self.handover_server = start.log, start.scheduler, start.lock, False, None
         holds.report = lambda name, count, facts: self.log.error("broken invariant", name=name, count=count,
                                                                  **{f"fact_{k}": v for k, v in facts.items()})
         if start.estate is not None and "discovery" in start.estate.state:    # it may have moved since this one's start
@@ -83,7 +83,7 @@
         self.engine.keep_counting()
         self.clients.begin(**unread)
         if self.config.admin is not None:
-            self.giver = upgrade.Giver(self)
+            self.handover_server = upgrade.HandoverServer(self)
         for number in self.start.seen:
             self.on_signal(number)
         self.log.info("ready", taken_over=estate is not None, listen="%s:%d" % self.config.listen, discovery="%s:%d" % self.config.discovery)
--- a/molehill/startup.py
+++ b/molehill/startup.py
@@ -12,7 +12,7 @@
 from molehill.runtime.log import logger
 from molehill.runtime.scheduler import Scheduler
 from molehill.store import Store
-from molehill.upgrade import Heir
+from molehill.upgrade import Successor
 
 # Errors of the folder that waiting does not mend: it is no folder, or this process may not use it.
 UNUSABLE = (errno.ENOTDIR, errno.EEXIST, errno.EISDIR, errno.EACCES, errno.EPERM, errno.EROFS, errno.ENAMETOOLONG, errno.ELOOP,
@@ -36,7 +36,7 @@
     def __init__(self, config, machine, sink):
         self.config, self.machine = config, machine
         self.scheduler, self.log = Scheduler(machine), logger(sink, config.name, machine.wall)
-        self.process = self.estate = self.admin = self.heir = self.store = self.log_clock = None
+        self.process = self.estate = self.admin = self.successor = self.store = self.log_clock = None
         self.seen = []                 # signals that came before the relay was there
         self.lock = self.waits_for = None
         self.try_lock()
@@ -55,15 +55,15 @@
         """Until the lock and the log are here; False if told to end before."""
         if self.lock is not None and self.try_log():
             return True
-        heir = self.heir = Heir(self, signals)
-        heir.begin()
+        successor = self.successor = Successor(self, signals)
+        successor.begin()
         self.scheduler.run()
         return self.found()
 
     def found(self) -> bool:
         """Takes what the search for the lock and the log brought."""
-        self.estate, self.seen = self.heir.estate, self.heir.seen
-        return self.heir.finish()
+        self.estate, self.seen = self.successor.estate, self.successor.seen
+        return self.successor.finish()
 
     def try_log(self) -> bool:
         """Opens and reads the log, and writes a first record; whether the disk let it. Raises ConfigError."""
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(slots=True)
-class Estate:
+class HandedOver:
     """What the new process got."""
     lock: int = -1
     listener: object = None
@@ -49,7 +49,7 @@
             machine.close(self.lock)
 
 
-class Heir:
+class Successor:
     """The new process, until it has the lock and the log. `start`: of molehill/startup.py."""
 
     def __init__(self, start, signals):
@@ -108,7 +108,7 @@
 
     def ask(self) -> bool:
         """Has the process that serves now hand over, if it can be reached and does; whether that was begun and broke off."""
-        estate, line = Estate(), None
+        estate, line = HandedOver(), None
         try:
             line = Line(self.scheduler, self.machine.reach(self.config.state))
             line.send({"k": "hello", "v": VERSION}, self.clock() + STEP_WITHIN)
@@ -149,7 +149,7 @@
         return True
 
 
-class Giver:
+class HandoverServer:
     """The process that serves: waits for the next one, and hands over."""
 
     def __init__(self, process):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -40,8 +40,8 @@
         self.open += [signals, other]
         self.live.append(start.scheduler)
         if start.lock is None:
-            start.heir = upgrade.Heir(start, signals)
-            start.heir.begin()
+            start.successor = upgrade.Successor(start, signals)
+            start.successor.begin()
             start.signals, start.given_config = signals, config
             return start
         self.old = self.run(start, config, signals)
@@ -156,7 +156,7 @@
     two.old.core._end_callback(owed, True, 0)
     two.old.core.inbox.append(it.Withdrawn("id2"))
     two.old.engine.carry(two.old.core.effects)
-    hosts, seen, take = two.calls(), [], upgrade.Heir.take
+    hosts, seen, take = two.calls(), [], upgrade.Successor.take
 
     def new_dies(self, estate, message, body, fd):
         more = take(self, estate, message, body, fd)
@@ -170,13 +170,13 @@
         if len(seen) != step + 2:                      # its own first word is the hello
             return send(self, message, until, body, fd)
         two.live.remove(two.old.scheduler)
-        for sock in [s.sock for s in two.old.hosts.streams.values()] + [two.old.clients.listener, two.old.giver.listener, self.sock]:
+        for sock in [s.sock for s in two.old.hosts.streams.values()] + [two.old.clients.listener, two.old.handover_server.listener, self.sock]:
             sock.close()
         os.close(two.old.lock)
         two.old.scheduler.hub.switch()
     send = upgrade.Line.send
     if who == "new":
-        monkeypatch.setattr(upgrade.Heir, "take", new_dies)
+        monkeypatch.setattr(upgrade.Successor, "take", new_dies)
         start = two.start()
         two.live.remove(start.scheduler)
         for _ in range(60):
@@ -220,7 +220,7 @@
     """Danger: it wakes after the old one has gone on, and takes itself for the owner. Its word finds no line any more."""
     for n in range(3):
         two.client(ASK % (b"id%d" % n, b"plain"))
-    seen, take, waking = [], upgrade.Heir.take, []
+    seen, take, waking = [], upgrade.Successor.take, []
 
     def hangs(self, estate, message, body, fd):
         seen.append(message["k"])
@@ -229,7 +229,7 @@
             waking.append(start.scheduler)
             start.scheduler.sleep(two.clock.now)       # its next turn comes when it wakes
         return take(self, estate, message, body, fd)
-    monkeypatch.setattr(upgrade.Heir, "take", hangs)
+    monkeypatch.setattr(upgrade.Successor, "take", hangs)
     start = two.start()
     two.advance(3 * SECOND)
     assert waking and two.old.can_serve() and not two.old.given and not two.old.engine.busy
@@ -242,8 +242,8 @@
 def test_one_killed_right_after_its_word_leaves_all_to_the_next_start(two, monkeypatch):
     for n in range(3):
         two.client(ASK % (b"id%d" % n, b"plain"))
-    send, take, got = upgrade.Line.send, upgrade.Heir.take, []
-    monkeypatch.setattr(upgrade.Heir, "take", lambda self, estate, *row: (got.append(estate), take(self, estate, *row))[1])
+    send, take, got = upgrade.Line.send, upgrade.Successor.take, []
+    monkeypatch.setattr(upgrade.Successor, "take", lambda self, estate, *row: (got.append(estate), take(self, estate, *row))[1])
 
     def last(self, message, *rest, **more):
         send(self, message, *rest, **more)
@@ -269,13 +269,13 @@
     for _ in range(60):
         two.advance(50 * MS)
         try:
-            sock, _ = two.old.giver.listener.accept()
+            sock, _ = two.old.handover_server.listener.accept()
         except BlockingIOError:
             continue
         two.open.append(sock)
         sock.send(reply) if reply else None
     assert not start.scheduler.stopped and Kernel().disk.lock(two.folder) is None
-    two.old.giver.listener.close()
+    two.old.handover_server.listener.close()
     two.old.clients.listener.close()
     os.close(two.old.lock)
     assert two.succeed(start).can_serve()
@@ -309,7 +309,7 @@
     """Danger: it has every connection by then, or is about to, and ends with all of them unanswered."""
     client = two.client()
     start = two.start()
-    other, send, take = two.open[-1], upgrade.Line.send, upgrade.Heir.take
+    other, send, take = two.open[-1], upgrade.Line.send, upgrade.Successor.take
 
     def told_then_takes(self, estate, message, body, fd):
         if message["k"] == moment:
@@ -320,7 +320,7 @@
         send(self, message, *given, **named)
         if message["k"] == moment:
             other.send(bytes([signal.SIGTERM]))
-    monkeypatch.setattr(upgrade.Heir, "take", told_then_takes)
+    monkeypatch.setattr(upgrade.Successor, "take", told_then_takes)
     monkeypatch.setattr(upgrade.Line, "send", sends_then_told)
     two.advance(100 * MS)
     assert start.scheduler.stopped
