Rig: a kill while the next process waits for the folder is told as the end of a life

It now looks whether the one that is gone had said that it handed over; if not, a life has ended and another begun. Ruled out: the relay (its log says taken_over=False, the end is among the rows that wait for the log), the order of stamps.

--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -68,6 +68,7 @@
         self.run, self.world, self.n, self.name = run, run.world, n, f"relay{n}"
         self.folder, self.file = run.folder / f"{self.name}.state", run.folder / f"{self.name}.json"
         self.lives, self.owner, self.number, self.retuned, self.hook, self.is_older = [], None, 0, [], {}, False
+        self.hand_overs = 0                # that its processes have said, as of the last look
         self.shim, self.wrong = run.folder / f"{self.name}.shim", {}
         if any(fault.kind in SHIMMED and fault.who == self.name for fault in run.scenario.faults):
             self.hook = {"shim": str(self.shim)}
@@ -140,6 +141,7 @@
             return
         before, self.owner = self.owner, life
         self.world.tell(self.name, "took over", life=life.number)
+        self.handed_over()
         if before.child.poll() is None:
             before.state, before.wanted = ENDING, True
             before.child.send_signal(signal.SIGTERM)
@@ -153,10 +155,20 @@
         if life is not self.owner:
             return
         self.owner = next(iter(self.lives), None)
+        if self.owner is not None and self.handed_over():
+            return
+        self.run.tell_all(self.name, "killed" if code < 0 else "ended", life=life.number)
+        self.world.tell(self.name, "left on disk", file=self.image(life))
         if self.owner is None:
-            self.run.tell_all(self.name, "killed" if code < 0 else "ended", life=life.number)
-            self.world.tell(self.name, "left on disk", file=self.image(life))
             self.world.after(AGAIN, self.again)
+        else:                              # one that waits for the folder: what it does is another life's
+            self.world.tell(self.name, "started", life=self.owner.number)
+
+    def handed_over(self) -> bool:
+        """Whether the process that is gone had given all to the next one: it says so in its log before it does anything else."""
+        said = (self.run.folder / f"{self.name}.log").read_text(encoding="utf-8", errors="replace").count("event='handed over'")
+        newly, self.hand_overs = said > self.hand_overs, said
+        return newly
 
     def image(self, life) -> str:
         """What it left in its folder, kept for the checker."""
