--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 
 .PHONY: test demo
 test: .venv/dev
+	.venv/bin/ruff format -q --check molehill tests benchmarks
 	.venv/bin/ruff check -q molehill tests benchmarks
 	.venv/bin/python -m pytest -q
 
--- a/benchmarks/detectors.py
+++ b/benchmarks/detectors.py
@@ -4,6 +4,7 @@
 rings; alerts of enough of them, and of no doubtful middle, are voted on, and a view changes once a majority votes alike (Rapid's way, its fast
 path left out). One that was taken out and is heard again is back at once, which the published one makes a join. Neither has names or wires.
 """
+
 from collections import defaultdict, deque
 from math import erfc, log10, sqrt
 from types import SimpleNamespace
@@ -18,7 +19,9 @@
         self.set, self.name, self.chance, self.next = settings, name, chance, now
         self.me = SimpleNamespace(name=name, number=number, process=lambda: (number, 0))
         self.out, self.syncs, self.news = [], [], []
-        self.peers = {n: SimpleNamespace(who=SimpleNamespace(name=n), state=ALIVE) for n in names if n != name}
+        self.peers = {
+            n: SimpleNamespace(who=SimpleNamespace(name=n), state=ALIVE) for n in names if n != name
+        }
         self.standing, self.seeds = "connected", seeds
         self.began = now
 
@@ -39,7 +42,8 @@
 
 
 class Accrual(Core):
-    GAPS, LEVEL, LOST_AT = 100, 8.0, 16.0      # gaps remembered; suspected, and taken for lost, at that level (as published: 8; twice that)
+    # gaps remembered; suspected, and taken for lost, at that level (as published: 8; twice that)
+    GAPS, LEVEL, LOST_AT = 100, 8.0, 16.0
 
     def __init__(self, *given):
         super().__init__(*given)
@@ -59,7 +63,9 @@
                 self.say(name, "beat")
         for name in self.peers:
             level = self.level(name, now)
-            self.believe(name, LOST if level > self.LOST_AT else SUSPECT if level > self.LEVEL else ALIVE)
+            self.believe(
+                name, LOST if level > self.LOST_AT else SUSPECT if level > self.LEVEL else ALIVE
+            )
 
     def hear(self, now, message, source) -> None:
         name = source[0]
@@ -75,8 +81,16 @@
         everybody = sorted([*self.peers, self.name])
         self.rings = min(self.RINGS, len(everybody) - 1)
         at = everybody.index(self.name)
-        self.subjects = {everybody[(at + step) % len(everybody)] for step in range(1, self.rings + 1)}
-        self.missed, self.asked, self.alerts, self.votes, self.voted = defaultdict(int), {}, defaultdict(set), defaultdict(set), set()
+        self.subjects = {
+            everybody[(at + step) % len(everybody)] for step in range(1, self.rings + 1)
+        }
+        self.missed, self.asked, self.alerts, self.votes, self.voted = (
+            defaultdict(int),
+            {},
+            defaultdict(set),
+            defaultdict(set),
+            set(),
+        )
 
     def tick(self, now) -> None:
         if now < self.next:
@@ -106,9 +120,13 @@
 
     def decide(self) -> None:
         high = min(self.HIGH, self.rings)
-        sure = frozenset(n for n, by in self.alerts.items() if len(by) >= high and self.peers.get(n, self).__dict__.get("state") == ALIVE)
+        sure = frozenset(
+            n
+            for n, by in self.alerts.items()
+            if len(by) >= high and self.peers.get(n, self).__dict__.get("state") == ALIVE
+        )
         doubtful = [n for n, by in self.alerts.items() if self.LOW <= len(by) < high]
-        if sure and not doubtful:      # said again each round: a vote that is lost would stay so
+        if sure and not doubtful:  # said again each round: a vote that is lost would stay so
             self.voted.add(sure)
             self.everywhere(("vote", sure, self.name))
         for cut, by in self.votes.items():
@@ -119,7 +137,9 @@
 
     def back(self, name) -> None:
         self.alerts.pop(name, None)
-        self.votes = defaultdict(set, {cut: by for cut, by in self.votes.items() if name not in cut})
+        self.votes = defaultdict(
+            set, {cut: by for cut, by in self.votes.items() if name not in cut}
+        )
         self.voted = {cut for cut in self.voted if name not in cut}
         self.believe(name, ALIVE)
 
--- a/benchmarks/emulator.py
+++ b/benchmarks/emulator.py
@@ -7,6 +7,7 @@
 
 Out of CI. Absolute times are this machine's; what counts are counts and ratios. All parties are simulated.
 """
+
 import argparse
 import os
 import subprocess
@@ -21,12 +22,16 @@
 from molehill.emulator.days import upgraded
 from molehill.emulator.mutations import MUTATIONS
 
-
 # Mistakes that show in a gap of some milliseconds only: sweeps for them have more of the faults that lead there.
-WEIGHTS = {"notice that is owed not taken up": {"lost_answers": 20}, "ticket window off by a tenth": {"shut": 60},
-           "ticket window off by a quarter": {"shut": 20},
-           "end not logged": {"kill_step": 6}, "rewrite forgets what was launched": {"kill_step": 6, "short_writes": 4},
-           "new notice waits for others' rest": {"lost_answers": 20}, "time not counted over a standstill": {"freeze": 20}}
+WEIGHTS = {
+    "notice that is owed not taken up": {"lost_answers": 20},
+    "ticket window off by a tenth": {"shut": 60},
+    "ticket window off by a quarter": {"shut": 20},
+    "end not logged": {"kill_step": 6},
+    "rewrite forgets what was launched": {"kill_step": 6, "short_writes": 4},
+    "new notice waits for others' rest": {"lost_answers": 20},
+    "time not counted over a standstill": {"freeze": 20},
+}
 ABOUT_RULE_4 = "returning host fed without a budget"
 
 
@@ -48,7 +53,8 @@
 
 
 def mutations(seeds: int, jobs: int) -> None:
-    with ThreadPoolExecutor(jobs) as pool:             # a sweep of one process for each mistake, so many at once
+    # a sweep of one process for each mistake, so many at once
+    with ThreadPoolExecutor(jobs) as pool:
         jobs = {pool.submit(found, mistake, seeds, 1): mistake for mistake in MUTATIONS}
         for done in as_completed(jobs):
             row = done.result()
@@ -62,40 +68,80 @@
         results, began = sweep.Results(), time.perf_counter()
         list(sweep.sweep(range(seeds), many, results))
         took, total = time.perf_counter() - began, results.summary()
-        rows.append(f"{many} cores: {seeds / took * 3600:.0f} seeds an hour, {total['virtual_s'] / took:.1f} virtual seconds a second, "
-                    f"{total['callbacks'] / total['virtual_s']:.0f} callbacks a virtual second")
+        rows.append(
+            f"{many} cores: {seeds / took * 3600:.0f} seeds an hour, {total['virtual_s'] / took:.1f} virtual seconds a second, "
+            f"{total['callbacks'] / total['virtual_s']:.0f} callbacks a virtual second"
+        )
     print("; ".join(rows))
 
 
-STEPS = 150                            # of either process from the start of the new one on: all of the exchange, and some after it
+# of either process from the start of the new one on: all of the exchange, and some after it
+STEPS = 150
 HANGS_MS = (300, 700, 1500, 5000)
 
 
 def upgrades(seeds: int, jobs: int) -> None:
     """A day of its own for each point; figures are counts."""
-    points = [(kind, step, span, seed) for seed in range(1, seeds + 1) for step in range(1, STEPS + 1)
-              for kind, spans in (("new_dies", [0]), ("old_dies", [0]), ("new_hangs", HANGS_MS), ("old_hangs", HANGS_MS)) for span in spans]
+    points = [
+        (kind, step, span, seed)
+        for seed in range(1, seeds + 1)
+        for step in range(1, STEPS + 1)
+        for kind, spans in (
+            ("new_dies", [0]),
+            ("old_dies", [0]),
+            ("new_hangs", HANGS_MS),
+            ("old_hangs", HANGS_MS),
+        )
+        for span in spans
+    ]
     with ProcessPoolExecutor(jobs) as pool:
-        verdicts = list(pool.map(sweep.play_one, [upgraded(*point) for point in points], chunksize=8))
-    broken = [(point, verdict["failure"]) for point, verdict in zip(points, verdicts) if not verdict["ok"]]
+        verdicts = list(
+            pool.map(sweep.play_one, [upgraded(*point) for point in points], chunksize=8)
+        )
+    broken = [
+        (point, verdict["failure"]) for point, verdict in zip(points, verdicts) if not verdict["ok"]
+    ]
     for point, failure in broken:
         print(*point, failure)
     starts = Counter((point[0], verdict["starts"]) for point, verdict in zip(points, verdicts))
-    print(f"{len(points)} points, {len(broken)} broken; started anew in", {kind: count for (kind, many), count in sorted(starts.items()) if many > 1})
+    print(
+        f"{len(points)} points, {len(broken)} broken; started anew in",
+        {kind: count for (kind, many), count in sorted(starts.items()) if many > 1},
+    )
 
 
 def replay(seeds: int, jobs: int) -> None:
     """Two sweeps at once, each of processes that hash in a way of their own."""
     with TemporaryDirectory() as folder:
         outs = [Path(folder) / str(n) for n in (1, 2)]
-        runs = [subprocess.Popen([sys.executable, "-m", "molehill.cli", "emulate", "sweep", "--seeds", f"0..{seeds - 1}", "--jobs",
-                                  str(max(1, jobs // 2)), "--out", str(out)], stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
-                                 env={**os.environ, "PYTHONHASHSEED": out.name}) for out in outs]
+        runs = [
+            subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "molehill.cli",
+                    "emulate",
+                    "sweep",
+                    "--seeds",
+                    f"0..{seeds - 1}",
+                    "--jobs",
+                    str(max(1, jobs // 2)),
+                    "--out",
+                    str(out),
+                ],
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONHASHSEED": out.name},
+            )
+            for out in outs
+        ]
         for run in runs:
             run.wait()
         one, other = [sweep.Results(out).rows for out in outs]
     same = sum(one[seed]["digest"] == other[seed]["digest"] for seed in range(seeds))
-    print(f"{same} of {seeds} seeds: the same digest with another hash seed; rules kept on {sum(row['ok'] for row in one.values())}")
+    print(
+        f"{same} of {seeds} seeds: the same digest with another hash seed; rules kept on {sum(row['ok'] for row in one.values())}"
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -8,6 +8,7 @@
 
 Out of CI. Processes, sockets and clocks are real, all other parties are stand-ins on the same cores.
 """
+
 import argparse
 import json
 import resource
@@ -25,24 +26,39 @@
 from molehill.emulator.days import calm
 from molehill.emulator.network import Datagrams
 from molehill.emulator.run import Run
-from molehill.emulator.scenario import Category, EndpointPlan, Fault, FleetPlan, ProgramPlan, Scenario, check
+from molehill.emulator.scenario import (
+    Category,
+    EndpointPlan,
+    Fault,
+    FleetPlan,
+    ProgramPlan,
+    Scenario,
+    check,
+)
 from molehill.fleet import days, figures, history, play
 from molehill.fleet.cable import Cables
 from molehill.fleet.compare import interval
 from molehill.fleet.conductor import cpu_of
-from molehill.fleet.places import Places, claim
 from molehill.fleet.mutations import MUTATIONS as OF_THE_RIG
+from molehill.fleet.places import Places, claim
 from molehill.fleet.sockets import Network
 from molehill.fleet.world import World
 
 FIVE = Path(__file__).parent.parent / "docs" / "five.toml"
 # Those of the emulator's that show in what crosses the wires; each with the faults that lead to it (weights of the drawn days)
 OF_RELAYS = {
-    "exclusive taken for rerunnable": {"vanished": 10, "silent": 10}, "order of keys not kept": {"silent": 10}, "launch not logged": {"kill": 40},
-    "drain not heeded": {"drain": 40}, "deadline read a second late": {"silent": 20, "dead": 20}, "reset counts as never run": {"dead": 20},
-    "key's rest forgotten": {"silent": 20}, "wait heeded by host, not by destination": {"shut": 40},
-    "ids with other contents taken for the same": {}, "late answer ends another callback": {"silent": 10, "slow": 30},
-    "notice that is owed not taken up": {"lost_answers": 30, "kill": 40}}
+    "exclusive taken for rerunnable": {"vanished": 10, "silent": 10},
+    "order of keys not kept": {"silent": 10},
+    "launch not logged": {"kill": 40},
+    "drain not heeded": {"drain": 40},
+    "deadline read a second late": {"silent": 20, "dead": 20},
+    "reset counts as never run": {"dead": 20},
+    "key's rest forgotten": {"silent": 20},
+    "wait heeded by host, not by destination": {"shut": 40},
+    "ids with other contents taken for the same": {},
+    "late answer ends another callback": {"silent": 10, "slow": 30},
+    "notice that is owed not taken up": {"lost_answers": 30, "kill": 40},
+}
 
 
 def first(mistake: str, seeds: int, stage: str, rig: bool):
@@ -50,8 +66,16 @@
     for seed in range(1, seeds + 1):
         day = cut_day(seed) if rig else days.drawn(seed, ways=0, weights=OF_RELAYS[mistake])
         verdict = play.play(day, stage, **{"rig_mistake" if rig else "mistake": mistake})
-        rows = [row for row in verdict["findings"] if row["word"] in (("broken", "void") if rig else ("broken",))]
-        if rows and (rig or "rule 4" not in rows[0]["text"]) and play.play(day, stage)["word"] in (("kept",) if rig else ("kept", "void")):
+        rows = [
+            row
+            for row in verdict["findings"]
+            if row["word"] in (("broken", "void") if rig else ("broken",))
+        ]
+        if (
+            rows
+            and (rig or "rule 4" not in rows[0]["text"])
+            and play.play(day, stage)["word"] in (("kept",) if rig else ("kept", "void"))
+        ):
             return seed, rows[0]["word"], rows[0]["property"], rows[0]["text"][:90]
     return None
 
@@ -61,11 +85,16 @@
 
 
 def mutations(seeds: int, jobs: int = 2) -> None:
-    todo = [(name, seeds, stage, False) for name in OF_RELAYS for stage in ("emulated", "processes")]
+    todo = [
+        (name, seeds, stage, False) for name in OF_RELAYS for stage in ("emulated", "processes")
+    ]
     todo += [(name, seeds, "processes", True) for name in OF_THE_RIG]
     with get_context("spawn").Pool(jobs, maxtasksperchild=1) as pool:
         for name, stage, found in pool.imap_unordered(one, todo):
-            print(f"| {name} | {stage} | {'%d | %s: %s: %s' % found if found else f'not in {seeds} | '} |", flush=True)
+            print(
+                f"| {name} | {stage} | {'%d | %s: %s: %s' % found if found else f'not in {seeds} | '} |",
+                flush=True,
+            )
 
 
 def one(job):
@@ -77,16 +106,31 @@
     for seed in range(1, seeds + 1):
         rows.append([play.play(cut_day(seed), stage) for stage in ("emulated", "processes")])
     gaps = [a["summary"]["service"] - b["summary"]["service"] for a, b in rows]
-    print(f"{seeds} seeds of {FIVE.name}: emulated {[r[0]['word'] for r in rows]}, processes {[r[1]['word'] for r in rows]}; service emulated less "
-          f"processes: mean {sum(gaps) / seeds:.4f}, from {min(gaps):.4f} to {max(gaps):.4f}")
+    print(
+        f"{seeds} seeds of {FIVE.name}: emulated {[r[0]['word'] for r in rows]}, processes {[r[1]['word'] for r in rows]}; service emulated less "
+        f"processes: mean {sum(gaps) / seeds:.4f}, from {min(gaps):.4f} to {max(gaps):.4f}"
+    )
 
 
 def large(relays: int, seconds: int, rate: float, faults=()) -> Scenario:
-    rows = [Category("status", "deduplicated", 5000, ordered=True, window_ms=2500), Category("rate", "idempotent", 3000),
-            Category("refund", "at_most_once", 5000, payoff=4.0)]
-    return check(Scenario(seed=1, span_ms=seconds * 1000, relays=relays, categories=rows, sockets=512, slots=32,
-                          endpoints=[EndpointPlan(n + 1, hosts=2, slots=64) for n in range(4)],
-                          programs=[ProgramPlan(rate / 4, [1, 2, 3, 4], keys=200) for _ in range(4)], faults=list(faults)))
+    rows = [
+        Category("status", "deduplicated", 5000, ordered=True, window_ms=2500),
+        Category("rate", "idempotent", 3000),
+        Category("refund", "at_most_once", 5000, payoff=4.0),
+    ]
+    return check(
+        Scenario(
+            seed=1,
+            span_ms=seconds * 1000,
+            relays=relays,
+            categories=rows,
+            sockets=512,
+            slots=32,
+            endpoints=[EndpointPlan(n + 1, hosts=2, slots=64) for n in range(4)],
+            programs=[ProgramPlan(rate / 4, [1, 2, 3, 4], keys=200) for _ in range(4)],
+            faults=list(faults),
+        )
+    )
 
 
 def long_day(relays: int, seconds: int, rate: float) -> Scenario:
@@ -94,8 +138,16 @@
     faults = []
     for n, at in enumerate(range(2000, seconds * 1000 - 6000, 2000)):
         who = f"relay{n % relays}"
-        faults.append([Fault("kill", at, who), Fault("freeze", at, who, 700), Fault("cut", at, f"{who}>hosts", 1500), Fault("restart", at, who),
-                       Fault("upgrade", at, who), Fault("delay", at, f"hosts>{who}", 1500, 100.0)][n % 6])
+        faults.append(
+            [
+                Fault("kill", at, who),
+                Fault("freeze", at, who, 700),
+                Fault("cut", at, f"{who}>hosts", 1500),
+                Fault("restart", at, who),
+                Fault("upgrade", at, who),
+                Fault("delay", at, f"hosts>{who}", 1500, 100.0),
+            ][n % 6]
+        )
     return large(relays, seconds, rate, faults)
 
 
@@ -103,25 +155,58 @@
     with TemporaryDirectory() as folder:
         verdict = play.play(long_day(relays, seconds, rate), "processes", folder)
         told = history.read(folder)
-        print(json.dumps({"word": verdict["word"], "late_ms": verdict.get("late_ms"), "findings": [r for r in verdict["findings"] if r["word"] != "kept"],
-                          "service": verdict["summary"].get("service"), "wanted": verdict["summary"].get("wanted"),
-                          "delivery_ms": figures.delivery(told), **{k: v for k, v in figures.costs(told).items() if k == "rig_share"}})[:3000])
+        print(
+            json.dumps(
+                {
+                    "word": verdict["word"],
+                    "late_ms": verdict.get("late_ms"),
+                    "findings": [r for r in verdict["findings"] if r["word"] != "kept"],
+                    "service": verdict["summary"].get("service"),
+                    "wanted": verdict["summary"].get("wanted"),
+                    "delivery_ms": figures.delivery(told),
+                    **{k: v for k, v in figures.costs(told).items() if k == "rig_share"},
+                }
+            )[:3000]
+        )
 
 
 def most(relays: int, rate: float) -> None:
     with TemporaryDirectory() as folder:
-        verdict = play.play(large(relays, 10, rate, [Fault("freeze", 3000, "relay0", 500)]), "processes", folder)
+        verdict = play.play(
+            large(relays, 10, rate, [Fault("freeze", 3000, "relay0", 500)]), "processes", folder
+        )
         told = history.read(folder)
         costs = figures.costs(told)
-        print(json.dumps({"relays": relays, "rate": rate, "word": verdict["word"], "late_ms": verdict["late_ms"],
-                          "service": verdict["summary"]["service"], "delivery_ms": figures.delivery(told), "rig_share": costs["rig_share"],
-                          "cpu_s": round(sum(costs["cpu_s"].values()), 1)}), flush=True)
+        print(
+            json.dumps(
+                {
+                    "relays": relays,
+                    "rate": rate,
+                    "word": verdict["word"],
+                    "late_ms": verdict["late_ms"],
+                    "service": verdict["summary"]["service"],
+                    "delivery_ms": figures.delivery(told),
+                    "rig_share": costs["rig_share"],
+                    "cpu_s": round(sum(costs["cpu_s"].values()), 1),
+                }
+            ),
+            flush=True,
+        )
 
 
 def words(relays: int, seconds: int = 10) -> None:
     """Each relay's machine says 100 bytes to three others a second, as a failure detector would."""
-    run = Run(calm(relays=relays, span_ms=seconds * 1000, programs=[ProgramPlan(100.0, [1, 2], keys=50)],
-                   faults=[Fault("lose", 1000, "relays>relay0", 5000, 0.2), Fault("cut", 3000, "relay1<>relays", 2000)]))
+    run = Run(
+        calm(
+            relays=relays,
+            span_ms=seconds * 1000,
+            programs=[ProgramPlan(100.0, [1, 2], keys=50)],
+            faults=[
+                Fault("lose", 1000, "relays>relay0", 5000, 0.2),
+                Fault("cut", 3000, "relay1<>relays", 2000),
+            ],
+        )
+    )
     heard = [0]
     boxes = []
     for n, node in enumerate(run.nodes.values()):
@@ -134,13 +219,17 @@
         for other in run.world.chance.sample(boxes, 3):
             box.sendto(b"." * 100, other.address)
         run.world.after(SECOND, say, box)
+
     for box in boxes:
         run.world.after(run.world.chance.randrange(SECOND), say, box)
     began = time.perf_counter()
     verdict = run.play()
     took = time.perf_counter() - began
-    print(f"{relays} relays: {'kept' if verdict['ok'] else verdict['failure']}, {verdict['virtual_s'] / took:.2f} virtual seconds a second, "
-          f"{heard[0]} words heard, {heard[0] / relays:.1f} a relay, {resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024} MB", flush=True)
+    print(
+        f"{relays} relays: {'kept' if verdict['ok'] else verdict['failure']}, {verdict['virtual_s'] / took:.2f} virtual seconds a second, "
+        f"{heard[0]} words heard, {heard[0] / relays:.1f} a relay, {resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024} MB",
+        flush=True,
+    )
 
 
 def cables(many: int = 5000) -> None:
@@ -154,7 +243,8 @@
         ends[n].settimeout(2)
     other = get_context("fork").Process(target=serve_cables, args=(scenario, slot), daemon=True)
     other.start()
-    time.sleep(0.5)                        # a measurement by hand: its first round trips are not counted either
+    # a measurement by hand: its first round trips are not counted either
+    time.sleep(0.5)
     doors = [(places.words(0, 1)[0], 8000), (places.words(1, 0)[0], 8000)]
     chance, row = Random(1), {}
 
@@ -168,9 +258,13 @@
                 sender.sendto(b"." * 100, target)
                 reader.recv(2000)
             took.append((time.perf_counter() - began) * 1e6)
-        return sorted(took[many // 10:])
-    for name, there, back, drawn in (("straight", ends[1].getsockname(), ends[0].getsockname(), False), ("through a cable", *doors, False),
-                                     ("drawn in the process", ends[1].getsockname(), ends[0].getsockname(), True)):
+        return sorted(took[many // 10 :])
+
+    for name, there, back, drawn in (
+        ("straight", ends[1].getsockname(), ends[0].getsockname(), False),
+        ("through a cable", *doors, False),
+        ("drawn in the process", ends[1].getsockname(), ends[0].getsockname(), True),
+    ):
         took = trips(there, back, drawn)
         row[name] = f"{took[len(took) // 2]:.0f} us, 99th {took[len(took) * 99 // 100]:.0f}"
     spent = cpu_of(other.pid) / (2 * many) * 1e6
@@ -185,26 +279,42 @@
     for seed in range(1, seeds + 1):
         pair = []
         for worth in (rate, 1.0)[:: 1 if seed % 2 else -1]:
-            day = play.seeded(large(3, 8, 120.0, [Fault("flood", 500, f"relay{n}", 7000, worth) for n in range(3)]), seed)
+            day = play.seeded(
+                large(
+                    3, 8, 120.0, [Fault("flood", 500, f"relay{n}", 7000, worth) for n in range(3)]
+                ),
+                seed,
+            )
             with TemporaryDirectory() as folder:
                 verdict = play.play(structs.replace(day, fleet=FleetPlan()), "processes", folder)
                 pair.append((worth, figures.delivery(history.read(folder)), verdict["word"]))
         rows.append(sorted(pair, key=lambda row: -row[0]))
     for name in ("p50", "p99"):
         ratios = [a[1][name] / b[1][name] for a, b in rows]
-        print(f"{rate:.0f} forged a second and relay, {name}: {[a[1][name] for a, _ in rows]} ms for {[b[1][name] for _, b in rows]} without, ratio {interval(ratios)}, "
-              f"{[a[2] for a, _ in rows]}", flush=True)
+        print(
+            f"{rate:.0f} forged a second and relay, {name}: {[a[1][name] for a, _ in rows]} ms for {[b[1][name] for _, b in rows]} without, ratio {interval(ratios)}, "
+            f"{[a[2] for a, _ in rows]}",
+            flush=True,
+        )
 
 
 def serve_cables(scenario, slot: int) -> None:
     world = World("cables", 1)
-    Cables(world, Network(world, ["relay0", "relay1"]), scenario, Places(slot), [("relay0", "relay1"), ("relay1", "relay0")])
+    Cables(
+        world,
+        Network(world, ["relay0", "relay1"]),
+        scenario,
+        Places(slot),
+        [("relay0", "relay1"), ("relay1", "relay0")],
+    )
     world.run()
 
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("what", choices=["mutations", "stages", "long", "most", "words", "cables", "flood"])
+    parser.add_argument(
+        "what", choices=["mutations", "stages", "long", "most", "words", "cables", "flood"]
+    )
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--relays", type=int, nargs="+", default=[16])
--- a/molehill/__main__.py
+++ b/molehill/__main__.py
@@ -1,4 +1,5 @@
 """`python -m molehill`: one relay on this machine, as the environment and the file that it names say."""
+
 import gc
 import os
 import signal
@@ -26,7 +27,8 @@
 
 def main(machine=None) -> int:
     """One relay from start to end; its exit code. `machine`: another than the kernel's."""
-    signals = watch_signals()          # first of all: one that comes before the loop turns waits for it
+    # first of all: one that comes before the loop turns waits for it
+    signals = watch_signals()
     try:
         config = configuration.load(os.environ)
     except configuration.ConfigError as error:
@@ -37,16 +39,21 @@
         start = Start(config, machine, sink)
         if not start.wait(config, signals):
             return 0
-        process = Process(config, machine, sink, lambda old: configuration.load(os.environ, again=old), start)
+        process = Process(
+            config, machine, sink, lambda old: configuration.load(os.environ, again=old), start
+        )
         process.clients.listen(start.estate and start.estate.listener)
     except configuration.ConfigError as error:
         print(f"molehill: {error}", file=sys.stderr)
         return 2
     except OSError as error:
-        print(f"molehill: {config.state}, {config.listen}, {config.admin or 'no admin'}: {error}", file=sys.stderr)
+        print(
+            f"molehill: {config.state}, {config.listen}, {config.admin or 'no admin'}: {error}",
+            file=sys.stderr,
+        )
         return 1
     process.begin(signals)
-    gc.freeze()                        # what is here now stays: later collections pass over it
+    gc.freeze()  # what is here now stays: later collections pass over it
     process.run()
     return 0
 
--- a/molehill/benchlink/__main__.py
+++ b/molehill/benchlink/__main__.py
@@ -1,8 +1,10 @@
 """Hosts many instances of the decision module on the bench's wire: standard input in, standard output out."""
+
 import gc
 import sys
 
-from molehill import config, interface as it
+from molehill import config
+from molehill import interface as it
 from molehill.benchlink import codec
 from molehill.policy import Relay
 
@@ -12,9 +14,10 @@
 
     def __init__(self, lines):
         self.lines = lines
-        self.number = 0            # of the line read last
+        self.number = 0  # of the line read last
         self.instances: dict[int, Relay] = {}
-        self.places: dict[int, tuple | None] = {}    # where an instance's reports hold the told limit
+        # where an instance's reports hold the told limit
+        self.places: dict[int, tuple | None] = {}
         self.tables: dict[int, list[it.HostEntry]] = {}
 
     def next_line(self) -> str:
@@ -58,7 +61,11 @@
                 self.places[number] = config.limit_places(given)
                 pending[number] = []
                 continue
-            if name not in codec.EVENTS and name not in codec.UNUSED | {"power_off", "sync", "reply"}:
+            if name not in codec.EVENTS and name not in codec.UNUSED | {
+                "power_off",
+                "sync",
+                "reply",
+            }:
                 raise codec.WireError(f"unknown event '{name}'")
             if number not in self.instances:
                 if name == "power_off":
@@ -92,7 +99,9 @@
                 actions = self.instances[number].step(now, events)
                 out.extend(codec.action_line(number, action) for action in actions)
             except Exception as error:  # the module broke: the wire has a word for that
-                out.append(f"crash {number} {type(error).__name__}: {' '.join(str(error).split())}\n")
+                out.append(
+                    f"crash {number} {type(error).__name__}: {' '.join(str(error).split())}\n"
+                )
         return "".join(out)
 
     def run(self, write, flush) -> None:
--- a/molehill/benchlink/codec.py
+++ b/molehill/benchlink/codec.py
@@ -1,12 +1,29 @@
 """The bench's text wire, both ways. It translates and nothing else; molehill/interface.py has the types."""
+
 from molehill import interface as it
 from molehill.config import NS_DIGITS, ConfigError, named, nanos, real, whole
 
-RESULTS = {"S": it.Result.DELIVERED, "E": it.Result.ERROR, "F": it.Result.FULL, "T": it.Result.TIMEOUT,
-           "C": it.Result.NO_CONNECT, "R": it.Result.RESET, "X": it.Result.CANCELLED, "N": it.Result.NOT_SENT}
-CONDITIONS = {"up": it.Condition.UP, "draining": it.Condition.DRAINING, "removed": it.Condition.GONE}
-SCOPES = {"update": it.Scope.UPDATE, "replace": it.Scope.WHOLE, "restored": it.Scope.RESTORED,
-          "unavailable": it.Scope.FAILED}
+RESULTS = {
+    "S": it.Result.DELIVERED,
+    "E": it.Result.ERROR,
+    "F": it.Result.FULL,
+    "T": it.Result.TIMEOUT,
+    "C": it.Result.NO_CONNECT,
+    "R": it.Result.RESET,
+    "X": it.Result.CANCELLED,
+    "N": it.Result.NOT_SENT,
+}
+CONDITIONS = {
+    "up": it.Condition.UP,
+    "draining": it.Condition.DRAINING,
+    "removed": it.Condition.GONE,
+}
+SCOPES = {
+    "update": it.Scope.UPDATE,
+    "replace": it.Scope.WHOLE,
+    "restored": it.Scope.RESTORED,
+    "unavailable": it.Scope.FAILED,
+}
 
 
 class WireError(ConfigError):
@@ -26,33 +43,59 @@
 def told_limit(p: list[str], at: int, places):
     """The report's limit in calls a second and the share of it that is left, at their places among the fields."""
     values = p[at].split(",") if places is not None and len(p) > at and p[at] != "-" else []
-    rate, left = (real(values[n]) if n is not None and len(values) > n else None for n in places or (None, None))
+    rate, left = (
+        real(values[n]) if n is not None and len(values) > n else None
+        for n in places or (None, None)
+    )
     return rate or 0.0, left if rate else None
 
 
 def entry(parts: list[str]) -> it.HostEntry:
-    return it.HostEntry(whole(parts[0]), maybe(parts[1], whole, 0), maybe(parts[2], whole, 0),
-                        whole(parts[3]), named(parts[4], CONDITIONS), maybe(parts[5], real, 0.0))
+    return it.HostEntry(
+        whole(parts[0]),
+        maybe(parts[1], whole, 0),
+        maybe(parts[2], whole, 0),
+        whole(parts[3]),
+        named(parts[4], CONDITIONS),
+        maybe(parts[5], real, 0.0),
+    )
 
 
 def new_callback(p: list[str]) -> it.NewCallback:
-    return it.NewCallback(whole(p[0]), whole(p[1]), maybe(p[2], whole, 0), maybe(p[3], str, None),
-                          nanos(p[4]), whole(p[6]))
+    return it.NewCallback(
+        whole(p[0]),
+        whole(p[1]),
+        maybe(p[2], whole, 0),
+        maybe(p[3], str, None),
+        nanos(p[4]),
+        whole(p[6]),
+    )
 
 
 def outcome(p: list[str], places) -> it.Outcome:
     result = named(p[3], RESULTS)
     note = maybe(p[1], whole, 0)
     rate, left = told_limit(p, 7, places)
-    return it.Outcome(whole(p[0]), whole(p[5]), whole(p[6]), result, nanos(p[2]),
-                      note * 10 ** NS_DIGITS if result is it.Result.FULL else 0,
-                      p[4] == "1", rate, told_left=left)
+    return it.Outcome(
+        whole(p[0]),
+        whole(p[5]),
+        whole(p[6]),
+        result,
+        nanos(p[2]),
+        note * 10**NS_DIGITS if result is it.Result.FULL else 0,
+        p[4] == "1",
+        rate,
+        told_left=left,
+    )
 
 
 # event name -> fewest values after the instance, how they are read
-EVENTS = {"new_request": (7, new_callback), "timer": (1, lambda p: it.Timer(p[0])),
-          "dropped": (1, lambda p: it.Withdrawn(whole(p[0])))}
-UNUSED = {"whisper", "ack_first", "probe_result"}    # peers, streams, probes: the module uses none
+EVENTS = {
+    "new_request": (7, new_callback),
+    "timer": (1, lambda p: it.Timer(p[0])),
+    "dropped": (1, lambda p: it.Withdrawn(whole(p[0]))),
+}
+UNUSED = {"whisper", "ack_first", "probe_result"}  # peers, streams, probes: the module uses none
 
 
 def pairs(texts: list[str]) -> dict[str, str]:
--- a/molehill/cli/__main__.py
+++ b/molehill/cli/__main__.py
@@ -1,4 +1,5 @@
 """`molehill` or `python -m molehill.cli`."""
+
 import click
 
 from molehill.cli.emulate import emulate
--- a/molehill/cli/emulate.py
+++ b/molehill/cli/emulate.py
@@ -1,11 +1,13 @@
 """`molehill emulate`: whole relays on a virtual clock. Exit codes: 0 all kept, 1 a rule broken, 2 bad input, key named."""
+
 import json
 import sys
 from pathlib import Path
 
 import click
 
-from molehill.emulator import generator, scenario as scenarios
+from molehill.emulator import generator
+from molehill.emulator import scenario as scenarios
 from molehill.emulator import show as timeline
 from molehill.emulator import sweep as sweeps
 from molehill.emulator.mutations import MUTATIONS
@@ -50,9 +52,22 @@
     click.echo(json.dumps(verdict, sort_keys=True))
 
 
-weight = click.option("--weight", "weights", multiple=True, metavar="KIND=N", help="How often a kind of fault falls; 0: never.")
-drawn = click.option("--customers", is_flag=True, help="Settings are drawn too: each seed plays another customer.")
-which = [click.argument("scenario", required=False, type=click.Path()), click.option("--seed", type=int), weight, drawn]
+weight = click.option(
+    "--weight",
+    "weights",
+    multiple=True,
+    metavar="KIND=N",
+    help="How often a kind of fault falls; 0: never.",
+)
+drawn = click.option(
+    "--customers", is_flag=True, help="Settings are drawn too: each seed plays another customer."
+)
+which = [
+    click.argument("scenario", required=False, type=click.Path()),
+    click.option("--seed", type=int),
+    weight,
+    drawn,
+]
 
 
 def about_a_scenario(command):
@@ -92,8 +107,18 @@
 @emulate.command()
 @click.option("--seeds", required=True, metavar="A..B")
 @click.option("--jobs", type=click.IntRange(1, 256), default=1, show_default=True)
-@click.option("--out", type=click.Path(), help="A line of JSON a seed; seeds that stand there are not played again.")
-@click.option("--mutation", "--planted", "mutation", type=click.Choice(sorted(MUTATIONS)), help="With this known mistake put into the relay.")
+@click.option(
+    "--out",
+    type=click.Path(),
+    help="A line of JSON a seed; seeds that stand there are not played again.",
+)
+@click.option(
+    "--mutation",
+    "--planted",
+    "mutation",
+    type=click.Choice(sorted(MUTATIONS)),
+    help="With this known mistake put into the relay.",
+)
 @click.option("--first", is_flag=True, help="Stops at the first failing seed.")
 @weight
 @drawn
@@ -108,10 +133,13 @@
         for verdict in sweeps.sweep(todo, jobs, results, mutation, weigh(weights), customers):
             bar.update(1)
             if not verdict["ok"]:
-                click.echo(f"seed {verdict['seed']}: rule {verdict['failure']['rule']}: {verdict['failure']['text']} "
-                           f"at {verdict['failure']['at_ms']:.1f} ms {verdict['failure']['facts']}; "
-                           f"molehill emulate show --seed {verdict['seed']}" + " --customers" * customers
-                           + "".join(f" --weight {row}" for row in weights))
+                click.echo(
+                    f"seed {verdict['seed']}: rule {verdict['failure']['rule']}: {verdict['failure']['text']} "
+                    f"at {verdict['failure']['at_ms']:.1f} ms {verdict['failure']['facts']}; "
+                    f"molehill emulate show --seed {verdict['seed']}"
+                    + " --customers" * customers
+                    + "".join(f" --weight {row}" for row in weights)
+                )
                 if first:
                     break
     summary = results.summary()
@@ -121,7 +149,9 @@
 
 @emulate.command()
 @about_a_scenario
-@click.option("--out", type=click.Path(), help="Where the smaller scenario goes; else it is printed.")
+@click.option(
+    "--out", type=click.Path(), help="Where the smaller scenario goes; else it is printed."
+)
 @click.option("--tries", type=click.IntRange(1), default=200, show_default=True)
 def shrink(scenario, seed, weights, customers, out, tries) -> None:
     """Makes a failing scenario smaller while it still breaks the same rule in the same way."""
@@ -145,7 +175,9 @@
 @click.option("--last", type=click.IntRange(1), default=200, show_default=True)
 def show(scenario, seed, weights, customers, about, last) -> None:
     """A readable timeline of a run, by party."""
-    verdict, lines = timeline.timeline(given(scenario, seed, weights, customers=customers), about, last)
+    verdict, lines = timeline.timeline(
+        given(scenario, seed, weights, customers=customers), about, last
+    )
     for line in lines:
         click.echo(line)
     sys.exit(KEPT if verdict["ok"] else BROKEN)
--- a/molehill/cli/fleet.py
+++ b/molehill/cli/fleet.py
@@ -2,6 +2,7 @@
 
 Exit codes: 0 kept, 1 a property broken, 2 bad input, key named, 3 void or unknown: the run shows nothing.
 """
+
 import json
 import shutil
 import sys
@@ -23,9 +24,16 @@
 from molehill.fleet import show as stories
 
 NOTHING_SHOWN = 3
-DOOR_WITHIN, MOST_OF_A_PAGE = 5, 1 << 22               # seconds; bytes, over ten thousand members
-EXITS = {checker.KEPT: KEPT, checker.BROKEN: BROKEN, checker.UNKNOWN: NOTHING_SHOWN, checker.VOID: NOTHING_SHOWN}
-stage_option = click.option("--stage", type=click.Choice(STAGES), default="processes", show_default=True)
+DOOR_WITHIN, MOST_OF_A_PAGE = 5, 1 << 22  # seconds; bytes, over ten thousand members
+EXITS = {
+    checker.KEPT: KEPT,
+    checker.BROKEN: BROKEN,
+    checker.UNKNOWN: NOTHING_SHOWN,
+    checker.VOID: NOTHING_SHOWN,
+}
+stage_option = click.option(
+    "--stage", type=click.Choice(STAGES), default="processes", show_default=True
+)
 
 
 def loaded(path, stage, seed=None, members=False, soak=False):
@@ -52,10 +60,19 @@
     out.print(f"[{colour}]{verdict['word']}[/] on stage {verdict['stage']}, seed {verdict['seed']}")
     for row in verdict["findings"]:
         if row["word"] != checker.KEPT:
-            out.print(f"  {row['property']}: {row['word']}: {row['text']} {row['facts'] if row['property'] != 'faults hit' else ''}", markup=False)
+            out.print(
+                f"  {row['property']}: {row['word']}: {row['text']} {row['facts'] if row['property'] != 'faults hit' else ''}",
+                markup=False,
+            )
         for hit in row["facts"].get("touched", ()):
-            out.print(f"  {hit['kind']} on {hit['who']} at {hit['at_ms']} ms touched {hit['count']}", markup=False)
-    out.print("  " + ", ".join(f"{name} {value}" for name, value in verdict["summary"].items()), markup=False)
+            out.print(
+                f"  {hit['kind']} on {hit['who']} at {hit['at_ms']} ms touched {hit['count']}",
+                markup=False,
+            )
+    out.print(
+        "  " + ", ".join(f"{name} {value}" for name, value in verdict["summary"].items()),
+        markup=False,
+    )
     if "late_ms" in verdict:
         out.print(f"  the rig was {verdict['late_ms']} ms late at most")
 
@@ -66,29 +83,56 @@
 
 
 scenario_argument = click.argument("scenario", required=False, type=click.Path())
-mutation_option = click.option("--mutation", "--planted", "mutation", type=click.Choice(sorted(MUTATIONS)), help="With this known mistake put into each relay.")
-members_option = click.option("--members", is_flag=True, help="Days that seeds draw are of relays that know of each other.")
-soak_option = click.option("--soak", is_flag=True, help="Days that seeds draw have stepped clocks, failing calls and a failing disk too.")
+mutation_option = click.option(
+    "--mutation",
+    "--planted",
+    "mutation",
+    type=click.Choice(sorted(MUTATIONS)),
+    help="With this known mistake put into each relay.",
+)
+members_option = click.option(
+    "--members", is_flag=True, help="Days that seeds draw are of relays that know of each other."
+)
+soak_option = click.option(
+    "--soak",
+    is_flag=True,
+    help="Days that seeds draw have stepped clocks, failing calls and a failing disk too.",
+)
 older_option = click.option("--older", metavar="REV", help="The commit that `older` faults start.")
 
 
 def about_days(command):
     """What is played, on which stage, by which programs."""
-    for option in (older_option, soak_option, members_option, mutation_option, stage_option, scenario_argument):
+    for option in (
+        older_option,
+        soak_option,
+        members_option,
+        mutation_option,
+        stage_option,
+        scenario_argument,
+    ):
         command = option(command)
     return command
 
 
 @fleet.command()
 @about_days
-@click.option("--seed", type=int, help="In place of the scenario's; without a scenario, the day that it draws.")
-@click.option("--out", type=click.Path(), help="Keeps histories, logs and the verdict there (processes).")
+@click.option(
+    "--seed",
+    type=int,
+    help="In place of the scenario's; without a scenario, the day that it draws.",
+)
+@click.option(
+    "--out", type=click.Path(), help="Keeps histories, logs and the verdict there (processes)."
+)
 @click.option("--json", "as_json", is_flag=True, help="The verdict as a line of JSON.")
 def run(scenario, stage, seed, mutation, members, soak, older, out, as_json) -> None:
     """Plays one scenario and prints its verdict."""
     verdict = played(loaded(scenario, stage, seed, members, soak), stage, out, older, mutation)
     if out and stage == "processes":
-        (Path(out) / plays.VERDICT).write_text(json.dumps(verdict, indent=1, sort_keys=True), encoding="utf-8")
+        (Path(out) / plays.VERDICT).write_text(
+            json.dumps(verdict, indent=1, sort_keys=True), encoding="utf-8"
+        )
     (say if as_json else tell)(verdict)
     sys.exit(EXITS[verdict["word"]])
 
@@ -96,30 +140,56 @@
 @fleet.command()
 @about_days
 @click.option("--seeds", required=True, metavar="A..B")
-@click.option("--out", type=click.Path(), help="Keeps the folders of runs that were not kept there.")
+@click.option(
+    "--out", type=click.Path(), help="Keeps the folders of runs that were not kept there."
+)
 @click.option("--first", is_flag=True, help="Stops at the first broken one.")
 def sweep(scenario, stage, seeds, mutation, members, soak, older, out, first) -> None:
     """Plays one scenario, or the days that they draw, with many seeds: a line for each that is not kept, then a summary in JSON."""
     verdicts = []
-    with Progress(TextColumn("seed {task.fields[seed]}"), BarColumn(), TimeElapsedColumn(), console=Console(stderr=True)) as bar:
+    with Progress(
+        TextColumn("seed {task.fields[seed]}"),
+        BarColumn(),
+        TimeElapsedColumn(),
+        console=Console(stderr=True),
+    ) as bar:
         todo = seeds_of(seeds)
         task = bar.add_task("", total=len(todo), seed=todo[0])
         for seed in todo:
             bar.update(task, seed=seed)
             folder = Path(out) / str(seed) if out and stage == "processes" else None
-            verdicts.append(played(loaded(scenario, stage, seed, members, soak), stage, folder, older, mutation))
+            verdicts.append(
+                played(loaded(scenario, stage, seed, members, soak), stage, folder, older, mutation)
+            )
             if not verdicts[-1]["ok"]:
                 for row in verdicts[-1]["findings"]:
                     if row["word"] != checker.KEPT:
-                        click.echo(f"seed {seed}: {row['word']}: {row['property']}: {row['text']} {json.dumps(row['facts'])[:300]}")
+                        click.echo(
+                            f"seed {seed}: {row['word']}: {row['property']}: {row['text']} {json.dumps(row['facts'])[:300]}"
+                        )
             elif folder:
                 shutil.rmtree(folder, ignore_errors=True)
             bar.advance(task)
             if first and verdicts[-1]["word"] == checker.BROKEN:
                 break
     words = plays.words(verdicts)
-    say({"words": words, "seeds": len(verdicts), "late_ms": max((v.get("late_ms", 0) for v in verdicts), default=0)})
-    sys.exit(next((EXITS[word] for word in (checker.BROKEN, checker.VOID, checker.UNKNOWN) if word in words), KEPT))
+    say(
+        {
+            "words": words,
+            "seeds": len(verdicts),
+            "late_ms": max((v.get("late_ms", 0) for v in verdicts), default=0),
+        }
+    )
+    sys.exit(
+        next(
+            (
+                EXITS[word]
+                for word in (checker.BROKEN, checker.VOID, checker.UNKNOWN)
+                if word in words
+            ),
+            KEPT,
+        )
+    )
 
 
 def kept_run(folder) -> Path:
@@ -130,7 +200,11 @@
 
 @fleet.command()
 @click.argument("folder", type=click.Path())
-@click.option("--about", multiple=True, help="Only what names this callback, host or relay; more than one may be given.")
+@click.option(
+    "--about",
+    multiple=True,
+    help="Only what names this callback, host or relay; more than one may be given.",
+)
 @click.option("--from", "first", type=float, metavar="MS")
 @click.option("--to", "last", type=float, metavar="MS")
 def show(folder, about, first, last) -> None:
@@ -156,15 +230,21 @@
             with urlopen(f"http://{where}/fleet", timeout=DOOR_WITHIN) as page:
                 views = [json.loads(page.read(MOST_OF_A_PAGE))]
         except (OSError, ValueError) as error:
-            raise click.UsageError(f"{where}: neither a kept run nor a door that tells of members: {error}") from None
+            raise click.UsageError(
+                f"{where}: neither a kept run nor a door that tells of members: {error}"
+            ) from None
     if as_json:
         return say(views)
     for view in views:
-        click.echo(f"{view['name']}: {view['standing']} for {view['since_ms'] / 1000:.1f} s, reaches {view['reached']} of {view['expected']}, "
-                   f"hears {view['hears']}, heard by {view['heard_by']}")
+        click.echo(
+            f"{view['name']}: {view['standing']} for {view['since_ms'] / 1000:.1f} s, reaches {view['reached']} of {view['expected']}, "
+            f"hears {view['hears']}, heard by {view['heard_by']}"
+        )
         for row in view["members"]:
-            click.echo(f"    {row['name']:<20} {row['state']:<8} for {row['since_ms'] / 1000:.1f} s by {row['by']}'s word, number {row['number']}.{row['turn']}, "
-                       f"at {row['address']}")
+            click.echo(
+                f"    {row['name']:<20} {row['state']:<8} for {row['since_ms'] / 1000:.1f} s by {row['by']}'s word, number {row['number']}.{row['turn']}, "
+                f"at {row['address']}"
+            )
 
 
 @fleet.command()
@@ -172,7 +252,8 @@
 @click.argument("target", type=click.Path())
 def report(folder, target) -> None:
     """One HTML page about a run that was kept."""
-    from molehill.fleet import report as reports     # its plots take a second to import
+    from molehill.fleet import report as reports  # its plots take a second to import
+
     reports.write(kept_run(folder), Path(target))
     click.echo(target)
 
@@ -186,8 +267,14 @@
 def compare(scenario, a, b, stage, seeds) -> None:
     """B beside A on paired seeds; each is a commit, or KEY=VALUE[,KEY=VALUE] of the scenario. Figures are ratios B/A."""
     try:
-        found = compares.compare(loaded(scenario, stage), a, b, seeds_of(seeds), stage,
-                                 lambda seed, rows: click.echo(f"seed {seed}: {json.dumps(rows)}", err=True))
+        found = compares.compare(
+            loaded(scenario, stage),
+            a,
+            b,
+            seeds_of(seeds),
+            stage,
+            lambda seed, rows: click.echo(f"seed {seed}: {json.dumps(rows)}", err=True),
+        )
     except compares.Unusable as error:
         raise click.UsageError(str(error)) from None
     say(found)
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -2,6 +2,7 @@
 
 A message about a faulty value names its key: `settings.allowed.connIdleMs: 'x' is not a time`.
 """
+
 import json
 import os
 import re
@@ -10,10 +11,13 @@
 
 from molehill import interface as it
 
-EFFECTS = {"idempotent": it.Effect.IDEMPOTENT, "deduplicated": it.Effect.DEDUPLICATED,
-           "at_most_once": it.Effect.AT_MOST_ONCE}
-NS_DIGITS = 6                  # a millisecond holds 10^6 nanoseconds
-MS = 10 ** NS_DIGITS
+EFFECTS = {
+    "idempotent": it.Effect.IDEMPOTENT,
+    "deduplicated": it.Effect.DEDUPLICATED,
+    "at_most_once": it.Effect.AT_MOST_ONCE,
+}
+NS_DIGITS = 6  # a millisecond holds 10^6 nanoseconds
+MS = 10**NS_DIGITS
 SECOND = 1000 * MS
 NUMBER = re.compile(r"(-?)([0-9]{1,30})(?:\.([0-9]{0,30}))?(?:[eE]([+-]?[0-9]{1,3}))?$", re.ASCII)
 
@@ -31,7 +35,7 @@
     part = part or ""
     shift = digits - len(part) + int(power or 0)
     number = int(whole_part + part)
-    value = number * 10 ** shift if shift >= 0 else number // 10 ** -shift
+    value = number * 10**shift if shift >= 0 else number // 10**-shift
     return -value if sign else value
 
 
@@ -63,8 +67,11 @@
 def flat(value, path: str = "") -> dict[str, str]:
     """Nested JSON as the bench's path=value pairs: rows of scalars by commas, rows of objects by count."""
     if isinstance(value, dict):
-        return {key: text for name, part in value.items()
-                for key, text in flat(part, f"{path}.{name}" if path else name).items()}
+        return {
+            key: text
+            for name, part in value.items()
+            for key, text in flat(part, f"{path}.{name}" if path else name).items()
+        }
     if isinstance(value, list) and any(isinstance(part, (dict, list)) for part in value):
         pairs = {f"{path}.count": str(len(value))}
         for n, part in enumerate(value):
@@ -101,7 +108,13 @@
 
 
 def scalar(value) -> str:
-    return "-" if value is None else ("false", "true")[value] if isinstance(value, bool) else str(value)
+    return (
+        "-"
+        if value is None
+        else ("false", "true")[value]
+        if isinstance(value, bool)
+        else str(value)
+    )
 
 
 class Reader:
@@ -131,20 +144,37 @@
     for n in range(get("grades.count", whole, 0)):
         at = f"grades.{n}."
         scope = given.get(at + "dedupScope", "")
-        categories.append(it.Category(
-            get(at + "semantics", lambda text: named(text, EFFECTS), it.Effect.AT_MOST_ONCE),
-            get(at + "aimMs", nanos, 0), get(at + "deadlineMs", nanos, 0), get(at + "worth", real, 1.0),
-            get(at + "lateShare", real, 0.0), get(at + "dedupWindowMs", nanos, 0),
-            scope == "zone", scope == "all", get(at + "serialByKey", flag, False)))
-    tenants = [it.Tenant(get(f"parties.{n}.share", real, 0.0), get(f"parties.{n}.quotaPerS", real, None))
-               for n in range(get("parties.count", whole, 0))]
+        categories.append(
+            it.Category(
+                get(at + "semantics", lambda text: named(text, EFFECTS), it.Effect.AT_MOST_ONCE),
+                get(at + "aimMs", nanos, 0),
+                get(at + "deadlineMs", nanos, 0),
+                get(at + "worth", real, 1.0),
+                get(at + "lateShare", real, 0.0),
+                get(at + "dedupWindowMs", nanos, 0),
+                scope == "zone",
+                scope == "all",
+                get(at + "serialByKey", flag, False),
+            )
+        )
+    tenants = [
+        it.Tenant(get(f"parties.{n}.share", real, 0.0), get(f"parties.{n}.quotaPerS", real, None))
+        for n in range(get("parties.count", whole, 0))
+    ]
     apart, per_call = row("extra.kindApart", flag), row("extra.perCall", whole)
-    kinds = [it.Kind(n < len(apart) and apart[n], max(1, per_call[n]) if n < len(per_call) else 1)
-             for n in range(max(len(apart), len(per_call)))]
+    kinds = [
+        it.Kind(n < len(apart) and apart[n], max(1, per_call[n]) if n < len(per_call) else 1)
+        for n in range(max(len(apart), len(per_call)))
+    ]
     return it.Settings(
-        categories=categories, tenants=tenants, kinds=kinds, zone_fees=row("extra.feeByZone", real),
-        relays=get("balancers", whole, 1), slots=get("extra.maxCalls", whole, 1),
-        max_held=get("allowed.maxOpen", whole, None), max_launches=get("allowed.maxAttempts", whole, 1),
+        categories=categories,
+        tenants=tenants,
+        kinds=kinds,
+        zone_fees=row("extra.feeByZone", real),
+        relays=get("balancers", whole, 1),
+        slots=get("extra.maxCalls", whole, 1),
+        max_held=get("allowed.maxOpen", whole, None),
+        max_launches=get("allowed.maxAttempts", whole, 1),
         tells_return=get("allowed.retryAfter", flag, False),
         max_return=get("allowed.maxRetryAfterMs", nanos, 0),
         list_on_request=given.get("discovery") == "on_request",
@@ -157,33 +187,47 @@
         ramp_time=get("guarantees.rampTimeMs", nanos, None),
         connection_idle=get("allowed.connIdleMs", nanos, 0),
         tells_limit=limit_places(given) is not None and given.get("telemetry.how") == "piggyback",
-        settle=get("guarantees.settleAfterDoubtMs", nanos, 0))
+        settle=get("guarantees.settleAfterDoubtMs", nanos, 0),
+    )
 
 
 def limit_places(given: dict[str, str]):
     """Where reports hold the limit in calls a second and the share of it that is left; None without the limit."""
     fields = given.get("telemetry.fields", "").split(",")
-    return (fields.index("x1"), fields.index("x0") if "x0" in fields else None) if "x1" in fields else None
+    return (
+        (fields.index("x1"), fields.index("x0") if "x0" in fields else None)
+        if "x1" in fields
+        else None
+    )
 
 
 @dataclass(slots=True)
 class Fleet:
     """Membership among relays: who this one is to others, whom it is told of, what it may say."""
-    name: str                      # of the fleet: what bears another name is not read
-    listen: tuple[str, int]        # datagrams and streams
-    seeds: dict                    # name of a relay -> its address; this one's own is passed over
-    keys: list                     # bytes; the first signs, both are believed
+
+    name: str  # of the fleet: what bears another name is not read
+    listen: tuple[str, int]  # datagrams and streams
+    seeds: dict  # name of a relay -> its address; this one's own is passed over
+    keys: list  # bytes; the first signs, both are believed
     bytes_per_s: int
-    spans: dict                    # of membership's settings, by name, in ns
+    spans: dict  # of membership's settings, by name, in ns
 
 
 # name in the file -> its name in membership's settings
-FLEET_SPANS = {"roundMs": "round", "floorMs": "floor", "aloneAfterMs": "alone_after", "stalledMs": "stalled", "forgetAfterMs": "forget_after",
-               "syncEveryMs": "sync_every"}
-ROUND, ALONE_AFTER = 500 * MS, 2000 * MS       # membership's own defaults: config imports nothing of it
-FLEET_BYTES = 20_000               # a second; 300 relays use a third of it (docs/design/membership.md)
-FLEET_SOCKETS = 6                  # datagrams, a listener, four streams
-KEY_LEAST, KEY_MOST = 16, 64       # bytes
+FLEET_SPANS = {
+    "roundMs": "round",
+    "floorMs": "floor",
+    "aloneAfterMs": "alone_after",
+    "stalledMs": "stalled",
+    "forgetAfterMs": "forget_after",
+    "syncEveryMs": "sync_every",
+}
+# membership's own defaults: config imports nothing of it
+ROUND, ALONE_AFTER = 500 * MS, 2000 * MS
+# a second; 300 relays use a third of it (docs/design/membership.md)
+FLEET_BYTES = 20_000
+FLEET_SOCKETS = 6  # datagrams, a listener, four streams
+KEY_LEAST, KEY_MOST = 16, 64  # bytes
 
 
 @dataclass(slots=True)
@@ -194,41 +238,55 @@
     state: str
     seed: int
     settings: it.Settings
-    categories: dict[str, int]     # by the name that a client gives
+    categories: dict[str, int]  # by the name that a client gives
     tenants: dict[str, int]
     zones: dict[str, int]
     kinds: dict[str, int]
-    known: dict                    # the list as last had, in discovery's form
-    period: int                    # least span between two steps of the module
+    known: dict  # the list as last had, in discovery's form
+    period: int  # least span between two steps of the module
     connect_time_out: int
-    sockets: int                   # connections in all, and those that clients may have of them
+    sockets: int  # connections in all, and those that clients may have of them
     client_sockets: int
-    client_idle: int               # of those, how many may stand idle after their answer before some are ended
-    disk: int                      # bytes
+    # of those, how many may stand idle after their answer before some are ended
+    client_idle: int
+    disk: int  # bytes
     memory: int
-    admin: Optional[tuple[str, int]] = None    # the operators' door; None: none is opened
-    fleet: Optional[Fleet] = None              # None: nothing of membership is imported
-    discovery_in_file: Optional[str] = None    # as the file that was read last has it, whatever a variable says
-    required: tuple = ()           # keys that the file's settings name: a later file without one of them is broken
-
-
-CONNECT_TIME_OUT = 1500 * MS   # where no setting tells: the users' figure on all their deployments
-PERIOD = 5 * MS                # likewise
-SOCKETS, DISK_MB, MEMORY_MB = 1024, 3, 192    # likewise: the most on scored days, so never too much
-IDLE_MARGIN = 200 * MS         # idle connections are used no longer so early: a request on its way crosses no end
-STANDING = 8                   # descriptors beside sockets: standard streams, log twice, signals twice, one to spare
+    admin: Optional[tuple[str, int]] = None  # the operators' door; None: none is opened
+    fleet: Optional[Fleet] = None  # None: nothing of membership is imported
+    # as the file that was read last has it, whatever a variable says
+    discovery_in_file: Optional[str] = None
+    # keys that the file's settings name: a later file without one of them is broken
+    required: tuple = ()
+
+
+CONNECT_TIME_OUT = 1500 * MS  # where no setting tells: the users' figure on all their deployments
+PERIOD = 5 * MS  # likewise
+SOCKETS, DISK_MB, MEMORY_MB = 1024, 3, 192  # likewise: the most on scored days, so never too much
+# idle connections are used no longer so early: a request on its way crosses no end
+IDLE_MARGIN = 200 * MS
+# descriptors beside sockets: standard streams, log twice, signals twice, one to spare
+STANDING = 8
 # Clients hold a third of a relay's descriptors at most, idle connections among them: those that the relay keeps open for
 # nobody shut out new requests before the relay is short of anything itself. An eighth leaves clients five eighths of
 # theirs for what is under way. Tried on incident rcb7e34: see docs/status.md.
 IDLE_SHARE = 8
-ADMIN_SEATS = 8                # operators' calls at once: a few people and a scraper, and as many that hold one and say nothing
-OUTGOING = 4                   # beside calls: discovery, notices, one to spare for each; kept free for them
-LEAST_SOCKETS = 32             # standard streams, log, discovery, notices, a listener and a few of each side
+# operators' calls at once: a few people and a scraper, and as many that hold one and say nothing
+ADMIN_SEATS = 8
+# beside calls: discovery, notices, one to spare for each; kept free for them
+OUTGOING = 4
+# standard streams, log, discovery, notices, a listener and a few of each side
+LEAST_SOCKETS = 32
 
 
 def address(text, key: str) -> tuple[str, int]:
     host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    if (
+        not colon
+        or not host
+        or not port.isascii()
+        or not port.isdigit()
+        or not 0 < int(port) < 65536
+    ):
         raise ConfigError(f"{key}: '{text}' is not ADDRESS:PORT")
     return host.strip("[]"), int(port)
 
@@ -252,22 +310,33 @@
     if again is not None:
         # Danger: defaults in place of what a cut or mistyped file lacks would be new settings that nobody wrote.
         whole_file(given, again)
-        environ = {key: text for key, text in environ.items() if key != "ROUTER_DISCOVERY" or "discovery" not in given}
+        environ = {
+            key: text
+            for key, text in environ.items()
+            if key != "ROUTER_DISCOVERY" or "discovery" not in given
+        }
     return check(given, environ)
 
 
 def whole_file(given: dict, before: Config) -> None:
     """Raises for a key that the file before named, in each row of its kind, and this one does not."""
+
     def look(value, path, wanted):
         for name in sorted(wanted):
             at = f"{path}.{name}" if path else name
-            parts = value if name == "*" and isinstance(value, list) else \
-                [value[name]] if isinstance(value, dict) and name in value else None
+            parts = (
+                value
+                if name == "*" and isinstance(value, list)
+                else [value[name]]
+                if isinstance(value, dict) and name in value
+                else None
+            )
             if parts is None:
                 raise ConfigError(f"{at}: missing; the file before has it")
             for n, part in enumerate(parts):
                 if wanted[name]:
                     look(part, f"{path}.{n}" if name == "*" else at, wanted[name])
+
     tree: dict = {}
     for key in before.required:
         at = tree
@@ -323,7 +392,13 @@
     rows = part(given, "fleet")
     if not rows:
         return None
-    reader, seeds = Reader(flat({name: value for name, value in rows.items() if name not in ("seeds", "keys")}), "fleet."), part(rows, "seeds", "fleet.")
+    reader, seeds = (
+        Reader(
+            flat({name: value for name, value in rows.items() if name not in ("seeds", "keys")}),
+            "fleet.",
+        ),
+        part(rows, "seeds", "fleet."),
+    )
     known = {"name", "listen", "seeds", "keys", "keyFile", "bytesPerS", *FLEET_SPANS}
     for name in rows:
         if name not in known:
@@ -335,14 +410,25 @@
         if value is not None:
             spans[name] = value
     if spans.get("alone_after", ALONE_AFTER) < 2 * spans.get("round", ROUND):
-        raise ConfigError("fleet.aloneAfterMs: less than twice fleet.roundMs, so one lost answer would make it alone")
+        raise ConfigError(
+            "fleet.aloneAfterMs: less than twice fleet.roundMs, so one lost answer would make it alone"
+        )
     positive(rows.get("bytesPerS"), "fleet.bytesPerS")
     if "keyFile" not in rows and "keys" not in rows:
         raise ConfigError("fleet.keyFile: missing; it names the file with the fleet's key")
-    keys = keys_from(str(rows["keyFile"])) if "keyFile" in rows else hex_keys(rows["keys"] if isinstance(rows["keys"], list) else [], "fleet.keys")
-    return Fleet(str(rows.get("name", "fleet")), address(rows.get("listen"), "fleet.listen"),
-                 {name: address(at, f"fleet.seeds.{name}") for name, at in seeds.items() if name != own}, keys,
-                 reader.get("bytesPerS", whole, FLEET_BYTES), spans)
+    keys = (
+        keys_from(str(rows["keyFile"]))
+        if "keyFile" in rows
+        else hex_keys(rows["keys"] if isinstance(rows["keys"], list) else [], "fleet.keys")
+    )
+    return Fleet(
+        str(rows.get("name", "fleet")),
+        address(rows.get("listen"), "fleet.listen"),
+        {name: address(at, f"fleet.seeds.{name}") for name, at in seeds.items() if name != own},
+        keys,
+        reader.get("bytesPerS", whole, FLEET_BYTES),
+        spans,
+    )
 
 
 SCOPES = ("all", "zone", "cell")
@@ -355,7 +441,9 @@
     if row.get("semantics") == "deduplicated":
         needed += DEDUPLICATED_ONLY
         if row.get("dedupScope", "all") not in SCOPES:
-            raise ConfigError(f"{at}dedupScope: '{row['dedupScope']}' is not one of {', '.join(SCOPES)}")
+            raise ConfigError(
+                f"{at}dedupScope: '{row['dedupScope']}' is not one of {', '.join(SCOPES)}"
+            )
         positive(row.get("dedupWindowMs"), f"{at}dedupWindowMs")
     for key in needed:
         if row.get(key) in (None, "", "-"):
@@ -374,7 +462,9 @@
         raise ConfigError("settings.grades: two classes have one name")
     for n, row in enumerate(part_list(nested, "grades")):
         check_class(row, f"settings.grades.{n}.")
-    positive(part(nested, "allowed", "settings.").get("maxAttempts"), "settings.allowed.maxAttempts")
+    positive(
+        part(nested, "allowed", "settings.").get("maxAttempts"), "settings.allowed.maxAttempts"
+    )
     state = environ.get("ROUTER_STATE") or given.get("state")
     if not state:
         raise ConfigError("ROUTER_STATE: not set; it names the folder that lasts")
@@ -385,12 +475,16 @@
         raise ConfigError(f"seed: '{seed}' is not a hex number") from None
     sockets = limit.get("sockets", whole, SOCKETS)
     if sockets < LEAST_SOCKETS:
-        raise ConfigError(f"limits.sockets: {sockets} is under the {LEAST_SOCKETS} that a relay needs")
+        raise ConfigError(
+            f"limits.sockets: {sockets} is under the {LEAST_SOCKETS} that a relay needs"
+        )
     admin = environ.get("ROUTER_ADMIN") or given.get("admin")
     name = environ.get("ROUTER_NAME") or str(given.get("name", "relay"))
     members = fleet(given, name)
     # Set aside, with an upgrade's two: neither side starves the other.
-    most = sockets - STANDING - (ADMIN_SEATS + 3 if admin else 0) - (FLEET_SOCKETS if members else 0)
+    most = (
+        sockets - STANDING - (ADMIN_SEATS + 3 if admin else 0) - (FLEET_SOCKETS if members else 0)
+    )
     # Half is for calls and idle connections to hosts, and a slot's worth at least; a quarter at least for clients.
     outgoing = min(max(made.slots + OUTGOING, most // 2), most * 3 // 4)
     disk, memory = limit.get("disk_mb", real, DISK_MB), limit.get("memory_mb", real, MEMORY_MB)
@@ -400,41 +494,75 @@
     return Config(
         name=name,
         listen=address(environ.get("ROUTER_LISTEN") or given.get("listen"), "ROUTER_LISTEN"),
-        discovery=address(environ.get("ROUTER_DISCOVERY") or given.get("discovery"),
-                          "ROUTER_DISCOVERY" if environ.get("ROUTER_DISCOVERY") else "discovery"),
-        state=state, seed=seed,
-        settings=replace(made, list_on_request=True,        # on sockets the list never comes unasked
-                         slots=min(made.slots, outgoing - OUTGOING),    # no more calls than can have a connection
-                         connection_idle=max(0, made.connection_idle - max(made.connection_idle // 10, IDLE_MARGIN))),
-        categories=names(nested, "grades"), tenants=names(nested, "parties"),
-        zones=names(nested, "azs"), kinds=names(nested, "machineTypes"), known=known,
+        discovery=address(
+            environ.get("ROUTER_DISCOVERY") or given.get("discovery"),
+            "ROUTER_DISCOVERY" if environ.get("ROUTER_DISCOVERY") else "discovery",
+        ),
+        state=state,
+        seed=seed,
+        # on sockets the list never comes unasked
+        settings=replace(
+            made,
+            list_on_request=True,
+            # no more calls than can have a connection
+            slots=min(made.slots, outgoing - OUTGOING),
+            connection_idle=max(
+                0, made.connection_idle - max(made.connection_idle // 10, IDLE_MARGIN)
+            ),
+        ),
+        categories=names(nested, "grades"),
+        tenants=names(nested, "parties"),
+        zones=names(nested, "azs"),
+        kinds=names(nested, "machineTypes"),
+        known=known,
         period=reader.get("periodMs", nanos, PERIOD),
         connect_time_out=reader.get("allowed.connectTimeoutMs", nanos, CONNECT_TIME_OUT),
-        sockets=most, client_sockets=most - outgoing,
-        client_idle=min(sockets // IDLE_SHARE, most - outgoing), disk=int(disk * 1_000_000), memory=int(memory * 1_000_000),
-        admin=address(admin, "ROUTER_ADMIN" if environ.get("ROUTER_ADMIN") else "admin") if admin else None,
-        fleet=members, required=tuple(keys_of(given)),
-        discovery_in_file=str(given["discovery"]) if "discovery" in given else None)
-
-
-AT_ONCE = ("discovery", "settings", "categories", "tenants", "fleet", "required")     # taken at SIGHUP
-LEFT_ALONE = ("seed", "known", "zones", "discovery_in_file")                  # new with each start, or learnt
-BOUND = ("kinds", "zone_fees", "connection_idle", "list_on_request")         # of `settings`: built into what stands
+        sockets=most,
+        client_sockets=most - outgoing,
+        client_idle=min(sockets // IDLE_SHARE, most - outgoing),
+        disk=int(disk * 1_000_000),
+        memory=int(memory * 1_000_000),
+        admin=address(admin, "ROUTER_ADMIN" if environ.get("ROUTER_ADMIN") else "admin")
+        if admin
+        else None,
+        fleet=members,
+        required=tuple(keys_of(given)),
+        discovery_in_file=str(given["discovery"]) if "discovery" in given else None,
+    )
+
+
+# taken at SIGHUP
+AT_ONCE = ("discovery", "settings", "categories", "tenants", "fleet", "required")
+# new with each start, or learnt
+LEFT_ALONE = ("seed", "known", "zones", "discovery_in_file")
+# of `settings`: built into what stands
+BOUND = ("kinds", "zone_fees", "connection_idle", "list_on_request")
 
 
 def waiting(old: Config, new: Config) -> list[str]:
     """What differs and counts from the next start on."""
-    found = [field.name for field in fields(old)
-             if field.name not in (*AT_ONCE, *LEFT_ALONE) and getattr(old, field.name) != getattr(new, field.name)]
+    found = [
+        field.name
+        for field in fields(old)
+        if field.name not in (*AT_ONCE, *LEFT_ALONE)
+        and getattr(old, field.name) != getattr(new, field.name)
+    ]
     if (old.fleet is None) != (new.fleet is None):
         found.append("fleet")
-    return found + [f"settings.{name}" for name in BOUND if getattr(old.settings, name) != getattr(new.settings, name)]
+    return found + [
+        f"settings.{name}"
+        for name in BOUND
+        if getattr(old.settings, name) != getattr(new.settings, name)
+    ]
 
 
 def retake(old: Config, new: Config) -> None:
     """Has `old` go by what a file read again says, but for what counts from the next start on."""
-    new.settings = replace(new.settings, **{name: getattr(old.settings, name) for name in BOUND},
-                           slots=min(new.settings.slots, old.sockets - old.client_sockets - OUTGOING))
+    new.settings = replace(
+        new.settings,
+        **{name: getattr(old.settings, name) for name in BOUND},
+        slots=min(new.settings.slots, old.sockets - old.client_sockets - OUTGOING),
+    )
     for name in AT_ONCE:
         setattr(old, name, getattr(new, name))
 
--- a/molehill/core/classes.py
+++ b/molehill/core/classes.py
@@ -3,6 +3,7 @@
 A number means one name with one row of settings as long as anything held bears it. New settings may name other rows, and a
 row that vanished is kept until nothing needs its number any more, so the table stays as long as what is held.
 """
+
 from dataclasses import astuple
 
 from molehill import interface as it
@@ -11,8 +12,10 @@
 class Classes:
     def __init__(self, names, rows):
         self.names, self.rows = list(names), list(rows)
-        self.current = {name: n for n, name in enumerate(names)}     # what a client's name means now
-        self.logged: dict[int, tuple] = {}            # number in the log as it is read -> name and row
+        # what a client's name means now
+        self.current = {name: n for n, name in enumerate(names)}
+        # number in the log as it is read -> name and row
+        self.logged: dict[int, tuple] = {}
 
     def number(self, name: str, row: it.Category, used) -> int:
         """That of this name with just this row; one that neither `used` nor the settings need is given anew."""
@@ -20,13 +23,15 @@
             if known == (name, row):
                 return n
         n = next((n for n in range(len(self.rows)) if n not in used), len(self.rows))
-        self.names[n:n + 1], self.rows[n:n + 1] = [name], [row]
+        self.names[n : n + 1], self.rows[n : n + 1] = [name], [row]
         return n
 
     def renew(self, names, rows, held) -> None:
         """Takes new settings. `held`: the numbers that callbacks bear."""
         wanted = list(zip(names, rows))
-        used = set(held) | {n for n, known in enumerate(zip(self.names, self.rows)) if known in wanted}
+        used = set(held) | {
+            n for n, known in enumerate(zip(self.names, self.rows)) if known in wanted
+        }
         self.current = {}
         for name, row in wanted:
             self.current[name] = self.number(name, row, used)
@@ -49,5 +54,5 @@
         if n in self.logged:
             return self.number(*self.logged[n], range(len(self.rows)))
         if not 0 <= n < len(self.rows):
-            raise KeyError(f"category {n}")           # the record is of no use
+            raise KeyError(f"category {n}")  # the record is of no use
         return n
--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -1,4 +1,5 @@
 """What the reducer is told and what it asks for. Times are whole nanoseconds of the relay's one clock."""
+
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Optional
@@ -9,13 +10,14 @@
 @dataclass(slots=True)
 class Fresh:
     """A callback as a client hands it in."""
+
     id: str
     category: int
     tenant: int
     key: Optional[str]
     destination: int
     due: int
-    mark: Optional[str]            # the idempotency key, passed on unchanged
+    mark: Optional[str]  # the idempotency key, passed on unchanged
     body: bytes
 
     def contents(self) -> bytes:
@@ -38,52 +40,53 @@
 @dataclass(slots=True)
 class End:
     """What became of one callback of a call."""
+
     id: str
     result: it.Result
     wait: int = 0
     closed: bool = False
     spent: bool = False
-    unsent: bool = False           # kept back by this relay: no launch
+    unsent: bool = False  # kept back by this relay: no launch
 
 
 # Events
 
 
 @dataclass(slots=True)
-class Begin:                       # the log has been read: take up what is owed
+class Begin:  # the log has been read: take up what is owed
     pass
 
 
 @dataclass(slots=True)
 class Arrived:
-    client: object                 # whom to answer; given back as it came
+    client: object  # whom to answer; given back as it came
     fresh: Fresh
 
 
 @dataclass(slots=True)
-class Heard:                       # the answer that it is taken on has been written to that client
+class Heard:  # the answer that it is taken on has been written to that client
     id: str
     client: object
 
 
 @dataclass(slots=True)
-class Unheard:                     # that client was gone before, or its time for an answer is up
+class Unheard:  # that client was gone before, or its time for an answer is up
     id: str
     client: object
 
 
 @dataclass(slots=True)
-class Unlogged:                    # the log would not take these records
+class Unlogged:  # the log would not take these records
     records: list
 
 
 @dataclass(slots=True)
-class LogWorks:                    # the log takes records again
+class LogWorks:  # the log takes records again
     pass
 
 
 @dataclass(slots=True)
-class Begun:                       # a connection is up, and the call's first byte is about to go
+class Begun:  # a connection is up, and the call's first byte is about to go
     call: int
 
 
@@ -97,7 +100,7 @@
 
 
 @dataclass(slots=True)
-class Noticed:                     # the platform has the notices for these
+class Noticed:  # the platform has the notices for these
     ids: list[str]
 
 
@@ -108,30 +111,33 @@
 
 
 @dataclass(slots=True)
-class Step:                        # time for the module to look at what has come in
+class Step:  # time for the module to look at what has come in
     pass
 
 
 @dataclass(slots=True)
-class Stop:                        # the process ends at that time
+class Stop:  # the process ends at that time
     at: int
 
 
 @dataclass(slots=True)
-class Hold:                        # the next process of this relay is to take over: no call is begun while it is on
+# the next process of this relay is to take over: no call is begun while it is on
+class Hold:
     on: bool
 
 
 @dataclass(slots=True)
-class Inherited:                   # what an earlier process handed over beside the log; before Begin
-    calls: list                    # (number, host, ids, start, until): out, and their ends come to this process
-    lost: list[str]                # out in calls that are not among them: they may have run
-    waits: dict                    # route -> end of a told wait
-    learnt: list[dict]             # for the module, as the earlier one told it
+# what an earlier process handed over beside the log; before Begin
+class Inherited:
+    # (number, host, ids, start, until): out, and their ends come to this process
+    calls: list
+    lost: list[str]  # out in calls that are not among them: they may have run
+    waits: dict  # route -> end of a told wait
+    learnt: list[dict]  # for the module, as the earlier one told it
 
 
 @dataclass(slots=True)
-class Retuned:                     # new settings; `names`: their categories', in order
+class Retuned:  # new settings; `names`: their categories', in order
     settings: it.Settings
     names: list[str]
 
@@ -151,7 +157,7 @@
     id: str
     status: int
     wait: int = 0
-    why: str = ""                  # what it counts as, where the status does not tell
+    why: str = ""  # what it counts as, where the status does not tell
 
 
 @dataclass(slots=True)
@@ -159,7 +165,7 @@
     id: str
     mark: Optional[str]
     body: bytes
-    until: int                     # given up at that time
+    until: int  # given up at that time
 
 
 @dataclass(slots=True)
@@ -167,12 +173,12 @@
     number: int
     host: str
     address: tuple[str, int]
-    bundle: bool                   # whether this kind of host takes several callbacks a call
+    bundle: bool  # whether this kind of host takes several callbacks a call
     members: list[Member]
 
 
 @dataclass(slots=True)
-class Abort:                       # close a call's connection; nothing more is told of it
+class Abort:  # close a call's connection; nothing more is told of it
     call: int
 
 
@@ -194,5 +200,5 @@
 
 
 @dataclass(slots=True)
-class Say:                         # a log line
+class Say:  # a log line
     text: str
--- a/molehill/core/figures.py
+++ b/molehill/core/figures.py
@@ -2,9 +2,13 @@
 
 Counts run from the start of the process. Gauges are kept as changes happen, never by a walk over all that is held.
 """
+
 DELIVERED, THROTTLED, FAULTED = "fulfilled", "throttled", "faulted"
 ENDS = (DELIVERED, THROTTLED, FAULTED)
-COUNTS, GAUGES = ("relayed", "cfg_accepted", "cfg_invalid"), ("open_requests", "registry_entries", "out_of_rotation")
+COUNTS, GAUGES = (
+    ("relayed", "cfg_accepted", "cfg_invalid"),
+    ("open_requests", "registry_entries", "out_of_rotation"),
+)
 PREFIX = "router"
 
 
@@ -23,6 +27,10 @@
 
     def text(self) -> str:
         """A line a figure: `router.NAME:VALUE|c` (a count) or `|g` (a gauge)."""
-        rows = [(f"{end}.{one}", counts[end], "c") for one, counts in self.ends.items() for end in ENDS]
-        rows += [(name, getattr(self, name), "c") for name in COUNTS] + [(name, getattr(self, name), "g") for name in GAUGES]
+        rows = [
+            (f"{end}.{one}", counts[end], "c") for one, counts in self.ends.items() for end in ENDS
+        ]
+        rows += [(name, getattr(self, name), "c") for name in COUNTS] + [
+            (name, getattr(self, name), "g") for name in GAUGES
+        ]
         return "".join(f"{PREFIX}.{name}:{value}|{kind}\n" for name, value, kind in rows)
--- a/molehill/core/permission.py
+++ b/molehill/core/permission.py
@@ -4,6 +4,7 @@
 choice and the call, and the callback goes back to the module. The others (`Refusal.is_fault`) the module has to have excluded. They
 are refused all the same, and counted as broken invariants.
 """
+
 from enum import Enum
 from typing import Optional
 
@@ -48,7 +49,9 @@
     return Refusal.TOLD_TO_WAIT if now < wait_until else None
 
 
-def of_begin(callback, heard: bool, first_of_key: bool, stop_at: Optional[int], now: int) -> Optional[Refusal]:
+def of_begin(
+    callback, heard: bool, first_of_key: bool, stop_at: Optional[int], now: int
+) -> Optional[Refusal]:
     """Why no call of it may be begun now. Rules 1 and 5.
 
     `heard`: its client knows that it is taken on, and it has no end yet; `first_of_key`: nothing of its key stands before it.
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -5,6 +5,7 @@
 where a call may not go yet: its client has not heard that the callback is taken on, or an earlier callback of its
 key ended by a notice that the platform has not answered.
 """
+
 import re
 from collections import Counter, OrderedDict
 from dataclasses import replace
@@ -15,38 +16,92 @@
 from molehill.core import events as ev
 from molehill.core import permission
 from molehill.core.classes import Classes
-from molehill.core.figures import FAULTED, DELIVERED, THROTTLED, Figures
+from molehill.core.figures import DELIVERED, FAULTED, THROTTLED, Figures
 from molehill.holds import holds
 from molehill.interface import Result
 
 # A callback. ARRIVED: read, the module has not seen it; TAKEN: in the log, 202 asked for; HELD: the client has
 # heard; OWED: ended, its notice not answered yet; OVER: nothing is owed.
 ARRIVED, TAKEN, HELD, OWED, OVER = "arrived", "taken", "held", "owed", "over"
-NEXT = {None: (ARRIVED, HELD), ARRIVED: (TAKEN, OVER), TAKEN: (HELD, OWED, OVER), HELD: (OWED, OVER),
-        OWED: (OVER,), OVER: ()}
-TAKEN_ON, DENIED, FAILED = 202, 503, 500       # answers to clients
+NEXT = {
+    None: (ARRIVED, HELD),
+    ARRIVED: (TAKEN, OVER),
+    TAKEN: (HELD, OWED, OVER),
+    HELD: (OWED, OVER),
+    OWED: (OVER,),
+    OVER: (),
+}
+TAKEN_ON, DENIED, FAILED = 202, 503, 500  # answers to clients
 RECORD_KIND = re.compile(rb'"k":"([a-z]+)"')
-RECORDS_BUT_LAUNCH = (b"taken", b"end", b"owed", b"over", b"done", b"class", b"rest", b"health", b"clock", b"filler")
-LONG_AGO = 0           # of a launch at an unknown time: before any window that is still open
-RECORD_ROOM = 600      # bytes of the log for a callback beside its own text: fixed fields, launches, its end
+RECORDS_BUT_LAUNCH = (
+    b"taken",
+    b"end",
+    b"owed",
+    b"over",
+    b"done",
+    b"class",
+    b"rest",
+    b"health",
+    b"clock",
+    b"filler",
+)
+LONG_AGO = 0  # of a launch at an unknown time: before any window that is still open
+# bytes of the log for a callback beside its own text: fixed fields, launches, its end
+RECORD_ROOM = 600
 
 
 class Callback:
-    __slots__ = ("id", "category", "tenant", "key", "destination", "due", "mark", "body", "state", "clients",
-                 "launches", "ran_at", "ran_zone", "call", "sent", "denied", "wait", "room", "contents")
+    __slots__ = (
+        "id",
+        "category",
+        "tenant",
+        "key",
+        "destination",
+        "due",
+        "mark",
+        "body",
+        "state",
+        "clients",
+        "launches",
+        "ran_at",
+        "ran_zone",
+        "call",
+        "sent",
+        "denied",
+        "wait",
+        "room",
+        "contents",
+    )
 
     def __init__(self, fresh, contents):
-        self.contents = contents                      # by which a copy is known; None: unknown, an older log's
-        self.id, self.category, self.tenant, self.key = fresh.id, fresh.category, fresh.tenant, fresh.key
-        self.destination, self.due, self.mark, self.body = fresh.destination, fresh.due, fresh.mark, fresh.body
+        # by which a copy is known; None: unknown, an older log's
+        self.contents = contents
+        self.id, self.category, self.tenant, self.key = (
+            fresh.id,
+            fresh.category,
+            fresh.tenant,
+            fresh.key,
+        )
+        self.destination, self.due, self.mark, self.body = (
+            fresh.destination,
+            fresh.due,
+            fresh.mark,
+            fresh.body,
+        )
         self.state, self.clients, self.call = None, [], None
         self.launches, self.ran_at, self.ran_zone = 0, None, None
-        self.sent, self.denied, self.wait = None, False, 0     # sent: when the launch that is out went
-        self.room = RECORD_ROOM + 2 * (len(self.id) + len(self.key or "") + len(self.mark or "")) + len(self.body)
+        # sent: when the launch that is out went
+        self.sent, self.denied, self.wait = None, False, 0
+        self.room = (
+            RECORD_ROOM
+            + 2 * (len(self.id) + len(self.key or "") + len(self.mark or ""))
+            + len(self.body)
+        )
 
 
 class Out:
     """A call that is parked or out; `begun`: the log has it, as its bytes may have gone."""
+
     __slots__ = ("number", "host", "spans", "ids", "since", "begun")
 
     def __init__(self, number, host, spans, now, begun=False):
@@ -55,50 +110,78 @@
 
 
 class Core:
-    DONE_KEPT = 4096               # ids lately over, by which a request sent again is known: minutes of traffic
-    DONE_PART = 8                  # of the room for what is owed, in a log written anew for the latest of them: seconds to minutes
+    # ids lately over, by which a request sent again is known: minutes of traffic
+    DONE_KEPT = 4096
+    # of the room for what is owed, in a log written anew for the latest of them: seconds to minutes
+    DONE_PART = 8
 
     def __init__(self, settings, seed, make_module, log_room, names=None):
         """`names`: those of the settings' categories, by which figures and the log know them; else their numbers."""
         self.seed, self.make_module, self.log_room = seed, make_module, log_room
         names = [str(n) for n in range(len(settings.categories))] if names is None else names
         self.classes, self.figures = Classes(names, settings.categories), Figures(names)
-        self.set = replace(settings, categories=self.classes.rows)     # one list: the module reads the same rows
+        # one list: the module reads the same rows
+        self.set = replace(settings, categories=self.classes.rows)
         self.module, self.inbox, self.now, self.effects = make_module(self.set, seed), [], 0, []
-        self.held: dict[str, Callback] = {}           # in the order in which they were handed in
-        self.used, self.open = 0, 0                   # log bytes taken up; callbacks the module has
-        self.done: OrderedDict[str, object] = OrderedDict()    # id lately over -> its contents
+        self.held: dict[str, Callback] = {}  # in the order in which they were handed in
+        self.used, self.open = 0, 0  # log bytes taken up; callbacks the module has
+        self.done: OrderedDict[str, object] = OrderedDict()  # id lately over -> its contents
         self.calls, self.parked, self.serial = {}, {}, 0
         self.owed_keys: dict[str, int] = {}
-        self.by_key: dict[str, dict[str, Callback]] = {}     # those that go in turn and are not over, in the order of hand-in
-        self.refusals: Counter[permission.Refusal] = Counter()    # why callbacks were not sent, since the last line of counts
+        # those that go in turn and are not over, in the order of hand-in
+        self.by_key: dict[str, dict[str, Callback]] = {}
+        # why callbacks were not sent, since the last line of counts
+        self.refusals: Counter[permission.Refusal] = Counter()
         self.rests: dict[str, int] = {}
-        self.unsettled: dict[str, bool] = {}          # while the log is read: keys with a launch whose end it does not tell
+        # while the log is read: keys with a launch whose end it does not tell
+        self.unsettled: dict[str, bool] = {}
         self.hosts: dict[str, ev.Host] = {}
-        self.waits: dict[object, int] = {}            # route -> end of a told wait
-        self.away: dict[str, object] = {}             # host -> None while closed, then when its ramp is over
-        self.left: dict[str, int] = {}                # host that is not listed -> since when
-        self.shown: dict[str, tuple[bool, bool]] = {}  # host that is listed -> how it counts in the gauges
+        self.waits: dict[object, int] = {}  # route -> end of a told wait
+        # host -> None while closed, then when its ramp is over
+        self.away: dict[str, object] = {}
+        self.left: dict[str, int] = {}  # host that is not listed -> since when
+        # host that is listed -> how it counts in the gauges
+        self.shown: dict[str, tuple[bool, bool]] = {}
         self.guards, self.wake_at, self.stop_at = [], None, None
-        self.held_back, self.under = False, {}        # no call is begun; calls that an earlier process wrote, by number
-        self.log_fails = False                        # the log takes no records: no call is begun either
-        self.on = {ev.Begin: self._begin, ev.Arrived: self._arrived, ev.Heard: self._heard,
-                   ev.Unheard: self._unheard, ev.Unlogged: self._unlogged, ev.LogWorks: self._log_works, ev.Begun: self._begun, ev.Ended: self._ended,
-                   ev.Noticed: self._noticed, ev.Listed: self._listed, ev.Step: self._step, ev.Stop: self._stop,
-                   ev.Retuned: self._retuned, ev.Hold: self._hold, ev.Inherited: self._inherited}
+        # no call is begun; calls that an earlier process wrote, by number
+        self.held_back, self.under = False, {}
+        # the log takes no records: no call is begun either
+        self.log_fails = False
+        self.on = {
+            ev.Begin: self._begin,
+            ev.Arrived: self._arrived,
+            ev.Heard: self._heard,
+            ev.Unheard: self._unheard,
+            ev.Unlogged: self._unlogged,
+            ev.LogWorks: self._log_works,
+            ev.Begun: self._begun,
+            ev.Ended: self._ended,
+            ev.Noticed: self._noticed,
+            ev.Listed: self._listed,
+            ev.Step: self._step,
+            ev.Stop: self._stop,
+            ev.Retuned: self._retuned,
+            ev.Hold: self._hold,
+            ev.Inherited: self._inherited,
+        }
 
     def reduce(self, now, event):
         self.now, self.effects = max(now, self.now), []
         try:
             self.on[type(event)](event)
-        except Exception as error:     # a fault here or in the module: made anew as after a restart, nothing is lost
+        # a fault here or in the module: made anew as after a restart, nothing is lost
+        except Exception as error:
             holds(False, "reduce", what=type(event).__name__, error=repr(error))
             self._start_again()
         return self.effects
 
     def next_step(self):
         """When the module is to be stepped though nothing comes in; None: not before something does."""
-        times = [when for when in (self.wake_at, self.guards[0][0] if self.guards else None) if when is not None]
+        times = [
+            when
+            for when in (self.wake_at, self.guards[0][0] if self.guards else None)
+            if when is not None
+        ]
         times += [self._parked_until(out) for out in self.parked.values()]
         return min(times, default=None)
 
@@ -111,11 +194,20 @@
         """One record of the log, as it is read again at a start; later ones override."""
         kind = record["k"]
         if kind == "taken" and record["id"] not in self.held:
-            fresh = ev.Fresh(record["id"], self.classes.read_number(record["category"]), record["tenant"], record["key"],
-                             record["destination"], record["due"], record["mark"], body)
+            fresh = ev.Fresh(
+                record["id"],
+                self.classes.read_number(record["category"]),
+                record["tenant"],
+                record["key"],
+                record["destination"],
+                record["due"],
+                record["mark"],
+                body,
+            )
             told = record.get("contents")
             callback = self.held[fresh.id] = Callback(
-                fresh, bytes.fromhex(told) if told else fresh.contents() if body else None)
+                fresh, bytes.fromhex(told) if told else fresh.contents() if body else None
+            )
             callback.launches, callback.ran_at = record.get("launches", 0), record.get("ran_at")
             callback.ran_zone = record.get("ran_zone")
             self.figures.name([self.classes.names[callback.category]])
@@ -141,11 +233,14 @@
                     self._move(callback, OWED)
         elif kind == "over":
             for callback in self._known(record["ids"]):
-                if callback.sent is not None and callback.key is not None:     # over, while its call was out with others
+                # over, while its call was out with others
+                if callback.sent is not None and callback.key is not None:
                     self.unsettled[callback.key] = True
                 self._move(callback, OVER)
         elif kind == "done":
-            self.done.update({number: bytes.fromhex(told) if told else None for number, told in record["ids"]})
+            self.done.update(
+                {number: bytes.fromhex(told) if told else None for number, told in record["ids"]}
+            )
         elif kind == "class":
             self.classes.read(record)
         elif kind == "rest":
@@ -159,8 +254,13 @@
         kind = RECORD_KIND.search(data)
         if kind is not None and kind[1] in RECORDS_BUT_LAUNCH:
             return
-        untried = [c for c in self.held.values() if c.sent is None and c.ran_at is None
-                   and self.set.categories[c.category].effect is not it.Effect.IDEMPOTENT]
+        untried = [
+            c
+            for c in self.held.values()
+            if c.sent is None
+            and c.ran_at is None
+            and self.set.categories[c.category].effect is not it.Effect.IDEMPOTENT
+        ]
         named = [c for c in untried if b'"%s"' % c.id.encode() in data]
         for callback in named or untried:
             callback.launches += 1
@@ -175,7 +275,9 @@
         """Keeps the gauges of the list: what of this host counts in them now."""
         host = self.hosts.get(number)
         listed = host is not None and host.condition is not it.Condition.GONE
-        avoided = listed and (host.condition is not it.Condition.UP or self.away.get(number, 0) is None)
+        avoided = listed and (
+            host.condition is not it.Condition.UP or self.away.get(number, 0) is None
+        )
         before, self.shown[number] = self.shown.get(number, (False, False)), (listed, avoided)
         self.figures.registry_entries += listed - before[0]
         self.figures.out_of_rotation += avoided - before[1]
@@ -190,9 +292,16 @@
 
     @staticmethod
     def _as_handed_in(c):
-        row = {"id": c.id, "category": c.category, "tenant": c.tenant, "key": c.key,
-               "destination": c.destination, "due": c.due, "mark": c.mark}
-        if not c.body and c.contents:                  # nothing to work them out from, or no longer
+        row = {
+            "id": c.id,
+            "category": c.category,
+            "tenant": c.tenant,
+            "key": c.key,
+            "destination": c.destination,
+            "due": c.due,
+            "mark": c.mark,
+        }
+        if not c.body and c.contents:  # nothing to work them out from, or no longer
             row["contents"] = c.contents.hex()
         return row
 
@@ -209,7 +318,7 @@
         # Danger: forgotten with the log that told of them, a request that its client sends once more after a restart is taken on anew.
         lately, room = [], self.log_room // self.DONE_PART
         for number, contents in reversed(self.done.items()):
-            room -= len(number) + 48       # contents in hex, quotes and commas
+            room -= len(number) + 48  # contents in hex, quotes and commas
             if room < 0:
                 break
             lately.append([number, contents and contents.hex()])
@@ -219,8 +328,16 @@
             if c.state is ARRIVED:
                 continue
             out = c.sent is not None
-            yield {"k": "taken", **self._as_handed_in(c), "launches": c.launches - out,
-                   "ran_at": c.ran_at, "ran_zone": c.ran_zone}, c.body
+            yield (
+                {
+                    "k": "taken",
+                    **self._as_handed_in(c),
+                    "launches": c.launches - out,
+                    "ran_at": c.ran_at,
+                    "ran_zone": c.ran_zone,
+                },
+                c.body,
+            )
             if out and (c.call not in self.calls or self.calls[c.call].begun):
                 yield {"k": "launch", "ids": [c.id], "at": c.sent[0], "zone": c.sent[1]}, b""
             if c.state is OWED:
@@ -262,26 +379,35 @@
             while len(self.done) > self.DONE_KEPT:
                 self.done.popitem(last=False)
 
-    GUARD = 150 * MS               # half of what the rules leave between the abandon time and a lost callback
+    # half of what the rules leave between the abandon time and a lost callback
+    GUARD = 150 * MS
 
     def _arrived(self, event):
         fresh, contents = event.fresh, event.fresh.contents()
         known = self.held.get(fresh.id)
         # Danger: a stranger uses an id that is not its own, before or after the true request. Told "taken on" for what it
         # did not hand in, a client goes on with its key's next. Refused, either may come again under a new id.
-        if contents != (known.contents if known is not None else self.done.get(fresh.id)) is not None:
+        if (
+            contents
+            != (known.contents if known is not None else self.done.get(fresh.id))
+            is not None
+        ):
             self._count(fresh, THROTTLED)
             self.effects.append(ev.Answer(event.client, fresh.id, DENIED, why="id of another"))
         elif known is not None and known.state in (ARRIVED, TAKEN):
-            known.clients.append(event.client)         # sent again on a new connection: both get the answer
+            # sent again on a new connection: both get the answer
+            known.clients.append(event.client)
             if known.state is TAKEN:
                 self.effects.append(ev.Answer(event.client, fresh.id, TAKEN_ON))
         elif known is not None or fresh.id in self.done:
             self.effects.append(ev.Answer(event.client, fresh.id, TAKEN_ON))
         else:
             callback = Callback(fresh, contents)
-            if self.set.max_held is not None and self.open >= self.set.max_held \
-                    or self.used + callback.room > self.log_room:
+            if (
+                self.set.max_held is not None
+                and self.open >= self.set.max_held
+                or self.used + callback.room > self.log_room
+            ):
                 self._count(callback, THROTTLED)
                 self.effects.append(ev.Answer(event.client, fresh.id, DENIED))
                 return
@@ -292,7 +418,9 @@
 
     def _answer(self, callback, status, wait=0):
         """To every connection on which it was handed in."""
-        self.effects += [ev.Answer(client, callback.id, status, wait) for client in callback.clients]
+        self.effects += [
+            ev.Answer(client, callback.id, status, wait) for client in callback.clients
+        ]
 
     def _count(self, c, end):
         """Each callback's end is counted here, once, whatever comes of it later."""
@@ -306,9 +434,22 @@
     def _hand_over(self, c):
         """Tells the module of a callback, with all that an earlier process or module did with it."""
         rests = self.rests.get(c.key, 0) if c.key is not None else 0
-        self.inbox.append(it.NewCallback(c.id, c.category, c.tenant, c.key, c.due, c.destination,
-                                         c.launches, c.ran_at, c.ran_zone, rests if rests > self.now else 0,
-                                         self.under.get(c.call), c.state is not ARRIVED))
+        self.inbox.append(
+            it.NewCallback(
+                c.id,
+                c.category,
+                c.tenant,
+                c.key,
+                c.due,
+                c.destination,
+                c.launches,
+                c.ran_at,
+                c.ran_zone,
+                rests if rests > self.now else 0,
+                self.under.get(c.call),
+                c.state is not ARRIVED,
+            )
+        )
         heappush(self.guards, (c.due + self.GUARD, c.id, False))
 
     def _heard(self, event):
@@ -321,7 +462,11 @@
 
     def _unheard(self, event):
         callback = self.held.get(event.id)
-        if callback is None or callback.state not in (ARRIVED, TAKEN) or event.client not in callback.clients:
+        if (
+            callback is None
+            or callback.state not in (ARRIVED, TAKEN)
+            or event.client not in callback.clients
+        ):
             return
         callback.clients.remove(event.client)
         if not callback.clients:
@@ -354,8 +499,13 @@
                 if out is not None:
                     out.begun = False
                     self.effects.append(ev.Abort(out.number))
-                    self._ended(ev.Ended(out.number, 0, [ev.End(i, Result.NOT_SENT, unsent=True)
-                                                             for i in out.ids]))
+                    self._ended(
+                        ev.Ended(
+                            out.number,
+                            0,
+                            [ev.End(i, Result.NOT_SENT, unsent=True) for i in out.ids],
+                        )
+                    )
 
     def _log_works(self, _):
         self.log_fails = False
@@ -404,13 +554,16 @@
                 self._log("health", host=action.host, away=action.away, at=now)
                 self.effects.append(ev.Say(action.text))
             elif action.callback in self.held:
-                self._end_callback(self.held[action.callback], type(action) is it.Reject,
-                                   action.come_back if type(action) is it.Reject else 0)
+                self._end_callback(
+                    self.held[action.callback],
+                    type(action) is it.Reject,
+                    action.come_back if type(action) is it.Reject else 0,
+                )
         for host, launches in groups.items():
             size = self._kind(self.hosts[host]).per_call
             for at in range(0, len(launches), size):
                 self.serial += 1
-                self.parked[self.serial] = Out(self.serial, host, launches[at:at + size], now)
+                self.parked[self.serial] = Out(self.serial, host, launches[at : at + size], now)
         self._release()
         self._guard()
 
@@ -432,16 +585,18 @@
             callback = self.held.get(number)
             if callback is None or callback.state not in (TAKEN, HELD):
                 continue
-            if callback.due + self.GUARD > self.now:   # danger: the guard of one withdrawn earlier under the same id
+            # danger: the guard of one withdrawn earlier under the same id
+            if callback.due + self.GUARD > self.now:
                 continue
-            if callback.call is not None and not again:    # after a standstill its outcome may be on its way
+            # after a standstill its outcome may be on its way
+            if callback.call is not None and not again:
                 heappush(self.guards, (self.now + self.GUARD // 2, number, True))
                 continue
             holds(False, "ended_in_time", id=number, out=callback.call is not None)
             self._end_callback(callback, False, 0)
             self.inbox.append(it.Withdrawn(number))
 
-    PARKED = 1000 * MS             # while notices go unanswered: then others may have the slot
+    PARKED = 1000 * MS  # while notices go unanswered: then others may have the slot
 
     def _parked_until(self, out):
         return min([out.since + self.PARKED, *(callback.due for callback in self._known(out.ids))])
@@ -470,7 +625,9 @@
                 c = self.held[number]
                 c.call, c.sent, c.launches = out.number, (self.now, host.zone), c.launches + 1
                 members.append(ev.Member(c.id, c.mark, c.body, min(out.since + span, c.due)))
-        self.effects.append(ev.Call(out.number, host.id, host.address, self._kind(host).per_call > 1, members))
+        self.effects.append(
+            ev.Call(out.number, host.id, host.address, self._kind(host).per_call > 1, members)
+        )
 
     def _begun(self, event):
         """Danger: logged as out while its connection still comes up, a callback that no host has seen is taken for one that may
@@ -486,7 +643,13 @@
         ours = [c for c in self._known(out.ids) if c.call == out.number]
         out.begun = True
         if ours:
-            self._log("launch", ids=[c.id for c in ours], at=ours[0].sent[0], zone=ours[0].sent[1], call=out.number)
+            self._log(
+                "launch",
+                ids=[c.id for c in ours],
+                at=ours[0].sent[0],
+                zone=ours[0].sent[1],
+                call=out.number,
+            )
 
     def _route(self, host):
         return host.id if self._kind(host).apart else host.destination
@@ -494,8 +657,10 @@
     def _may_begin(self, callback, host) -> bool:
         """Whether a call of it may be begun there now."""
         first = next(iter(self.by_key.get(callback.key, {}).values()), callback) is callback
-        return self._allowed(permission.of_begin(callback, callback.state is HELD, first, self.stop_at, self.now), callback.id) \
-            and self.may_send(host.id, (callback.id,), self.now)
+        return self._allowed(
+            permission.of_begin(callback, callback.state is HELD, first, self.stop_at, self.now),
+            callback.id,
+        ) and self.may_send(host.id, (callback.id,), self.now)
 
     def _allowed(self, refusal, number) -> bool:
         if refusal is None:
@@ -510,13 +675,22 @@
         Danger: a connection takes its time to come up, and a deduplicated one that may have run outlives its window.
         """
         entry = self.hosts[host]
-        return self._allowed(permission.of_route(entry, self.waits.get(self._route(entry), 0), now), ids) \
-            and all(self._allowed(permission.of_repeat(callback, self.set.categories[callback.category], now), callback.id)
-                    for callback in self._known(ids))
+        return self._allowed(
+            permission.of_route(entry, self.waits.get(self._route(entry), 0), now), ids
+        ) and all(
+            self._allowed(
+                permission.of_repeat(callback, self.set.categories[callback.category], now),
+                callback.id,
+            )
+            for callback in self._known(ids)
+        )
 
     def _unpark(self, out, ids):
         """Launches that never left the relay."""
-        self.inbox += [it.Outcome(number, 0, out.host, Result.NOT_SENT, 0, 0, False, unsent=True) for number in ids]
+        self.inbox += [
+            it.Outcome(number, 0, out.host, Result.NOT_SENT, 0, 0, False, unsent=True)
+            for number in ids
+        ]
         out.ids = [number for number in out.ids if number not in ids]
         if not out.ids:
             self.parked.pop(out.number, None)
@@ -536,7 +710,8 @@
             return
         ends = [end for end in event.ends if end.id in out.ids]
         holds(len(ends) == len(event.ends), "one_outcome_each", call=event.call)
-        if not out.begun and any(not end.unsent for end in ends):      # it counts as a launch, if one that never ran
+        # it counts as a launch, if one that never ran
+        if not out.begun and any(not end.unsent for end in ends):
             self._log_launch(out)
         out.ids = [number for number in out.ids if all(end.id != number for end in ends)]
         if not out.ids:
@@ -550,15 +725,30 @@
             if callback is not None and callback.call == out.number:
                 launches = callback.launches
                 self._settle_launch(callback, end.result, self.now, end.unsent)
-                ended.append([end.id, end.result.value, closed and callback.state is not OWED, end.unsent])
+                ended.append(
+                    [end.id, end.result.value, closed and callback.state is not OWED, end.unsent]
+                )
                 if closed and callback.state is not OWED:
                     self._count(callback, DELIVERED if end.result is Result.DELIVERED else FAULTED)
                     self._move(callback, OVER)
             else:
                 closed, launches = True, 1
-            self.inbox.append(it.Outcome(end.id, launches - 1, out.host, end.result, event.took, end.wait,
-                                         closed, event.told_rate, end.spent, end.unsent, told_left=event.told_left))
-        if ended and out.begun:        # else the log never had it as out
+            self.inbox.append(
+                it.Outcome(
+                    end.id,
+                    launches - 1,
+                    out.host,
+                    end.result,
+                    event.took,
+                    end.wait,
+                    closed,
+                    event.told_rate,
+                    end.spent,
+                    end.unsent,
+                    told_left=event.told_left,
+                )
+            )
+        if ended and out.begun:  # else the log never had it as out
             self._log("end", ends=ended, at=self.now)
         self._release()
         if len(self.rests) > 2 * len(self.held) + 64:
@@ -587,11 +777,26 @@
                     self.effects.append(ev.CloseIdle(host.id))
                 self._show(host.id)
         self._forget_hosts()
-        self.inbox.append(it.ListNews(event.scope, [
-            it.HostEntry(h.id, h.zone, h.kind, h.destination, h.condition, h.units, self._is_away(h.id))
-            for h in event.hosts]))
-
-    LEFT_KEPT = 60 * SECOND        # longer than any gap in the list: a host that is back sooner is the one known
+        self.inbox.append(
+            it.ListNews(
+                event.scope,
+                [
+                    it.HostEntry(
+                        h.id,
+                        h.zone,
+                        h.kind,
+                        h.destination,
+                        h.condition,
+                        h.units,
+                        self._is_away(h.id),
+                    )
+                    for h in event.hosts
+                ],
+            )
+        )
+
+    # longer than any gap in the list: a host that is back sooner is the one known
+    LEFT_KEPT = 60 * SECOND
 
     def _forget_hosts(self):
         """Drops what is kept of hosts that left long ago and have no call out; waits and ramps that are over."""
@@ -608,7 +813,9 @@
 
     def _retuned(self, event):
         """New settings. What is held keeps its category, also over a restart; the module hears of it with the next step."""
-        self.classes.renew(event.names, event.settings.categories, {c.category for c in self.held.values()})
+        self.classes.renew(
+            event.names, event.settings.categories, {c.category for c in self.held.values()}
+        )
         self.set = replace(event.settings, categories=self.classes.rows)
         self.figures.name(event.names)
         self.effects += [ev.Append(record) for record in self.classes.records()]
@@ -617,17 +824,25 @@
     def _begin(self, _):
         """After a start: launches that were out when the process ended may have run; all that is owed goes on."""
         self.effects += [ev.Append(record) for record in self.classes.records()]
-        out = [callback for callback in self.held.values() if callback.sent is not None and callback.call is None]
+        out = [
+            callback
+            for callback in self.held.values()
+            if callback.sent is not None and callback.call is None
+        ]
         for callback in out:
             self._settle_launch(callback, Result.RESET, self.now)
         for key in self.unsettled:
             self.rests[key] = max(self.rests.get(key, 0), self.now + self.set.settle)
         self.unsettled = {}
-        if out:        # danger: the next process, after another kill, would not know of the rest that these keys have now
-            self._log("end", ends=[[c.id, Result.RESET.value, False, False] for c in out], at=self.now)
+        # danger: the next process, after another kill, would not know of the rest that these keys have now
+        if out:
+            self._log(
+                "end", ends=[[c.id, Result.RESET.value, False, False] for c in out], at=self.now
+            )
         for callback in self.held.values():
             if callback.state is OWED:
-                self._count(callback, THROTTLED if callback.denied else FAULTED)     # its end is this process's to bring about
+                # its end is this process's to bring about
+                self._count(callback, THROTTLED if callback.denied else FAULTED)
                 self.effects.append(ev.Notify(callback.id, callback.denied, callback.wait))
             else:
                 self._hand_over(callback)
@@ -649,11 +864,20 @@
             self.serial = max(self.serial, number)
             for callback in self._known(ids):
                 callback.call = number
-        unsent = [c for c in self.held.values() if c.sent is not None and c.call is None and c.id not in event.lost]
-        for callback in unsent:        # the earlier process had not written these calls whole, and does not any more
+        unsent = [
+            c
+            for c in self.held.values()
+            if c.sent is not None and c.call is None and c.id not in event.lost
+        ]
+        # the earlier process had not written these calls whole, and does not any more
+        for callback in unsent:
             self._settle_launch(callback, Result.NOT_SENT, self.now, True)
         if unsent:
-            self._log("end", ends=[[c.id, Result.NOT_SENT.value, False, True] for c in unsent], at=self.now)
+            self._log(
+                "end",
+                ends=[[c.id, Result.NOT_SENT.value, False, True] for c in unsent],
+                at=self.now,
+            )
         self.waits.update(event.waits)
         self.inbox.append(it.Learnt(event.learnt))
 
@@ -664,9 +888,13 @@
         ends = [c for c in self.held.values() if c.call is not None]
         for callback in ends:
             begun = self.calls[callback.call].begun if callback.call in self.calls else True
-            self._settle_launch(callback, Result.RESET if begun else Result.NOT_SENT, self.now, not begun)
+            self._settle_launch(
+                callback, Result.RESET if begun else Result.NOT_SENT, self.now, not begun
+            )
             if begun:
-                self._log("end", ends=[[callback.id, Result.RESET.value, False, False]], at=self.now)
+                self._log(
+                    "end", ends=[[callback.id, Result.RESET.value, False, False]], at=self.now
+                )
         self.calls, self.parked, self.inbox, self.wake_at, self.guards = {}, {}, [], None, []
         self.seed += 1
         self.module = self.make_module(self.set, self.seed)
--- a/molehill/emulator/days.py
+++ b/molehill/emulator/days.py
@@ -1,20 +1,45 @@
 """Small days that are written by hand, for tests and benchmarks: what each is about is all that happens on it."""
-from molehill.emulator.scenario import Category, EndpointPlan, Fault, ProgramPlan, Scenario, StrangersPlan, check
+
+from molehill.emulator.scenario import (
+    Category,
+    EndpointPlan,
+    Fault,
+    ProgramPlan,
+    Scenario,
+    StrangersPlan,
+    check,
+)
 
 
 def calm(**given) -> Scenario:
     """Two destinations, one relay, some eighty callbacks, no fault; `given` differs."""
-    rows = dict(seed=1, span_ms=2000, relays=1, endpoints=[EndpointPlan(1), EndpointPlan(2, kind="bundle")],
-                categories=[Category("status", "deduplicated", 3000, ordered=True, window_ms=1500),
-                            Category("refund", "at_most_once", 3000, ordered=True)],
-                programs=[ProgramPlan(40.0, [1, 2], keys=4)])
+    rows = dict(
+        seed=1,
+        span_ms=2000,
+        relays=1,
+        endpoints=[EndpointPlan(1), EndpointPlan(2, kind="bundle")],
+        categories=[
+            Category("status", "deduplicated", 3000, ordered=True, window_ms=1500),
+            Category("refund", "at_most_once", 3000, ordered=True),
+        ],
+        programs=[ProgramPlan(40.0, [1, 2], keys=4)],
+    )
     return check(Scenario(**{**rows, **given}))
 
 
 def upgraded(kind: str, step: int, span_ms: int = 0, seed: int = 1) -> Scenario:
     """An upgrade in the midst of slow calls, in which `kind` (new_dies, old_hangs and the like) happens at that step."""
-    rows = [Category("status", "deduplicated", 3000, ordered=True, window_ms=2500), Category("rate", "idempotent", 2000),
-            Category("refund", "at_most_once", 3000, payoff=4.0, ordered=True)]
-    return calm(seed=seed, span_ms=2500, categories=rows, programs=[ProgramPlan(40.0, [1, 2], keys=5)],
-                endpoints=[EndpointPlan(1, span_ms=80.0), EndpointPlan(2, kind="bundle", span_ms=40.0)],
-                strangers=StrangersPlan(copies=0.1), faults=[Fault(f"upgrade_{kind}", 1000, "relay0", span_ms, float(step))])
+    rows = [
+        Category("status", "deduplicated", 3000, ordered=True, window_ms=2500),
+        Category("rate", "idempotent", 2000),
+        Category("refund", "at_most_once", 3000, payoff=4.0, ordered=True),
+    ]
+    return calm(
+        seed=seed,
+        span_ms=2500,
+        categories=rows,
+        programs=[ProgramPlan(40.0, [1, 2], keys=5)],
+        endpoints=[EndpointPlan(1, span_ms=80.0), EndpointPlan(2, kind="bundle", span_ms=40.0)],
+        strangers=StrangersPlan(copies=0.1),
+        faults=[Fault(f"upgrade_{kind}", 1000, "relay0", span_ms, float(step))],
+    )
--- a/molehill/emulator/disk.py
+++ b/molehill/emulator/disk.py
@@ -3,6 +3,7 @@
 The node sets `lock`, and `step`: each call is one, at which a kill may fall; a write may be torn there at any byte. `short`: share
 of writes that take only a part. `failing`: errno that each write and rename gives while it is set. `most`: bytes in all files.
 """
+
 import errno
 
 BLOCK = 512
@@ -48,7 +49,8 @@
         if anew or path not in self.files:
             self.files[path] = bytearray()
         self.serial += 1
-        self.fds[self.serial] = [self.files[path], 0]      # by the file, not its name: a rename changes nothing
+        # by the file, not its name: a rename changes nothing
+        self.fds[self.serial] = [self.files[path], 0]
         return self.serial
 
     def is_file(self, path: str, fd: int) -> bool:
@@ -66,12 +68,12 @@
             raise OSError(self.failing, "the disk fails")
         grown = max(0, at + count - len(file))
         room = self.most - self.used() + (-len(file)) % BLOCK
-        if grown > room:                   # as kernels do: what has room goes in, then nothing
+        if grown > room:  # as kernels do: what has room goes in, then nothing
             count -= grown - max(0, room)
             if count <= 0:
                 raise OSError(errno.ENOSPC, "no room")
         count = self.step("write", count)
-        file[at:at + count] = bytes(data[:count])
+        file[at : at + count] = bytes(data[:count])
         self.fds[fd][1] = at + count
         self.step("written")
         return count
--- a/molehill/emulator/life.py
+++ b/molehill/emulator/life.py
@@ -3,6 +3,7 @@
 A descriptor is one process's number for something of the kernel's (a socket, a lock, an end of a line). What it stands for
 lives until the last number for it is closed: those of other processes count, and those in a message that nobody has read.
 """
+
 import array
 import errno
 import socket
@@ -14,10 +15,13 @@
 from molehill.config import MS
 from molehill.emulator.network import Datagrams, Listener, Sock
 
-TURN = 150_000                         # least ns between two looks of a relay's loop: about what a callback costs one core
-LEAST_FD = 3                           # after the standard streams
-LEAST_FDS = 24                         # standard streams, log, discovery, notices, listener, and a few connections
-LETTERS = 64                           # messages that a line between two processes takes in unread, a few more than kernels do
+# least ns between two looks of a relay's loop: about what a callback costs one core
+TURN = 150_000
+LEAST_FD = 3  # after the standard streams
+# standard streams, log, discovery, notices, listener, and a few connections
+LEAST_FDS = 24
+# messages that a line between two processes takes in unread, a few more than kernels do
+LETTERS = 64
 UP, ENDED, KILLED = "up", "ended", "killed"
 
 
@@ -59,7 +63,12 @@
         for file in files:
             let_go(file, self.file)
         self.life.step("received")
-        return data, [(socket.SOL_SOCKET, socket.SCM_RIGHTS, numbers.tobytes())] if files else [], 0, None
+        return (
+            data,
+            [(socket.SOL_SOCKET, socket.SCM_RIGHTS, numbers.tobytes())] if files else [],
+            0,
+            None,
+        )
 
     def close(self) -> None:
         if self.fd >= 0:
@@ -101,7 +110,13 @@
     def __init__(self, network, machine):
         Sock.__init__(self, network, machine)
         Held.__init__(self)
-        self.listening, self.address, self.backlog, self.waiting, self.accepted = False, None, 0, [], None
+        self.listening, self.address, self.backlog, self.waiting, self.accepted = (
+            False,
+            None,
+            0,
+            [],
+            None,
+        )
 
     def listen(self, backlog: int) -> None:
         self.listening = True
@@ -184,7 +199,9 @@
 
     def mask(self) -> int:
         over = self.over or self.peer.over
-        return (1 if self.inbox or over else 0) | (4 if over or len(self.peer.inbox) < LETTERS else 0)
+        return (1 if self.inbox or over else 0) | (
+            4 if over or len(self.peer.inbox) < LETTERS else 0
+        )
 
     def shutdown(self, how) -> None:
         self.over = self.peer.over = True
@@ -244,7 +261,8 @@
 
     def ready(self) -> list[tuple[int, int]]:
         fds = self.life.fds
-        found = [(fd, fds[fd].mask() if fd in fds else 32) for fd in sorted(self.masks)]       # 32: not a descriptor
+        # 32: not a descriptor
+        found = [(fd, fds[fd].mask() if fd in fds else 32) for fd in sorted(self.masks)]
         return [(fd, now) for fd, now in found if now & (self.masks[fd] | 8 | 32)]
 
     def poll(self, span: int) -> list[tuple[int, int]]:
@@ -272,10 +290,22 @@
     """A process of `node`'s, and the machine that is handed to it."""
 
     def __init__(self, node, number: int):
-        self.node, self.world, self.name, self.number, self.state = node, node.world, node.name, number, UP
-        self.disk, self.clock, self.wall, self.boot_id, self.fds = node.disk, node.clock, node.wall, "emulated", {}
+        self.node, self.world, self.name, self.number, self.state = (
+            node,
+            node.world,
+            node.name,
+            number,
+            UP,
+        )
+        self.disk, self.clock, self.wall, self.boot_id, self.fds = (
+            node.disk,
+            node.clock,
+            node.wall,
+            "emulated",
+            {},
+        )
         self.process, self.signals, self.steps, self.warm = None, None, 0, False
-        self.kill_at, self.hang_at = None, None    # steps; a hang's with its span
+        self.kill_at, self.hang_at = None, None  # steps; a hang's with its span
         self.wakes, self.woke, self.parked = 0, 0, None
         self.main = greenlet(self._live, parent=node.world.hub)
 
@@ -293,7 +323,11 @@
     def most_fds(self) -> int:
         """What its machine gives it; under a fault that share of it, and no less than a start needs."""
         node = self.node
-        return node.most_fds if node.fds_share >= 1.0 else max(LEAST_FDS, int(node.most_fds * node.fds_share))
+        return (
+            node.most_fds
+            if node.fds_share >= 1.0
+            else max(LEAST_FDS, int(node.most_fds * node.fds_share))
+        )
 
     def give_fd(self, descriptor) -> int:
         """The lowest number that is free, as kernels give."""
@@ -336,13 +370,19 @@
         """As `python -m molehill` does."""
         node, sink = self.node, Sink(self.node)
         config = configuration.check(node.given(), {})
-        node.most_fds = config.sockets + configuration.STANDING + (configuration.FLEET_SOCKETS if config.fleet else 0)
+        node.most_fds = (
+            config.sockets
+            + configuration.STANDING
+            + (configuration.FLEET_SOCKETS if config.fleet else 0)
+        )
         self.signals = Descriptor(self, Signals())
         start = relay.Start(config, self, sink)
         if not start.wait(config, self.signals):
             return
         node.takes_over(self, warm=start.estate is not None)
-        self.process = relay.Process(config, self, sink, lambda before: configuration.check(node.given(), {}), start)
+        self.process = relay.Process(
+            config, self, sink, lambda before: configuration.check(node.given(), {}), start
+        )
         self.process.clients.listen(start.estate and start.estate.listener)
         self.process.begin(self.signals)
         node.ready(self)
@@ -376,8 +416,11 @@
 
     def poke(self, fd: int) -> None:
         """A descriptor of its own may have become ready."""
-        if self.parked is not None and fd in self.polling.masks \
-                and self.fds[fd].mask() & (self.polling.masks[fd] | 8):
+        if (
+            self.parked is not None
+            and fd in self.polling.masks
+            and self.fds[fd].mask() & (self.polling.masks[fd] | 8)
+        ):
             self.wake_at(self.world.now)
 
     def signal(self, number: int) -> None:
@@ -390,13 +433,22 @@
     def step(self, what: str, size: int = 0) -> int:
         """One step at which a kill or a hang may fall; gives how much of a write is done, all but at a kill in its middle."""
         self.steps += 1
-        if self.kill_at is not None and self.steps >= self.kill_at and getcurrent() is not self.world.hub:
+        if (
+            self.kill_at is not None
+            and self.steps >= self.kill_at
+            and getcurrent() is not self.world.hub
+        ):
             part = self.world.chance.randrange(size + 1) if what == "write" else 0
             if part:
-                self.kill_at = self.steps + 1      # the part goes in, and the step after it is the last
+                # the part goes in, and the step after it is the last
+                self.kill_at = self.steps + 1
                 return part
             self.kill()
-        if self.hang_at is not None and self.steps >= self.hang_at[0] and getcurrent() is not self.world.hub:
+        if (
+            self.hang_at is not None
+            and self.steps >= self.hang_at[0]
+            and getcurrent() is not self.world.hub
+        ):
             span, self.hang_at = self.hang_at[1], None
             self.world.after(span, self.goes_on, getcurrent())
             self.node.hangs(self, self.world.now + span)
@@ -419,7 +471,8 @@
     def over(self, how: str) -> None:
         """What the kernel does with a process that is gone."""
         self.state, self.parked, self.kill_at = how, None, None
-        self.node.graves.append(self)              # never resumed, never run by a destructor before the world's end
+        # never resumed, never run by a destructor before the world's end
+        self.node.graves.append(self)
         self.node.lost(self)
         for descriptor in sorted(self.fds.values(), key=lambda d: d.fd):
             let_go(descriptor.file, descriptor, "reset")
@@ -428,13 +481,28 @@
     def sizes(self) -> dict[str, int]:
         """How many rows each map of the relay has that has to be empty again once nothing is held."""
         core, http = self.process.core, self.process
-        counted = http.budget.total() + 2          # the socket of signals and the lock are not in the budget
+        # the socket of signals and the lock are not in the budget
+        counted = http.budget.total() + 2
         if http.handover_server is not None:
-            counted += 2                           # nor are the operators' door and the meeting place
+            # nor are the operators' door and the meeting place
+            counted += 2
         if http.membership is not None:
             counted += http.membership.descriptors()
-        return {"held": len(core.held), "calls": len(core.calls), "parked": len(core.parked), "owed_keys": len(core.owed_keys),
-                "used": core.used, "open": core.open, "module held": len(core.module.held), "streams": len(http.hosts.streams),
-                "notices": len(http.notices.waiting), "aborted": len(http.hosts.aborted),
-                "descriptors not counted": len(self.fds) - counted, "idle clients not open":
-                sum(conn not in http.clients.conns for rows in http.clients.idle.values() for conn in rows)}
+        return {
+            "held": len(core.held),
+            "calls": len(core.calls),
+            "parked": len(core.parked),
+            "owed_keys": len(core.owed_keys),
+            "used": core.used,
+            "open": core.open,
+            "module held": len(core.module.held),
+            "streams": len(http.hosts.streams),
+            "notices": len(http.notices.waiting),
+            "aborted": len(http.hosts.aborted),
+            "descriptors not counted": len(self.fds) - counted,
+            "idle clients not open": sum(
+                conn not in http.clients.conns
+                for rows in http.clients.idle.values()
+                for conn in rows
+            ),
+        }
--- a/molehill/emulator/mutations.py
+++ b/molehill/emulator/mutations.py
@@ -2,6 +2,7 @@
 
 Used by the sweep's own measurement and by tests only; `mutated(name)` puts one in and takes it out again.
 """
+
 from contextlib import contextmanager
 
 from molehill import config, log_clock, startup, store
@@ -19,11 +20,13 @@
 
 def answer_before_log(before):
     """What is taken on is written a little after it was answered."""
+
     def carry(self, effects):
         taken = [e for e in effects if type(e) is ev.Append and e.record["k"] == "taken"]
         before(self, [e for e in effects if e not in taken])
         if taken:
             self.scheduler.at(self.clock() + 3 * config.MS, lambda: before(self, taken))
+
     return carry
 
 
@@ -32,16 +35,23 @@
         def log(self, what, body=b"", **fields):
             if what != kind:
                 before(self, what, body, **fields)
+
         return log
+
     return change
 
 
 def not_loaded(kind):
-    return lambda before: lambda self, record, body: None if record["k"] == kind else before(self, record, body)
+    return (
+        lambda before: lambda self, record, body: None
+        if record["k"] == kind
+        else before(self, record, body)
+    )
 
 
 def settings_with(**changes):
     """The module's settings read wrong: `changes` by a category's field."""
+
     def change(before):
         def read(given, prefix=""):
             made = before(given, prefix)
@@ -49,7 +59,9 @@
                 for field, by in changes.items():
                     setattr(row, field, by(getattr(row, field)))
             return made
+
         return read
+
     return change
 
 
@@ -58,6 +70,7 @@
         made = before(given, prefix)
         made.kinds = [it.Kind(True, kind.per_call) for kind in made.kinds]
         return made
+
     return read
 
 
@@ -70,11 +83,13 @@
             return count
         finally:
             self.disk.truncate = truncate
+
     return replay
 
 
 def kept_after_time_out(before):
     """The connection of a call that timed out is used again: its late answer is taken for the next call's."""
+
     def useless(self, call, stream, start, end, came):
         if end.result is not it.Result.TIMEOUT:
             return before(self, call, stream, start, end, came)
@@ -85,6 +100,7 @@
             stream.close = close
         stream.idle_since = self.clock()
         self.idle.setdefault(call.host, []).append(stream)
+
     return useless
 
 
@@ -99,6 +115,7 @@
             before(self, batch, until)
         except Exception:
             self.line.close()
+
     return send
 
 
@@ -109,11 +126,14 @@
         except OSError:
             return False
         return True
+
     return write
 
 
 def rewritten_without_owed(before):
-    return lambda self: (row for row in before(self) if row[0].get("k") != "taken" or row[0].get("launches", 0) == 0)
+    return lambda self: (
+        row for row in before(self) if row[0].get("k") != "taken" or row[0].get("launches", 0) == 0
+    )
 
 
 def late_by(span):
@@ -122,7 +142,9 @@
             made = before(self, headers, body)
             made.due += span
             return made
+
         return fresh
+
     return change
 
 
@@ -131,28 +153,34 @@
         before(self, h, good, sent, result)
         if self.h_state[h] == RAMP:
             self.h_state[h], self.h_next[h] = OPEN, self.now
+
     return health
 
 
 def logged_as_asked_for(before):
     """A launch is in the log before its connection is up."""
+
     def go(self, out):
         before(self, out)
         if out.number in self.calls:
             self._log_launch(out)
+
     return go
 
 
 def taken_for_new(before):
     """What a restart takes up is told to the module as if it came just now."""
+
     def hand_over(self, c):
         before(self, c)
         self.inbox[-1].taken = False
+
     return hand_over
 
 
 def accepts_without_a_wait(before):
     """An error of accept(2) is met by the next try at once."""
+
     def accept(self):
         while self.listener is not None:
             if self.held_back or not self.budget.take("client", config.OUTGOING):
@@ -168,12 +196,14 @@
                 self.budget.give("client")
                 continue
             self.open(sock)
+
     return accept
 
 
 def wall_time(before):
     def find(lines, machine):
         return log_clock.LogClock(machine.wall() - machine.clock(), log_clock.Base.FIRST)
+
     return find
 
 
@@ -181,16 +211,23 @@
     def settle_end(self):
         self.tail = 0
         return True
+
     return settle_end
 
 
 # name -> (where it is put, the attribute, what makes the wrong one of the right one), or several such for one mistake
 MUTATIONS = {
-    "log written on behind a torn record": ((Store, "settle_end", end_taken_for_whole),
-                                            (store, "next_record", lambda before: lambda data, start: len(data))),
+    "log written on behind a torn record": (
+        (Store, "settle_end", end_taken_for_whole),
+        (store, "next_record", lambda before: lambda data, start: len(data)),
+    ),
     "log's times are wall time": (log_clock, "find", wall_time),
     "accept goes on without a wait": (clients.Clients, "accept", accepts_without_a_wait),
-    "a start opens its log once": (startup.Start, "try_log", lambda before: lambda self: (self.open_log(), True)[1]),
+    "a start opens its log once": (
+        startup.Start,
+        "try_log",
+        lambda before: lambda self: (self.open_log(), True)[1],
+    ),
     "answered before it is logged": (Engine, "carry", answer_before_log),
     "launch not logged": (Core, "_log", without_record("launch")),
     "end not logged": (Core, "_log", without_record("end")),
@@ -198,17 +235,43 @@
     "torn tail accepted": (Store, "replay", tail_accepted),
     "short write taken for whole": (Store, "_write", written_once),
     "rewrite forgets what was launched": (Core, "snapshot", rewritten_without_owed),
-    "ticket window off by a tenth": (config, "settings", settings_with(window=lambda w: w * 11 // 10)),
-    "ticket window off by a quarter": (config, "settings", settings_with(window=lambda w: w * 5 // 4)),
-    "ticket's zone not heeded": (config, "settings", settings_with(all_hosts=lambda _: True, same_zone=lambda _: False)),
-    "exclusive taken for rerunnable": (config, "settings", settings_with(
-        effect=lambda e: it.Effect.IDEMPOTENT if e is it.Effect.AT_MOST_ONCE else e)),
+    "ticket window off by a tenth": (
+        config,
+        "settings",
+        settings_with(window=lambda w: w * 11 // 10),
+    ),
+    "ticket window off by a quarter": (
+        config,
+        "settings",
+        settings_with(window=lambda w: w * 5 // 4),
+    ),
+    "ticket's zone not heeded": (
+        config,
+        "settings",
+        settings_with(all_hosts=lambda _: True, same_zone=lambda _: False),
+    ),
+    "exclusive taken for rerunnable": (
+        config,
+        "settings",
+        settings_with(effect=lambda e: it.Effect.IDEMPOTENT if e is it.Effect.AT_MOST_ONCE else e),
+    ),
     "order of keys not kept": (config, "settings", settings_with(ordered=lambda _: False)),
     "key's rest forgotten": (Relay, "_settle", lambda before: lambda self, key, until: None),
-    "key's rest forgotten after a restart": (Core, "_hand_over", lambda before: lambda self, c: (
-        self.rests.clear(), before(self, c))[1]),
-    "reset counts as never run": (it.Result, "may_have_run", lambda before: property(lambda self: self is it.Result.ERROR)),
-    "drain not heeded": (discovery, "CONDITIONS", lambda before: {**before, "leaving": it.Condition.UP}),
+    "key's rest forgotten after a restart": (
+        Core,
+        "_hand_over",
+        lambda before: lambda self, c: (self.rests.clear(), before(self, c))[1],
+    ),
+    "reset counts as never run": (
+        it.Result,
+        "may_have_run",
+        lambda before: property(lambda self: self is it.Result.ERROR),
+    ),
+    "drain not heeded": (
+        discovery,
+        "CONDITIONS",
+        lambda before: {**before, "leaving": it.Condition.UP},
+    ),
     "told wait not read": (hosts, "retry_after", lambda before: lambda head: 0),
     "wait heeded by host, not by destination": (config, "settings", routes_apart),
     "late answer ends another callback": (hosts.Hosts, "_useless", kept_after_time_out),
@@ -216,21 +279,57 @@
     "notice sent once only": (notices.Notices, "_post", never_resent),
     "deadline read a second late": (clients.Clients, "fresh", late_by(config.SECOND)),
     "returning host fed without a budget": (Relay, "_health", full_at_once),
-    "streams never forgotten": (hosts.Hosts, "_call", lambda before: lambda self, call: (
-        before(self, call), self.streams.__setitem__(call.number, None))[0]),
-    "ids with other contents taken for the same": (ev.Fresh, "contents", lambda before: lambda self: b"same"),
+    "streams never forgotten": (
+        hosts.Hosts,
+        "_call",
+        lambda before: lambda self, call: (
+            before(self, call),
+            self.streams.__setitem__(call.number, None),
+        )[0],
+    ),
+    "ids with other contents taken for the same": (
+        ev.Fresh,
+        "contents",
+        lambda before: lambda self: b"same",
+    ),
     "time not counted over a standstill": (clients, "STOOD_MOST", lambda before: 0),
-    "new notice waits for others' rest": (notices.Notices, "_wake", lambda before: lambda self: None),
+    "new notice waits for others' rest": (
+        notices.Notices,
+        "_wake",
+        lambda before: lambda self: None,
+    ),
     "launch logged while its connection comes up": (Core, "_go", logged_as_asked_for),
     "what a restart finds taken for new": (Core, "_hand_over", taken_for_new),
-    "a connection that came up late is written on": (hosts.Hosts, "_may_go", lambda before: lambda self, call, start: True),
-    "a call behind a connection in doubt is launched anew": (it.Result, "may_have_run", lambda before: property(
-        lambda self: self is not it.Result.RESET and before.fget(self))),
-    "a connection closed over what lies unread": (clients, "finish", lambda before: lambda stream, span, most: None),
-    "a whole list waited for as long as a watch": (discovery, "WHOLE_WITHIN", lambda before: discovery.HOLD + discovery.ANSWER_WITHIN),
-    "ids lately over forgotten by a rewrite": (Core, "snapshot", lambda before: lambda self: (
-        row for row in before(self) if row[0].get("k") != "done")),
-    "idle clients never ended": (clients.Clients, "crowded", lambda before: lambda self, conn: False),
+    "a connection that came up late is written on": (
+        hosts.Hosts,
+        "_may_go",
+        lambda before: lambda self, call, start: True,
+    ),
+    "a call behind a connection in doubt is launched anew": (
+        it.Result,
+        "may_have_run",
+        lambda before: property(lambda self: self is not it.Result.RESET and before.fget(self)),
+    ),
+    "a connection closed over what lies unread": (
+        clients,
+        "finish",
+        lambda before: lambda stream, span, most: None,
+    ),
+    "a whole list waited for as long as a watch": (
+        discovery,
+        "WHOLE_WITHIN",
+        lambda before: discovery.HOLD + discovery.ANSWER_WITHIN,
+    ),
+    "ids lately over forgotten by a rewrite": (
+        Core,
+        "snapshot",
+        lambda before: lambda self: (row for row in before(self) if row[0].get("k") != "done"),
+    ),
+    "idle clients never ended": (
+        clients.Clients,
+        "crowded",
+        lambda before: lambda self, conn: False,
+    ),
 }
 
 
--- a/molehill/emulator/network.py
+++ b/molehill/emulator/network.py
@@ -4,6 +4,7 @@
 silent peers, connections that never come up, latencies of their own, so that connections overtake each other but bytes of one
 never do. A relay's side has the calls of `socket.socket` that it uses; a party's side has `put`, `close` and callbacks.
 """
+
 import errno
 import select
 import socket
@@ -11,11 +12,18 @@
 
 from molehill.config import SECOND
 
-BUFFER = 64 * 1024                     # bytes under way and unread in one direction: as kernels keep, in the small
-OVERTAKEN = 50_000_000                 # ns by which a datagram that others overtake is late at most
-LETTERS = 256                          # datagrams that a socket takes in unread, about what kernels do with small ones
-RETRY = (SECOND, 3 * SECOND, 7 * SECOND)       # when a connection that had no answer is asked for again, as kernels do
-ERRORS = {errno.ECONNREFUSED: ConnectionRefusedError, errno.ECONNRESET: ConnectionResetError, errno.EPIPE: BrokenPipeError}
+# bytes under way and unread in one direction: as kernels keep, in the small
+BUFFER = 64 * 1024
+OVERTAKEN = 50_000_000  # ns by which a datagram that others overtake is late at most
+# datagrams that a socket takes in unread, about what kernels do with small ones
+LETTERS = 256
+# when a connection that had no answer is asked for again, as kernels do
+RETRY = (SECOND, 3 * SECOND, 7 * SECOND)
+ERRORS = {
+    errno.ECONNREFUSED: ConnectionRefusedError,
+    errno.ECONNRESET: ConnectionResetError,
+    errno.EPIPE: BrokenPipeError,
+}
 
 
 class Machine:
@@ -24,8 +32,8 @@
     def __init__(self, world, name: str):
         self.world, self.name, self.cut, self.boots = world, name, False, 0
         self.listeners, self.socks = {}, set()
-        self.knocked = set()           # names of machines that found nobody here
-        self.make_sock = Sock          # what a connection that comes here becomes
+        self.knocked = set()  # names of machines that found nobody here
+        self.make_sock = Sock  # what a connection that comes here becomes
 
     def vanish(self) -> None:
         """Says nothing from now on; its connections stay open at the others."""
@@ -51,7 +59,14 @@
     """
 
     def __init__(self, world):
-        self.world, self.until, self.delay, self.rate, self.free, self.touched = world, 0, 0, 0, 0, 0
+        self.world, self.until, self.delay, self.rate, self.free, self.touched = (
+            world,
+            0,
+            0,
+            0,
+            0,
+            0,
+        )
         self.bursts, self.lose, self.repeat, self.reorder, self.spoil_bytes = 0, 0.0, 0.0, 0.0, 0.0
 
     def letters(self, when: int, data: bytes) -> list:
@@ -62,7 +77,9 @@
             return []
         if self.spoil_bytes and data and chance.random() < self.spoil_bytes:
             place = chance.randrange(len(data))
-            data = data[:place] + bytes([data[place] ^ chance.randrange(1, 256)]) + data[place + 1:]
+            data = (
+                data[:place] + bytes([data[place] ^ chance.randrange(1, 256)]) + data[place + 1 :]
+            )
             self.touched += 1
         times = 1
         if self.repeat and chance.random() < self.repeat:
@@ -89,9 +106,11 @@
         that the kernel takes or gives only a part of."""
         self.world, self.latency, self.pieces, self.numbers = world, latency, pieces, 0
         self.machines: dict[str, Machine] = {}
-        self.where: dict[tuple, Machine] = {}          # address -> the machine that has it
-        self.boxes: dict[tuple, Datagrams] = {}          # address -> the datagram socket that has it
-        self.ways: dict[tuple, Way] = {}               # (from, to) -> what troubles that way; absent: nothing ever did
+        self.where: dict[tuple, Machine] = {}  # address -> the machine that has it
+        # address -> the datagram socket that has it
+        self.boxes: dict[tuple, Datagrams] = {}
+        # (from, to) -> what troubles that way; absent: nothing ever did
+        self.ways: dict[tuple, Way] = {}
 
     def machine(self, name: str) -> Machine:
         return self.machines.setdefault(name, Machine(self.world, name))
@@ -115,7 +134,9 @@
     def some(self, count: int) -> int:
         """How much of `count` bytes one call moves."""
         chance = self.world.chance
-        return chance.randrange(1, count + 1) if count > 1 and chance.random() < self.pieces else count
+        return (
+            chance.randrange(1, count + 1) if count > 1 and chance.random() < self.pieces else count
+        )
 
     def connect(self, machine, address, came=None, ended=None, broke=None, up=None) -> "Sock":
         """A party's connection; callbacks as of Sock."""
@@ -137,7 +158,12 @@
     """What sockets and listeners share."""
 
     def __init__(self, network, machine):
-        self.network, self.world, self.machine, self.number = network, network.world, machine, network.number()
+        self.network, self.world, self.machine, self.number = (
+            network,
+            network.world,
+            machine,
+            network.number(),
+        )
         self.closed = False
 
     def setblocking(self, flag) -> None:
@@ -193,7 +219,7 @@
         if not self.closed:
             if self.machine.listeners.get(self.address) is self:
                 del self.machine.listeners[self.address]
-            for sock in self.waiting:              # as kernels do with what nobody accepted
+            for sock in self.waiting:  # as kernels do with what nobody accepted
                 sock.reset()
             self.waiting = []
             self.forget()
@@ -220,9 +246,13 @@
         network, address = self.network, tuple(address)
         there = network.boxes.get(address)
         due = self.world.now + self.world.chance.randrange(*network.latency)
-        way = network.ways.get((self.machine.name, there.machine.name)) if there is not None else None
+        way = (
+            network.ways.get((self.machine.name, there.machine.name)) if there is not None else None
+        )
         if not self.machine.cut:
-            for when, copy in way.letters(due, bytes(data)) if way is not None else ((due, bytes(data)),):
+            for when, copy in (
+                way.letters(due, bytes(data)) if way is not None else ((due, bytes(data)),)
+            ):
                 self.world.at(when, network.delivers, address, copy, self.address)
         return len(data)
 
@@ -262,9 +292,17 @@
 
     def __init__(self, network, machine):
         super().__init__(network, machine)
-        self.state, self.peer, self.boots, self.error, self.eof, self.shut = FRESH, None, machine.boots, None, False, False
+        self.state, self.peer, self.boots, self.error, self.eof, self.shut = (
+            FRESH,
+            None,
+            machine.boots,
+            None,
+            False,
+            False,
+        )
         self.inbox, self.flying, self.delay, self.last = bytearray(), 0, 0, 0
-        self.outbox, self.ending = bytearray(), False          # a party's: what waits for room; closes after it
+        # a party's: what waits for room; closes after it
+        self.outbox, self.ending = bytearray(), False
         self.on_came = self.on_ended = self.on_broke = self.on_up = None
         machine.socks.add(self)
 
@@ -287,11 +325,13 @@
         there = self.network.where.get(address)
         way = self.network.ways.get((self.machine.name, there.name)) if there is not None else None
         if way is not None and way.until > self.world.now:
-            way.touched += 1               # the wish is lost; the kernel repeats it
+            way.touched += 1  # the wish is lost; the kernel repeats it
         elif not self.closed and not self.machine.cut:
             self.world.after(self.delay, self._asked, address)
         if tries < len(RETRY):
-            self.world.after(RETRY[tries] - (RETRY[tries - 1] if tries else 0), self._again, address, tries + 1)
+            self.world.after(
+                RETRY[tries] - (RETRY[tries - 1] if tries else 0), self._again, address, tries + 1
+            )
 
     def _again(self, address, tries: int) -> None:
         if self.state is DIALLING and not self.closed:
@@ -318,7 +358,7 @@
             due = self.world.now + self.delay
             self.world.at(way.arrival(due, 0) if way is not None else due, self._up)
         else:
-            other.forget()                 # no room in its backlog: it says nothing
+            other.forget()  # no room in its backlog: it says nothing
             self.peer = None
 
     def _up(self) -> None:
@@ -385,7 +425,7 @@
         return False
 
     def _land(self, data: bytes, sent_at: int) -> None:
-        if self.machine.cut:               # never acknowledged: it stays in the sender's buffer
+        if self.machine.cut:  # never acknowledged: it stays in the sender's buffer
             return
         self.peer.flying -= len(data)
         if self._gone():
@@ -405,8 +445,13 @@
                 self.on_ended(self)
 
     def _reset(self) -> None:
-        if not self.closed and not self.machine.cut and self.boots == self.machine.boots and not self.error:
-            self.error = errno.ECONNRESET      # what came before it can still be read
+        if (
+            not self.closed
+            and not self.machine.cut
+            and self.boots == self.machine.boots
+            and not self.error
+        ):
+            self.error = errno.ECONNRESET  # what came before it can still be read
             self._broken()
 
     def _broken(self) -> None:
@@ -423,9 +468,11 @@
     def recv(self, count: int, flags: int = 0) -> bytes:
         if self.inbox:
             peek = flags & socket.MSG_PEEK
-            data = bytes(self.inbox[:count if peek else self.network.some(min(count, len(self.inbox)))])
+            data = bytes(
+                self.inbox[: count if peek else self.network.some(min(count, len(self.inbox)))]
+            )
             if not peek:
-                del self.inbox[:len(data)]
+                del self.inbox[: len(data)]
                 self.world.after(self.delay, self.peer._drained)
             return data
         self._check()
@@ -435,7 +482,7 @@
 
     def recv_into(self, space) -> int:
         data = self.recv(len(space))
-        space[:len(data)] = data
+        space[: len(data)] = data
         return len(data)
 
     def mask(self) -> int:
@@ -443,7 +490,9 @@
             return select.POLLIN | select.POLLOUT | select.POLLERR
         if self.state is not OPEN:
             return 0
-        return (select.POLLIN if self.inbox or self.eof else 0) | (select.POLLOUT if self.room() > 0 else 0)
+        return (select.POLLIN if self.inbox or self.eof else 0) | (
+            select.POLLOUT if self.room() > 0 else 0
+        )
 
     # Ends
 
@@ -457,7 +506,7 @@
         if self.closed:
             return
         if self.state is OPEN and not self.error and not self.machine.cut:
-            if self.inbox:                 # as kernels do: what was not read is told to the sender
+            if self.inbox:  # as kernels do: what was not read is told to the sender
                 self._order(self.peer._reset)
             elif not self.shut:
                 self._order(self.peer._ends)
@@ -486,4 +535,3 @@
             del self.outbox[:count]
         if self.ending and not self.outbox:
             self.close()
-
--- a/molehill/emulator/node.py
+++ b/molehill/emulator/node.py
@@ -3,12 +3,13 @@
 The relay's own code runs unchanged in greenlets (`life.py`), one a process; a poller gives the clock back to the world. A killed
 one is never resumed: whatever it was in the middle of stays undone. Two at once are an upgrade; from outside they are one relay.
 """
+
 from molehill.config import MS
 from molehill.emulator.disk import Disk
 from molehill.emulator.life import UP, Descriptor, Life, Lock, Meeting, TaskSock
 
 SIGTERM, SIGHUP = 15, 1
-SOON = 5 * MS                          # by then a process has read what another said before its end
+SOON = 5 * MS  # by then a process has read what another said before its end
 
 
 class Node:
@@ -18,12 +19,14 @@
         self.world, self.network, self.name, self.given = world, network, name, given
         self.place, self.disk, self.lines = network.machine(name), Disk(world, disk_most), []
         self.disk.step, self.disk.lock = self.step, self.lock
-        self.life, self.lives, self.owner, self.acting = 0, [], None, None     # lives: those that are up
+        # lives: those that are up
+        self.life, self.lives, self.owner, self.acting = 0, [], None, None
         self.most_fds, self.fds_share, self.frozen_until, self.graves = 1 << 30, 1.0, 0, []
         self.locked, self.meeting = Lock(), Meeting()
-        self.wall_step = 0             # nanoseconds by which its wall clock is off
-        self.on_kill = []              # each is told (node) when the relay is gone, with the disk as it was left
-        self.on_ready = []             # each is told (node, life) when a process can serve
+        self.wall_step = 0  # nanoseconds by which its wall clock is off
+        # each is told (node) when the relay is gone, with the disk as it was left
+        self.on_kill = []
+        self.on_ready = []  # each is told (node, life) when a process can serve
         self.place.make_sock = TaskSock
 
     @property
@@ -124,7 +127,9 @@
             self.gone(self.owner)
 
     def gone(self, life) -> None:
-        self.world.tell(self.name, life.state if life.state is not UP else "killed", life=life.number)
+        self.world.tell(
+            self.name, life.state if life.state is not UP else "killed", life=life.number
+        )
         self.tell_gone()
 
     def tell_gone(self) -> None:
--- a/molehill/emulator/parties/endpoint.py
+++ b/molehill/emulator/parties/endpoint.py
@@ -3,14 +3,24 @@
 Modes: well; silent (reads, says nothing); erring (500); refusing (503); shut (429, told to wait till it opens); slow; spoilt (answers noise); dead (process gone);
 vanished (machine gone). The manner of an outage is `Endpoint.MODES`, a row a mode.
 """
+
 from collections import deque
 
 from molehill.config import MS, SECOND
 from molehill.emulator.parties.wire import Messages, answer
 
 # mode -> (its calls count as failing for those who saw them, what it does with a call)
-MODES = {"well": (False, "serve"), "slow": (False, "serve"), "silent": (True, "nothing"), "erring": (True, "error"),
-         "refusing": (True, "refuse"), "shut": (True, "shut"), "spoilt": (True, "noise"), "dead": (True, "nothing"), "vanished": (True, "nothing")}
+MODES = {
+    "well": (False, "serve"),
+    "slow": (False, "serve"),
+    "silent": (True, "nothing"),
+    "erring": (True, "error"),
+    "refusing": (True, "refuse"),
+    "shut": (True, "shut"),
+    "spoilt": (True, "noise"),
+    "dead": (True, "nothing"),
+    "vanished": (True, "nothing"),
+}
 # The brief's figures for rule 4: how long it is cold after an outage; the share of its calls a second that it can do when
 # cold; it falls over if asked for more than PUSHED times what it can do, for so long.
 RAMP, COLD, PUSHED, FALL_SPAN = 10 * SECOND, 0.17, 2.0, 1500 * MS
@@ -18,26 +28,35 @@
 # that is few, the other pair.
 FEW = 30
 SLACK, SLACK_OF_FEW = (2.0, 2), (3.0, 3)
-OUTAGE = 5 * SECOND                    # an outage is one that lasted so long: the shortest of the bench's that leave one cold
+# an outage is one that lasted so long: the shortest of the bench's that leave one cold
+OUTAGE = 5 * SECOND
 
 
 def slow_start_budget(calls: float) -> float:
     """Calls that a returning host bears in FALL_SPAN, `calls` being what it can do in it by the settings."""
     roots, more = SLACK_OF_FEW if calls < FEW else SLACK
-    return calls + roots * calls ** 0.5 + more
+    return calls + roots * calls**0.5 + more
 
 
 class Endpoint:
     """`plan`: destination, zone, kind, span (ns for a call), slots, queue, rate (calls a second; 0: none), apart, per_call."""
 
     def __init__(self, world, network, name: str, address, plan):
-        self.world, self.network, self.name, self.address, self.plan = world, network, name, address, plan
+        self.world, self.network, self.name, self.address, self.plan = (
+            world,
+            network,
+            name,
+            address,
+            plan,
+        )
         self.place, self.mode, self.slowness, self.opens = network.machine(name), "well", 1, 0
         self.busy, self.queue, self.serial, self.draining = 0, deque(), 0, False
         self.recent, self.down_since, self.up_since, self.seen_failing = deque(), None, None, set()
-        self.begun, self.spends, self.usual = deque(), False, plan.rate    # spends: calls that are refused use its limit up too
+        # spends: calls that are refused use its limit up too
+        self.begun, self.spends, self.usual = deque(), False, plan.rate
         self.conns, self.listener = {}, None
-        self.most_fed = 0.0                    # greatest share of its budget that it was given after a return
+        # greatest share of its budget that it was given after a return
+        self.most_fed = 0.0
         self.open()
 
     def open(self) -> None:
@@ -97,16 +116,28 @@
             while body:
                 line, _, rest = body.partition(b"\r\n")
                 ident, mark, length = line.decode().split(" ")
-                ids.append((ident, None if mark == "-" else mark, rest[:int(length)]))
-                body = rest[int(length) + 2:]
+                ids.append((ident, None if mark == "-" else mark, rest[: int(length)]))
+                body = rest[int(length) + 2 :]
         else:
             ids = [(headers["req-id"], headers.get("idempotency-key"), body)]
         self.serial += 1
         number = f"{self.name}/{self.serial}"
         relay = sock.peer.machine.name
-        self.world.tell(self.name, "call", call=number, relay=relay, conn=sock.number, ids=[i for i, _, _ in ids], since=since,
-                        marks=[m for _, m, _ in ids], bodies=[hash_of(b) for _, _, b in ids], host=self.name,
-                        destination=self.plan.destination, zone=self.plan.zone, patience=headers.get("req-deadline-ms"))
+        self.world.tell(
+            self.name,
+            "call",
+            call=number,
+            relay=relay,
+            conn=sock.number,
+            ids=[i for i, _, _ in ids],
+            since=since,
+            marks=[m for _, m, _ in ids],
+            bodies=[hash_of(b) for _, _, b in ids],
+            host=self.name,
+            destination=self.plan.destination,
+            zone=self.plan.zone,
+            patience=headers.get("req-deadline-ms"),
+        )
         self.pushed(relay)
         failing, what = MODES[self.mode]
         if failing:
@@ -143,9 +174,13 @@
         known = sum(who in self.seen_failing or who in self.place.knocked for who in counted)
         if len(counted) > self.most_fed * budget:
             self.most_fed = len(counted) / budget
-            self.world.tell(self.name, "slow start", calls=len(counted), known=known, budget=round(budget, 3))
+            self.world.tell(
+                self.name, "slow start", calls=len(counted), known=known, budget=round(budget, 3)
+            )
         if len(counted) > budget:
-            self.world.tell(self.name, "fell over", calls=len(counted), known=known, able=round(able, 3))
+            self.world.tell(
+                self.name, "fell over", calls=len(counted), known=known, able=round(able, 3)
+            )
             self.became("erring")
 
     def able(self) -> float:
@@ -155,7 +190,10 @@
     def lowers(self, share: float) -> None:
         """Its limit becomes that share of its usual one, or of what it can do if it tells none; refusals spend it. 1.0: as usual."""
         lower = share < 1.0
-        self.plan.rate, self.spends = max(1, int((self.usual or self.able()) * share)) if lower else self.usual, lower
+        self.plan.rate, self.spends = (
+            max(1, int((self.usual or self.able()) * share)) if lower else self.usual,
+            lower,
+        )
 
     def take(self, call) -> None:
         now = self.world.now
@@ -204,14 +242,23 @@
             return
         headers = [("Retry-After", f"{wait / SECOND:.3f}")] if wait else []
         if self.plan.rate:
-            left = max(0.0, 1 - sum(at > self.world.now - SECOND for at in self.recent) / self.plan.rate)
+            left = max(
+                0.0, 1 - sum(at > self.world.now - SECOND for at in self.recent) / self.plan.rate
+            )
             headers.append(("Srv-Load", f"x0={left:.2f},x1={self.plan.rate}"))
         body = b""
         if bundle and status == 200:
             body = "".join(f"{ident} delivered\r\n" for ident, _, _ in ids).encode()
         # The told wait as the header gives it: to a millisecond.
         told = int(round(wait / SECOND, 3) * SECOND) if wait else 0
-        self.world.tell(self.name, "call answered", call=number, status=status, wait=told, ids=[i for i, _, _ in ids])
+        self.world.tell(
+            self.name,
+            "call answered",
+            call=number,
+            status=status,
+            wait=told,
+            ids=[i for i, _, _ in ids],
+        )
         sock.put(answer(status, headers, body))
 
     def noise(self, sock, number) -> None:
--- a/molehill/emulator/parties/platform.py
+++ b/molehill/emulator/parties/platform.py
@@ -3,6 +3,7 @@
 Faults: it lags (news reach the list so much later), is down (watches end, calls fail, notices are still answered), or loses
 the answer to a notice that it has taken.
 """
+
 import json
 
 from molehill.config import MS
@@ -13,11 +14,13 @@
     def __init__(self, world, network, address):
         self.world, self.network, self.address = world, network, address
         self.place, self.conns, self.watches = network.machine("platform"), {}, {}
-        self.version, self.rows, self.changed = 1, {}, {}      # changed: host -> version of its last change
+        # changed: host -> version of its last change
+        self.version, self.rows, self.changed = 1, {}, {}
         self.lag, self.down, self.lose_answers = 0, False, 0.0
         self.listener = network.serve(self.place, address, self.accepted)
 
-    CLOSES = 1500 * MS                 # the old address accepts nothing new, and ends what is open after so long
+    # the old address accepts nothing new, and ends what is open after so long
+    CLOSES = 1500 * MS
 
     def move(self) -> None:
         """Serves at another address from now on."""
@@ -45,15 +48,29 @@
             self._news(sock)
 
     def row(self, host, status: str) -> dict:
-        return {"name": host.name, "address": host.address, "zone": host.plan.zone, "type": host.plan.kind,
-                "group": host.plan.destination, "status": status, "weight": 1.0, "since_ms": 0}
+        return {
+            "name": host.name,
+            "address": host.address,
+            "zone": host.plan.zone,
+            "type": host.plan.kind,
+            "group": host.plan.destination,
+            "status": status,
+            "weight": 1.0,
+            "since_ms": 0,
+        }
 
     def known(self, relay: str) -> dict:
         return {"index": self.version, "snapshot": True, "endpoints": self.told(relay, self.rows)}
 
     def told(self, relay: str, names) -> list[dict]:
         """Rows of the list as that relay is told them."""
-        return [{**self.rows[name], "address": "%s:%d" % self.network.seen_by(relay, self.rows[name]["address"], name)} for name in names]
+        return [
+            {
+                **self.rows[name],
+                "address": "%s:%d" % self.network.seen_by(relay, self.rows[name]["address"], name),
+            }
+            for name in names
+        ]
 
     def goes(self, down: bool) -> None:
         self.down = down
@@ -91,7 +108,14 @@
         relay = sock.peer.machine.name
         for line in body.decode().splitlines():
             row = json.loads(line)
-            self.world.tell("platform", "notice", id=row["ref"], result=row["result"], wait=row.get("wait_ms", 0), relay=relay)
+            self.world.tell(
+                "platform",
+                "notice",
+                id=row["ref"],
+                result=row["result"],
+                wait=row.get("wait_ms", 0),
+                relay=relay,
+            )
         if self.world.chance.random() < self.lose_answers:
             sock.reset()
             self.conns.pop(sock, None)
--- a/molehill/emulator/parties/programs.py
+++ b/molehill/emulator/parties/programs.py
@@ -2,15 +2,17 @@
 
 All programs' connections to one relay have one allowance, as real fleets have; those that stand idle count.
 """
+
 from collections import deque
 
 from molehill.config import MS, SECOND
 from molehill.emulator.parties.wire import Messages, request
 
-PATIENCE = 400 * MS                    # a client waits so long for its answer: the protocol's figure
-NOTICED = 2 * SECOND                   # the front deals out a dead relay for so long
-KEEPS = 20 * SECOND                    # an idle connection of a program that goes on
-ONCE_KEEPS = 60 * SECOND               # one that was asked on once, by those who ask once and stay
+# a client waits so long for its answer: the protocol's figure
+PATIENCE = 400 * MS
+NOTICED = 2 * SECOND  # the front deals out a dead relay for so long
+KEEPS = 20 * SECOND  # an idle connection of a program that goes on
+ONCE_KEEPS = 60 * SECOND  # one that was asked on once, by those who ask once and stay
 
 
 class Front:
@@ -42,19 +44,47 @@
 
 class Message:
     """One callback from its program's view; handed in anew under a new id as long as that is of use."""
-    __slots__ = ("number", "category", "key", "destination", "due", "mark", "body", "tries", "born", "again", "relay")
+
+    __slots__ = (
+        "number",
+        "category",
+        "key",
+        "destination",
+        "due",
+        "mark",
+        "body",
+        "tries",
+        "born",
+        "again",
+        "relay",
+    )
 
     def __init__(self, number, category, key, destination, due, mark, body, born):
-        self.number, self.category, self.key, self.destination, self.due = number, category, key, destination, due
+        self.number, self.category, self.key, self.destination, self.due = (
+            number,
+            category,
+            key,
+            destination,
+            due,
+        )
         self.mark, self.body, self.tries, self.born = mark, body, 0, born
-        self.again, self.relay = None, None    # the id that was sent once more after a kept connection's end; where to
+        # the id that was sent once more after a kept connection's end; where to
+        self.again, self.relay = None, None
 
 
 class Conn:
     def __init__(self, program, relay: str, address):
-        self.program, self.relay, self.reader, self.ask, self.serial = program, relay, Messages(), None, 0
+        self.program, self.relay, self.reader, self.ask, self.serial = (
+            program,
+            relay,
+            Messages(),
+            None,
+            0,
+        )
         program.front.count(relay, 1)
-        self.sock = program.network.connect(program.place, address, self.came, self.over, self.over, self.up)
+        self.sock = program.network.connect(
+            program.place, address, self.came, self.over, self.over, self.up
+        )
 
     def up(self, sock) -> None:
         if self.ask is not None:
@@ -81,11 +111,23 @@
     heeds (advice), once (asks once on a connection and keeps it), leaves (share given up before the answer)."""
 
     def __init__(self, world, network, front, name: str, addresses, plan):
-        self.world, self.network, self.front, self.name, self.addresses, self.plan = \
-            world, network, front, name, addresses, plan
-        self.place, self.idle, self.serial = network.machine(name), {relay: [] for relay in addresses}, 0
-        self.waiting: dict[str, deque] = {}            # key -> its messages, the first being handed in
-        self.overheard = None                          # told (id, relay, message) of each request, as a stranger may be
+        self.world, self.network, self.front, self.name, self.addresses, self.plan = (
+            world,
+            network,
+            front,
+            name,
+            addresses,
+            plan,
+        )
+        self.place, self.idle, self.serial = (
+            network.machine(name),
+            {relay: [] for relay in addresses},
+            0,
+        )
+        # key -> its messages, the first being handed in
+        self.waiting: dict[str, deque] = {}
+        # told (id, relay, message) of each request, as a stranger may be
+        self.overheard = None
         world.after(world.chance.randrange(SECOND), self.next)
 
     def next(self) -> None:
@@ -98,8 +140,16 @@
         number = f"{self.name}-{self.serial}"
         row = chance.choice(plan.categories)
         key = f"k{chance.randrange(plan.keys)}-{self.name}" if row.ordered else None
-        message = Message(number, row, key, chance.choice(plan.destinations), now + row.span,
-                          f"mark-{number}" if row.effect == "deduplicated" else None, number.encode() + b" " + b"." * 24, now)
+        message = Message(
+            number,
+            row,
+            key,
+            chance.choice(plan.destinations),
+            now + row.span,
+            f"mark-{number}" if row.effect == "deduplicated" else None,
+            number.encode() + b" " + b"." * 24,
+            now,
+        )
         self.world.tell(self.name, "wants", message=number, category=row.name)
         if key is None:
             self.hand_in(message)
@@ -141,13 +191,19 @@
             conn = None if conn.sock.closed or conn.sock.error else conn
         if conn is None:
             if not self.front.may_open(relay):
-                self.world.tell(self.name, "no connection left", message=message.number, relay=relay)
+                self.world.tell(
+                    self.name, "no connection left", message=message.number, relay=relay
+                )
                 return self.again(message, 0)
             conn = Conn(self, relay, self.addresses[relay])
         message.relay = relay
-        conn.ask, conn.serial = [message, f"{message.number}.{message.tries}", False], conn.serial + 1
+        conn.ask, conn.serial = (
+            [message, f"{message.number}.{message.tries}", False],
+            conn.serial + 1,
+        )
         self.world.after(PATIENCE, self.patience, conn, conn.serial)
-        if self.overheard is not None:     # before it goes: on a new connection, a stranger may be there first
+        # before it goes: on a new connection, a stranger may be there first
+        if self.overheard is not None:
             self.overheard(conn.ask[1], relay, message)
         if conn.sock.state == "open":
             self.write(conn)
@@ -157,15 +213,29 @@
         conn.ask[2] = True
         left = max(1, (message.due - self.world.now) // MS)
         due = self.world.now + left * MS
-        headers = [("Req-Id", ident), ("Req-Kind", message.category.name), ("X-Consignee", f"dest={message.destination}"),
-                   ("Req-Deadline-Ms", str(left))]
+        headers = [
+            ("Req-Id", ident),
+            ("Req-Kind", message.category.name),
+            ("X-Consignee", f"dest={message.destination}"),
+            ("Req-Deadline-Ms", str(left)),
+        ]
         if message.key is not None:
             headers.append(("Cookie", f"subject={message.key}"))
         if message.mark is not None:
             headers.append(("Idempotency-Key", message.mark))
-        self.world.tell(self.name, "asked", id=ident, message=message.number, relay=conn.relay, category=message.category.name,
-                        key=message.key, destination=message.destination, due=due, mark=message.mark,
-                        body=message.body[:40].decode())
+        self.world.tell(
+            self.name,
+            "asked",
+            id=ident,
+            message=message.number,
+            relay=conn.relay,
+            category=message.category.name,
+            key=message.key,
+            destination=message.destination,
+            due=due,
+            mark=message.mark,
+            body=message.body[:40].decode(),
+        )
         conn.sock.put(request("POST", "/api", headers, message.body))
         if self.plan.leaves and self.world.chance.random() < self.plan.leaves:
             self.world.after(self.world.chance.randrange(20 * MS), self.leave, conn, conn.serial)
@@ -211,7 +281,8 @@
         (message, ident, written), conn.ask = conn.ask, None
         self.world.tell(self.name, "broken off", id=ident)
         if conn.serial > 1 and written and message.again != ident:
-            message.again = ident          # it crossed the end of a kept connection: once more, under the same id
+            # it crossed the end of a kept connection: once more, under the same id
+            message.again = ident
             self.hand_in(message)
         else:
             self.again(message, 0)
--- a/molehill/emulator/parties/strangers.py
+++ b/molehill/emulator/parties/strangers.py
@@ -1,13 +1,18 @@
 """Those who misbehave at the relay's door: ids not theirs, silence, half requests, noise. None of it may harm the others."""
+
 from molehill.config import MS, SECOND
 from molehill.emulator.parties.wire import Messages, request
 
-NOISE = (b"\x00\x01\x02\r\n\r\n", b"GET\r\n\r\n", b"POST /api HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
-         b"POST /api HTTP/1.1\r\nContent-Length: 10\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-         b"POST /api HTTP/1.1\r\nReq-Id: x\r\nReq-Kind: nothing\r\nContent-Length: 0\r\n\r\n",
-         b"POST /api HTTP/1.1\r\n" + b"X: y\r\n" * 4000)
+NOISE = (
+    b"\x00\x01\x02\r\n\r\n",
+    b"GET\r\n\r\n",
+    b"POST /api HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+    b"POST /api HTTP/1.1\r\nContent-Length: 10\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"POST /api HTTP/1.1\r\nReq-Id: x\r\nReq-Kind: nothing\r\nContent-Length: 0\r\n\r\n",
+    b"POST /api HTTP/1.1\r\n" + b"X: y\r\n" * 4000,
+)
 
-LONGEST = 3 * SECOND                   # of a copy's time, which is what its request says
+LONGEST = 3 * SECOND  # of a copy's time, which is what its request says
 
 
 class Strangers:
@@ -23,27 +28,54 @@
         """The same id with another's key and words, at once: by its own connection it may be there before the true one."""
         if self.world.now >= self.plan.until or self.world.chance.random() >= self.plan.copies:
             return
-        headers = [("Req-Id", ident), ("Req-Kind", message.category.name), ("X-Consignee", f"dest={message.destination}"),
-                   ("Req-Deadline-Ms", str(min(message.category.span, LONGEST) // MS)), ("Cookie", "subject=strange")]
+        headers = [
+            ("Req-Id", ident),
+            ("Req-Kind", message.category.name),
+            ("X-Consignee", f"dest={message.destination}"),
+            ("Req-Deadline-Ms", str(min(message.category.span, LONGEST) // MS)),
+            ("Cookie", "subject=strange"),
+        ]
         if message.mark is not None:
             headers.append(("Idempotency-Key", f"strange-{ident}"))
         body = b"strange " + ident.encode()
-        self.world.after(self.world.chance.randrange(MS // 2), self.copy, ident, relay, message, headers, body)
+        self.world.after(
+            self.world.chance.randrange(MS // 2), self.copy, ident, relay, message, headers, body
+        )
 
     def copy(self, ident, relay, message, headers, body) -> None:
         reader, span = Messages(), message.category.span
 
         def came(sock, data, sent_at):
             for first, _, _, _ in reader.feed(data, sent_at):
-                self.world.tell("strangers", "heard", id=ident, status=int(first.split(" ")[1]), wait=0, relay=relay)
+                self.world.tell(
+                    "strangers",
+                    "heard",
+                    id=ident,
+                    status=int(first.split(" ")[1]),
+                    wait=0,
+                    relay=relay,
+                )
                 sock.close()
 
         def up(sock):
-            self.world.tell("strangers", "asked", id=ident, message=None, relay=relay, category=message.category.name,
-                            key="strange" if message.category.ordered else None, destination=message.destination,
-                            due=self.world.now + min(span, LONGEST), mark=None, body=body[:40].decode())
+            self.world.tell(
+                "strangers",
+                "asked",
+                id=ident,
+                message=None,
+                relay=relay,
+                category=message.category.name,
+                key="strange" if message.category.ordered else None,
+                destination=message.destination,
+                due=self.world.now + min(span, LONGEST),
+                mark=None,
+                body=body[:40].decode(),
+            )
             sock.put(request("POST", "/api", headers, body))
-        self.network.connect(self.place, self.addresses[relay], came, lambda s: s.close(), lambda s: s.close(), up)
+
+        self.network.connect(
+            self.place, self.addresses[relay], came, lambda s: s.close(), lambda s: s.close(), up
+        )
 
     def next(self) -> None:
         chance = self.world.chance
@@ -52,7 +84,16 @@
         self.world.after(int(chance.expovariate(self.plan.rate) * SECOND) + 1, self.next)
         relay = chance.choice(sorted(self.addresses))
         what = chance.choice(("silent", "half", "noise"))
-        data = {"silent": b"", "half": b"POST /api HTTP/1.1\r\nReq-Id: half\r\nContent-Length: 50\r\n\r\nhal",
-                "noise": chance.choice(NOISE)}[what]
-        self.network.connect(self.place, self.addresses[relay], lambda *_: None, lambda s: s.close(), lambda s: s.close(),
-                             lambda s: s.put(data) if data else None)
+        data = {
+            "silent": b"",
+            "half": b"POST /api HTTP/1.1\r\nReq-Id: half\r\nContent-Length: 50\r\n\r\nhal",
+            "noise": chance.choice(NOISE),
+        }[what]
+        self.network.connect(
+            self.place,
+            self.addresses[relay],
+            lambda *_: None,
+            lambda s: s.close(),
+            lambda s: s.close(),
+            lambda s: s.put(data) if data else None,
+        )
--- a/molehill/emulator/parties/wire.py
+++ b/molehill/emulator/parties/wire.py
@@ -29,11 +29,19 @@
 
 
 def answer(status: int, headers=(), body: bytes = b"") -> bytes:
-    lines = [f"HTTP/1.1 {status} Said", *(f"{name}: {value}" for name, value in headers), f"Content-Length: {len(body)}"]
+    lines = [
+        f"HTTP/1.1 {status} Said",
+        *(f"{name}: {value}" for name, value in headers),
+        f"Content-Length: {len(body)}",
+    ]
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
 def request(method: str, target: str, headers=(), body: bytes = b"") -> bytes:
-    lines = [f"{method} {target} HTTP/1.1", "Host: app.svc", *(f"{name}: {value}" for name, value in headers),
-             f"Content-Length: {len(body)}"]
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        "Host: app.svc",
+        *(f"{name}: {value}" for name, value in headers),
+        f"Content-Length: {len(body)}",
+    ]
     return "\r\n".join([*lines, "", ""]).encode() + body
--- a/molehill/emulator/recount.py
+++ b/molehill/emulator/recount.py
@@ -3,38 +3,60 @@
 The operators' page asks for 1% (attempts 2%) or 3. At a kill it is open what the process had heard of the calls that
 were out, and so what the next one counts: as many more are allowed (`unsure`), and one for each client that left unanswered.
 """
+
 from collections import Counter, defaultdict, deque
 
 from molehill.config import MS
-from molehill.core.figures import FAULTED, DELIVERED, THROTTLED
+from molehill.core.figures import DELIVERED, FAULTED, THROTTLED
 from molehill.emulator.referee import CROSSING
 from molehill.emulator.scenario import FAULTS, directions
 
 SIGHUP = 1
-HELD = 250 * MS                        # an upgrade's pause at most, and what crosses its ends
+HELD = 250 * MS  # an upgrade's pause at most, and what crosses its ends
 BY_STATUS = {429: THROTTLED, 503: THROTTLED, 500: FAULTED}
 BY_RESULT = {"bounced": THROTTLED, "dead": FAULTED}
 
 
 class Recount:
     def __init__(self, world, scenario):
-        self.set, self.beyond = scenario, set()                # beyond: parties at an end of a way that was cut
-        self.of, self.calls, self.ended = {}, {}, {}       # id -> class; call -> relay, ids; (relay, id) -> seen in this life
+        # beyond: parties at an end of a way that was cut
+        self.set, self.beyond = scenario, set()
+        # id -> class; call -> relay, ids; (relay, id) -> seen in this life
+        self.of, self.calls, self.ended = {}, {}, {}
         self.counts, self.written, self.unsure = defaultdict(Counter), Counter(), Counter()
-        self.files = defaultdict(lambda: [0, 0])           # relay -> files broken and sound, since its process began
-        self.broken = set()                                # relays whose file is broken as the next signal comes
-        self.unheard = defaultdict(set)                    # relay -> asks without an answer: any count or none
-        self.lately = defaultdict(lambda: deque(maxlen=100))       # relay -> when what ended lately did
-        self.out = defaultdict(set)                        # relay -> ids called and not ended: open at a kill
-        self.world, self.silent, self.fresh = world, False, {}     # fresh: connection -> its answer of just now
-        self.on = {"fault": self.fault, "signal": self.signal, "asked": self.asked, "heard": self.heard, "call": self.call,
-                   "call answered": self.answered, "notice": self.notice, "hung up": self.hung_up, "started": self.started, "took over": self.took_over}
-        world.watchers.append(lambda now, who, what, facts: self.on[what](who, **facts) if what in self.on else None)
+        # relay -> files broken and sound, since its process began
+        self.files = defaultdict(lambda: [0, 0])
+        # relays whose file is broken as the next signal comes
+        self.broken = set()
+        # relay -> asks without an answer: any count or none
+        self.unheard = defaultdict(set)
+        # relay -> when what ended lately did
+        self.lately = defaultdict(lambda: deque(maxlen=100))
+        # relay -> ids called and not ended: open at a kill
+        self.out = defaultdict(set)
+        # fresh: connection -> its answer of just now
+        self.world, self.silent, self.fresh = world, False, {}
+        self.on = {
+            "fault": self.fault,
+            "signal": self.signal,
+            "asked": self.asked,
+            "heard": self.heard,
+            "call": self.call,
+            "call answered": self.answered,
+            "notice": self.notice,
+            "hung up": self.hung_up,
+            "started": self.started,
+            "took over": self.took_over,
+        }
+        world.watchers.append(
+            lambda now, who, what, facts: self.on[what](who, **facts) if what in self.on else None
+        )
 
     def fault(self, who, kind, falls_on, worth, **_) -> None:
         if kind == "retune" and not int(worth):
             self.broken.add(falls_on)
-        if FAULTS[kind] == "pair":         # what was heard beyond it, and whether it counted, the wires don't show
+        # what was heard beyond it, and whether it counted, the wires don't show
+        if FAULTS[kind] == "pair":
             self.beyond.update(name for way in directions(self.set, falls_on) for name in way)
         self.silent = self.silent or kind in ("vanished", "dead", "zone_dark")
 
@@ -59,7 +81,9 @@
 
     def answered(self, who, call, status, ids, **_) -> None:
         relay, _, conn = self.calls[call]
-        self.fresh = {c: row for c, row in self.fresh.items() if self.world.now - row[0] <= CROSSING}
+        self.fresh = {
+            c: row for c, row in self.fresh.items() if self.world.now - row[0] <= CROSSING
+        }
         self.fresh[conn] = self.world.now, relay, len(ids)
         for ident in ids if status == 200 else ():
             self.end(relay, ident, DELIVERED)
@@ -97,12 +121,30 @@
         """The figures of a relay that holds nothing which are further from the recount than allowed: name -> (said, counted)."""
         if relay in self.beyond:
             return {}
-        said = {(end, one): count for one, row in figures.ends.items() for end, count in row.items()}
-        pairs = {f"{end}.{one}": (count, self.counts[relay][end, one]) for (end, one), count in said.items()}
+        said = {
+            (end, one): count for one, row in figures.ends.items() for end, count in row.items()
+        }
+        pairs = {
+            f"{end}.{one}": (count, self.counts[relay][end, one])
+            for (end, one), count in said.items()
+        }
         # A host that vanished or died reads nothing of what was written to it: there the wires show too few.
-        pairs["relayed"] = min(figures.relayed, self.written[relay]) if self.silent else figures.relayed, self.written[relay]
-        pairs["cfg_invalid"], pairs["cfg_accepted"] = zip((figures.cfg_invalid, figures.cfg_accepted), self.files[relay])
+        pairs["relayed"] = (
+            min(figures.relayed, self.written[relay]) if self.silent else figures.relayed,
+            self.written[relay],
+        )
+        pairs["cfg_invalid"], pairs["cfg_accepted"] = zip(
+            (figures.cfg_invalid, figures.cfg_accepted), self.files[relay]
+        )
         pairs["open_requests"] = figures.open_requests, 0
         unsure = self.unsure[relay] + len(self.unheard[relay])
-        return {name: (said, counted) for name, (said, counted) in pairs.items() if abs(said - counted) > (
-            0 if name.startswith("cfg") else unsure + max(3, counted * (2 if name == "relayed" else 1) / 100))}
+        return {
+            name: (said, counted)
+            for name, (said, counted) in pairs.items()
+            if abs(said - counted)
+            > (
+                0
+                if name.startswith("cfg")
+                else unsure + max(3, counted * (2 if name == "relayed" else 1) / 100)
+            )
+        }
