--- a/molehill/emulator/referee.py
+++ b/molehill/emulator/referee.py
@@ -3,25 +3,30 @@
 Knows nothing of the relay's code: it is told what crossed the wires (by the stand-ins), the clock, and what lay on a relay's
 disk when it was killed. The first breach ends the run. Figures of the rules come from the scenario, each 50 ms longer.
 """
+
 from collections import Counter, defaultdict, deque
 
 from molehill.config import MS, SECOND
 from molehill.emulator.scenario import FAULTS, directions
 from molehill.emulator.world import START
 
-SLACK = 50 * MS                        # "each time limit is 50 ms longer"
-LOST = 300 * MS + SLACK                # after its time is up, without an end, it is lost
-AFTER_READY = 1500 * MS                # no notice is overdue before, after a restart
-DRAIN = SECOND + SLACK                 # the grace after a drain was told
-LET_THROUGH = 100 * MS                 # calls that come so soon after a told wait
-CROSSING = 2 * MS                      # an answer so young may still be under way when the relay hangs up: it knows nothing of it
-KNOWS = 100 * MS                       # an answer that was written so long ago is known to a relay that lived on
+SLACK = 50 * MS  # "each time limit is 50 ms longer"
+LOST = 300 * MS + SLACK  # after its time is up, without an end, it is lost
+AFTER_READY = 1500 * MS  # no notice is overdue before, after a restart
+DRAIN = SECOND + SLACK  # the grace after a drain was told
+LET_THROUGH = 100 * MS  # calls that come so soon after a told wait
+# an answer so young may still be under way when the relay hangs up: it knows nothing of it
+CROSSING = 2 * MS
+# an answer that was written so long ago is known to a relay that lived on
+KNOWS = 100 * MS
 SIGTERM = 15
-NO_END = 3600 * SECOND                 # of a call that tells none
-LATELY = 200                           # answers among which those under way at the start of a cut are looked for
-WORST = 10                             # seconds in a row of which the worst are told
-EARLY = 500 * MS                       # an end so long before its time is a giving up; a request read right after a start may have waited 400 ms
-FELL_BY = 2 / 3                        # of the load from relays that knew
+NO_END = 3600 * SECOND  # of a call that tells none
+# answers among which those under way at the start of a cut are looked for
+LATELY = 200
+WORST = 10  # seconds in a row of which the worst are told
+# an end so long before its time is a giving up; a request read right after a start may have waited 400 ms
+EARLY = 500 * MS
+FELL_BY = 2 / 3  # of the load from relays that knew
 
 
 class Ways:
@@ -36,9 +41,13 @@
         for way in ways:
             if kind in ("cut", "burst"):
                 self.until[way] = max(self.until.get(way, 0), now + span * MS)
-            elif kind in ("delay", "narrow"):      # how late the last byte of a narrow way comes is open: some seconds
+            # how late the last byte of a narrow way comes is open: some seconds
+            elif kind in ("delay", "narrow"):
                 rows = self.delay.get(way, (0, 0))
-                self.delay[way] = max(rows[0], now + span * MS), max(rows[1], int(1.5 * worth * MS) if kind == "delay" else 2 * SECOND)
+                self.delay[way] = (
+                    max(rows[0], now + span * MS),
+                    max(rows[1], int(1.5 * worth * MS) if kind == "delay" else 2 * SECOND),
+                )
         return ways
 
     def over(self, a: str, b: str) -> int:
@@ -53,25 +62,77 @@
 
 class Taken:
     """A callback that a client has heard to be taken on."""
-    __slots__ = ("id", "body", "relay", "row", "key", "destination", "due", "order", "state", "owed", "told", "message")
+
+    __slots__ = (
+        "id",
+        "body",
+        "relay",
+        "row",
+        "key",
+        "destination",
+        "due",
+        "order",
+        "state",
+        "owed",
+        "told",
+        "message",
+    )
 
     def __init__(self, ask, owed):
-        self.id, self.body, self.relay, self.row, self.key = ask["id"], ask["body"], ask["relay"], ask["row"], ask["key"]
+        self.id, self.body, self.relay, self.row, self.key = (
+            ask["id"],
+            ask["body"],
+            ask["relay"],
+            ask["row"],
+            ask["key"],
+        )
         self.message = ask["message"]
-        self.destination, self.due, self.order, self.state, self.owed = ask["destination"], ask["due"], ask["order"], "held", owed
-        self.told = False              # the platform has its notice; over once that is answered
+        self.destination, self.due, self.order, self.state, self.owed = (
+            ask["destination"],
+            ask["due"],
+            ask["order"],
+            "held",
+            owed,
+        )
+        self.told = False  # the platform has its notice; over once that is answered
 
 
 class Call:
-    __slots__ = ("number", "relay", "life", "conn", "ids", "host", "zone", "began", "status", "answered", "over", "bodies", "known", "reached",
-                 "until")
+    __slots__ = (
+        "number",
+        "relay",
+        "life",
+        "conn",
+        "ids",
+        "host",
+        "zone",
+        "began",
+        "status",
+        "answered",
+        "over",
+        "bodies",
+        "known",
+        "reached",
+        "until",
+    )
 
     def __init__(self, facts, life, now, until):
-        self.until = until             # when its time is up: as its host was told, or the first of its callbacks' is
-        self.number, self.relay, self.conn, self.ids = facts["call"], facts["relay"], facts["conn"], facts["ids"]
-        self.host, self.zone, self.bodies, self.life = facts["host"], facts["zone"], facts["bodies"], life
+        # when its time is up: as its host was told, or the first of its callbacks' is
+        self.until = until
+        self.number, self.relay, self.conn, self.ids = (
+            facts["call"],
+            facts["relay"],
+            facts["conn"],
+            facts["ids"],
+        )
+        self.host, self.zone, self.bodies, self.life = (
+            facts["host"],
+            facts["zone"],
+            facts["bodies"],
+            life,
+        )
         self.began, self.status, self.answered, self.over, self.known = now, None, None, None, True
-        self.reached = None            # when its answer is there, at the latest
+        self.reached = None  # when its answer is there, at the latest
 
     @property
     def may_have_run(self) -> bool:
@@ -83,28 +144,60 @@
 
     def __init__(self, world, scenario, doubt: int = 0):
         self.world, self.set, self.doubt, self.ways = world, scenario, doubt, Ways(scenario)
-        self.slack, self.lost_after, self.crossing, self.let_through = SLACK + doubt, LOST + 2 * doubt, CROSSING + doubt, LET_THROUGH + doubt
+        self.slack, self.lost_after, self.crossing, self.let_through = (
+            SLACK + doubt,
+            LOST + 2 * doubt,
+            CROSSING + doubt,
+            LET_THROUGH + doubt,
+        )
         self.rows = {c.name: c for c in scenario.categories}
         self.kinds = {e.destination: e.kind for e in scenario.endpoints}
         self.asks, self.taken, self.calls = defaultdict(list), defaultdict(list), {}
         self.by_id, self.by_conn, self.hung = defaultdict(list), defaultdict(list), set()
-        self.by_key, self.given, self.noticed, self.delivered, self.results = defaultdict(list), {}, {}, {}, {}
+        self.by_key, self.given, self.noticed, self.delivered, self.results = (
+            defaultdict(list),
+            {},
+            {},
+            {},
+            {},
+        )
         self.told, self.waits, self.rests = {}, {}, {}
         self.life, self.ready_at, self.up, self.lost, self.deaf = Counter(), {}, {}, {}, {}
-        self.untried = {}                      # (id, body) that a restart found with no call and half of its time left -> its relay
-        self.stood = {}                        # relay -> when it stood still last, from and to
+        # (id, body) that a restart found with no call and half of its time left -> its relay
+        self.untried = {}
+        self.stood = {}  # relay -> when it stood still last, from and to
         self.orders, self.counts, self.lately = 0, Counter(), deque(maxlen=LATELY)
         # Greatest share of slow start's budget that a returning host was given, in all, and where most came from relays that knew
         self.budget_share = self.budget_share_known = 0.0
-        self.born, self.used = {}, set()       # message -> its second; connections that carried a call
-        self.seconds = defaultdict(lambda: [0.0, 0.0])     # second -> payoff asked for in it, and delivered of that
-        self.on = {"asked": self.asked, "heard": self.heard, "call": self.call, "call answered": self.answered,
-                   "call spoilt": self.spoilt, "hung up": self.hung_up, "call connection over": self.conn_over,
-                   "notice": self.notice, "notice answered": self.notice_answered, "told": self.was_told,
-                   "fell over": self.fell, "slow start": self.returning, "started": self.started, "ready": self.ready, "killed": self.died,
-                   "ended": self.died, "disk lost": self.disk_lost, "wants": self.wants,
-                   "no connection left": self.crowded, "escaped": self.escaped, "frozen": self.stands, "fault": self.fault,
-                   "signal": self.signalled}
+        # message -> its second; connections that carried a call
+        self.born, self.used = {}, set()
+        # second -> payoff asked for in it, and delivered of that
+        self.seconds = defaultdict(lambda: [0.0, 0.0])
+        self.on = {
+            "asked": self.asked,
+            "heard": self.heard,
+            "call": self.call,
+            "call answered": self.answered,
+            "call spoilt": self.spoilt,
+            "hung up": self.hung_up,
+            "call connection over": self.conn_over,
+            "notice": self.notice,
+            "notice answered": self.notice_answered,
+            "told": self.was_told,
+            "fell over": self.fell,
+            "slow start": self.returning,
+            "started": self.started,
+            "ready": self.ready,
+            "killed": self.died,
+            "ended": self.died,
+            "disk lost": self.disk_lost,
+            "wants": self.wants,
+            "no connection left": self.crowded,
+            "escaped": self.escaped,
+            "frozen": self.stands,
+            "fault": self.fault,
+            "signal": self.signalled,
+        }
         world.watchers.append(self)
 
     def __call__(self, now, who, what, facts) -> None:
@@ -115,8 +208,12 @@
     def breach(self, rule: int, text: str, **facts) -> None:
         """The run's first breach, with what concerned the same parties lately."""
         if self.world.failure is None:
-            self.world.failure = {"rule": rule, "text": text, "at_ms": self.world.milliseconds(),
-                                  "facts": {name: str(value) for name, value in facts.items()}}
+            self.world.failure = {
+                "rule": rule,
+                "text": text,
+                "at_ms": self.world.milliseconds(),
+                "facts": {name: str(value) for name, value in facts.items()},
+            }
 
     # Clients
 
@@ -132,7 +229,9 @@
     def asked(self, now, who, category, **facts) -> None:
         # A key's callbacks are handed in one after another, so the order of asking is the order in which they are taken.
         self.orders += 1
-        self.asks[facts["id"]].append({**facts, "who": who, "row": self.rows[category], "order": self.orders, "at": now})
+        self.asks[facts["id"]].append(
+            {**facts, "who": who, "row": self.rows[category], "order": self.orders, "at": now}
+        )
         self.counts["asked"] += 1
 
     def heard(self, now, who, id, status, wait, relay) -> None:
@@ -146,9 +245,9 @@
             self.by_key[relay, taken.key].append(taken)
         if taken.owed:
             self.world.at(taken.due + self.lost_after, self.due, taken)
-        if ask["at"] <= self.lost.get(relay, 0):   # the answer crossed the loss of the disk
+        if ask["at"] <= self.lost.get(relay, 0):  # the answer crossed the loss of the disk
             self.end(taken, "lost with its disk")
-        if id in self.noticed:                 # its notice may cross the answer
+        if id in self.noticed:  # its notice may cross the answer
             taken.told = True
             self.end(taken, "noticed")
         if (id, taken.body) in self.delivered:
@@ -173,29 +272,64 @@
             return
         now, ready = self.world.now, self.ready_at.get(taken.relay)
         # Cut from the platform in either direction, no connection comes up for a notice; after it there has to be one, as after a start.
-        heard = max(self.ways.over(*way) for way in ((taken.relay, "platform"), ("platform", taken.relay)))
-        if not self.up.get(taken.relay) or now < max(ready + AFTER_READY, self.stood.get(taken.relay, (0, 0))[1] + self.lost_after,
-                                                     heard + AFTER_READY + self.lost_after):
+        heard = max(
+            self.ways.over(*way) for way in ((taken.relay, "platform"), ("platform", taken.relay))
+        )
+        if not self.up.get(taken.relay) or now < max(
+            ready + AFTER_READY,
+            self.stood.get(taken.relay, (0, 0))[1] + self.lost_after,
+            heard + AFTER_READY + self.lost_after,
+        ):
             self.world.after(100 * MS, self.due, taken)
             return
-        self.breach(1, "taken on, and neither delivered nor ended in time", id=taken.id, relay=taken.relay, body=taken.body)
+        self.breach(
+            1,
+            "taken on, and neither delivered nor ended in time",
+            id=taken.id,
+            relay=taken.relay,
+            body=taken.body,
+        )
 
     # Calls
 
     def call(self, now, who, **facts) -> None:
         relay, since, patience = facts["relay"], facts["since"], facts.get("patience")
-        dues = [taken.due for ident, body in zip(facts["ids"], facts["bodies"]) for taken in self.taken.get(ident, ())
-                if taken.body == body and taken.due > now]
-        call = Call(facts, self.life[relay], now, min([*dues, since + int(patience) * MS if patience else now + NO_END]))
+        dues = [
+            taken.due
+            for ident, body in zip(facts["ids"], facts["bodies"])
+            for taken in self.taken.get(ident, ())
+            if taken.body == body and taken.due > now
+        ]
+        call = Call(
+            facts,
+            self.life[relay],
+            now,
+            min([*dues, since + int(patience) * MS if patience else now + NO_END]),
+        )
         self.counts["calls"] += 1
         self.used.add(call.conn)
-        route = (relay, call.host if self.kinds[facts["destination"]] == "apart" else facts["destination"])
+        route = (
+            relay,
+            call.host if self.kinds[facts["destination"]] == "apart" else facts["destination"],
+        )
         told = self.told.get((relay, call.host))
         if told is not None and since > told + DRAIN + self.doubt:
-            self.breach(3, "a call to a host that drains or is gone", host=call.host, relay=relay, told_ms=(now - told) // MS)
+            self.breach(
+                3,
+                "a call to a host that drains or is gone",
+                host=call.host,
+                relay=relay,
+                told_ms=(now - told) // MS,
+            )
         until, written = self.waits.get(route, (0, 0))
         if written + self.let_through < since < until - MS - self.doubt:
-            self.breach(6, "a call inside a told wait", relay=relay, route=route[1], early_ms=(until - since) // MS)
+            self.breach(
+                6,
+                "a call inside a told wait",
+                relay=relay,
+                route=route[1],
+                early_ms=(until - since) // MS,
+            )
         for ident, mark, body in zip(call.ids, facts["marks"], call.bodies):
             self.one(now, since, call, ident, mark, body, facts["destination"])
         self.calls[call.number] = call
@@ -209,27 +343,52 @@
     def one(self, now, since, call, ident, mark, body, destination) -> None:
         """Rules 1, 2 and 5 for one callback of a call."""
         ask = next((a for a in self.asks.get(ident, ()) if a["body"] == body), None)
-        if ask is None or ask["destination"] != destination or ask["who"] != "strangers" and ask["mark"] != mark:
-            return self.breach(2, "a call that nobody handed in so", id=ident, body=body, host=call.host)
+        if (
+            ask is None
+            or ask["destination"] != destination
+            or ask["who"] != "strangers"
+            and ask["mark"] != mark
+        ):
+            return self.breach(
+                2, "a call that nobody handed in so", id=ident, body=body, host=call.host
+            )
         row = ask["row"]
         earlier = self.by_id.get(ident, ())
-        for before in earlier if call.conn not in self.hung else ():      # else it was given up before it came: it waited on the way
+        # else it was given up before it came: it waited on the way
+        for before in earlier if call.conn not in self.hung else ():
             if before.over is None and before.answered is None:
                 if not self.doubt:
                     return self.at_once(before, call, ident)
                 self.world.after(self.doubt, self.at_once, before, call, ident)
         if ident in self.given and since > self.given[ident] + self.slack:
-            return self.breach(1, "a call after its final answer, a notice", id=ident, call=call.number)
+            return self.breach(
+                1, "a call after its final answer, a notice", id=ident, call=call.number
+            )
         ran = [c for c in earlier if c.may_have_run]
         for c in ran:
-            if c.status == 200 and c.known and c.life == call.life and since > c.reached + KNOWS + self.doubt \
-                    and not self.read_too_late(c):
-                return self.breach(1, "a call after its final answer, a delivery", id=ident, call=call.number)
+            if (
+                c.status == 200
+                and c.known
+                and c.life == call.life
+                and since > c.reached + KNOWS + self.doubt
+                and not self.read_too_late(c)
+            ):
+                return self.breach(
+                    1, "a call after its final answer, a delivery", id=ident, call=call.number
+                )
         if ran and row.effect == "at_most_once":
-            return self.breach(2, "an exclusive one again, though it may have run", id=ident, first=ran[0].number)
+            return self.breach(
+                2, "an exclusive one again, though it may have run", id=ident, first=ran[0].number
+            )
         if ran and row.effect == "deduplicated":
-            if since > ran[0].began + row.window_ms * MS + self.slack:    # as launched; what waited on the way is the way's
-                return self.breach(2, "a ticketed one again outside its window", id=ident, late_ms=(now - ran[0].began) // MS)
+            # as launched; what waited on the way is the way's
+            if since > ran[0].began + row.window_ms * MS + self.slack:
+                return self.breach(
+                    2,
+                    "a ticketed one again outside its window",
+                    id=ident,
+                    late_ms=(now - ran[0].began) // MS,
+                )
             if row.scope == "zone" and ran[0].zone != call.zone:
                 return self.breach(2, "a ticketed one again outside its zone", id=ident)
         if not row.ordered or ask["key"] is None or ask["who"] == "strangers":
@@ -237,10 +396,23 @@
         place = call.relay, ask["key"]
         for taken in self.by_key.get(place, ()):
             if taken.order < ask["order"]:
-                return self.breach(5, "a key's callback before an earlier one was over", id=ident, earlier=taken.id, key=ask["key"])
+                return self.breach(
+                    5,
+                    "a key's callback before an earlier one was over",
+                    id=ident,
+                    earlier=taken.id,
+                    key=ask["key"],
+                )
         rest, by, begun = self.rests.get(place, (0, None, 0))
         if begun <= since < rest - self.slack and by != call.number:
-            self.breach(5, "a key's callback inside its rest", id=ident, key=ask["key"], early_ms=(rest - since) // MS, after=by)
+            self.breach(
+                5,
+                "a key's callback inside its rest",
+                id=ident,
+                key=ask["key"],
+                early_ms=(rest - since) // MS,
+                after=by,
+            )
 
     def read_too_late(self, call) -> bool:
         """Whether its answer reached a relay only when its time was up, which then can't tell it from one that was written too
@@ -251,20 +423,32 @@
     def at_once(self, before, call, ident) -> None:
         """Danger: that a connection is over is seen later than what the relay did next; so with doubt, it is looked at again."""
         if before.over is None and before.answered is None:
-            self.breach(2, "two calls of one callback at once", id=ident, first=before.number, second=call.number)
+            self.breach(
+                2,
+                "two calls of one callback at once",
+                id=ident,
+                first=before.number,
+                second=call.number,
+            )
 
     def answered(self, now, who, call, status, wait, ids) -> None:
         done = self.calls[call]
-        if done.over is not None:              # it crossed the relay's hanging up: written to nobody
+        # it crossed the relay's hanging up: written to nobody
+        if done.over is not None:
             return
-        done.status, done.answered, done.reached = status, now, self.ways.reaches(now, done.host, done.relay)
+        done.status, done.answered, done.reached = (
+            status,
+            now,
+            self.ways.reaches(now, done.host, done.relay),
+        )
         self.lately.append(done)
         if wait and done.life == self.life[done.relay]:
             destination = int(done.host.partition("-")[0][1:])
             route = (done.relay, done.host if self.kinds[destination] == "apart" else destination)
             self.waits[route] = max(self.waits.get(route, (0, 0)), (now + wait, done.reached))
         if status == 200 and now > done.until + self.doubt:
-            done.known = False                 # the host gave it up as it was told to: what it writes now is no delivery
+            # the host gave it up as it was told to: what it writes now is no delivery
+            done.known = False
             self.counts["late answers"] += 1
         elif status == 200:
             for ident, body in zip(done.ids, done.bodies):
@@ -289,12 +473,19 @@
             if call.over is not None:
                 continue
             call.over = now
-            call.known = call.known and (call.answered is None or now - call.reached > self.crossing)
+            call.known = call.known and (
+                call.answered is None or now - call.reached > self.crossing
+            )
             if call.answered is None and self.set.settle_ms:
                 for ident, body in zip(call.ids, call.bodies):
-                    for ask in self.asks.get(ident, ()):       # a stranger's, under the same id, has a key of its own
+                    # a stranger's, under the same id, has a key of its own
+                    for ask in self.asks.get(ident, ()):
                         if ask["body"] == body and ask["key"] is not None and ask["row"].ordered:
-                            self.rests[call.relay, ask["key"]] = now + self.set.settle_ms * MS, call.number, now
+                            self.rests[call.relay, ask["key"]] = (
+                                now + self.set.settle_ms * MS,
+                                call.number,
+                                now,
+                            )
 
     def returning(self, now, who, calls, known, budget) -> None:
         """Calls to a host that is back from an outage, the most so far."""
@@ -305,19 +496,31 @@
     def fell(self, now, who, calls, known, able) -> None:
         self.counts["fell over"] += 1
         if known >= FELL_BY * calls:
-            self.breach(4, "a returning destination pushed over", host=who, calls=calls, known=known, able=able)
+            self.breach(
+                4,
+                "a returning destination pushed over",
+                host=who,
+                calls=calls,
+                known=known,
+                able=able,
+            )
 
     # The platform
 
     def notice(self, now, who, id, result, wait, relay) -> None:
         self.counts[f"notice {result}"] += 1
-        if now >= self.deaf.get(relay, 0):         # else it can't be kept, and a relay that is killed then does not know it
+        # else it can't be kept, and a relay that is killed then does not know it
+        if now >= self.deaf.get(relay, 0):
             self.given.setdefault(id, now)
             if self.results.setdefault(id, result) != result:
                 self.breach(1, "two final answers that differ", id=id, relay=relay)
         for taken in self.taken.get(id, ()):
             taken.told = True
-            if (id, taken.body) in self.untried and not self.by_id.get(id) and now < taken.due - EARLY:
+            if (
+                (id, taken.body) in self.untried
+                and not self.by_id.get(id)
+                and now < taken.due - EARLY
+            ):
                 self.counts["given up untried after a restart"] += 1
 
     def notice_answered(self, now, who, id) -> None:
@@ -343,9 +546,17 @@
     def ready(self, now, who, life) -> None:
         self.up[who], self.ready_at[who] = True, now if life > 1 else now - AFTER_READY
         if life > 1:
-            for taken in [taken for rows in self.taken.values() for taken in rows if taken.relay == who]:
+            for taken in [
+                taken for rows in self.taken.values() for taken in rows if taken.relay == who
+            ]:
                 at = min(ask["at"] for ask in self.asks[taken.id] if ask["body"] == taken.body)
-                if taken.state == "held" and taken.owed and not taken.told and not self.by_id.get(taken.id) and 2 * (taken.due - now) >= taken.due - at:
+                if (
+                    taken.state == "held"
+                    and taken.owed
+                    and not taken.told
+                    and not self.by_id.get(taken.id)
+                    and 2 * (taken.due - now) >= taken.due - at
+                ):
                     self.untried[taken.id, taken.body] = who
 
     def stands(self, now, who, until, since=None) -> None:
@@ -358,8 +569,12 @@
         """A disk that takes nothing can't keep which answer was given, if the relay is killed meanwhile."""
         if FAULTS[kind] == "pair":
             for host, relay in self.ways.fault(now, kind, falls_on, span, worth):
-                for call in self.lately:       # an answer that was just written is behind the cut as well
-                    if (call.host, call.relay) == (host, relay) and now - call.answered <= self.crossing:
+                # an answer that was just written is behind the cut as well
+                for call in self.lately:
+                    if (call.host, call.relay) == (
+                        host,
+                        relay,
+                    ) and now - call.answered <= self.crossing:
                         call.reached = self.ways.reaches(now, host, relay)
         if kind in ("disk_full", "disk_failing", "disk_error"):
             self.deaf[falls_on] = max(now + span * MS, self.deaf.get(falls_on, 0))
@@ -377,8 +592,18 @@
         data = b"".join(image.values())
         for rows in list(self.taken.values()):
             for taken in rows:
-                if taken.relay == relay and taken.state == "held" and taken.owed and taken.id.encode() not in data:
-                    self.breach(1, "taken on, and not on the disk when its relay was killed", id=taken.id, relay=relay)
+                if (
+                    taken.relay == relay
+                    and taken.state == "held"
+                    and taken.owed
+                    and taken.id.encode() not in data
+                ):
+                    self.breach(
+                        1,
+                        "taken on, and not on the disk when its relay was killed",
+                        id=taken.id,
+                        relay=relay,
+                    )
 
     def disk_lost(self, now, who) -> None:
         self.lost[who] = now
@@ -404,20 +629,39 @@
                 self.breach(0, "rows left in a relay that holds nothing", relay=relay, left=left)
         self.counts["untried at a restart"] = len(self.untried)
         # One alone proves nothing: killed between the log's record and the first byte, it is in doubt, and no order of the two helps.
-        if 1 < self.counts["given up untried after a restart"] and 2 * self.counts["given up untried after a restart"] > len(self.untried):
-            self.breach(1, "over half of what restarts found untried was given up with no call", found=len(self.untried),
-                        given_up=self.counts["given up untried after a restart"])
+        if 1 < self.counts["given up untried after a restart"] and 2 * self.counts[
+            "given up untried after a restart"
+        ] > len(self.untried):
+            self.breach(
+                1,
+                "over half of what restarts found untried was given up with no call",
+                found=len(self.untried),
+                given_up=self.counts["given up untried after a restart"],
+            )
         asked = self.counts["asked"] + self.counts["no connection left"]
         if asked and self.counts["no connection left"] > self.set.crowd_share * asked:
-            self.breach(0, "programs crowded out of their own connections", share=self.counts["no connection left"] / asked)
+            self.breach(
+                0,
+                "programs crowded out of their own connections",
+                share=self.counts["no connection left"] / asked,
+            )
 
     def summary(self) -> dict:
         wanted, delivered = self.counts["payoff wanted"], max(1, self.counts["delivered"])
-        spans = [[sum(self.seconds[n][i] for n in range(at, at + WORST)) for i in (0, 1)]
-                 for at in range(max(1, max(self.seconds, default=0) + 2 - WORST))]
-        return {"service": round(self.counts["payoff"] / wanted, 6) if wanted else 1.0,
-                "worst_10_s": round(min((done / asked for asked, done in spans if asked), default=1.0), 6),
-                "waste": round(1 - min(1.0, self.counts["delivered"] / max(1, self.counts["calls"])), 6),
-                "slow_start_share": round(self.budget_share, 3), "slow_start_share_known": round(self.budget_share_known, 3),
-                "connections_a_callback": round(len(self.used) / delivered, 6),
-                **{name: self.counts[name] for name in sorted(self.counts)}}
+        spans = [
+            [sum(self.seconds[n][i] for n in range(at, at + WORST)) for i in (0, 1)]
+            for at in range(max(1, max(self.seconds, default=0) + 2 - WORST))
+        ]
+        return {
+            "service": round(self.counts["payoff"] / wanted, 6) if wanted else 1.0,
+            "worst_10_s": round(
+                min((done / asked for asked, done in spans if asked), default=1.0), 6
+            ),
+            "waste": round(
+                1 - min(1.0, self.counts["delivered"] / max(1, self.counts["calls"])), 6
+            ),
+            "slow_start_share": round(self.budget_share, 3),
+            "slow_start_share_known": round(self.budget_share_known, 3),
+            "connections_a_callback": round(len(self.used) / delivered, 6),
+            **{name: self.counts[name] for name in sorted(self.counts)},
+        }
--- a/molehill/emulator/run.py
+++ b/molehill/emulator/run.py
@@ -1,4 +1,5 @@
 """One run: a scenario in, a verdict out. All parties are made here, and each fault of the script is carried out here."""
+
 import gc
 
 from molehill.config import MS, SECOND
@@ -14,11 +15,13 @@
 from molehill.emulator.script import Script, fleet_part, relay_file
 from molehill.emulator.world import START, World
 
-AGAIN = 600 * MS                       # from a kill to the next start: the platform's figure
-KILLED_AFTER = 3700 * MS               # from SIGTERM to SIGKILL, likewise
-WORDS = 7000                           # what relays say to each other
-DOORS = 9000                           # operators' doors: a port for each start, as an upgrade has a new one
-QUIET = 3 * SECOND                     # after the last abandon time: ends and notices are out, rows are dropped
+AGAIN = 600 * MS  # from a kill to the next start: the platform's figure
+KILLED_AFTER = 3700 * MS  # from SIGTERM to SIGKILL, likewise
+WORDS = 7000  # what relays say to each other
+# operators' doors: a port for each start, as an upgrade has a new one
+DOORS = 9000
+# after the last abandon time: ends and notices are out, rows are dropped
+QUIET = 3 * SECOND
 
 
 class Plan:
@@ -32,16 +35,37 @@
     """(number of its destination's row, name, plan) of each host; rows are numbered by destination, hosts within by n."""
     for number, plan in enumerate(scenario.endpoints):
         for n in range(plan.hosts):
-            yield number, n, f"h{plan.destination}-{n}", Plan(
-                destination=plan.destination, zone="ab"[n % plan.zones % 2], kind=plan.kind, span=int(plan.span_ms * MS),
-                slots=plan.slots, queue=plan.queue, rate=plan.rate)
+            yield (
+                number,
+                n,
+                f"h{plan.destination}-{n}",
+                Plan(
+                    destination=plan.destination,
+                    zone="ab"[n % plan.zones % 2],
+                    kind=plan.kind,
+                    span=int(plan.span_ms * MS),
+                    slots=plan.slots,
+                    queue=plan.queue,
+                    rate=plan.rate,
+                ),
+            )
 
 
 def program_plan(scenario, p, until: int) -> Plan:
     rows = {c.name: c for c in scenario.categories}
     surges = [(START + s.at_ms * MS, s.span_ms * MS, s.by) for s in scenario.surges]
-    return Plan(rate=p.rate, until=until, destinations=p.destinations, keys=p.keys, tries=p.tries, heeds=p.heeds, once=p.once,
-                leaves=p.leaves, categories=[rows[name] for name in p.categories or rows], surges=surges)
+    return Plan(
+        rate=p.rate,
+        until=until,
+        destinations=p.destinations,
+        keys=p.keys,
+        tries=p.tries,
+        heeds=p.heeds,
+        once=p.once,
+        leaves=p.leaves,
+        categories=[rows[name] for name in p.categories or rows],
+        surges=surges,
+    )
 
 
 class Run(Script):
@@ -49,28 +73,49 @@
         self.scenario = scenario
         self.prepare()
         self.world = world = World(scenario.seed)
-        self.retuned: dict[str, list[int]] = {}        # relay -> launches allowed, by each of its later files
+        # relay -> launches allowed, by each of its later files
+        self.retuned: dict[str, list[int]] = {}
         self.referee, self.recount = Referee(world, scenario), Recount(world, scenario)
         self.network = network = Network(world)
         self.until = START + scenario.span_ms * MS
         self.platform = Platform(world, network, ("10.2.0.1", 8500))
         self.hosts = {}
         for number, n, name, plan in host_plans(scenario):
-            self.hosts[name] = host = Endpoint(world, network, name, (f"10.1.{number}.{n + 1}", 8081), plan)
+            self.hosts[name] = host = Endpoint(
+                world, network, name, (f"10.1.{number}.{n + 1}", 8081), plan
+            )
             self.platform.put(host, "active", lag=0)
         self.front = Front(world, scenario.sockets // 3)
         self.nodes, addresses = {}, {}
         for n in range(scenario.relays):
             name = f"relay{n}"
             addresses[name] = (f"10.0.0.{n + 1}", 8081)
-            node = self.nodes[name] = Node(world, network, name, lambda n=name: self.given(n), scenario.disk_kb * 1000)
+            node = self.nodes[name] = Node(
+                world, network, name, lambda n=name: self.given(n), scenario.disk_kb * 1000
+            )
             node.on_kill.append(self.died)
             node.on_ready.append(self.old_one_ends)
-        self.addresses, self.upgrades = addresses, any(f.kind.startswith("upgrade") for f in scenario.faults)
-        self.programs = [Program(world, network, self.front, f"program{n}", addresses, program_plan(scenario, p, self.until))
-                         for n, p in enumerate(scenario.programs)]
-        self.strangers = Strangers(world, network, addresses, Plan(
-            copies=scenario.strangers.copies, rate=scenario.strangers.rate, until=self.until))
+        self.addresses, self.upgrades = (
+            addresses,
+            any(f.kind.startswith("upgrade") for f in scenario.faults),
+        )
+        self.programs = [
+            Program(
+                world,
+                network,
+                self.front,
+                f"program{n}",
+                addresses,
+                program_plan(scenario, p, self.until),
+            )
+            for n, p in enumerate(scenario.programs)
+        ]
+        self.strangers = Strangers(
+            world,
+            network,
+            addresses,
+            Plan(copies=scenario.strangers.copies, rate=scenario.strangers.rate, until=self.until),
+        )
         for program in self.programs:
             program.overheard = self.strangers.overhear if scenario.strangers.copies else None
         for fault in scenario.faults:
@@ -84,9 +129,18 @@
         life = self.nodes[name].life
         admin = (self.addresses[name][0], DOORS + life) if self.upgrades else None
         words = {relay: (address[0], WORDS) for relay, address in self.addresses.items()}
-        return relay_file(self.scenario, name, f"{self.scenario.seed:x}{life:x}", self.addresses[name], self.platform.address,
-                          self.platform.known(name), "/state", admin, self.retuned.get(name, ()),
-                          fleet_part(self.scenario, name, words[name], words))
+        return relay_file(
+            self.scenario,
+            name,
+            f"{self.scenario.seed:x}{life:x}",
+            self.addresses[name],
+            self.platform.address,
+            self.platform.known(name),
+            "/state",
+            admin,
+            self.retuned.get(name, ()),
+            fleet_part(self.scenario, name, words[name], words),
+        )
 
     # Relays
 
@@ -153,7 +207,9 @@
             node.owner.hang_at = node.owner.steps + at, span
         self.starts(node, **troubles)
 
-    on_upgrade_new_dies = on_upgrade_old_dies = on_upgrade_new_hangs = on_upgrade_old_hangs = on_upgrade
+    on_upgrade_new_dies = on_upgrade_old_dies = on_upgrade_new_hangs = on_upgrade_old_hangs = (
+        on_upgrade
+    )
 
     def on_hup(self, fault, node, span) -> None:
         node.signal(SIGHUP)
@@ -163,7 +219,7 @@
         files = self.retuned.setdefault(node.name, [])
         files.append(int(fault.worth))
         node.signal(SIGHUP)
-        if not files[-1]:              # mended soon, or the relay could not start again
+        if not files[-1]:  # mended soon, or the relay could not start again
             self.world.after(200 * MS, files.remove, 0)
 
     def on_freeze(self, fault, node, span) -> None:
@@ -187,7 +243,7 @@
         self.sets(span, node.disk, "most", node.disk.used(), self.scenario.disk_kb * 1000, min)
 
     def on_disk_failing(self, fault, node, span) -> None:
-        self.sets(span, node.disk, "failing", 5, None)     # EIO
+        self.sets(span, node.disk, "failing", 5, None)  # EIO
 
     def on_short_writes(self, fault, node, span) -> None:
         self.sets(span, node.disk, "short", fault.worth, 0.0)
@@ -238,7 +294,14 @@
         return found
 
     def did(self, fault, way, before: int) -> None:
-        self.world.tell("cables", "cable did", kind=fault.kind, falls_on=fault.who, at_ms=fault.at_ms, touched=way.touched - before)
+        self.world.tell(
+            "cables",
+            "cable did",
+            kind=fault.kind,
+            falls_on=fault.who,
+            at_ms=fault.at_ms,
+            touched=way.touched - before,
+        )
 
     # The whole
 
@@ -246,21 +309,32 @@
         """Runs to the end, or to the first breach; the verdict, as plain data."""
         world, s = self.world, self.scenario
         collecting = gc.isenabled()
-        gc.disable()                   # nothing may end greenlets at a moment of its own choosing
+        gc.disable()  # nothing may end greenlets at a moment of its own choosing
         try:
             world.run(self.until + max(c.span_ms for c in s.categories) * MS + LOST + QUIET)
             if world.failure is None:
                 up = {name: node for name, node in self.nodes.items() if node.up}
-                self.referee.close({name: node.sizes() for name, node in up.items()},
-                                   {name: self.recount.untrue(name, node.process.core.figures) for name, node in up.items()})
-        except Exception as error:     # asserted in debug builds, or let through by the scheduler
+                self.referee.close(
+                    {name: node.sizes() for name, node in up.items()},
+                    {
+                        name: self.recount.untrue(name, node.process.core.figures)
+                        for name, node in up.items()
+                    },
+                )
+        except Exception as error:  # asserted in debug builds, or let through by the scheduler
             world.tell("relay", "escaped", error=repr(error))
         finally:
             if collecting:
                 gc.enable()
-        return {"ok": world.failure is None, "seed": s.seed, "failure": world.failure, "events": world.events,
-                "digest": world.digest.hexdigest(), "virtual_s": round((world.now - START) / SECOND, 3),
-                **self.referee.summary()}
+        return {
+            "ok": world.failure is None,
+            "seed": s.seed,
+            "failure": world.failure,
+            "events": world.events,
+            "digest": world.digest.hexdigest(),
+            "virtual_s": round((world.now - START) / SECOND, 3),
+            **self.referee.summary(),
+        }
 
 
 def play(scenario: Scenario) -> dict:
--- a/molehill/emulator/scenario.py
+++ b/molehill/emulator/scenario.py
@@ -3,6 +3,7 @@
 Times are whole milliseconds from the start of the run (`_ms`), shares are from 0 to 1. A fault in a file is a ScenarioError
 whose text names the key, as `$.faults[2].at_ms`.
 """
+
 import tomllib
 
 import msgspec
@@ -19,13 +20,14 @@
 
 class Category(Base):
     name: str
-    effect: str                    # idempotent, deduplicated or at_most_once, as the platform calls them
-    span_ms: int                   # from handing in to abandon time
+    # idempotent, deduplicated or at_most_once, as the platform calls them
+    effect: str
+    span_ms: int  # from handing in to abandon time
     goal_ms: int = 0
     payoff: float = 1.0
     ordered: bool = False
     window_ms: int = 0
-    scope: str = "all"             # of deduplicated: zone or all
+    scope: str = "all"  # of deduplicated: zone or all
 
     @property
     def span(self) -> int:
@@ -36,22 +38,22 @@
     destination: int
     hosts: int = 2
     kind: str = "plain"
-    span_ms: float = 20.0          # a call's usual time
+    span_ms: float = 20.0  # a call's usual time
     slots: int = 16
     queue: int = 32
-    rate: int = 0                  # calls a second and host; 0: no limit is told
+    rate: int = 0  # calls a second and host; 0: no limit is told
     zones: int = 2
 
 
 class ProgramPlan(Base):
-    rate: float                    # callbacks a second
+    rate: float  # callbacks a second
     destinations: list[int]
     keys: int = 20
     tries: int = 4
     heeds: bool = True
     once: bool = False
     leaves: float = 0.0
-    categories: list[str] = []     # all, if empty
+    categories: list[str] = []  # all, if empty
 
 
 class Surge(Base):
@@ -68,6 +70,7 @@
 class Fault(Base):
     """`who`: a relay (relay0), a host (h3-0) or platform; of what falls on the way between two, `A>B` (what A sends to B) or `A<>B` (both
     ways), where A and B are names, several with commas, or `relays`, `hosts`. `span_ms`: how long; `worth`: how bad, by the kind."""
+
     kind: str
     at_ms: int
     who: str
@@ -77,13 +80,16 @@
 
 class FleetPlan(Base):
     """Membership among the relays; spans as in a relay's file (`roundMs` and so on)."""
+
     spans: dict[str, float] = {}
-    seeds: int = 3                 # emulated, each relay is told of so many others; on processes of all, each behind its cable
+    # emulated, each relay is told of so many others; on processes of all, each behind its cable
+    seeds: int = 3
 
 
 class Scenario(Base):
     seed: int
-    span_ms: int                   # how long load comes; the run goes on until all that was taken on is over
+    # how long load comes; the run goes on until all that was taken on is over
+    span_ms: int
     relays: int
     categories: list[Category]
     endpoints: list[EndpointPlan]
@@ -95,45 +101,109 @@
     sockets: int = 256
     disk_kb: int = 3000
     max_held: int = 400
-    slots: int = 32                # calls out at once, of one relay
+    slots: int = 32  # calls out at once, of one relay
     settle_ms: int = 500
-    per_call: int = 4              # callbacks in a call to hosts of kind "bundle"
-    crowd_share: float = 0.2       # programs that find no connection left more often than this were crowded out
+    per_call: int = 4  # callbacks in a call to hosts of kind "bundle"
+    # programs that find no connection left more often than this were crowded out
+    crowd_share: float = 0.2
     note: str = ""
 
 
 # kind -> who it falls on, and what `worth` means
 FAULTS = {
-    "kill": "relay", "kill_step": "relay",     # at once; at so many steps of its own from then on (worth)
-    "kill_again": "relay",                     # killed, and killed again so many steps into the recovery (worth)
-    "restart": "relay", "hup": "relay", "spoil": "relay", "freeze": "relay", "lose_disk": "relay",
-    "disk_full": "relay", "disk_failing": "relay", "short_writes": "relay", "few_descriptors": "relay",
-    "silent": "host", "erring": "host", "refusing": "host", "shut": "host", "slow": "host", "spoilt": "host", "dead": "host", "vanished": "host",
-    "drain": "host", "lag": "platform", "outage": "platform", "lost_answers": "platform",
+    # at once; at so many steps of its own from then on (worth)
+    "kill": "relay",
+    "kill_step": "relay",
+    # killed, and killed again so many steps into the recovery (worth)
+    "kill_again": "relay",
+    "restart": "relay",
+    "hup": "relay",
+    "spoil": "relay",
+    "freeze": "relay",
+    "lose_disk": "relay",
+    "disk_full": "relay",
+    "disk_failing": "relay",
+    "short_writes": "relay",
+    "few_descriptors": "relay",
+    "silent": "host",
+    "erring": "host",
+    "refusing": "host",
+    "shut": "host",
+    "slow": "host",
+    "spoilt": "host",
+    "dead": "host",
+    "vanished": "host",
+    "drain": "host",
+    "lag": "platform",
+    "outage": "platform",
+    "lost_answers": "platform",
     "move": "platform",
     # Started again beside itself; of these two, one is killed or hangs at so many steps of its own from then on (worth)
-    "upgrade": "relay", "upgrade_new_dies": "relay", "upgrade_old_dies": "relay", "upgrade_new_hangs": "relay", "upgrade_old_hangs": "relay",
+    "upgrade": "relay",
+    "upgrade_new_dies": "relay",
+    "upgrade_old_dies": "relay",
+    "upgrade_new_hangs": "relay",
+    "upgrade_old_hangs": "relay",
     # What days of many relays bring: a share of the relays killed at once (worth), all hosts of one zone dark (worth: its index), the limits of
     # all destinations lowered to a share (worth)
-    "herd": "platform", "zone_dark": "platform", "lower": "platform",
-    "retune": "relay",                         # new settings at SIGHUP, so many launches (worth); 0: a file that is broken
+    "herd": "platform",
+    "zone_dark": "platform",
+    "lower": "platform",
+    # new settings at SIGHUP, so many launches (worth); 0: a file that is broken
+    "retune": "relay",
     # On the way from one to another. A connection's bytes wait and come in order; datagrams, the words among relays, are lost, or wait.
-    "cut": "pair", "burst": "pair",            # nothing comes through; or it comes all at once when the span is over
-    "delay": "pair", "narrow": "pair",         # by so many ms, give or take half (worth); so many bytes a second (worth)
-    "lose": "pair", "repeat": "pair", "reorder": "pair", "spoil_bytes": "pair",    # that share of datagrams (worth)
+    # nothing comes through; or it comes all at once when the span is over
+    "cut": "pair",
+    "burst": "pair",
+    # by so many ms, give or take half (worth); so many bytes a second (worth)
+    "delay": "pair",
+    "narrow": "pair",
+    # that share of datagrams (worth)
+    "lose": "pair",
+    "repeat": "pair",
+    "reorder": "pair",
+    "spoil_bytes": "pair",
     # On processes only, but for the step of the wall clock
-    "starve": "relay",                         # so many busy processes (worth) share its one core
-    "clock": "relay", "drift": "relay",        # from its next start on its wall clock is so many ms off; gains that share (worth)
+    "starve": "relay",  # so many busy processes (worth) share its one core
+    # from its next start on its wall clock is so many ms off; gains that share (worth)
+    "clock": "relay",
+    "drift": "relay",
     # Its wall clock is stepped by so many ms (worth), for good. Its calls on sockets, or on its files, fail with that errno (worth).
-    "wall_step": "relay", "accept_error": "relay", "connect_error": "relay", "disk_error": "relay",
-    "flood": "relay",                          # so many forged datagrams a second (worth) at the address where it hears others
-    "older": "relay"}                          # killed, and from then on of the older program, for that span
+    "wall_step": "relay",
+    "accept_error": "relay",
+    "connect_error": "relay",
+    "disk_error": "relay",
+    # so many forged datagrams a second (worth) at the address where it hears others
+    "flood": "relay",
+    # killed, and from then on of the older program, for that span
+    "older": "relay",
+}
 
 STREAMS_TOO = ("cut", "burst", "delay", "narrow")
-EMULATED_ONLY = ("kill_step", "kill_again", "spoil", "disk_failing", "short_writes", "upgrade_new_dies", "upgrade_old_dies",
-                 "upgrade_new_hangs", "upgrade_old_hangs")     # they count steps, or need a disk that errs on demand
-PROCESSES_ONLY = ("starve", "clock", "drift", "older", "flood", "accept_error", "connect_error", "disk_error")
-SHIMMED = ("wall_step", "accept_error", "connect_error", "disk_error")       # on processes they need molehill/fleet/shims.py
+EMULATED_ONLY = (
+    "kill_step",
+    "kill_again",
+    "spoil",
+    "disk_failing",
+    "short_writes",
+    "upgrade_new_dies",
+    "upgrade_old_dies",
+    # they count steps, or need a disk that errs on demand
+    "upgrade_new_hangs",
+    "upgrade_old_hangs",
+)
+PROCESSES_ONLY = (
+    "starve",
+    "clock",
+    "drift",
+    "older",
+    "flood",
+    "accept_error",
+    "connect_error",
+    "disk_error",
+)
+# on processes they need molehill/fleet/shims.py
+SHIMMED = ("wall_step", "accept_error", "connect_error", "disk_error")
 STAGES = ("emulated", "processes")
 
 
@@ -152,24 +222,45 @@
 
 def check(scenario: Scenario) -> Scenario:
     """What the types don't say."""
+
     def must(condition, key, text):
         if not condition:
             raise ScenarioError(f"$.{key}: {text}")
+
     must(scenario.relays > 0, "relays", "at least one is needed")
     must(scenario.span_ms > 0, "span_ms", "no time at all")
     must(scenario.sockets >= 32, "sockets", "a relay needs 32")
     must(scenario.categories, "categories", "none is given")
     must(scenario.endpoints, "endpoints", "none is given")
-    names, places = {c.name for c in scenario.categories}, {e.destination for e in scenario.endpoints}
+    names, places = (
+        {c.name for c in scenario.categories},
+        {e.destination for e in scenario.endpoints},
+    )
     for n, c in enumerate(scenario.categories):
-        must(c.effect in ("idempotent", "deduplicated", "at_most_once"), f"categories[{n}].effect", f"'{c.effect}' is unknown")
-        must(c.scope in ("zone", "all"), f"categories[{n}].scope", f"'{c.scope}' is neither zone nor all")
+        must(
+            c.effect in ("idempotent", "deduplicated", "at_most_once"),
+            f"categories[{n}].effect",
+            f"'{c.effect}' is unknown",
+        )
+        must(
+            c.scope in ("zone", "all"),
+            f"categories[{n}].scope",
+            f"'{c.scope}' is neither zone nor all",
+        )
         must(c.span_ms > 0, f"categories[{n}].span_ms", "no time at all")
     for n, e in enumerate(scenario.endpoints):
-        must(e.hosts > 0 and e.slots > 0 and e.zones > 0, f"endpoints[{n}]", "hosts, slots and zones are at least one")
+        must(
+            e.hosts > 0 and e.slots > 0 and e.zones > 0,
+            f"endpoints[{n}]",
+            "hosts, slots and zones are at least one",
+        )
     for n, p in enumerate(scenario.programs):
         must(p.rate > 0, f"programs[{n}].rate", "has to be more than none")
-        must(p.destinations and set(p.destinations) <= places, f"programs[{n}].destinations", "none, or one that nobody serves")
+        must(
+            p.destinations and set(p.destinations) <= places,
+            f"programs[{n}].destinations",
+            "none, or one that nobody serves",
+        )
         must(set(p.categories) <= names, f"programs[{n}].categories", "one is unknown")
     relays = {f"relay{n}" for n in range(scenario.relays)}
     hosts = {f"h{e.destination}-{n}" for e in scenario.endpoints for n in range(e.hosts)}
@@ -177,9 +268,17 @@
         must(f.kind in FAULTS, f"faults[{n}].kind", f"'{f.kind}' is unknown")
         if FAULTS[f.kind] == "pair":
             ways = directions(scenario, f.who)
-            must(ways, f"faults[{n}].who", f"'{f.who}' is not A>B or A<>B of a relay and another party, or of two relays")
+            must(
+                ways,
+                f"faults[{n}].who",
+                f"'{f.who}' is not A>B or A<>B of a relay and another party, or of two relays",
+            )
             among = all(a in relays and b in relays for a, b in ways)
-            must(among or f.kind in STREAMS_TOO, f"faults[{n}].kind", f"'{f.kind}' falls on datagrams, which only relays send each other")
+            must(
+                among or f.kind in STREAMS_TOO,
+                f"faults[{n}].kind",
+                f"'{f.kind}' falls on datagrams, which only relays send each other",
+            )
         else:
             fits = {"relay": relays, "host": hosts, "platform": {"platform"}}[FAULTS[f.kind]]
             must(f.who in fits, f"faults[{n}].who", f"'{f.who}' is no {FAULTS[f.kind]} here")
@@ -191,12 +290,19 @@
     """(from, to) of each way that `A>B` or `A<>B` names; empty where it names none, or one without a relay at an end."""
     relays = [f"relay{n}" for n in range(scenario.relays)]
     hosts = [f"h{e.destination}-{n}" for e in scenario.endpoints for n in range(e.hosts)]
-    known = {**{name: [name] for name in [*relays, *hosts, "platform"]}, "relays": relays, "hosts": hosts}
+    known = {
+        **{name: [name] for name in [*relays, *hosts, "platform"]},
+        "relays": relays,
+        "hosts": hosts,
+    }
     left, arrow, right = who.partition("<>")
     both = bool(arrow)
     if not both:
         left, arrow, right = who.partition(">")
-    sides = [[name for word in side.split(",") for name in known.get(word.strip(), [None])] for side in (left, right)]
+    sides = [
+        [name for word in side.split(",") for name in known.get(word.strip(), [None])]
+        for side in (left, right)
+    ]
     if not arrow or None in sides[0] + sides[1]:
         return []
     ways = [(a, b) for a in sides[0] for b in sides[1] if a != b]
@@ -209,5 +315,7 @@
     other = EMULATED_ONLY if stage == "processes" else PROCESSES_ONLY
     for n, fault in enumerate(scenario.faults):
         if fault.kind in other:
-            raise ScenarioError(f"$.faults[{n}].kind: '{fault.kind}' can't be played on stage {stage}")
+            raise ScenarioError(
+                f"$.faults[{n}].kind: '{fault.kind}' can't be played on stage {stage}"
+            )
     return scenario
--- a/molehill/emulator/script.py
+++ b/molehill/emulator/script.py
@@ -3,12 +3,20 @@
 Whoever mixes this in has `world`, `scenario`, `hosts` (by name) and `platform`, calls `prepare` once, and `falls` when a fault is due.
 Faults of one kind may overlap on one thing: the end of one takes back its own part and leaves the others'.
 """
+
 from molehill.config import MS
 from molehill.emulator.parties.endpoint import COLD, FALL_SPAN, PUSHED, RAMP
 
-DRAIN_TOLD = 1500 * MS                 # from the list's word to the first call that is turned away
-CATEGORY_KEYS = {"name": "name", "effect": "semantics", "span_ms": "deadlineMs", "payoff": "worth", "ordered": "serialByKey",
-                 "window_ms": "dedupWindowMs", "scope": "dedupScope"}
+DRAIN_TOLD = 1500 * MS  # from the list's word to the first call that is turned away
+CATEGORY_KEYS = {
+    "name": "name",
+    "effect": "semantics",
+    "span_ms": "deadlineMs",
+    "payoff": "worth",
+    "ordered": "serialByKey",
+    "window_ms": "dedupWindowMs",
+    "scope": "dedupScope",
+}
 
 
 class Layers:
@@ -34,7 +42,14 @@
         self.layers, self.laid, self.modes, self.drains = {}, 0, {}, {}
 
     def falls(self, fault) -> None:
-        self.world.tell("script", "fault", kind=fault.kind, falls_on=fault.who, span=fault.span_ms, worth=fault.worth)
+        self.world.tell(
+            "script",
+            "fault",
+            kind=fault.kind,
+            falls_on=fault.who,
+            span=fault.span_ms,
+            worth=fault.worth,
+        )
         getattr(self, "on_" + fault.kind)(fault, self.party(fault.who), fault.span_ms * MS)
 
     def party(self, who: str):
@@ -48,7 +63,9 @@
         self.world.after(span, layers.lift, self.laid)
 
     def sets(self, span: int, thing, name: str, part, base, worst=max) -> None:
-        self.during(span, (thing, name), part, base, worst, lambda value: setattr(thing, name, value))
+        self.during(
+            span, (thing, name), part, base, worst, lambda value: setattr(thing, name, value)
+        )
 
     # Hosts
 
@@ -67,7 +84,9 @@
         if host.mode == row[0]:
             host.became(*(rows[-1] if rows else ("well",)))
 
-    on_silent = on_erring = on_refusing = on_shut = on_slow = on_spoilt = on_dead = on_vanished = _mode
+    on_silent = on_erring = on_refusing = on_shut = on_slow = on_spoilt = on_dead = on_vanished = (
+        _mode
+    )
 
     def on_drain(self, fault, host, span) -> None:
         """Told first, by a second and a half; it turns away then, and is told to be back at the end."""
@@ -86,7 +105,11 @@
             self.platform.put(host, "active")
 
     def on_zone_dark(self, fault, _, span) -> None:
-        for host in [h for h in self.hosts.values() if h.plan.zone == "ab"[round(fault.worth)] and h.mode == "well"]:
+        for host in [
+            h
+            for h in self.hosts.values()
+            if h.plan.zone == "ab"[round(fault.worth)] and h.mode == "well"
+        ]:
             self._in_mode(host, ("vanished",), span)
 
     def on_lower(self, fault, _, span) -> None:
@@ -111,12 +134,30 @@
     if plan is None:
         return {}
     others = [other for other in doors if other != name]
-    seeds = others if all_of_them else others[:plan.seeds]
-    return {"fleet": {"name": "rehearsed", "listen": "%s:%d" % listen, "seeds": {other: "%s:%d" % doors[other] for other in seeds},
-                      "keys": ["00" * 15 + f"{scenario.seed % 256:02x}"], **plan.spans}}
-
-
-def relay_file(scenario, name: str, seed: str, listen, discovery, known: dict, state: str, admin=None, retuned=(), fleet=None) -> dict:
+    seeds = others if all_of_them else others[: plan.seeds]
+    return {
+        "fleet": {
+            "name": "rehearsed",
+            "listen": "%s:%d" % listen,
+            "seeds": {other: "%s:%d" % doors[other] for other in seeds},
+            "keys": ["00" * 15 + f"{scenario.seed % 256:02x}"],
+            **plan.spans,
+        }
+    }
+
+
+def relay_file(
+    scenario,
+    name: str,
+    seed: str,
+    listen,
+    discovery,
+    known: dict,
+    state: str,
+    admin=None,
+    retuned=(),
+    fleet=None,
+) -> dict:
     """A relay's configuration in the platform's form. `listen`, `discovery`, `admin`: (address, port); `retuned`: the launches allowed
     by each of its later files, which name one class more each."""
     s, grades = scenario, []
@@ -124,14 +165,41 @@
         row = {key: getattr(c, field) for field, key in CATEGORY_KEYS.items()}
         grades.append({**row, "aimMs": c.goal_ms or c.span_ms // 4, "lateShare": 0.1})
     grades += [{**grades[0], "name": f"later {n}"} for n in range(len(retuned))]
-    return {**(fleet or {}), **({"admin": "%s:%d" % admin} if admin else {}), "name": name, "listen": "%s:%d" % listen, "discovery": "%s:%d" % discovery,
-            "seed": seed, "state": state,
-            "limits": {"sockets": s.sockets, "disk_mb": s.disk_kb / 1000, "memory_mb": 64}, "known": known,
-            "settings": {"grades": grades, "balancers": s.relays, "azs": ["a", "b"],
-                         "machineTypes": ["plain", "apart", "bundle"],
-                         "extra": {"kindApart": [False, True, False], "perCall": [1, 1, s.per_call], "maxCalls": s.slots},
-                         "allowed": {"maxOpen": s.max_held, "maxAttempts": ([8, *retuned])[-1], "retryAfter": True, "maxRetryAfterMs": 5000,
-                                     "connIdleMs": 10000, "connectTimeoutMs": 1500},
-                         "guarantees": {"settleAfterDoubtMs": s.settle_ms, "fallMs": FALL_SPAN // MS,
-                                        "tipMultiple": PUSHED, "coldFrom": COLD, "rampTimeMs": RAMP // MS},
-                         "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"}}}
+    return {
+        **(fleet or {}),
+        **({"admin": "%s:%d" % admin} if admin else {}),
+        "name": name,
+        "listen": "%s:%d" % listen,
+        "discovery": "%s:%d" % discovery,
+        "seed": seed,
+        "state": state,
+        "limits": {"sockets": s.sockets, "disk_mb": s.disk_kb / 1000, "memory_mb": 64},
+        "known": known,
+        "settings": {
+            "grades": grades,
+            "balancers": s.relays,
+            "azs": ["a", "b"],
+            "machineTypes": ["plain", "apart", "bundle"],
+            "extra": {
+                "kindApart": [False, True, False],
+                "perCall": [1, 1, s.per_call],
+                "maxCalls": s.slots,
+            },
+            "allowed": {
+                "maxOpen": s.max_held,
+                "maxAttempts": ([8, *retuned])[-1],
+                "retryAfter": True,
+                "maxRetryAfterMs": 5000,
+                "connIdleMs": 10000,
+                "connectTimeoutMs": 1500,
+            },
+            "guarantees": {
+                "settleAfterDoubtMs": s.settle_ms,
+                "fallMs": FALL_SPAN // MS,
+                "tipMultiple": PUSHED,
+                "coldFrom": COLD,
+                "rampTimeMs": RAMP // MS,
+            },
+            "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"},
+        },
+    }
--- a/molehill/emulator/sweep.py
+++ b/molehill/emulator/sweep.py
@@ -1,4 +1,5 @@
 """Many seeds on many cores; the same run twice; a failing one made smaller. A worker is a process of its own."""
+
 import json
 import os
 import subprocess
@@ -10,12 +11,15 @@
 
 import msgspec
 
-from molehill.emulator import generator, scenario as scenarios
+from molehill.emulator import generator
+from molehill.emulator import scenario as scenarios
 from molehill.emulator.mutations import mutated
 from molehill.emulator.run import play
 
-WORST_KEPT = 5                         # seeds with the greatest share of slow start's budget, in a summary
-RUNS_A_WORKER = 50                     # then a fresh process: what killed relays leave behind goes with the old one
+# seeds with the greatest share of slow start's budget, in a summary
+WORST_KEPT = 5
+# then a fresh process: what killed relays leave behind goes with the old one
+RUNS_A_WORKER = 50
 
 
 def from_seed(seed: int, weights=None, customers=False):
@@ -59,12 +63,21 @@
     def summary(self) -> dict:
         rows = [self.rows[seed] for seed in sorted(self.rows)]
         failed = [row for row in rows if not row["ok"]]
-        fed = sorted(((row.get("slow_start_share", 0.0), row["seed"]) for row in rows), reverse=True)[:WORST_KEPT]
-        kinds = Counter(f"rule {row['failure']['rule']}: {row['failure']['text']}" for row in failed)
-        return {"seeds": len(rows), "failed": [row["seed"] for row in failed], "kinds": dict(sorted(kinds.items())),
-                "slow_start_worst": {str(seed): share for share, seed in fed if share},
-                "callbacks": sum(row.get("wanted", 0) for row in rows), "virtual_s": round(sum(row["virtual_s"] for row in rows)),
-                "service": round(sum(row["service"] for row in rows) / len(rows), 4) if rows else None}
+        fed = sorted(
+            ((row.get("slow_start_share", 0.0), row["seed"]) for row in rows), reverse=True
+        )[:WORST_KEPT]
+        kinds = Counter(
+            f"rule {row['failure']['rule']}: {row['failure']['text']}" for row in failed
+        )
+        return {
+            "seeds": len(rows),
+            "failed": [row["seed"] for row in failed],
+            "kinds": dict(sorted(kinds.items())),
+            "slow_start_worst": {str(seed): share for share, seed in fed if share},
+            "callbacks": sum(row.get("wanted", 0) for row in rows),
+            "virtual_s": round(sum(row["virtual_s"] for row in rows)),
+            "service": round(sum(row["service"] for row in rows) / len(rows), 4) if rows else None,
+        }
 
 
 def sweep(seeds, jobs: int, results: Results, mistake=None, weights=None, customers=False):
@@ -85,16 +98,26 @@
 
 def twice(scenario) -> list[str]:
     """Digests of two runs: here, and in a process that hashes in another way."""
-    code = ("import sys; from molehill.emulator import scenario, run; "
-            "print(run.play(scenario.load(sys.stdin.read()))['digest'])")
+    code = (
+        "import sys; from molehill.emulator import scenario, run; "
+        "print(run.play(scenario.load(sys.stdin.read()))['digest'])"
+    )
     other = "1" if os.environ.get("PYTHONHASHSEED") != "1" else "2"
-    done = subprocess.run([sys.executable, "-c", code], input=scenarios.dump(scenario), capture_output=True, text=True, check=True,
-                          env={**os.environ, "PYTHONHASHSEED": other})
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        input=scenarios.dump(scenario),
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ, "PYTHONHASHSEED": other},
+    )
     return [play(scenario)["digest"], done.stdout.strip()]
 
 
 def same_way(one, other) -> bool:
-    return bool(one) and bool(other) and (one["rule"], one["text"]) == (other["rule"], other["text"])
+    return (
+        bool(one) and bool(other) and (one["rule"], one["text"]) == (other["rule"], other["text"])
+    )
 
 
 def smaller(scenario):
@@ -106,7 +129,7 @@
         step = len(rows) // 2
         while step:
             for at in range(0, len(rows), step):
-                yield change(scenario, **{name: rows[:at] + rows[at + step:]})
+                yield change(scenario, **{name: rows[:at] + rows[at + step :]})
             step //= 2
     if scenario.relays > 1:
         yield change(scenario, relays=scenario.relays - 1)
@@ -115,20 +138,31 @@
     yield change(scenario, strangers=scenarios.StrangersPlan())
     for n, program in enumerate(scenario.programs):
         rows = list(scenario.programs)
-        for less in (change(program, rate=program.rate / 2), change(program, leaves=0.0), change(program, tries=1)):
-            yield change(scenario, programs=rows[:n] + [less] + rows[n + 1:])
+        for less in (
+            change(program, rate=program.rate / 2),
+            change(program, leaves=0.0),
+            change(program, tries=1),
+        ):
+            yield change(scenario, programs=rows[:n] + [less] + rows[n + 1 :])
     for n, fault in enumerate(scenario.faults):
         if fault.span_ms > 1:
             less = change(fault, span_ms=fault.span_ms // 2)
-            yield change(scenario, faults=scenario.faults[:n] + [less] + scenario.faults[n + 1:])
+            yield change(scenario, faults=scenario.faults[:n] + [less] + scenario.faults[n + 1 :])
 
 
 def fitting(scenario):
     """The scenario with what hangs in the air taken out, or None where it can't stand."""
     change, places = msgspec.structs.replace, {e.destination for e in scenario.endpoints}
     names = {c.name for c in scenario.categories}
-    programs = [change(p, destinations=[d for d in p.destinations if d in places], categories=[c for c in p.categories if c in names])
-                for p in scenario.programs if not p.categories or names & set(p.categories)]
+    programs = [
+        change(
+            p,
+            destinations=[d for d in p.destinations if d in places],
+            categories=[c for c in p.categories if c in names],
+        )
+        for p in scenario.programs
+        if not p.categories or names & set(p.categories)
+    ]
     made = change(scenario, programs=[p for p in programs if p.destinations])
     relays = {f"relay{n}" for n in range(made.relays)} | {"platform"}
     hosts = {f"h{e.destination}-{n}" for e in made.endpoints for n in range(e.hosts)}
--- a/molehill/emulator/world.py
+++ b/molehill/emulator/world.py
@@ -2,6 +2,7 @@
 
 Relays run as greenlets of their own, woken by this loop when their pollers say so; all other parties are callbacks.
 """
+
 import hashlib
 from heapq import heappop, heappush
 from random import Random
@@ -10,8 +11,8 @@
 
 from molehill.config import MS, SECOND
 
-START = 1_800_000_000 * SECOND         # Unix time at which each run begins: any fixed moment does
-TRACE_KEPT = 20_000                    # events kept for the timeline; the digest covers all
+START = 1_800_000_000 * SECOND  # Unix time at which each run begins: any fixed moment does
+TRACE_KEPT = 20_000  # events kept for the timeline; the digest covers all
 
 
 class World:
@@ -21,7 +22,7 @@
         self.now, self.chance, self.hub = START, Random(seed), getcurrent()
         self.heap, self.serial, self.events = [], 0, 0
         self.trace, self.digest, self.failure = [], hashlib.blake2b(digest_size=16), None
-        self.watchers = []             # each is told of every event, and may raise Breach
+        self.watchers = []  # each is told of every event, and may raise Breach
 
     def at(self, when: int, work, *args) -> None:
         """Calls work(*args) at that time, at once if it is past; what is due together runs as it was asked for."""
--- a/molehill/fleet/cable.py
+++ b/molehill/fleet/cable.py
@@ -7,6 +7,7 @@
 What it can't do: the kernel takes a connection up for the far end, so in a cut a relay's connect succeeds and stays silent, where on a
 real wire it would time out.
 """
+
 import socket
 from collections import deque
 
@@ -16,10 +17,13 @@
 from molehill.fleet.sockets import CABLE, Listener, Sock, at, between
 from molehill.fleet.world import IN
 
-WINDOW = 256 * 1024                    # bytes of one connection's direction that wait here; then its writer waits, as behind full buffers
-LETTERS = 4096                         # datagrams of one direction that wait here; what comes beyond is lost, as in a full queue
-HELD = 5 * MS                          # what was held back so long is told with the time at which it was written
-FLOODS_FROM = "127.0.0.1"              # a stranger's address, none of the fleet's
+# bytes of one connection's direction that wait here; then its writer waits, as behind full buffers
+WINDOW = 256 * 1024
+# datagrams of one direction that wait here; what comes beyond is lost, as in a full queue
+LETTERS = 4096
+# what was held back so long is told with the time at which it was written
+HELD = 5 * MS
+FLOODS_FROM = "127.0.0.1"  # a stranger's address, none of the fleet's
 FLOOD_A_TURN = 200
 END, RESET = object(), object()
 
@@ -69,7 +73,11 @@
             return self.touch("lose")
         if self.spoil_bytes and self.chance.random() < self.spoil_bytes and data:
             place = self.chance.randrange(len(data))
-            data = data[:place] + bytes([data[place] ^ self.chance.randrange(1, 256)]) + data[place + 1:]
+            data = (
+                data[:place]
+                + bytes([data[place] ^ self.chance.randrange(1, 256)])
+                + data[place + 1 :]
+            )
             self.touch("spoil_bytes")
         times = 1
         if self.repeat and self.chance.random() < self.repeat:
@@ -101,7 +109,13 @@
     """One direction of one connection."""
 
     def __init__(self, way: Way, source: Sock, sink: Sock, passed):
-        self.way, self.world, self.source, self.sink, self.passed = way, way.world, source, sink, passed
+        self.way, self.world, self.source, self.sink, self.passed = (
+            way,
+            way.world,
+            source,
+            sink,
+            passed,
+        )
         self.queue, self.size, self.over, self.last, self.waits = deque(), 0, False, 0, False
         way.pipes.add(self)
 
@@ -146,14 +160,31 @@
     """A connection through the cable: from whoever came to the party that it was for."""
 
     def __init__(self, cables, near: Sock, there: Way, back: Way, address, bound=None):
-        self.cables, self.world, self.near, self.there, self.back, self.address, self.bound = cables, cables.world, near, there, back, address, bound
+        self.cables, self.world, self.near, self.there, self.back, self.address, self.bound = (
+            cables,
+            cables.world,
+            near,
+            there,
+            back,
+            address,
+            bound,
+        )
         network, machine = cables.network, cables.machine
-        self.peer = None                   # how the far end sees it, once that has it
+        self.peer = None  # how the far end sees it, once that has it
         self.far = Sock(network, machine, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self.out = Pipe(there, near, self.far, self.wrote)
         self.home = Pipe(back, self.far, near, lambda since: None)
-        near.listen_to(lambda s, data, _: self.out.push(data, len(data)), lambda s: self.hung_up(END), lambda s: self.hung_up(RESET))
-        self.far.listen_to(lambda s, data, _: self.home.push(data, len(data)), lambda s: self.ended(END), lambda s: self.ended(RESET), self.up)
+        near.listen_to(
+            lambda s, data, _: self.out.push(data, len(data)),
+            lambda s: self.hung_up(END),
+            lambda s: self.hung_up(RESET),
+        )
+        self.far.listen_to(
+            lambda s, data, _: self.home.push(data, len(data)),
+            lambda s: self.ended(END),
+            lambda s: self.ended(RESET),
+            self.up,
+        )
         self.dial()
 
     def dial(self) -> None:
@@ -182,7 +213,7 @@
             self.world.tell("cables", "hung up", peer=self.peer)
         self.near.close()
         self.out.push(what)
-        if self.far.state in ("fresh", "dialling"):    # nothing of it ever came there
+        if self.far.state in ("fresh", "dialling"):  # nothing of it ever came there
             self.there.pipes.discard(self)
             self.far.close()
 
@@ -199,7 +230,10 @@
         self.machine, self.ways, self.doors = network.machine("cables"), {}, {}
         relays = {name: n for n, name in enumerate(network.relays)}
         hosts = {f"h{e.destination}-{n}": None for e in scenario.endpoints for n in range(e.hosts)}
-        bases = {"platform": places.platform(), **{name: places.host(h) for h, name in enumerate(hosts)}}
+        bases = {
+            "platform": places.platform(),
+            **{name: places.host(h) for h, name in enumerate(hosts)},
+        }
         for relay, party in pairs:
             if party in relays:
                 self.words(relays[relay], relays[party], relay, party)
@@ -212,7 +246,12 @@
 
     def line(self, a: str, b: str, door, address, bound=None) -> None:
         there, back = self.way(a, b), self.way(b, a)
-        Listener(self.network, self.machine, [(a, door)], lambda sock: Line(self, sock, there, back, address, bound))
+        Listener(
+            self.network,
+            self.machine,
+            [(a, door)],
+            lambda sock: Line(self, sock, there, back, address, bound),
+        )
 
     def words(self, a: int, b: int, from_a: str, to_b: str) -> None:
         """The door at which relay a finds relay b. Datagrams go on from the door at which b finds a, so that b can answer."""
@@ -229,6 +268,7 @@
                 except OSError:
                     return
                 way.letter(data, lambda rest: theirs.send(rest, address))
+
         self.world.watch(mine.sock.fileno(), IN, came)
 
     def datagrams(self, address) -> "Datagrams":
@@ -241,7 +281,13 @@
     def falls(self, script, fault) -> None:
         if fault.kind == "flood":
             relay = self.network.relays.index(fault.who)
-            return self.flood(fault, (self.places.relay(relay)[0], WORDS), Datagrams((FLOODS_FROM, 0)), self.world.now, 0)
+            return self.flood(
+                fault,
+                (self.places.relay(relay)[0], WORDS),
+                Datagrams((FLOODS_FROM, 0)),
+                self.world.now,
+                0,
+            )
         for a, b in directions(self.scenario, fault.who):
             way, span = self.way(a, b), fault.span_ms * MS
             before = way.counts.get(fault.kind, 0)
@@ -251,7 +297,10 @@
             def apply(value, way=way, kind=fault.kind) -> None:
                 setattr(way, kind, value)
                 way.changed()
-            script.during(span, (way, fault.kind), part, base, min if fault.kind == "narrow" else max, apply)
+
+            script.during(
+                span, (way, fault.kind), part, base, min if fault.kind == "narrow" else max, apply
+            )
             self.world.after(span, self.did, fault, way, before)
 
     def flood(self, fault, address, door, began: int, said: int) -> None:
@@ -264,11 +313,24 @@
             self.world.after(MS, self.flood, fault, address, door, began, said)
         else:
             door.sock.close()
-            self.world.tell("cables", "cable did", kind=fault.kind, falls_on=fault.who, at_ms=fault.at_ms, touched=said)
+            self.world.tell(
+                "cables",
+                "cable did",
+                kind=fault.kind,
+                falls_on=fault.who,
+                at_ms=fault.at_ms,
+                touched=said,
+            )
 
     def did(self, fault, way, before: int) -> None:
-        self.world.tell("cables", "cable did", kind=fault.kind, falls_on=fault.who, at_ms=fault.at_ms,
-                        touched=way.counts.get(fault.kind, 0) - before)
+        self.world.tell(
+            "cables",
+            "cable did",
+            kind=fault.kind,
+            falls_on=fault.who,
+            at_ms=fault.at_ms,
+            touched=way.counts.get(fault.kind, 0) - before,
+        )
 
 
 class Datagrams:
@@ -280,5 +342,5 @@
     def send(self, data: bytes, address) -> None:
         try:
             self.sock.sendto(data, address)
-        except OSError:                    # nobody there, or no room: a datagram that is lost
+        except OSError:  # nobody there, or no room: a datagram that is lost
             pass
--- a/molehill/fleet/checker.py
+++ b/molehill/fleet/checker.py
@@ -3,6 +3,7 @@
 A finding is kept, broken, unknown (it can't be told from what was seen) or void (the rig did not do what the run was about). The run's
 word is the worst in the order of WORDS; nothing is ever taken for kept because it was not looked at.
 """
+
 import re
 from bisect import bisect_left, bisect_right
 from collections import Counter, namedtuple
@@ -15,13 +16,16 @@
 
 KEPT, UNKNOWN, BROKEN, VOID = "kept", "unknown", "broken", "void"
 WORDS = (VOID, BROKEN, UNKNOWN, KEPT)  # the first of them that any finding has is the run's
-LATE_MOST = 250 * MS                   # the rig late by more: void. A relay on the same cores was as late, and rule 1 leaves it 350 ms
+# the rig late by more: void. A relay on the same cores was as late, and rule 1 leaves it 350 ms
+LATE_MOST = 250 * MS
 # The conductor sees nothing that is judged, and stamps what it does as it does it: it may be late behind the script by so much.
 CONDUCTOR, SCRIPT_MOST = "conductor", SECOND
-STOOD_MOST = 250 * MS                  # a relay that says it stood longer without having been made to: the machine's, so void
-ALONE_AMONG, ALONE_BY = 5, 5           # a relay that stood so many times as long as any of so many others did so by itself
-CROSSES = 5 * MS                       # what is under way as a cut begins
-NEAR = SECOND                          # what a kill or a pause meets counts from so long before it
+# a relay that says it stood longer without having been made to: the machine's, so void
+STOOD_MOST = 250 * MS
+# a relay that stood so many times as long as any of so many others did so by itself
+ALONE_AMONG, ALONE_BY = 5, 5
+CROSSES = 5 * MS  # what is under way as a cut begins
+NEAR = SECOND  # what a kill or a pause meets counts from so long before it
 
 Finding = namedtuple("Finding", "property word text facts")
 
@@ -41,39 +45,79 @@
     failure = world.failure
     history.summary = referee.summary()
     if failure is not None:
-        return [Finding("six rules", BROKEN, f"rule {failure['rule']}: {failure['text']}", {"at_ms": failure["at_ms"], **failure["facts"]})]
+        return [
+            Finding(
+                "six rules",
+                BROKEN,
+                f"rule {failure['rule']}: {failure['text']}",
+                {"at_ms": failure["at_ms"], **failure["facts"]},
+            )
+        ]
     asked = Counter(what for _, _, what, _ in history.rows)
     if not asked["heard"] or not asked["call"]:
-        return [Finding("six rules", UNKNOWN, "nobody was served: nothing was there to judge", dict(asked))]
+        return [
+            Finding(
+                "six rules", UNKNOWN, "nobody was served: nothing was there to judge", dict(asked)
+            )
+        ]
     left = [t.id for rows in referee.taken.values() for t in rows if t.state == "held" and t.owed]
     if left:
-        return [Finding("six rules", UNKNOWN, "taken on, and the run was over before its end could be told", {"ids": left[:5], "count": len(left)})]
+        return [
+            Finding(
+                "six rules",
+                UNKNOWN,
+                "taken on, and the run was over before its end could be told",
+                {"ids": left[:5], "count": len(left)},
+            )
+        ]
     return [Finding("six rules", KEPT, "", {})]
 
 
 def no_crash(history, scenario) -> list[Finding]:
     rows = [(who, facts) for _, who, what, facts in history.rows if what == "crashed"]
-    return [Finding("no crash", BROKEN, "a relay ended that nobody had ended", {"relay": who, **facts}) for who, facts in rows[:5]] \
-        or [Finding("no crash", KEPT, "", {})]
+    return [
+        Finding("no crash", BROKEN, "a relay ended that nobody had ended", {"relay": who, **facts})
+        for who, facts in rows[:5]
+    ] or [Finding("no crash", KEPT, "", {})]
 
 
 def invariants(history, scenario) -> list[Finding]:
     """Relays count broken invariants in release builds and say each in their logs."""
     if history.folder is None:
-        return []                          # emulated: asserted as they happen
+        return []  # emulated: asserted as they happen
     for path in sorted(history.folder.glob("relay*.log")):
         for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
             if "broken invariant" in line or line.startswith("Traceback"):
-                return [Finding("invariants", BROKEN, "a relay says that one of its invariants is broken", {"relay": path.stem, "line": line[:300]})]
+                return [
+                    Finding(
+                        "invariants",
+                        BROKEN,
+                        "a relay says that one of its invariants is broken",
+                        {"relay": path.stem, "line": line[:300]},
+                    )
+                ]
     return [Finding("invariants", KEPT, "", {})]
 
 
 def faults_hit(history, scenario) -> list[Finding]:
     """Each fault has touched something, or the run shows nothing about it."""
     counts = touched(history, scenario)
-    idle = [f"{f.kind} on {f.who} at {f.at_ms} ms" for f, count in zip(scenario.faults, counts) if not count]
-    facts = {"touched": [{"kind": f.kind, "who": f.who, "at_ms": f.at_ms, "count": n} for f, n in zip(scenario.faults, counts)]}
-    return [Finding("faults hit", VOID, f"touched nothing: {', '.join(idle)}", facts)] if idle else [Finding("faults hit", KEPT, "", facts)]
+    idle = [
+        f"{f.kind} on {f.who} at {f.at_ms} ms"
+        for f, count in zip(scenario.faults, counts)
+        if not count
+    ]
+    facts = {
+        "touched": [
+            {"kind": f.kind, "who": f.who, "at_ms": f.at_ms, "count": n}
+            for f, n in zip(scenario.faults, counts)
+        ]
+    }
+    return (
+        [Finding("faults hit", VOID, f"touched nothing: {', '.join(idle)}", facts)]
+        if idle
+        else [Finding("faults hit", KEPT, "", facts)]
+    )
 
 
 def causes_first(history, scenario) -> list[Finding]:
@@ -86,9 +130,23 @@
             called[facts["call"]] = now
             early = [ident for ident in facts["ids"] if ident not in asked]
             if early:
-                return [Finding("causes first", VOID, "a call stands before its callback was asked for", {"ids": early[:3], "call": facts["call"]})]
+                return [
+                    Finding(
+                        "causes first",
+                        VOID,
+                        "a call stands before its callback was asked for",
+                        {"ids": early[:3], "call": facts["call"]},
+                    )
+                ]
         elif what == "call answered" and facts["call"] not in called:
-            return [Finding("causes first", VOID, "an answer stands before its call", {"call": facts["call"]})]
+            return [
+                Finding(
+                    "causes first",
+                    VOID,
+                    "an answer stands before its call",
+                    {"call": facts["call"]},
+                )
+            ]
     return [Finding("causes first", KEPT, "", {})]
 
 
@@ -98,12 +156,27 @@
     cuts = {}
     for fault in scenario.faults:
         for a, b in directions(scenario, fault.who) if fault.kind == "cut" else ():
-            cuts.setdefault((a, b), []).append((START + fault.at_ms * MS + slack, START + (fault.at_ms + fault.span_ms) * MS - slack))
+            cuts.setdefault((a, b), []).append(
+                (
+                    START + fault.at_ms * MS + slack,
+                    START + (fault.at_ms + fault.span_ms) * MS - slack,
+                )
+            )
     for now, who, what, facts in history.rows:
-        way = {"call": lambda: (facts["relay"], facts["host"]), "notice": lambda: (facts["relay"], "platform")}.get(what, lambda: None)()
+        way = {
+            "call": lambda: (facts["relay"], facts["host"]),
+            "notice": lambda: (facts["relay"], "platform"),
+        }.get(what, lambda: None)()
         for begun, over in cuts.get(way, ()):
             if begun < now < over:
-                return [Finding("cuts hold", VOID, "something came through a cut", {"way": "%s>%s" % way, "what": what, "at_ms": (now - START) / MS})]
+                return [
+                    Finding(
+                        "cuts hold",
+                        VOID,
+                        "something came through a cut",
+                        {"way": "%s>%s" % way, "what": what, "at_ms": (now - START) / MS},
+                    )
+                ]
     return [Finding("cuts hold", KEPT, "", {})]
 
 
@@ -112,19 +185,43 @@
     if history.folder is None:
         return []
     facts = {process: round(late / MS, 1) for process, late in history.late.items()}
-    silent = [process for process, late in history.late.items() if late < 0] or ["all"] * (not facts)
+    silent = [process for process, late in history.late.items() if late < 0] or ["all"] * (
+        not facts
+    )
     if silent:
         return [Finding("rig in time", VOID, f"nothing tells how late these were: {silent}", facts)]
     stood = most_stood(history, scenario)
     for process, late in history.late.items():
         bound = SCRIPT_MOST if process == CONDUCTOR else LATE_MOST
         if late > bound:
-            return [Finding("rig in time", VOID, f"{process} was {facts[process]} ms late, {bound // MS} at most", facts)]
+            return [
+                Finding(
+                    "rig in time",
+                    VOID,
+                    f"{process} was {facts[process]} ms late, {bound // MS} at most",
+                    facts,
+                )
+            ]
     if stands_by_itself(stood, history.late):
-        return [Finding("rig in time", BROKEN, f"of all on this machine one relay alone stood: {stood} ms", facts)]
+        return [
+            Finding(
+                "rig in time",
+                BROKEN,
+                f"of all on this machine one relay alone stood: {stood} ms",
+                facts,
+            )
+        ]
     if stood and max(stood.values()) > STOOD_MOST / MS:
-        return [Finding("rig in time", VOID, f"relays stood {stood} ms, {STOOD_MOST // MS} at most", facts)]
-    return [Finding("rig in time", KEPT, "", {**facts, **{f"{who} stood": ms for who, ms in stood.items()}})]
+        return [
+            Finding(
+                "rig in time", VOID, f"relays stood {stood} ms, {STOOD_MOST // MS} at most", facts
+            )
+        ]
+    return [
+        Finding(
+            "rig in time", KEPT, "", {**facts, **{f"{who} stood": ms for who, ms in stood.items()}}
+        )
+    ]
 
 
 def stands_by_itself(stood: dict, late: dict) -> bool:
@@ -132,7 +229,9 @@
     spans = sorted(stood.values())
     if len(spans) < ALONE_AMONG or spans[-1] <= STOOD_MOST / MS:
         return False
-    others = max([spans[-2], *(span / MS for process, span in late.items() if process != CONDUCTOR)])
+    others = max(
+        [spans[-2], *(span / MS for process, span in late.items() if process != CONDUCTOR)]
+    )
     return spans[-1] > ALONE_BY * others
 
 
@@ -141,7 +240,12 @@
     made_to = {f.who for f in scenario.faults if f.kind in ("freeze", "starve", "upgrade")}
     found = {}
     for path in sorted(history.folder.glob("relay*.log")):
-        spans = [float(ms) for ms in re.findall(r"\bstood_ms=([0-9.]+)", path.read_text(encoding="utf-8", errors="replace"))]
+        spans = [
+            float(ms)
+            for ms in re.findall(
+                r"\bstood_ms=([0-9.]+)", path.read_text(encoding="utf-8", errors="replace")
+            )
+        ]
         if spans and path.stem not in made_to:
             found[path.stem] = max(spans)
     return found
@@ -150,20 +254,50 @@
 def figures_true(history, scenario) -> list[Finding]:
     """What relays count themselves beside what their clients and hosts saw: callbacks ended at relays that never ended or were cut off."""
     if history.folder is None:
-        return []                          # the emulator's recount does it
-    said = {who: facts["rows"] for _, who, what, facts in [*history.rows, *history.rest] if what == "figures"}
-    troubled = {f.who for f in scenario.faults if FAULTS[f.kind] == "relay"} | \
-               {name for f in scenario.faults if FAULTS[f.kind] == "pair" for name in re.split("[<>,]+", f.who)}
+        return []  # the emulator's recount does it
+    said = {
+        who: facts["rows"]
+        for _, who, what, facts in [*history.rows, *history.rest]
+        if what == "figures"
+    }
+    troubled = {f.who for f in scenario.faults if FAULTS[f.kind] == "relay"} | {
+        name
+        for f in scenario.faults
+        if FAULTS[f.kind] == "pair"
+        for name in re.split("[<>,]+", f.who)
+    }
     if not said:
         return [Finding("figures", UNKNOWN, "no relay told its figures", {})]
     for who, rows in said.items():
         if int(rows.get("open_requests", 0)):
-            return [Finding("figures", BROKEN, "requests are open after all is over", {"relay": who, "open_requests": rows["open_requests"]})]
-        if who in troubled or {"relays", "hosts", "platform"} & troubled or any(f.kind in ("herd", "zone_dark", "dead", "vanished") for f in scenario.faults):
+            return [
+                Finding(
+                    "figures",
+                    BROKEN,
+                    "requests are open after all is over",
+                    {"relay": who, "open_requests": rows["open_requests"]},
+                )
+            ]
+        if (
+            who in troubled
+            or {"relays", "hosts", "platform"} & troubled
+            or any(f.kind in ("herd", "zone_dark", "dead", "vanished") for f in scenario.faults)
+        ):
             continue
-        relayed = sum(len(facts["ids"]) for _, _, what, facts in history.rows if what == "call" and facts["relay"] == who)
+        relayed = sum(
+            len(facts["ids"])
+            for _, _, what, facts in history.rows
+            if what == "call" and facts["relay"] == who
+        )
         if abs(relayed - int(rows["relayed"])) > max(3, relayed / 50):
-            return [Finding("figures", BROKEN, "calls counted by the relay and by hosts differ", {"relay": who, "said": rows["relayed"], "seen": relayed})]
+            return [
+                Finding(
+                    "figures",
+                    BROKEN,
+                    "calls counted by the relay and by hosts differ",
+                    {"relay": who, "said": rows["relayed"], "seen": relayed},
+                )
+            ]
     return [Finding("figures", KEPT, "", {})]
 
 
@@ -172,10 +306,20 @@
     if scenario.fleet is None or history.folder is None:
         return []
     if any(f.kind in ("clock", "drift") for f in scenario.faults):
-        return [Finding("membership", UNKNOWN, "relays' clocks are off, so what they say can't be set beside the script", {})]
+        return [
+            Finding(
+                "membership",
+                UNKNOWN,
+                "relays' clocks are off, so what they say can't be set beside the script",
+                {},
+            )
+        ]
     if not members.says(history.folder, history):
         return [Finding("membership", BROKEN, "no relay said a word of others", {})]
-    return [Finding(name, word, text, facts) for word, name, text, facts in members.check(history, scenario)] or [Finding("membership", KEPT, "", {})]
+    return [
+        Finding(name, word, text, facts)
+        for word, name, text, facts in members.check(history, scenario)
+    ] or [Finding("membership", KEPT, "", {})]
 
 
 # What was there for a fault to touch: kind -> (how long before it counts too, what of the history it touches)
@@ -200,8 +344,17 @@
 
 
 TOUCHES = {"relay": (NEAR, of_relay), "host": (NEAR, of_host), "platform": (NEAR, any_call)}
-BY_KIND = {"lower": (0, refusals), "lost_answers": (0, of_platform), "silent": (0, of_host), "erring": (0, of_host), "refusing": (0, of_host),
-           "shut": (0, of_host), "slow": (0, of_host), "spoilt": (0, of_host), "drain": (NEAR, of_host)}
+BY_KIND = {
+    "lower": (0, refusals),
+    "lost_answers": (0, of_platform),
+    "silent": (0, of_host),
+    "erring": (0, of_host),
+    "refusing": (0, of_host),
+    "shut": (0, of_host),
+    "slow": (0, of_host),
+    "spoilt": (0, of_host),
+    "drain": (NEAR, of_host),
+}
 
 
 def touched(history, scenario) -> list[int]:
@@ -220,23 +373,42 @@
             found.append(did[place])
             continue
         if history.folder is not None and FAULTS[fault.kind] == "relay" and not hits[place]:
-            found.append(0)                # the signal met nobody
+            found.append(0)  # the signal met nobody
             continue
         before, touches = BY_KIND.get(fault.kind, TOUCHES[FAULTS[fault.kind]])
         begun = START + fault.at_ms * MS
-        first, last = bisect_left(times, begun - before), bisect_right(times, begun + max(fault.span_ms * MS, AFTER_READY))
+        first, last = (
+            bisect_left(times, begun - before),
+            bisect_right(times, begun + max(fault.span_ms * MS, AFTER_READY)),
+        )
         found.append(sum(touches(fault, *row[1:]) for row in history.rows[first:last]))
     return found
 
 
-PROPERTIES = {"six rules": six_rules, "no crash": no_crash, "invariants": invariants, "faults hit": faults_hit, "rig in time": in_time,
-              "figures": figures_true, "causes first": causes_first, "cuts hold": cuts_hold,
-              "membership": membership}
+PROPERTIES = {
+    "six rules": six_rules,
+    "no crash": no_crash,
+    "invariants": invariants,
+    "faults hit": faults_hit,
+    "rig in time": in_time,
+    "figures": figures_true,
+    "causes first": causes_first,
+    "cuts hold": cuts_hold,
+    "membership": membership,
+}
 
 
 def check(history, scenario, properties=None) -> dict:
     """The verdict, as plain data: `word`, and findings by property."""
-    findings = [finding for look in (properties or PROPERTIES).values() for finding in look(history, scenario)]
+    findings = [
+        finding
+        for look in (properties or PROPERTIES).values()
+        for finding in look(history, scenario)
+    ]
     words = {finding.word for finding in findings}
     word = next((w for w in WORDS if w in words), UNKNOWN)
-    return {"word": word, "ok": word == KEPT, "findings": [finding._asdict() for finding in findings]}
+    return {
+        "word": word,
+        "ok": word == KEPT,
+        "findings": [finding._asdict() for finding in findings],
+    }
--- a/molehill/fleet/compare.py
+++ b/molehill/fleet/compare.py
@@ -1,4 +1,5 @@
 """Two programs, or two settings, on paired seeds: a ratio with its interval."""
+
 import json
 import subprocess
 import sys
@@ -14,7 +15,7 @@
 from molehill.fleet import play as plays
 from molehill.fleet.conductor import TREE
 
-DRAWS, SHARE = 2000, 0.95              # of the bootstrap; how much of it the interval holds
+DRAWS, SHARE = 2000, 0.95  # of the bootstrap; how much of it the interval holds
 
 
 class Unusable(ValueError):
@@ -24,9 +25,13 @@
 def checkout(revision: str, folder: Path) -> Path:
     """The program as of that commit, laid into `folder`. Raises Unusable."""
     folder.mkdir(parents=True, exist_ok=True)
-    packed = subprocess.run(["git", "-C", str(TREE), "archive", revision], capture_output=True, check=False)
+    packed = subprocess.run(
+        ["git", "-C", str(TREE), "archive", revision], capture_output=True, check=False
+    )
     if packed.returncode:
-        raise Unusable(f"{revision}: neither a commit here nor KEY=VALUE: {packed.stderr.decode(errors='replace').strip()[:200]}")
+        raise Unusable(
+            f"{revision}: neither a commit here nor KEY=VALUE: {packed.stderr.decode(errors='replace').strip()[:200]}"
+        )
     subprocess.run(["tar", "-x", "-C", str(folder)], input=packed.stdout, check=True)
     return folder
 
@@ -59,12 +64,19 @@
     def play(self, seed: int, stage: str) -> dict:
         """`word`, `service`, and on processes the 99th percentile of delivery."""
         scenario = plays.seeded(self.scenario, seed)
-        if stage == "emulated" and self.tree is not None:      # a commit's own emulator plays its own relay
+        # a commit's own emulator plays its own relay
+        if stage == "emulated" and self.tree is not None:
             with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
                 file.write(scenarios.dump(scenario))
                 file.flush()
-                done = subprocess.run([sys.executable, "-m", "molehill.cli", "emulate", "run", file.name], cwd=self.tree, capture_output=True,
-                                      text=True, env={"PATH": "/usr/bin:/bin", "PYTHONPATH": str(self.tree)}, check=False)
+                done = subprocess.run(
+                    [sys.executable, "-m", "molehill.cli", "emulate", "run", file.name],
+                    cwd=self.tree,
+                    capture_output=True,
+                    text=True,
+                    env={"PATH": "/usr/bin:/bin", "PYTHONPATH": str(self.tree)},
+                    check=False,
+                )
             if done.returncode not in (0, 1):
                 raise Unusable(f"{self.text}: {done.stderr.strip()[-300:]}")
             told = json.loads(done.stdout)
@@ -82,7 +94,12 @@
     chance = Random(seed)
     means = sorted(mean(chance.choices(ratios, k=len(ratios))) for _ in range(DRAWS))
     edge = int(DRAWS * (1 - SHARE) / 2)
-    return {"ratio": round(mean(ratios), 4), "from": round(means[edge], 4), "to": round(means[-edge - 1], 4), "pairs": len(ratios)}
+    return {
+        "ratio": round(mean(ratios), 4),
+        "from": round(means[edge], 4),
+        "to": round(means[-edge - 1], 4),
+        "pairs": len(ratios),
+    }
 
 
 def compare(scenario, a: str, b: str, seeds, stage: str, told=lambda seed, rows: None) -> dict:
@@ -91,13 +108,18 @@
         sides = [Side(text, scenario, Path(trees) / name) for name, text in (("a", a), ("b", b))]
         pairs = []
         for n, seed in enumerate(seeds):
-            order = sides if n % 2 == 0 else sides[::-1]       # neither is always the second on a warm machine
+            # neither is always the second on a warm machine
+            order = sides if n % 2 == 0 else sides[::-1]
             rows = {side.text: side.play(seed, stage) for side in order}
             pairs.append([rows[side.text] for side in sides])
             told(seed, rows)
     found = {"words": [plays.words(row) for row in zip(*pairs)]}
     for name in ("service", "p99_ms"):
-        usable = [(x[name], y[name]) for x, y in pairs if x.get(name) and y.get(name) and "void" not in (x["word"], y["word"])]
+        usable = [
+            (x[name], y[name])
+            for x, y in pairs
+            if x.get(name) and y.get(name) and "void" not in (x["word"], y["word"])
+        ]
         if usable:
             found[name] = interval([y / x for x, y in usable])
     return found
--- a/molehill/fleet/conductor.py
+++ b/molehill/fleet/conductor.py
@@ -3,6 +3,7 @@
 Children end with the tool: stand-ins at the end of their standard input, relays by the kernel's word (PR_SET_PDEATHSIG). Each is ended
 by its process id. A relay is ready when `/ready` says so, never after some time.
 """
+
 import contextlib
 import ctypes
 import json
@@ -31,9 +32,10 @@
 from molehill.fleet.sockets import CABLE, Network
 from molehill.fleet.world import IN, World
 
-LOOK = 10 * MS                         # how often children are looked at, and a door asked that has not said yes
-START_WITHIN = 30 * SECOND             # for all to be up; beyond it the run is void
-READ_WITHIN = 2 * SECOND               # for figures at the end
+# how often children are looked at, and a door asked that has not said yes
+LOOK = 10 * MS
+START_WITHIN = 30 * SECOND  # for all to be up; beyond it the run is void
+READ_WITHIN = 2 * SECOND  # for figures at the end
 TREE = Path(__file__).resolve().parents[2]
 STARTING, SERVING, ENDING, GONE = "starting", "serving", "ending", "gone"
 BUSY = "import os\nwhile os.getppid() == %d: pass"
@@ -49,8 +51,9 @@
 
     def tie() -> None:
         libc.prctl(PARENT_GONE, signal.SIGKILL, 0, 0, 0)
-        if os.getppid() != parent:         # gone before the kernel was told
+        if os.getppid() != parent:  # gone before the kernel was told
             os._exit(1)
+
     return tie
 
 
@@ -58,7 +61,14 @@
     """One process of a relay."""
 
     def __init__(self, number: int, child, door):
-        self.number, self.child, self.door, self.state, self.wanted, self.asking = number, child, door, STARTING, False, False
+        self.number, self.child, self.door, self.state, self.wanted, self.asking = (
+            number,
+            child,
+            door,
+            STARTING,
+            False,
+            False,
+        )
 
 
 class Relay:
@@ -67,8 +77,15 @@
     def __init__(self, run, n: int):
         self.run, self.world, self.n, self.name = run, run.world, n, f"relay{n}"
         self.folder, self.file = run.folder / f"{self.name}.state", run.folder / f"{self.name}.json"
-        self.lives, self.owner, self.number, self.retuned, self.hook, self.is_older = [], None, 0, [], {}, False
-        self.hand_overs = 0                # that its processes have said, as of the last look
+        self.lives, self.owner, self.number, self.retuned, self.hook, self.is_older = (
+            [],
+            None,
+            0,
+            [],
+            {},
+            False,
+        )
+        self.hand_overs = 0  # that its processes have said, as of the last look
         self.shim, self.wrong = run.folder / f"{self.name}.shim", {}
         if any(fault.kind in SHIMMED and fault.who == self.name for fault in run.scenario.faults):
             self.hook = {"shim": str(self.shim)}
@@ -80,8 +97,18 @@
     def write_file(self, door=None) -> None:
         run, places = self.run, self.run.places
         address = run.network.seen_by(self.name, run.platform_at, "platform")
-        given = relay_file(run.scenario, self.name, f"{run.scenario.seed:x}{self.number:x}", places.relay(self.n), address,
-                           run.known(self.name), str(self.folder), door or places.door(self.n, self.number), self.retuned, self.fleet())
+        given = relay_file(
+            run.scenario,
+            self.name,
+            f"{run.scenario.seed:x}{self.number:x}",
+            places.relay(self.n),
+            address,
+            run.known(self.name),
+            str(self.folder),
+            door or places.door(self.n, self.number),
+            self.retuned,
+            self.fleet(),
+        )
         whole = self.file.with_suffix(".new")
         whole.write_text(json.dumps(given), encoding="utf-8")
         whole.rename(self.file)
@@ -89,8 +116,13 @@
     def fleet(self) -> dict:
         """Told only the cables at which it finds the others; a seed may be any of them, so it has an address for each."""
         places = self.run.places
-        doors = {f"relay{other}": (lambda host, port: (host, port + CABLE))(*places.words(self.n, other)) for other in range(self.run.scenario.relays)}
-        return fleet_part(self.run.scenario, self.name, (places.relay(self.n)[0], WORDS), doors, all_of_them=True)
+        doors = {
+            f"relay{other}": (lambda host, port: (host, port + CABLE))(*places.words(self.n, other))
+            for other in range(self.run.scenario.relays)
+        }
+        return fleet_part(
+            self.run.scenario, self.name, (places.relay(self.n)[0], WORDS), doors, all_of_them=True
+        )
 
     def start(self) -> Life:
         self.number += 1
@@ -100,8 +132,13 @@
             self.world.tell(self.name, "started", life=self.number)
         with open(self.run.folder / f"{self.name}.log", "ab") as log:
             tree = self.run.older if self.is_older else self.run.tree
-            child = self.run.child([sys.executable, "-O", "-m", *self.program()], cwd=tree, stderr=log, stdin=subprocess.DEVNULL,
-                                   env={**os.environ, "ROUTER_CONFIG": str(self.file), "PYTHONPATH": str(tree)})
+            child = self.run.child(
+                [sys.executable, "-O", "-m", *self.program()],
+                cwd=tree,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "ROUTER_CONFIG": str(self.file), "PYTHONPATH": str(tree)},
+            )
         life = Life(self.number, child, door)
         self.lives.append(life)
         if self.owner is None:
@@ -111,7 +148,11 @@
     def program(self) -> list[str]:
         """The program itself, or with a hook of the rig's where one is asked for."""
         hook = {**({"mistake": self.run.mistake} if self.run.mistake else {}), **self.hook}
-        return ["molehill.fleet.hooked", json.dumps(hook)] if hook and not self.is_older else ["molehill"]
+        return (
+            ["molehill.fleet.hooked", json.dumps(hook)]
+            if hook and not self.is_older
+            else ["molehill"]
+        )
 
     def look(self) -> None:
         """Once every LOOK: who is gone, who is ready."""
@@ -132,7 +173,15 @@
         def over(sock) -> None:
             sock.close()
             life.asking = False
-        self.run.network.connect(self.run.machine, life.door, came, over, over, lambda sock: sock.put(request("GET", "/ready")))
+
+        self.run.network.connect(
+            self.run.machine,
+            life.door,
+            came,
+            over,
+            over,
+            lambda sock: sock.put(request("GET", "/ready")),
+        )
 
     def ready(self, life) -> None:
         life.state = SERVING
@@ -161,12 +210,17 @@
         self.world.tell(self.name, "left on disk", file=self.image(life))
         if self.owner is None:
             self.world.after(AGAIN, self.again)
-        else:                              # one that waits for the folder: what it does is another life's
+        # one that waits for the folder: what it does is another life's
+        else:
             self.world.tell(self.name, "started", life=self.owner.number)
 
     def handed_over(self) -> bool:
         """Whether the process that is gone had given all to the next one: it says so in its log before it does anything else."""
-        said = (self.run.folder / f"{self.name}.log").read_text(encoding="utf-8", errors="replace").count("event='handed over'")
+        said = (
+            (self.run.folder / f"{self.name}.log")
+            .read_text(encoding="utf-8", errors="replace")
+            .count("event='handed over'")
+        )
         newly, self.hand_overs = said > self.hand_overs, said
         return newly
 
@@ -208,7 +262,11 @@
         """Of the process that serves; back to what it was with `value` None."""
         if self.owner is not None and self.owner.child.poll() is None:
             soft, hard = resource.prlimit(self.owner.child.pid, which)
-            resource.prlimit(self.owner.child.pid, which, (hard if value is None else min(value, hard if hard >= 0 else value), hard))
+            resource.prlimit(
+                self.owner.child.pid,
+                which,
+                (hard if value is None else min(value, hard if hard >= 0 else value), hard),
+            )
 
 
 class Run(Script):
@@ -219,7 +277,11 @@
         if older is None and any(fault.kind == "older" for fault in scenario.faults):
             raise scenarios.ScenarioError("$.faults: 'older' needs an older program: --older REV")
         self.older, self.mistake, self.rig_mistake = older, mistake, rig_mistake
-        self.scenario, self.folder, self.tree = scenarios.for_stage(scenario, "processes"), Path(folder), Path(tree or TREE)
+        self.scenario, self.folder, self.tree = (
+            scenarios.for_stage(scenario, "processes"),
+            Path(folder),
+            Path(tree or TREE),
+        )
         self.prepare()
         self.folder.mkdir(parents=True, exist_ok=True)
         self.children, self.parties, self.over, self.platform, self.hosts = [], {}, False, None, {}
@@ -241,20 +303,46 @@
             child.kill()
 
     def known(self, relay: str) -> dict:
-        rows = [{"name": name, "address": "%s:%d" % self.network.seen_by(relay, self.places.host(h), name), "zone": plan.zone,
-                 "type": plan.kind, "group": plan.destination, "status": "active", "weight": 1.0, "since_ms": 0}
-                for h, (_, _, name, plan) in enumerate(host_plans(self.scenario))]
+        rows = [
+            {
+                "name": name,
+                "address": "%s:%d" % self.network.seen_by(relay, self.places.host(h), name),
+                "zone": plan.zone,
+                "type": plan.kind,
+                "group": plan.destination,
+                "status": "active",
+                "weight": 1.0,
+                "since_ms": 0,
+            }
+            for h, (_, _, name, plan) in enumerate(host_plans(self.scenario))
+        ]
         return {"index": len(rows) + 1, "snapshot": True, "endpoints": rows}
 
     # Parties
 
     def start_party(self, role: str) -> None:
         spec = self.folder / f"{role}.spec"
-        spec.write_bytes(msgspec.json.encode(Spec(role, scenarios.dump(self.scenario), self.slot, str(self.folder / f"{role}.history"),
-                                                  sorted(self.cabled), self.rig_mistake)))
+        spec.write_bytes(
+            msgspec.json.encode(
+                Spec(
+                    role,
+                    scenarios.dump(self.scenario),
+                    self.slot,
+                    str(self.folder / f"{role}.history"),
+                    sorted(self.cabled),
+                    self.rig_mistake,
+                )
+            )
+        )
         with open(self.folder / f"{role}.log", "ab") as log:
-            child = self.child([sys.executable, "-m", "molehill.fleet.party", str(spec)], cwd=TREE, stdin=subprocess.PIPE,
-                               stdout=subprocess.PIPE, stderr=log, env={**os.environ, "PYTHONPATH": str(TREE)})
+            child = self.child(
+                [sys.executable, "-m", "molehill.fleet.party", str(spec)],
+                cwd=TREE,
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": str(TREE)},
+            )
         self.parties[role] = child
         self.waits_for.add(role)
         self.world.watch(child.stdout.fileno(), IN, lambda mask: self.party_up(role, child))
@@ -267,7 +355,7 @@
     def order(self, **what) -> None:
         line = msgspec.json.encode(what) + b"\n"
         for child in self.parties.values():
-            with contextlib.suppress(OSError):     # one that died is told of by `look`
+            with contextlib.suppress(OSError):  # one that died is told of by `look`
                 child.stdin.write(line)
                 child.stdin.flush()
 
@@ -295,7 +383,8 @@
             for fault in self.scenario.faults:
                 if FAULTS[fault.kind] == "relay" and fault.kind != "flood" or fault.kind == "herd":
                     self.world.at(START + fault.at_ms * MS, self.falls, fault)
-                elif fault.kind == "move":         # told by the platform, as each is by whoever carries it out
+                # told by the platform, as each is by whoever carries it out
+                elif fault.kind == "move":
                     self.world.at(START + fault.at_ms * MS, self.on_move, fault, None, 0)
             longest = max(c.span_ms for c in self.scenario.categories) * MS
             self.world.at(START + self.scenario.span_ms * MS + longest + LOST + QUIET, self.ends)
@@ -314,7 +403,9 @@
     def look_at_parties(self) -> None:
         for role, child in self.parties.items():
             if child.poll() is not None and not self.over:
-                raise NotPlayed(f"stand-in {role} ended by itself with {child.returncode}: see {role}.log")
+                raise NotPlayed(
+                    f"stand-in {role} ended by itself with {child.returncode}: see {role}.log"
+                )
 
     def look(self) -> None:
         self.look_at_parties()
@@ -328,10 +419,26 @@
         waiting = set()
         for relay in self.relays.values():
             if relay.up:
-                self.page(relay, "/metrics", waiting, lambda relay, body: self.world.tell(relay.name, "figures", rows=figures_of(body),
-                                                                                          cpu=cpu_of(relay.owner.child.pid)))
+                self.page(
+                    relay,
+                    "/metrics",
+                    waiting,
+                    lambda relay, body: self.world.tell(
+                        relay.name,
+                        "figures",
+                        rows=figures_of(body),
+                        cpu=cpu_of(relay.owner.child.pid),
+                    ),
+                )
                 if self.scenario.fleet is not None:
-                    self.page(relay, "/fleet", waiting, lambda relay, body: self.world.tell(relay.name, "view", view=json.loads(body)))
+                    self.page(
+                        relay,
+                        "/fleet",
+                        waiting,
+                        lambda relay, body: self.world.tell(
+                            relay.name, "view", view=json.loads(body)
+                        ),
+                    )
         self.world.after(READ_WITHIN, setattr, self.world, "stopped", True)
         self.read_all(waiting)
 
@@ -349,8 +456,15 @@
             for _, _, body, _ in reader.feed(data, sent_at):
                 told(relay, body)
                 waiting.discard(place)
-        self.network.connect(self.machine, relay.owner.door, came, lambda s: s.close(), lambda s: s.close(),
-                             lambda sock: sock.put(request("GET", target)))
+
+        self.network.connect(
+            self.machine,
+            relay.owner.door,
+            came,
+            lambda s: s.close(),
+            lambda s: s.close(),
+            lambda sock: sock.put(request("GET", target)),
+        )
 
     def end_all(self) -> None:
         self.over = True
@@ -423,7 +537,7 @@
             relay.write_file()
         else:
             text = relay.file.read_text(encoding="utf-8")
-            relay.file.write_text(text[:len(text) // 2], encoding="utf-8")
+            relay.file.write_text(text[: len(text) // 2], encoding="utf-8")
             self.world.after(200 * MS, relay.write_file)
         self.hit(fault, relay.up and relay.signal(signal.SIGHUP))
 
@@ -449,8 +563,10 @@
         def apply(stopped) -> None:
             if life.child.poll() is None:
                 if not stopped:
-                    self.world.tell(relay.name, "frozen", until=self.world.now, since=began)    # as late as it really was
+                    # as late as it really was
+                    self.world.tell(relay.name, "frozen", until=self.world.now, since=began)
                 life.child.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
+
         self.hit(fault, True)
         self.during(span, (relay.name, life.number, "stopped"), True, False, max, apply)
 
@@ -461,11 +577,17 @@
     def on_disk_full(self, fault, relay, span) -> None:
         """No file of the process may grow: its writes err."""
         log = relay.folder / "log"
-        self.limit(fault, relay, span, resource.RLIMIT_FSIZE, log.stat().st_size if log.exists() else 0)
+        self.limit(
+            fault, relay, span, resource.RLIMIT_FSIZE, log.stat().st_size if log.exists() else 0
+        )
 
     def on_clock(self, fault, relay, span) -> None:
         """Its next process has the wall clock wrong, as after a machine's own start; it is killed for that."""
-        off = {"clock_ms": fault.worth} if fault.kind == "clock" else {"drift": fault.worth, "drift_from": time.monotonic_ns()}
+        off = (
+            {"clock_ms": fault.worth}
+            if fault.kind == "clock"
+            else {"drift": fault.worth, "drift_from": time.monotonic_ns()}
+        )
         relay.hook = {**relay.hook, **off}
         self.hit(fault, relay.kill())
 
@@ -476,8 +598,15 @@
         self.hit(fault, True)
 
     def fails(self, fault, relay, span, key: str) -> None:
-        self.hit(fault, True)              # also one that is down: its next start is into it
-        self.during(span, (relay.name, key), int(fault.worth), None, max, lambda code: relay.goes_wrong(key, code))
+        self.hit(fault, True)  # also one that is down: its next start is into it
+        self.during(
+            span,
+            (relay.name, key),
+            int(fault.worth),
+            None,
+            max,
+            lambda code: relay.goes_wrong(key, code),
+        )
 
     def on_accept_error(self, fault, relay, span) -> None:
         self.fails(fault, relay, span, "accept")
@@ -488,7 +617,14 @@
     def on_disk_error(self, fault, relay, span) -> None:
         """Everything fails in the first half of it; then plain writes go well, and all else fails as before."""
         self.fails(fault, relay, span, "files")
-        self.during(span // 2, (relay.name, "disk"), int(fault.worth), None, max, lambda code: relay.goes_wrong("disk", code))
+        self.during(
+            span // 2,
+            (relay.name, "disk"),
+            int(fault.worth),
+            None,
+            max,
+            lambda code: relay.goes_wrong("disk", code),
+        )
 
     def on_older(self, fault, relay, span) -> None:
         self.hit(fault, relay.kill())
@@ -502,7 +638,14 @@
     def limit(self, fault, relay, span, which, value) -> None:
         if relay.up:
             self.hit(fault, True)
-            self.during(span, (relay.name, relay.number, which), value, None, min, lambda value: relay.set_limit(which, value))
+            self.during(
+                span,
+                (relay.name, relay.number, which),
+                value,
+                None,
+                min,
+                lambda value: relay.set_limit(which, value),
+            )
 
     def on_starve(self, fault, relay, span) -> None:
         """Busy processes beside it on the one core that it is held to meanwhile."""
@@ -512,7 +655,9 @@
         life, busy = relay.owner, []
         os.sched_setaffinity(life.child.pid, {core})
         for _ in range(max(1, int(fault.worth))):
-            busy.append(self.child([sys.executable, "-c", BUSY % os.getpid()], stdin=subprocess.DEVNULL))
+            busy.append(
+                self.child([sys.executable, "-c", BUSY % os.getpid()], stdin=subprocess.DEVNULL)
+            )
             os.sched_setaffinity(busy[-1].pid, {core})
         self.hit(fault, True)
 
@@ -521,6 +666,7 @@
                 self.end_child(child)
             if life.child.poll() is None:
                 os.sched_setaffinity(life.child.pid, os.sched_getaffinity(0))
+
         self.world.after(span, over)
 
 
@@ -538,7 +684,10 @@
 
 
 def figures_of(body: bytes) -> dict:
-    return dict(line.partition("|")[0].removeprefix("router.").rsplit(":", 1) for line in body.decode().splitlines())
+    return dict(
+        line.partition("|")[0].removeprefix("router.").rsplit(":", 1)
+        for line in body.decode().splitlines()
+    )
 
 
 def cpu_of(pid: int) -> float:
--- a/molehill/fleet/days.py
+++ b/molehill/fleet/days.py
@@ -1,4 +1,5 @@
 """Days drawn from a seed for either stage: the emulator's rough days with the kinds that processes can play, and ways that are cut or slow."""
+
 import errno
 from random import Random
 
@@ -8,9 +9,14 @@
 from molehill.emulator.scenario import EMULATED_ONLY, FAULTS, Fault, FleetPlan, Scenario, check
 
 # kind -> (weight, least and most worth)
-WAYS = {"cut": (6, (0, 0)), "burst": (1, (0, 0)), "delay": (2, (10, 800)), "narrow": (1, (500, 20_000))}
+WAYS = {
+    "cut": (6, (0, 0)),
+    "burst": (1, (0, 0)),
+    "delay": (2, (10, 800)),
+    "narrow": (1, (500, 20_000)),
+}
 MOST_MS = 4000
-BACK_MS = 1500                         # a host that was avoided has calls again by then, or soon
+BACK_MS = 1500  # a host that was avoided has calls again by then, or soon
 # What counts steps of the relay has no like on processes; the rest of the emulator's kinds stays as often as there.
 WEIGHTS = {**{kind: 0 for kind in EMULATED_ONLY}, "upgrade": 1, "kill": 6, "freeze": 4}
 
@@ -19,14 +25,22 @@
     made = generator.make(seed, {**WEIGHTS, **(weights or {})}, span_ms, relays)
     chance = Random(f"ways {seed}")
     hosts = [f"h{e.destination}-{n}" for e in made.endpoints for n in range(e.hosts)]
-    faults = [fault for fault in made.faults if fault.kind not in EMULATED_ONLY]       # edges aim some beside others
+    # edges aim some beside others
+    faults = [fault for fault in made.faults if fault.kind not in EMULATED_ONLY]
     for _ in range(chance.randrange(ways + 1)):
         kind = chance.choices(list(WAYS), [weight for weight, _ in WAYS.values()])[0]
-        one, other = chance.choice([*(f"relay{n}" for n in range(relays)), "relays"]), chance.choice([*hosts, "hosts", "platform", "platform"])
+        one, other = (
+            chance.choice([*(f"relay{n}" for n in range(relays)), "relays"]),
+            chance.choice([*hosts, "hosts", "platform", "platform"]),
+        )
         who = chance.choice([f"{one}>{other}", f"{other}>{one}", f"{one}<>{other}"])
         worth = float(int(chance.uniform(*WAYS[kind][1])))
-        faults.append(Fault(kind, chance.randrange(300, span_ms), who, chance.randrange(200, MOST_MS), worth))
-    return check(replace(made, faults=apart(sorted(faults, key=lambda f: (f.at_ms, f.kind, f.who)))))
+        faults.append(
+            Fault(kind, chance.randrange(300, span_ms), who, chance.randrange(200, MOST_MS), worth)
+        )
+    return check(
+        replace(made, faults=apart(sorted(faults, key=lambda f: (f.at_ms, f.kind, f.who))))
+    )
 
 
 def apart(faults) -> list[Fault]:
@@ -44,9 +58,25 @@
 # kind -> (weight, least and most span in ms, what `worth` is drawn from): for soaks, beside those of the emulator
 SHIMS = {
     "wall_step": (4, (0, 0), (3_600_000, -3_600_000, 10_000, -10_000, 900, -900)),
-    "accept_error": (2, (200, 1500), (errno.ECONNABORTED, errno.EPROTO, errno.EMFILE, errno.ENOBUFS)),
-    "connect_error": (2, (200, 1500), (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EINTR, errno.ETIMEDOUT, errno.EHOSTUNREACH)),
-    "disk_error": (3, (300, 4000), (errno.EIO, errno.ENOSPC))}       # a restart takes over a second
+    "accept_error": (
+        2,
+        (200, 1500),
+        (errno.ECONNABORTED, errno.EPROTO, errno.EMFILE, errno.ENOBUFS),
+    ),
+    "connect_error": (
+        2,
+        (200, 1500),
+        (
+            errno.EADDRNOTAVAIL,
+            errno.ENETUNREACH,
+            errno.ENOBUFS,
+            errno.EINTR,
+            errno.ETIMEDOUT,
+            errno.EHOSTUNREACH,
+        ),
+    ),
+    "disk_error": (3, (300, 4000), (errno.EIO, errno.ENOSPC)),
+}  # a restart takes over a second
 # Ends and beginnings of processes that a soak lays over them, and how soon after them
 ENDS = ("kill", "kill", "restart", "upgrade", "hup", "freeze", "herd")
 CROSSED_MS = 1600
@@ -54,24 +84,46 @@
 
 def soaked(seed: int, relays: int = 10, span_ms: int = 4000, shims: int = 4) -> Scenario:
     """A drawn day with that many faults of a relay's machine, half of them with the end of a process laid over them."""
-    made, chance = drawn(seed, relays, span_ms, 1, {"dead": 0, "vanished": 0}), Random(f"soak {seed}")
+    made, chance = (
+        drawn(seed, relays, span_ms, 1, {"dead": 0, "vanished": 0}),
+        Random(f"soak {seed}"),
+    )
     faults = list(made.faults)
     for _ in range(shims):
         kind = chance.choices(list(SHIMS), [weight for weight, *_ in SHIMS.values()])[0]
         _, (least, most), worths = SHIMS[kind]
-        fault = Fault(kind, chance.randrange(300, span_ms), f"relay{chance.randrange(relays)}", chance.randint(least, most), float(chance.choice(worths)))
+        fault = Fault(
+            kind,
+            chance.randrange(300, span_ms),
+            f"relay{chance.randrange(relays)}",
+            chance.randint(least, most),
+            float(chance.choice(worths)),
+        )
         faults.append(fault)
         if chance.random() < 0.5:
             end = chance.choice(ENDS)
             at = fault.at_ms + chance.randrange(CROSSED_MS)
-            faults.append(Fault(end, at, "platform" if end == "herd" else fault.who, chance.randrange(50, 600) if end == "freeze" else 0,
-                                chance.choice([0.2, 0.4]) if end == "herd" else 0.0))
+            faults.append(
+                Fault(
+                    end,
+                    at,
+                    "platform" if end == "herd" else fault.who,
+                    chance.randrange(50, 600) if end == "freeze" else 0,
+                    chance.choice([0.2, 0.4]) if end == "herd" else 0.0,
+                )
+            )
     categories = [replace(c, span_ms=min(c.span_ms, 4000)) for c in made.categories]
-    return check(replace(made, categories=categories, faults=sorted(faults, key=lambda f: (f.at_ms, f.kind, f.who))))
+    return check(
+        replace(
+            made,
+            categories=categories,
+            faults=sorted(faults, key=lambda f: (f.at_ms, f.kind, f.who)),
+        )
+    )
 
 
 SPANS = {"roundMs": 200, "aloneAfterMs": 800, "stalledMs": 300, "floorMs": 60}
-AFTER_MS = 11_000                      # for views to agree, at 8 relays and these spans
+AFTER_MS = 11_000  # for views to agree, at 8 relays and these spans
 
 
 def of_members(seed: int) -> Scenario:
@@ -82,24 +134,69 @@
     names = [f"relay{n}" for n in range(count)]
     faults, last = [], 0
     for _ in range(chance.randrange(1, 4)):
-        who, at, span = chance.choice(names), chance.randrange(500, 3000), chance.choice([1000, 3000, 6000])
+        who, at, span = (
+            chance.choice(names),
+            chance.randrange(500, 3000),
+            chance.choice([1000, 3000, 6000]),
+        )
         others = [name for name in names if name != who]
         half = chance.sample(names, count // 2)
         ring = [f"{names[n]}>{names[(n + 1) % count]}" for n in range(count)]
-        made = chance.choice([
-            [Fault("freeze", at, who, chance.choice([200, 290, 1000, 3000, 6000]))], [Fault("kill", at, who)], [Fault("restart", at, who)],
-            [Fault("upgrade", at, who)], [Fault("lose", at, "relays<>relays", span, chance.choice([0.05, 0.2, 0.4]))],
-            [Fault("cut", at, f"relays>{who}", span)], [Fault("cut", at, f"{who}>relays", span)], [Fault("cut", at, f"{who}>{chance.choice(others)}", span)],
-            [Fault("cut", at, f"{','.join(half)}<>{','.join(n for n in names if n not in half)}", span)],
-            [Fault("cut", at, way, span) for way in ring],
-            [Fault("repeat", at, "relays<>relays", span, 0.3), Fault("reorder", at, "relays<>relays", span, 0.3)],
-            [Fault("spoil_bytes", at, "relays<>relays", span, 0.1)], [Fault("delay", at, f"{who}<>relays", span, 120.0)],
-            [Fault("burst", at, f"{who}>relays", min(span, 3000))]])
+        made = chance.choice(
+            [
+                [Fault("freeze", at, who, chance.choice([200, 290, 1000, 3000, 6000]))],
+                [Fault("kill", at, who)],
+                [Fault("restart", at, who)],
+                [Fault("upgrade", at, who)],
+                [Fault("lose", at, "relays<>relays", span, chance.choice([0.05, 0.2, 0.4]))],
+                [Fault("cut", at, f"relays>{who}", span)],
+                [Fault("cut", at, f"{who}>relays", span)],
+                [Fault("cut", at, f"{who}>{chance.choice(others)}", span)],
+                [
+                    Fault(
+                        "cut",
+                        at,
+                        f"{','.join(half)}<>{','.join(n for n in names if n not in half)}",
+                        span,
+                    )
+                ],
+                [Fault("cut", at, way, span) for way in ring],
+                [
+                    Fault("repeat", at, "relays<>relays", span, 0.3),
+                    Fault("reorder", at, "relays<>relays", span, 0.3),
+                ],
+                [Fault("spoil_bytes", at, "relays<>relays", span, 0.1)],
+                [Fault("delay", at, f"{who}<>relays", span, 120.0)],
+                [Fault("burst", at, f"{who}>relays", min(span, 3000))],
+            ]
+        )
         faults += made
-        last = max(last, *(f.at_ms + f.span_ms + (4500 if f.kind == "restart" else 1500) for f in made))
-    calm = generator.make(seed, dict.fromkeys(FAULTS, 0) | {"hup": 1}, last + AFTER_MS - 6000, count)
-    kinds = [replace(e, kind="plain", rate=0, slots=32, span_ms=20.0, queue=32) for e in calm.endpoints[:2]]
+        last = max(
+            last, *(f.at_ms + f.span_ms + (4500 if f.kind == "restart" else 1500) for f in made)
+        )
+    calm = generator.make(
+        seed, dict.fromkeys(FAULTS, 0) | {"hup": 1}, last + AFTER_MS - 6000, count
+    )
+    kinds = [
+        replace(e, kind="plain", rate=0, slots=32, span_ms=20.0, queue=32)
+        for e in calm.endpoints[:2]
+    ]
     places = [e.destination for e in kinds]
-    return check(replace(calm, faults=sorted(faults, key=lambda f: (f.at_ms, f.kind, f.who)), fleet=FleetPlan(SPANS), endpoints=kinds, surges=[],
-                         programs=[replace(p, rate=20.0 + 10 * count, destinations=places, leaves=0.0) for p in calm.programs[:1]],
-                         strangers=type(calm.strangers)(), sockets=256, disk_kb=3000, max_held=400, slots=32))
+    return check(
+        replace(
+            calm,
+            faults=sorted(faults, key=lambda f: (f.at_ms, f.kind, f.who)),
+            fleet=FleetPlan(SPANS),
+            endpoints=kinds,
+            surges=[],
+            programs=[
+                replace(p, rate=20.0 + 10 * count, destinations=places, leaves=0.0)
+                for p in calm.programs[:1]
+            ],
+            strangers=type(calm.strangers)(),
+            sockets=256,
+            disk_kb=3000,
+            max_held=400,
+            slots=32,
+        )
+    )
--- a/molehill/fleet/figures.py
+++ b/molehill/fleet/figures.py
@@ -1,4 +1,5 @@
 """What a run's history says of service: pure functions, plain data out."""
+
 from collections import defaultdict
 
 from hdrh.histogram import HdrHistogram
@@ -25,7 +26,10 @@
                 if message in born and message not in seen:
                     seen.add(message)
                     row.record_value(max(LEAST_US, (now - born[message]) // 1000))
-    return {"count": row.get_total_count(), **{f"p{share:g}": round(row.get_value_at_percentile(share) / 1000, 2) for share in SHARES}}
+    return {
+        "count": row.get_total_count(),
+        **{f"p{share:g}": round(row.get_value_at_percentile(share) / 1000, 2) for share in SHARES},
+    }
 
 
 def by_second(history) -> list[tuple[int, int, int]]:
@@ -59,13 +63,19 @@
                     traffic[name][1] += said
     relays = sum(spent for who, spent in cpu.items() if who.startswith("relay"))
     whole = sum(cpu.values())
-    return {"cpu_s": {who: round(spent, 2) for who, spent in sorted(cpu.items())}, "bytes": dict(sorted(traffic.items())),
-            "rig_share": round(1 - relays / whole, 3) if whole else None}
+    return {
+        "cpu_s": {who: round(spent, 2) for who, spent in sorted(cpu.items())},
+        "bytes": dict(sorted(traffic.items())),
+        "rig_share": round(1 - relays / whole, 3) if whole else None,
+    }
 
 
 def spans(history, scenario) -> list[tuple[str, float, float]]:
     """(what fell on whom, from, to) in seconds of the run, for plots."""
-    rows = [(f"{f.kind} {f.who}", f.at_ms / 1000, (f.at_ms + max(f.span_ms, 50)) / 1000) for f in scenario.faults]
+    rows = [
+        (f"{f.kind} {f.who}", f.at_ms / 1000, (f.at_ms + max(f.span_ms, 50)) / 1000)
+        for f in scenario.faults
+    ]
     down = {}
     for now, who, what, facts in history.rows:
         if what in ("killed", "ended"):
--- a/molehill/fleet/history.py
+++ b/molehill/fleet/history.py
@@ -4,6 +4,7 @@
 after a sight: of two that are tied by a cause, the cause is first. `doubt`: how much earlier than its stamp a thing that was seen may
 have happened: the most that any stand-in was late (the conductor sees nothing, it acts).
 """
+
 from pathlib import Path
 
 import msgspec
@@ -16,7 +17,7 @@
 
     def __init__(self, rows, doubt: int = 0, folder=None, rest=()):
         self.rows, self.doubt, self.folder, self.rest = rows, doubt, folder, list(rest)
-        self.late = {}                     # process of the rig -> by how much it was late at most
+        self.late = {}  # process of the rig -> by how much it was late at most
 
 
 def read(folder) -> History:
@@ -27,7 +28,7 @@
             try:
                 stamp, process, who, what, facts = msgspec.json.decode(line)
             except (msgspec.DecodeError, ValueError):
-                continue                   # the last line of a process that was cut off
+                continue  # the last line of a process that was cut off
             lines.append((stamp, process, n, who, what, facts))
     lines.sort(key=lambda row: row[:3])
     begun = [facts for *_, what, facts in lines if what == "begins"]
@@ -40,7 +41,12 @@
             late[process] = facts["most"]
         # What led up to the run (starts, the first lists) is part of it; what its end brings is not.
         (rows if stamp <= over else rest).append((START + stamp - zero, who, what, facts))
-    history = History(whole(rows), max((span for process, span in late.items() if process != "conductor"), default=0), folder, rest)
+    history = History(
+        whole(rows),
+        max((span for process, span in late.items() if process != "conductor"), default=0),
+        folder,
+        rest,
+    )
     history.late, history.wall = late, begun[0]["wall"]
     return history
 
--- a/molehill/fleet/members.py
+++ b/molehill/fleet/members.py
@@ -2,6 +2,7 @@
 
 Bounds come from the scenario alone, by formulas of this file's own: nothing is taken from the code that is checked.
 """
+
 import ast
 import re
 from datetime import datetime
@@ -16,8 +17,9 @@
 # As the operators' page states them, where a file names none
 DEFAULT_MS = {"roundMs": 500, "aloneAfterMs": 2000, "stalledMs": 400, "floorMs": 100}
 BYTES_PER_S, BURST_S = 20_000, 4
-AGREES_ROUNDS = 16                     # T4: a lost one is called each 5 rounds, twice; is told, refutes; and the rumour takes twice log2 of the size
-START_MS = 3000                        # a relay that was killed is back and has joined
+# T4: a lost one is called each 5 rounds, twice; is told, refutes; and the rumour takes twice log2 of the size
+AGREES_ROUNDS = 16
+START_MS = 3000  # a relay that was killed is back and has joined
 
 
 def log_rows(folder, told):
@@ -27,7 +29,11 @@
             found = STAMP.search(line)
             if found:
                 moment = datetime.fromisoformat(found.group(1).replace("Z", "+00:00"))
-                yield START + int(moment.timestamp() * 1_000_000) * 1000 - told.wall, path.stem, line
+                yield (
+                    START + int(moment.timestamp() * 1_000_000) * 1000 - told.wall,
+                    path.stem,
+                    line,
+                )
 
 
 def says(folder, told) -> list[tuple]:
@@ -40,7 +46,15 @@
                 facts[name] = ast.literal_eval(text)
             except (ValueError, SyntaxError):
                 facts[name] = text
-        if facts.get("event") in ("member", "member begins", "standing", "refuted", "superseded", "another process", "stood"):
+        if facts.get("event") in (
+            "member",
+            "member begins",
+            "standing",
+            "refuted",
+            "superseded",
+            "another process",
+            "stood",
+        ):
             rows.append((now, relay, facts["event"], facts))
     return sorted(rows, key=lambda row: row[0])
 
@@ -66,7 +80,9 @@
     for f in scenario.faults:
         begun, over = START + f.at_ms * MS, START + (f.at_ms + f.span_ms) * MS
         if FAULTS[f.kind] == "relay":
-            rows.append((f.who, begun, over + START_MS * MS + (4000 * MS if f.kind == "restart" else 0)))
+            rows.append(
+                (f.who, begun, over + START_MS * MS + (4000 * MS if f.kind == "restart" else 0))
+            )
         elif f.kind == "herd":
             rows += [(relay, begun, over + START_MS * MS) for relay in relays]
         elif FAULTS[f.kind] == "pair":
@@ -83,7 +99,9 @@
             ways = directions(scenario, f.who)
             for relay in sorted(relays):
                 others = relays - {relay}
-                if {a for a, b in ways if b == relay} >= others or {b for a, b in ways if a == relay} >= others:
+                if {a for a, b in ways if b == relay} >= others or {
+                    b for a, b in ways if a == relay
+                } >= others:
                     rows.append((relay, START + f.at_ms * MS, START + (f.at_ms + f.span_ms) * MS))
     return rows
 
@@ -94,8 +112,18 @@
 def check(history, scenario) -> list[tuple[str, str, str, dict]]:
     """(word, property, text, facts) of each that does not hold, or can't be told; empty if all hold."""
     bounds, rows = Bounds(scenario, history.doubt), says(history.folder, history)
-    return [found for look in (never_back, alone_in_time, lost_in_time, not_lost_for_nothing, agree_in_the_end, within_allowance)
-            for found in look(history, scenario, bounds, rows)]
+    return [
+        found
+        for look in (
+            never_back,
+            alone_in_time,
+            lost_in_time,
+            not_lost_for_nothing,
+            agree_in_the_end,
+            within_allowance,
+        )
+        for found in look(history, scenario, bounds, rows)
+    ]
 
 
 def never_back(history, scenario, bounds, rows):
@@ -106,7 +134,12 @@
         elif event == "member":
             place, known = (relay, facts["name"]), (facts["number"], facts["turn"])
             if known < best.get(place, (0, 0)):
-                yield BROKEN, "no view goes back", "an older incarnation is believed again", {"viewer": relay, "of": facts["name"], "was": best[place], "is": known}
+                yield (
+                    BROKEN,
+                    "no view goes back",
+                    "an older incarnation is believed again",
+                    {"viewer": relay, "of": facts["name"], "was": best[place], "is": known},
+                )
                 return
             best[place] = known
 
@@ -128,13 +161,25 @@
     """One that hears nobody, or is heard by nobody, says so."""
     for relay, begun, over in cut_off(scenario):
         when = begun + bounds.t3
-        if when < over and not busy(scenario, relay, begun, when) and standing_at(rows, relay, when)[0] != "alone":
-            yield BROKEN, "alone in time", "a relay that hears nothing does not say so", {"relay": relay, "ms": bounds.t3 // MS}
+        if (
+            when < over
+            and not busy(scenario, relay, begun, when)
+            and standing_at(rows, relay, when)[0] != "alone"
+        ):
+            yield (
+                BROKEN,
+                "alone in time",
+                "a relay that hears nothing does not say so",
+                {"relay": relay, "ms": bounds.t3 // MS},
+            )
 
 
 def busy(scenario, relay, begun, over) -> bool:
     """Something else is done to it meanwhile, or all that could judge it are in trouble: nothing can be told."""
-    return any(who == relay and first < over and last > begun and first != begun for who, first, last in troubled(scenario))
+    return any(
+        who == relay and first < over and last > begun and first != begun
+        for who, first, last in troubled(scenario)
+    )
 
 
 def lost_in_time(history, scenario, bounds, rows):
@@ -144,10 +189,26 @@
             continue
         for n in range(scenario.relays):
             viewer = f"relay{n}"
-            if viewer != relay and not busy(scenario, viewer, begun, when) and standing_at(rows, viewer, when)[0] == "connected":
-                states = [facts["now"] for now, who, event, facts in rows if who == viewer and event == "member" and facts["name"] == relay and now <= when]
+            if (
+                viewer != relay
+                and not busy(scenario, viewer, begun, when)
+                and standing_at(rows, viewer, when)[0] == "connected"
+            ):
+                states = [
+                    facts["now"]
+                    for now, who, event, facts in rows
+                    if who == viewer
+                    and event == "member"
+                    and facts["name"] == relay
+                    and now <= when
+                ]
                 if states and states[-1] != "lost":
-                    yield BROKEN, "lost in time", "a connected relay does not know of one that is cut off", {"viewer": viewer, "of": relay, "believes": states[-1]}
+                    yield (
+                        BROKEN,
+                        "lost in time",
+                        "a connected relay does not know of one that is cut off",
+                        {"viewer": viewer, "of": relay, "believes": states[-1]},
+                    )
 
 
 def not_lost_for_nothing(history, scenario, bounds, rows):
@@ -155,25 +216,52 @@
     marks = troubled(scenario)
     for now, viewer, event, facts in rows:
         if event == "member" and facts["now"] == "lost":
-            reasons = [who for who, begun, over in marks if who in (viewer, facts["name"]) and begun <= now <= over + bounds.t1]
+            reasons = [
+                who
+                for who, begun, over in marks
+                if who in (viewer, facts["name"]) and begun <= now <= over + bounds.t1
+            ]
             if not reasons and standing_at(rows, viewer, now)[0] == "connected":
-                yield BROKEN, "not lost for nothing", "a relay that answers is believed lost", {"viewer": viewer, "of": facts["name"], "at_ms": (now - START) / MS}
+                yield (
+                    BROKEN,
+                    "not lost for nothing",
+                    "a relay that answers is believed lost",
+                    {"viewer": viewer, "of": facts["name"], "at_ms": (now - START) / MS},
+                )
                 return
 
 
 def agree_in_the_end(history, scenario, bounds, rows):
     """T4 after the last fault, all that are up are alive to all, and each says connected."""
-    views = {who: facts["view"] for _, who, what, facts in [*history.rows, *history.rest] if what == "view"}
+    views = {
+        who: facts["view"]
+        for _, who, what, facts in [*history.rows, *history.rest]
+        if what == "view"
+    }
     asked = [now for now, _, what, _ in [*history.rows, *history.rest] if what == "view"]
     last = max([over for _, _, over in troubled(scenario)], default=START)
     if not views or asked[0] < last + bounds.t4:
         short = (last + bounds.t4 - asked[0]) // MS if asked else None
-        yield UNKNOWN, "views agree", "the run ended before they have to", {"ms_short": short, "bound_ms": bounds.t4 // MS}
+        yield (
+            UNKNOWN,
+            "views agree",
+            "the run ended before they have to",
+            {"ms_short": short, "bound_ms": bounds.t4 // MS},
+        )
         return
     for viewer, view in views.items():
-        wrong = {row["name"]: row["state"] for row in view["members"] if row["name"] in views and row["state"] != "alive"}
+        wrong = {
+            row["name"]: row["state"]
+            for row in view["members"]
+            if row["name"] in views and row["state"] != "alive"
+        }
         if wrong or view["standing"] != "connected" or len(view["members"]) < len(views) - 1:
-            yield BROKEN, "views agree", "after the last fault not all are alive to all", {"viewer": viewer, "standing": view["standing"], "wrong": wrong}
+            yield (
+                BROKEN,
+                "views agree",
+                "after the last fault not all are alive to all",
+                {"viewer": viewer, "standing": view["standing"], "wrong": wrong},
+            )
             return
 
 
@@ -186,4 +274,9 @@
         if what == "figures" and who in lives and "fleet.bytes_out" in facts["rows"]:
             most = ((now - lives[who]) / SECOND + BURST_S) * BYTES_PER_S
             if int(facts["rows"]["fleet.bytes_out"]) > most:
-                yield BROKEN, "bytes within the allowance", "more was said than the settings allow", {"relay": who, "said": facts["rows"]["fleet.bytes_out"], "most": most}
+                yield (
+                    BROKEN,
+                    "bytes within the allowance",
+                    "more was said than the settings allow",
+                    {"relay": who, "said": facts["rows"]["fleet.bytes_out"], "most": most},
+                )
--- a/molehill/fleet/mutations.py
+++ b/molehill/fleet/mutations.py
@@ -2,6 +2,7 @@
 
 Those of relays are the emulator's (`molehill/emulator/mutations.py`), put into processes by hooked.py. Used by measurements and tests only.
 """
+
 from contextlib import contextmanager
 
 from molehill.fleet import cable, history
@@ -10,8 +11,10 @@
 
 def lets_all_through(before):
     """It counts what it ought to hold back, and hands it on."""
+
     def stands(self):
         return False
+
     return stands
 
 
@@ -24,33 +27,45 @@
         before(self, what, size)
         if size and self.way.chance.random() < 0.1:
             before(self, what, size)
+
     return push
 
 
 def order_of_processes(before):
     """Events stand by process, not by time."""
+
     def read(folder):
         found = before(folder)
         found.rows = sorted(found.rows, key=lambda row: (row[1].startswith("program"), row[0]))
         return found
+
     return read
 
 
 def stamped_late(before):
     """The programs' clock reads 80 ms too much."""
+
     def read(folder):
         found = before(folder)
-        found.rows = sorted(((now + 80_000_000 * who.startswith("program"), who, what, facts) for now, who, what, facts in found.rows),
-                            key=lambda row: row[0])
+        found.rows = sorted(
+            (
+                (now + 80_000_000 * who.startswith("program"), who, what, facts)
+                for now, who, what, facts in found.rows
+            ),
+            key=lambda row: row[0],
+        )
         return found
+
     return read
 
 
 def never_late(before):
     """A rig that does not see that it is late."""
+
     def beat(self):
         before(self)
         self.late = -1
+
     return beat
 
 
@@ -61,7 +76,8 @@
     "a cable says some things twice": ("cables", cable.Pipe, "push", some_twice),
     "a rig that measures no lateness": ("cables", World, "beat", never_late),
     "histories merged by process": ("checker", history, "read", order_of_processes),
-    "one process stamps late": ("checker", history, "read", stamped_late)}
+    "one process stamps late": ("checker", history, "read", stamped_late),
+}
 
 
 @contextmanager
--- a/molehill/fleet/party.py
+++ b/molehill/fleet/party.py
@@ -3,6 +3,7 @@
 Orders come as lines of JSON on standard input: {"begin": monotonic ns}, then what the conductor tells; its end is this process's end,
 so none outlives the tool. A line "up" on standard output says that all listeners are open.
 """
+
 import os
 import signal
 import sys
@@ -21,22 +22,24 @@
 from molehill.emulator.script import Script
 from molehill.emulator.world import START
 from molehill.fleet.cable import Cables
-from molehill.fleet.places import Places
 from molehill.fleet.mutations import mutated
+from molehill.fleet.places import Places
 from molehill.fleet.sockets import Network
 from molehill.fleet.world import IN, World
 
-PARENT_GONE = 1                        # PR_SET_PDEATHSIG, for tools that die without closing anything
+# PR_SET_PDEATHSIG, for tools that die without closing anything
+PARENT_GONE = 1
 
 
 class Spec(msgspec.Struct):
     """`role`: of ROLES; `history`: the file that this process writes; `cabled`: pairs (relay, party) with a cable before the party."""
+
     role: str
     scenario: str
     slot: int
     history: str
     cabled: list[tuple[str, str]] = []
-    mistake: str = ""                  # of mutations.py
+    mistake: str = ""  # of mutations.py
 
 
 class Absent:
@@ -50,8 +53,9 @@
 
 
 class Party(Script):
-    KINDS: tuple = ()                  # kinds of fault that are carried out here
-    TELLS_NOT: tuple = ()              # of those, what another process carries out as well, and tells of
+    KINDS: tuple = ()  # kinds of fault that are carried out here
+    # of those, what another process carries out as well, and tells of
+    TELLS_NOT: tuple = ()
 
     def __init__(self, spec: Spec):
         self.spec, self.scenario = spec, scenarios.load(spec.scenario)
@@ -72,7 +76,14 @@
 
     def falls(self, fault) -> None:
         if fault.kind not in self.TELLS_NOT:
-            self.world.tell("script", "fault", kind=fault.kind, falls_on=fault.who, span=fault.span_ms, worth=fault.worth)
+            self.world.tell(
+                "script",
+                "fault",
+                kind=fault.kind,
+                falls_on=fault.who,
+                span=fault.span_ms,
+                worth=fault.worth,
+            )
         self.carry_out(fault)
 
     def carry_out(self, fault) -> None:
@@ -102,7 +113,10 @@
 
 
 class Hosts(Party):
-    KINDS = tuple(kind for kind, on in scenarios.FAULTS.items() if on == "host") + ("lower", "zone_dark")
+    KINDS = tuple(kind for kind, on in scenarios.FAULTS.items() if on == "host") + (
+        "lower",
+        "zone_dark",
+    )
     TELLS_NOT = ("drain",)
 
     def make(self) -> None:
@@ -121,7 +135,9 @@
     def make(self) -> None:
         self.platform = Platform(self.world, self.network, self.places.platform())
         for h, (_, _, name, plan) in enumerate(host_plans(self.scenario)):
-            self.hosts[name] = SimpleNamespace(name=name, address=self.places.host(h), plan=plan, draining=False)
+            self.hosts[name] = SimpleNamespace(
+                name=name, address=self.places.host(h), plan=plan, draining=False
+            )
             self.platform._put(self.hosts[name], "active")
 
     def on_move(self, *_) -> None:
@@ -134,9 +150,23 @@
         until = START + s.span_ms * MS
         addresses = {name: self.places.relay(n) for n, name in enumerate(self.names)}
         self.front = Front(self.world, s.sockets // 3)
-        self.programs = [Program(self.world, self.network, self.front, f"program{n}", addresses, program_plan(s, p, until))
-                         for n, p in enumerate(s.programs)]
-        self.strangers = Strangers(self.world, self.network, addresses, Plan(copies=s.strangers.copies, rate=s.strangers.rate, until=until))
+        self.programs = [
+            Program(
+                self.world,
+                self.network,
+                self.front,
+                f"program{n}",
+                addresses,
+                program_plan(s, p, until),
+            )
+            for n, p in enumerate(s.programs)
+        ]
+        self.strangers = Strangers(
+            self.world,
+            self.network,
+            addresses,
+            Plan(copies=s.strangers.copies, rate=s.strangers.rate, until=until),
+        )
         for program in self.programs:
             program.overheard = self.strangers.overhear if s.strangers.copies else None
         for name in self.up:
@@ -168,7 +198,8 @@
 
 
 def main() -> None:
-    signal.signal(signal.SIGINT, signal.SIG_IGN)       # the tool's to act on: it ends this one by closing its input
+    # the tool's to act on: it ends this one by closing its input
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
     with open(sys.argv[1], "rb") as file:
         spec = msgspec.json.decode(file.read(), type=Spec)
--- a/molehill/fleet/places.py
+++ b/molehill/fleet/places.py
@@ -8,11 +8,12 @@
 | relay b, as relay a is told (words among relays) | 127.SLOT.(a+1).(b+1):7000 |
 | a cable before any of these | the same, the port 1000 higher |
 """
+
 import os
 import socket
 
 RELAY, DOORS, PLATFORM, HOST, WORDS = 8081, 9000, 8500, 8081, 7000
-CLAIM = 40_001                         # port on 127.SLOT.0.1 that a run holds
+CLAIM = 40_001  # port on 127.SLOT.0.1 that a run holds
 SLOTS = range(16, 240)
 
 
--- a/molehill/fleet/play.py
+++ b/molehill/fleet/play.py
@@ -1,4 +1,5 @@
 """One scenario on one stage: a verdict of one form for both."""
+
 import shutil
 import tempfile
 from collections import Counter
@@ -14,7 +15,8 @@
 from molehill.fleet.conductor import NotPlayed, Run
 from molehill.fleet.mutations import mutated as rig_mutated
 
-ON_VIRTUAL_CLOCK = ("faults hit", "causes first", "cuts hold")    # the referee has judged already, and nothing is ever late
+# the referee has judged already, and nothing is ever late
+ON_VIRTUAL_CLOCK = ("faults hit", "causes first", "cuts hold")
 SCENARIO, VERDICT = "scenario.toml", "verdict.json"
 
 
@@ -40,15 +42,33 @@
     run.world.watchers.append(lambda *row: rows.append(row))
     told = run.play()
     failure = told["failure"]
-    verdict = checker.check(history.History(rows), scenario, {name: checker.PROPERTIES[name] for name in ON_VIRTUAL_CLOCK})
+    verdict = checker.check(
+        history.History(rows),
+        scenario,
+        {name: checker.PROPERTIES[name] for name in ON_VIRTUAL_CLOCK},
+    )
     word = checker.KEPT if failure is None else checker.BROKEN
     text = "" if failure is None else f"rule {failure['rule']}: {failure['text']}"
-    findings = [checker.Finding("six rules", word, text, dict(failure["facts"], at_ms=failure["at_ms"]) if failure else {})._asdict()]
+    findings = [
+        checker.Finding(
+            "six rules",
+            word,
+            text,
+            dict(failure["facts"], at_ms=failure["at_ms"]) if failure else {},
+        )._asdict()
+    ]
     if failure is None:
         findings += verdict["findings"]
         word = verdict["word"]
-    return {"stage": "emulated", "seed": scenario.seed, "word": word, "ok": word == checker.KEPT, "findings": findings,
-            "digest": told["digest"], "summary": {k: v for k, v in told.items() if k not in ("ok", "failure", "seed", "digest")}}
+    return {
+        "stage": "emulated",
+        "seed": scenario.seed,
+        "word": word,
+        "ok": word == checker.KEPT,
+        "findings": findings,
+        "digest": told["digest"],
+        "summary": {k: v for k, v in told.items() if k not in ("ok", "failure", "seed", "digest")},
+    }
 
 
 def on_processes(scenario, folder: Path, **programs) -> dict:
@@ -56,10 +76,19 @@
     (folder / SCENARIO).write_text(scenarios.dump(scenario), encoding="utf-8")
     try:
         Run(scenario, folder, **programs).play()
-        with rig_mutated(programs["rig_mistake"], "checker") if programs.get("rig_mistake") else nullcontext():
+        with (
+            rig_mutated(programs["rig_mistake"], "checker")
+            if programs.get("rig_mistake")
+            else nullcontext()
+        ):
             verdict = judge(folder, scenario)
     except NotPlayed as error:
-        verdict = {"word": checker.VOID, "ok": False, "findings": [checker.Finding("played", checker.VOID, str(error), {})._asdict()], "summary": {}}
+        verdict = {
+            "word": checker.VOID,
+            "ok": False,
+            "findings": [checker.Finding("played", checker.VOID, str(error), {})._asdict()],
+            "summary": {},
+        }
     return {"stage": "processes", "seed": scenario.seed, **verdict}
 
 
--- a/molehill/fleet/report.py
+++ b/molehill/fleet/report.py
@@ -1,4 +1,5 @@
 """One HTML file about a run whose folder was kept: what it showed, with plots drawn as SVG. No display, no script, nothing fetched."""
+
 import io
 import json
 
@@ -13,7 +14,8 @@
 matplotlib.use("svg")
 from matplotlib import pyplot  # noqa: E402
 
-PAGE = jinja2.Template("""<!doctype html><meta charset="utf-8"><title>{{ verdict.word }}: {{ note }}</title>
+PAGE = jinja2.Template(
+    """<!doctype html><meta charset="utf-8"><title>{{ verdict.word }}: {{ note }}</title>
 <style>body{font:15px sans-serif;max-width:60em;margin:2em auto}td,th{padding:.2em .8em;text-align:left;border-bottom:1px solid #ddd}
 .kept{color:#070}.broken{color:#b00}.void,.unknown{color:#a60}svg{max-width:100%;height:auto}</style>
 <h1 class="{{ verdict.word }}">{{ verdict.word }}</h1><p>{{ note }} Seed {{ verdict.seed }}; the rig was {{ verdict.late_ms }} ms late at most.
@@ -27,7 +29,9 @@
 <p>Milliseconds from when a callback was due at its program to its host's answer.</p>
 <h2>Processor time and bytes</h2>{{ cpu }}<p>Share of the rig: {{ costs.rig_share }}.</p><table><tr><th>relay<th>bytes said<th>bytes heard
 {% for name, row in costs.bytes.items() %}<tr><td>{{ name }}<td>{{ row[0] }}<td>{{ row[1] }}{% endfor %}</table>
-""", autoescape=True)
+""",
+    autoescape=True,
+)
 
 
 def drawn(draw, height: float = 2.6):
@@ -38,7 +42,7 @@
     figure.savefig(out, format="svg")
     pyplot.close(figure)
     text = out.getvalue()
-    return Markup(text[text.index("<svg"):])       # ours, not a party's words: it stays as it is
+    return Markup(text[text.index("<svg") :])  # ours, not a party's words: it stays as it is
 
 
 def write(folder, target) -> None:
@@ -46,12 +50,18 @@
     scenario = scenarios.load((folder / plays.SCENARIO).read_text(encoding="utf-8"))
     told = history.read(folder)
     kept = folder / plays.VERDICT
-    verdict = json.loads(kept.read_text(encoding="utf-8")) if kept.exists() else {"seed": scenario.seed, **plays.judge(folder, scenario)}
+    verdict = (
+        json.loads(kept.read_text(encoding="utf-8"))
+        if kept.exists()
+        else {"seed": scenario.seed, **plays.judge(folder, scenario)}
+    )
     rows, bars, costs = figures.by_second(told), figures.spans(told, scenario), figures.costs(told)
 
     def service(axes) -> None:
         axes.step([r[0] for r in rows], [r[1] for r in rows], where="post", label="due")
-        axes.step([r[0] for r in rows], [r[2] for r in rows], where="post", label="of those delivered")
+        axes.step(
+            [r[0] for r in rows], [r[2] for r in rows], where="post", label="of those delivered"
+        )
         axes.set_xlabel("second")
         axes.legend()
 
@@ -65,6 +75,21 @@
         axes.bar(list(costs["cpu_s"]), list(costs["cpu_s"].values()))
         axes.set_ylabel("seconds of a core")
         axes.tick_params(axis="x", rotation=60)
-    touched = next((row["facts"]["touched"] for row in verdict["findings"] if row["property"] == "faults hit"), [])
-    target.write_text(PAGE.render(verdict=verdict, note=scenario.note, touched=touched, service=drawn(service), spans=drawn(lanes, 1 + 0.3 * len(bars)),
-                                  cpu=drawn(cpu), delivery=figures.delivery(told), costs=costs), encoding="utf-8")
+
+    touched = next(
+        (row["facts"]["touched"] for row in verdict["findings"] if row["property"] == "faults hit"),
+        [],
+    )
+    target.write_text(
+        PAGE.render(
+            verdict=verdict,
+            note=scenario.note,
+            touched=touched,
+            service=drawn(service),
+            spans=drawn(lanes, 1 + 0.3 * len(bars)),
+            cpu=drawn(cpu),
+            delivery=figures.delivery(told),
+            costs=costs,
+        ),
+        encoding="utf-8",
+    )
--- a/molehill/fleet/shims.py
+++ b/molehill/fleet/shims.py
@@ -11,6 +11,7 @@
 | `disk` | errno: a write takes half and then fails; files can't be made, cut off or renamed |
 | `files` | errno: plain writes go well; files can't be made, cut off or renamed |
 """
+
 import errno
 import json
 import os
@@ -21,8 +22,8 @@
 from molehill.config import MS
 from molehill.runtime.kernel import Disk, Kernel
 
-LOOK_EVERY = 5 * MS                    # at the control file
-SHARES = {"accept": 1.0, "connect": 0.5}       # of these calls that fail
+LOOK_EVERY = 5 * MS  # at the control file
+SHARES = {"accept": 1.0, "connect": 0.5}  # of these calls that fail
 
 
 class Control:
@@ -91,11 +92,11 @@
             self.half.discard(fd)
             self.check("write", "disk")
         self.half.add(fd)
-        return Disk.write(fd, bytes(data)[:len(data) // 2])
+        return Disk.write(fd, bytes(data)[: len(data) // 2])
 
 
 class FailingSocket(socket.socket):
-    control, chance = None, None       # of the process; set by its machine
+    control, chance = None, None  # of the process; set by its machine
 
     def fails(self, what: str) -> int:
         code = self.control.now().get(what, 0)
@@ -130,4 +131,6 @@
 
     @staticmethod
     def tcp_socket(address) -> socket.socket:
-        return FailingSocket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        return FailingSocket(
+            socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM
+        )
--- a/molehill/fleet/show.py
+++ b/molehill/fleet/show.py
@@ -1,4 +1,5 @@
 """The story of one callback, host, relay or span, out of a kept run: stand-ins' events and the relays' own log lines, in order."""
+
 import re
 
 from molehill.config import MS
@@ -6,7 +7,8 @@
 from molehill.fleet import history
 from molehill.fleet.members import STAMP, log_rows
 
-PRIVATE = ("figures", "view", "traffic", "cpu", "lateness", "accepted", "held")      # the rig's own bookkeeping
+# the rig's own bookkeeping
+PRIVATE = ("figures", "view", "traffic", "cpu", "lateness", "accepted", "held")
 
 
 def callback_names(told, word: str) -> set[str]:
@@ -23,14 +25,23 @@
     told = history.read(folder)
     names = {name for word in about for name in callback_names(told, word)}
     patterns = [re.compile(rf"(?<![\w.-]){re.escape(name)}(?![\w-]|\.\d)") for name in names]
-    rows = [(at, n, who, f"{what} " + " ".join(f"{name}={value}" for name, value in facts.items()))
-            for n, (at, who, what, facts) in enumerate(told.rows) if what not in PRIVATE]
-    rows += [(at, 1 << 40, who, "says " + STAMP.sub("", line).strip()) for at, who, line in log_rows(folder, told)]
+    rows = [
+        (at, n, who, f"{what} " + " ".join(f"{name}={value}" for name, value in facts.items()))
+        for n, (at, who, what, facts) in enumerate(told.rows)
+        if what not in PRIVATE
+    ]
+    rows += [
+        (at, 1 << 40, who, "says " + STAMP.sub("", line).strip())
+        for at, who, line in log_rows(folder, told)
+    ]
     lines = []
     for at, _, who, text in sorted(rows, key=lambda row: row[:2]):
         ms = (at - START) / MS
-        if (first_ms is None or ms >= first_ms) and (last_ms is None or ms <= last_ms) and (
-                not patterns or any(p.search(who) or p.search(text) for p in patterns)):
+        if (
+            (first_ms is None or ms >= first_ms)
+            and (last_ms is None or ms <= last_ms)
+            and (not patterns or any(p.search(who) or p.search(text) for p in patterns))
+        ):
             lines.append(f"{ms:12.3f} {who:>10}  {text}")
     return lines
 
--- a/molehill/fleet/sockets.py
+++ b/molehill/fleet/sockets.py
@@ -3,6 +3,7 @@
 A party's listener has a socket for each relay, at an address that only this relay is told: so a party knows who calls, and a cable can
 stand before any one of them.
 """
+
 import errno
 import socket
 import struct
@@ -12,8 +13,8 @@
 
 PIECE = 64 * 1024
 BACKLOG = 256
-AT_ONCE = struct.pack("ii", 1, 0)      # linger: a close that resets
-CABLE = 1000                           # the port of a cable before a port, above that
+AT_ONCE = struct.pack("ii", 1, 0)  # linger: a close that resets
+CABLE = 1000  # the port of a cable before a port, above that
 FRESH, DIALLING, OPEN, FAILED = "fresh", "dialling", "open", "failed"
 
 
@@ -64,7 +65,8 @@
         """`relays`: their names, in the order of their numbers; `cabled`: pairs (relay, party) with a cable between them."""
         self.world, self.relays, self.cabled = world, list(relays), set(cabled)
         self.machines, self.numbers = {}, 0
-        self.traffic = {}                  # who is at the other end -> bytes [heard from it, said to it]
+        # who is at the other end -> bytes [heard from it, said to it]
+        self.traffic = {}
 
     def machine(self, name: str) -> Machine:
         return self.machines.setdefault(name, Machine(self.world, name))
@@ -80,19 +82,30 @@
 
     def connect(self, machine, address, came=None, ended=None, broke=None, up=None) -> "Sock":
         n = int(address[0].rpartition(".")[2]) - 1
-        sock = Sock(self, machine, socket.socket(socket.AF_INET, socket.SOCK_STREAM), self.relays[n])      # parties dial relays only
+        # parties dial relays only
+        sock = Sock(
+            self, machine, socket.socket(socket.AF_INET, socket.SOCK_STREAM), self.relays[n]
+        )
         sock.listen_to(came, ended, broke, up)
         sock.dial(address)
         return sock
 
     def serve(self, machine, address, accepted) -> "Listener":
-        return Listener(self, machine, [(name, at(address, n)) for n, name in enumerate(self.relays)], accepted)
+        return Listener(
+            self, machine, [(name, at(address, n)) for n, name in enumerate(self.relays)], accepted
+        )
 
 
 class Listener:
     def __init__(self, network, machine, rows, accepted):
         """`rows`: (name of who calls there, address)."""
-        self.network, self.world, self.machine, self.accepted, self.doors = network, network.world, machine, accepted, []
+        self.network, self.world, self.machine, self.accepted, self.doors = (
+            network,
+            network.world,
+            machine,
+            accepted,
+            [],
+        )
         for name, address in rows:
             door = socket.create_server(address, backlog=BACKLOG)
             door.setblocking(False)
@@ -112,7 +125,12 @@
             sock, address = taken
             made = Sock(self.network, self.machine, sock, name)
             made.state = OPEN
-            self.world.tell(self.machine.name, "accepted", conn=made.number, peer=between(address, door.getsockname()))
+            self.world.tell(
+                self.machine.name,
+                "accepted",
+                conn=made.number,
+                peer=between(address, door.getsockname()),
+            )
             made.look()
             self.accepted(made)
 
@@ -147,7 +165,10 @@
     def __init__(self, network, machine, sock, peer: str = ""):
         self.network, self.world, self.machine, self.sock = network, network.world, machine, sock
         self.number, self.state, self.closed, self.error = network.number(), FRESH, False, None
-        self.peer, self.traffic = SimpleNamespace(machine=SimpleNamespace(name=peer)), network.traffic.setdefault(peer, [0, 0])
+        self.peer, self.traffic = (
+            SimpleNamespace(machine=SimpleNamespace(name=peer)),
+            network.traffic.setdefault(peer, [0, 0]),
+        )
         self.outbox, self.ending, self.paused = bytearray(), False, False
         self.on_came = self.on_ended = self.on_broke = self.on_up = None
         sock.setblocking(False)
@@ -175,10 +196,14 @@
             self.world.watch(self.sock.fileno(), HUNG, self.hung)
             return
         mask = OUT if self.state is DIALLING or self.outbox else 0
-        if not mask and self.paused:       # else the kernel would tell its hang-up again and again
+        if not mask and self.paused:  # else the kernel would tell its hang-up again and again
             self.world.forget(self.sock.fileno())
         else:
-            self.world.watch(self.sock.fileno(), mask | (0 if self.paused or self.state is DIALLING else IN), self.moved)
+            self.world.watch(
+                self.sock.fileno(),
+                mask | (0 if self.paused or self.state is DIALLING else IN),
+                self.moved,
+            )
 
     def hung(self, mask) -> None:
         """The other side of one that has vanished is gone."""
@@ -215,7 +240,7 @@
             if self.on_came is not None:
                 self.on_came(self, data, self.world.since())
         else:
-            self.paused = True             # the end is told once
+            self.paused = True  # the end is told once
             self.look()
             if self.on_ended is not None:
                 self.on_ended(self)
--- a/molehill/fleet/world.py
+++ b/molehill/fleet/world.py
@@ -4,6 +4,7 @@
 process's history: a line of JSON [monotonic ns, process, who, what, facts], stamped *before* an act is done and *after* a thing is
 seen; so of two events one of which led to the other, the stamps are in order, whichever processes they stand in.
 """
+
 import select
 import time
 from heapq import heappop, heappush
@@ -14,9 +15,9 @@
 from molehill.config import MS, SECOND
 from molehill.emulator.world import START
 
-BEAT = 10 * MS                         # how often a loop looks at how late it is
-FLUSH = 50 * MS                        # how long lines of the history wait at most
-BEFORE = 10_000 * SECOND               # until `begin`, the run is that far off
+BEAT = 10 * MS  # how often a loop looks at how late it is
+FLUSH = 50 * MS  # how long lines of the history wait at most
+BEFORE = 10_000 * SECOND  # until `begin`, the run is that far off
 IN, OUT, HUNG = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
 encode = msgspec.json.Encoder().encode
 
@@ -27,11 +28,16 @@
     def __init__(self, name: str, seed, path=None):
         self.name, self.chance = name, Random(f"{seed} {name}")
         self.heap, self.serial, self.failure, self.watchers = [], 0, None, []
-        self.zero, self.begun, self.stopped, self.late = time.monotonic_ns() + BEFORE, False, False, 0
+        self.zero, self.begun, self.stopped, self.late = (
+            time.monotonic_ns() + BEFORE,
+            False,
+            False,
+            0,
+        )
         self.poll, self.handlers = select.epoll(), {}
         self.file, self.lines = path and open(path, "ab", buffering=0), []
-        self.looked = self.before = self.now       # the last look of the loop, and the one before
-        self.due = self.now + BEAT         # of the next beat
+        self.looked = self.before = self.now  # the last look of the loop, and the one before
+        self.due = self.now + BEAT  # of the next beat
         self.at(self.due, self.beat)
         self.after(FLUSH, self.flush_on)
 
@@ -43,7 +49,11 @@
         """The run starts at that reading of the monotonic clock; what is due already stays as far off as it was."""
         shift, self.zero, self.begun, self.late = self.zero - zero, zero, True, 0
         self.heap = [(when + shift, *rest) for when, *rest in self.heap]
-        self.looked, self.before, self.due = self.looked + shift, self.before + shift, self.due + shift
+        self.looked, self.before, self.due = (
+            self.looked + shift,
+            self.before + shift,
+            self.due + shift,
+        )
 
     def at(self, when: int, work, *args) -> None:
         self.serial += 1
@@ -99,7 +109,7 @@
         self.before, self.looked = now if blocked else self.looked, now
         for fd, mask in ready:
             handler = self.handlers.get(fd)
-            if handler is not None:        # else ended by one before it in this turn
+            if handler is not None:  # else ended by one before it in this turn
                 handler(mask)
         while self.heap and self.heap[0][0] <= self.now and not self.stopped:
             _, _, work, args = heappop(self.heap)
--- a/molehill/holds.py
+++ b/molehill/holds.py
@@ -1,6 +1,8 @@
 """What must hold: asserted in debug builds, counted and reported in release builds (`python -O`)."""
+
 counts: dict[str, int] = {}
-report = None               # called with (name, count, facts) at each breach in release builds; set when wiring
+# called with (name, count, facts) at each breach in release builds; set when wiring
+report = None
 
 
 def holds(condition, name, **facts) -> bool:
--- a/molehill/http/admin.py
+++ b/molehill/http/admin.py
@@ -3,6 +3,7 @@
 Answers come from memory, so a call costs about as much as its bytes. What callers may take up is bounded: descriptors
 (set aside for them, so that clients and operators can't starve each other), bytes of a head, and time.
 """
+
 import errno
 
 from molehill.config import ADMIN_SEATS, MS, SECOND
@@ -11,18 +12,23 @@
 from molehill.runtime.scheduler import READ
 from molehill.runtime.stream import Broken, Budget, Late, finish, listening
 
-WITHIN = 2 * SECOND                # for a whole call: twice what an answer may take, so a slow but honest one is served
-LINGER, LINGER_MOST = 200 * MS, 16 * 1024    # what comes behind a call is read away, so that the caller sees the answer
-PAUSE = 20 * MS                    # before the next try, where no connection can be taken
+# for a whole call: twice what an answer may take, so a slow but honest one is served
+WITHIN = 2 * SECOND
+# what comes behind a call is read away, so that the caller sees the answer
+LINGER, LINGER_MOST = 200 * MS, 16 * 1024
+PAUSE = 20 * MS  # before the next try, where no connection can be taken
 
 
 class Admin:
     def __init__(self, scheduler, address, ready, figures):
         """`ready()`: whether this process can serve; `figures()`: their text."""
         self.scheduler, self.clock = scheduler, scheduler.clock
-        self.pages = {"/ready": lambda: (200, b"ready\n") if ready() else (503, b"not ready\n"),
-                      "/metrics": lambda: (200, figures().encode())}
-        self.seats, self.reading = Budget(ADMIN_SEATS), {}     # reading: streams without a whole head, the oldest first
+        self.pages = {
+            "/ready": lambda: (200, b"ready\n") if ready() else (503, b"not ready\n"),
+            "/metrics": lambda: (200, figures().encode()),
+        }
+        # reading: streams without a whole head, the oldest first
+        self.seats, self.reading = Budget(ADMIN_SEATS), {}
         self.listener = listening(scheduler.machine, address)
         scheduler.spawn_kept(self.accept)
 
@@ -49,7 +55,8 @@
             stream = HttpStream(self.scheduler, sock, "admin", self.seats, answers=False)
             self.reading[stream] = True
             self.scheduler.spawn(self.serve, stream)
-            self.scheduler.pause()         # what has come on it is read before another can take its seat
+            # what has come on it is read before another can take its seat
+            self.scheduler.pause()
 
     def serve(self, stream) -> None:
         until = self.clock() + WITHIN
@@ -59,7 +66,10 @@
             except http.Malformed as error:
                 status, body = 400, str(error).encode()
             self.reading.pop(stream, None)
-            stream.send(http.answer(status, (("Allow", "GET"),) if status == 405 else (), body, close=True), until)
+            stream.send(
+                http.answer(status, (("Allow", "GET"),) if status == 405 else (), body, close=True),
+                until,
+            )
             finish(stream, LINGER, LINGER_MOST)
         except (Broken, Late, OSError):
             pass
--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -1,4 +1,5 @@
 """The client side: takes connections, reads requests, answers them."""
+
 import errno
 from collections import Counter
 from enum import Enum
@@ -7,30 +8,36 @@
 from molehill.core import events as ev
 from molehill.holds import holds
 from molehill.http import parser as http
-from molehill.runtime.scheduler import LATE, READ
 from molehill.http.stream import HttpStream
+from molehill.runtime.scheduler import LATE, READ
 from molehill.runtime.stream import PASSING, Broken, Late, finish, listening
 
 # A client that sends no whole request is owed an end within three seconds of connecting. Both fit in, and half a
 # second of the relay's own lateness; true clients connect to send at once, and wait 0.4 s for the answer.
-FIRST_WITHIN = 1500 * MS           # for the first byte of a connection
-READ_WITHIN = SECOND               # for the rest of a request that has begun
-WRITE_WITHIN = SECOND              # an answer is a few bytes: a client that does not take them is gone
-ANSWER_WITHIN = SECOND             # clients wait 0.4 s: whoever had no answer by now is gone
-LEFT = 2 * SECOND                  # idle this long, it may be closed without harm: the protocol's figure
-LINGER = 200 * MS                  # what a client still sends after an error is read away so that it sees the answer,
-LINGER_MOST = 4 * 64 * 1024        # up to so much: of a body that goes on and on it has to see a close
-LONGEST = 24 * 3600 * SECOND       # no deadline is taken as further off: keeps figures sane
-STOOD_MOST = 400 * MS              # clients wait no longer for an answer: what was sent before, nobody asks for any more
-SURE_AFTER = SECOND                # from the start: what came while it went on is read by then, and what that was followed by
-TEXT_MOST = 1024                   # of ids and keys; they are held and logged
+FIRST_WITHIN = 1500 * MS  # for the first byte of a connection
+READ_WITHIN = SECOND  # for the rest of a request that has begun
+# an answer is a few bytes: a client that does not take them is gone
+WRITE_WITHIN = SECOND
+ANSWER_WITHIN = SECOND  # clients wait 0.4 s: whoever had no answer by now is gone
+# idle this long, it may be closed without harm: the protocol's figure
+LEFT = 2 * SECOND
+# what a client still sends after an error is read away so that it sees the answer,
+LINGER = 200 * MS
+# up to so much: of a body that goes on and on it has to see a close
+LINGER_MOST = 4 * 64 * 1024
+LONGEST = 24 * 3600 * SECOND  # no deadline is taken as further off: keeps figures sane
+# clients wait no longer for an answer: what was sent before, nobody asks for any more
+STOOD_MOST = 400 * MS
+# from the start: what came while it went on is read by then, and what that was followed by
+SURE_AFTER = SECOND
+TEXT_MOST = 1024  # of ids and keys; they are held and logged
 
 
 # What a connection has carried tells what its idling is worth. How long one has to have stood before it is closed for
 # others, by the need: a place for a new connection, or a place among the idle ones; None: not for that.
 NEW, ONCE, AGAIN = "new", "once", "again"
 ROOM, CROWD = 0, 1
-MAY_GO = {                             # in the order in which they go
+MAY_GO = {  # in the order in which they go
     # Without a byte yet: many times a client's round trip. Danger: its first request may be on its way.
     NEW: (150 * MS, None),
     # Asked once and stayed: many times the span in which one that goes on asks again. Most never do.
@@ -64,9 +71,10 @@
 
     def __init__(self, stream):
         self.stream, self.task, self.ask, self.reply, self.kind = stream, None, None, None, NEW
-        self.busy = False              # its request is whole, and the answer not written yet
-        self.reason = None             # why it ends
-        self.since, self.late = stream.scheduler.clock(), 0    # late: how long it may have waited to be accepted
+        self.busy = False  # its request is whole, and the answer not written yet
+        self.reason = None  # why it ends
+        # late: how long it may have waited to be accepted
+        self.since, self.late = stream.scheduler.clock(), 0
 
 
 class Clients:
@@ -74,18 +82,27 @@
         self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
         self.clock, self.conns, self.ready, self.closing = scheduler.clock, {}, False, False
         self.listener, self.counts, self.short = None, Counter(), False
-        self.first_waits = self.clock()        # since when some may have waited to be accepted
-        self.turned_away = lambda kind: None   # told of each request that never reaches the core; set when wiring
-        self.held_back, self.gated = False, []     # no request is begun; tasks that wait for that to end
-        self.unread = STOOD_MOST               # how long what is read right after the start may have waited
-        self.sure = 0                          # from when on what is read tells by itself how long it has waited
-        self.idle = {kind: {} for kind in MAY_GO}     # connections between requests, the one idle longest first
+        self.first_waits = self.clock()  # since when some may have waited to be accepted
+        # told of each request that never reaches the core; set when wiring
+        self.turned_away = lambda kind: None
+        # no request is begun; tasks that wait for that to end
+        self.held_back, self.gated = False, []
+        # how long what is read right after the start may have waited
+        self.unread = STOOD_MOST
+        # from when on what is read tells by itself how long it has waited
+        self.sure = 0
+        # connections between requests, the one idle longest first
+        self.idle = {kind: {} for kind in MAY_GO}
         budget.idlers["left client"] = lambda: self.close_idlest(ROOM, LEFT)
         budget.idlers["client"] = lambda: self.close_idlest(ROOM)
 
     def begin(self, unread: int = STOOD_MOST) -> None:
         """Serves from here on; `unread`: how long what is read now may have waited for this process."""
-        self.ready, self.sure, self.unread = True, self.clock() + SURE_AFTER, min(unread, STOOD_MOST)
+        self.ready, self.sure, self.unread = (
+            True,
+            self.clock() + SURE_AFTER,
+            min(unread, STOOD_MOST),
+        )
 
     def listen(self, listener=None) -> None:
         """Takes connections, on the listener that an earlier process handed over or on a new one."""
@@ -111,17 +128,19 @@
     def can_serve(self) -> bool:
         return self.ready and (self.listener is not None or self.closing)
 
-    PAUSE = 20 * MS                    # between tries while no connection can be taken
-    RETRIES_AT_ONCE = 16               # of accept(2) in a row, as each may have failed for one connection alone
+    PAUSE = 20 * MS  # between tries while no connection can be taken
+    # of accept(2) in a row, as each may have failed for one connection alone
+    RETRIES_AT_ONCE = 16
 
     def accept(self) -> None:
-        failures = 0                   # in a row
+        failures = 0  # in a row
         while self.listener is not None:
             if self.held_back:
                 self.scheduler.wait(self.listener.fileno(), 0)
                 continue
             self.short = not self.budget.take("client", OUTGOING)
-            if self.short:                 # meanwhile answers end their connections, where nothing can be lost
+            # meanwhile answers end their connections, where nothing can be lost
+            if self.short:
                 self.scheduler.sleep(self.clock() + self.PAUSE)
                 continue
             try:
@@ -186,7 +205,9 @@
 
     def close(self, conn, reason: CloseReason) -> None:
         """Ends a connection, for the first reason that it is given. The one place where this side does."""
-        holds(reason not in OWES_NOTHING or not conn.busy, "closed_owing_nothing", reason=reason.value)
+        holds(
+            reason not in OWES_NOTHING or not conn.busy, "closed_owing_nothing", reason=reason.value
+        )
         if conn.reason is None:
             conn.reason = reason
             self.counts[f"closed: {reason.value}"] += 1
@@ -222,7 +243,8 @@
         stream = conn.stream
         try:
             if len(stream.buffer):
-                self.scheduler.pause()     # requests sent in a row don't hold up the other connections
+                # requests sent in a row don't hold up the other connections
+                self.scheduler.pause()
             else:
                 self.stand(conn)
                 stream.read(conn.since + FIRST_WITHIN if conn.kind is NEW else None)
@@ -238,8 +260,10 @@
         except http.Malformed as error:
             conn.busy = True
             self.counts["malformed"] += 1
-            stream.send(http.answer(error.status, body=str(error).encode(), close=True),
-                        self.clock() + WRITE_WITHIN)
+            stream.send(
+                http.answer(error.status, body=str(error).encode(), close=True),
+                self.clock() + WRITE_WITHIN,
+            )
             self.finish(conn, CloseReason.MALFORMED)
             return False
         close = not head.keep or self.closing or self.short or self.crowded(conn)
@@ -271,7 +295,10 @@
         try:
             head = stream.head(until)
             length = head.length or 0
-            if head.headers.get("expect", "").lower() == "100-continue" and len(stream.buffer) < length:
+            if (
+                head.headers.get("expect", "").lower() == "100-continue"
+                and len(stream.buffer) < length
+            ):
                 stream.send(b"HTTP/1.1 100 Continue\r\n\r\n", until)
             body, stream.parser.raw = stream.body(head, until) if length else b"", b""
             return head, body
@@ -359,7 +386,9 @@
             if text is not None and not plain(text):
                 raise http.Malformed(400, "a key that is too long or not printable")
         tenant = self.config.tenants.get(headers.get("req-owner", ""), 0)
-        return ev.Fresh(ident, category, tenant, key or None, destination, self.clock() + span, mark, body)
+        return ev.Fresh(
+            ident, category, tenant, key or None, destination, self.clock() + span, mark, body
+        )
 
     # An upgrade: the connections pass to the next process
 
@@ -417,9 +446,13 @@
             except OSError as error:
                 self.budget.give("client")
                 failures += 1
-                if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK) or failures > self.RETRIES_AT_ONCE:
+                if (
+                    error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
+                    or failures > self.RETRIES_AT_ONCE
+                ):
                     break
-                continue               # danger: with one connection that is gone, those behind it would be reset
+                # danger: with one connection that is gone, those behind it would be reset
+                continue
             self.open(sock)
         self.listener = listener
         self.close_listener()
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -1,4 +1,5 @@
 """Discovery: the list that is known at the start, and the watch that follows it."""
+
 import json
 from functools import partial
 
@@ -10,24 +11,38 @@
 from molehill.http.stream import HttpStream
 from molehill.runtime.stream import Broken, Late, Single
 
-HOLD = 10 * SECOND                 # a watch that went silent is noticed within this and the next figure
-ANSWER_WITHIN = 1500 * MS          # after the hold; what is told counts as known 2 s after it
+# a watch that went silent is noticed within this and the next figure
+HOLD = 10 * SECOND
+ANSWER_WITHIN = 1500 * MS  # after the hold; what is told counts as known 2 s after it
 # A whole list has no hold: what it would tell counts as known 6 s after it fell silent. Longer each time, should it be so slow.
 WHOLE_WITHIN, WHOLE_MOST = 5 * SECOND, 20 * SECOND
-PAUSE = 100 * MS                   # after an answer that came at once with no news: half of what ends a watch
+# after an answer that came at once with no news: half of what ends a watch
+PAUSE = 100 * MS
 # The list is the one body that grows with the fleet. Danger: bounded as the others, one of some hundreds of hosts is never read,
 # and the relay calls whom it knew at its start. An entry takes some 160 bytes, indented 300, so this holds 3,500 at the least;
 # beyond, a thirty-second of the memory: it stands there as bytes, as text and as entries at once.
 LIST_LEAST, LIST_PART = 1 << 20, 32
-CONDITIONS = {"active": it.Condition.UP, "leaving": it.Condition.DRAINING, "left": it.Condition.GONE}
+CONDITIONS = {
+    "active": it.Condition.UP,
+    "leaving": it.Condition.DRAINING,
+    "left": it.Condition.GONE,
+}
 
 
 def read_list(text, config):
     """The version, whether it is the whole list, and its entries; raises ValueError on anything else."""
     try:
         data = json.loads(text) if isinstance(text, (bytes, str)) else text
-        rows, version, whole = data.get("endpoints", []), int(data.get("index", 0)), bool(data.get("snapshot"))
-        return version, whole, [host for host in (read_host(row, config) for row in rows) if host is not None]
+        rows, version, whole = (
+            data.get("endpoints", []),
+            int(data.get("index", 0)),
+            bool(data.get("snapshot")),
+        )
+        return (
+            version,
+            whole,
+            [host for host in (read_host(row, config) for row in rows) if host is not None],
+        )
     except (AttributeError, KeyError, TypeError, OverflowError, RecursionError) as error:
         raise ValueError(f"not a list of hosts: {error!r}") from None
 
@@ -35,9 +50,17 @@
 def read_host(row, config):
     """One entry, or None for one that can't be read: it shall not take the others with it."""
     try:
-        kind = config.kinds.get(row.get("type"), len(config.kinds))      # an unknown one is a plain kind
-        host = ev.Host(str(row["name"]), address(row["address"], "address"), 0, kind, int(row["group"]),
-                       CONDITIONS.get(row["status"], it.Condition.DRAINING), float(row.get("weight") or 0.0))
+        # an unknown one is a plain kind
+        kind = config.kinds.get(row.get("type"), len(config.kinds))
+        host = ev.Host(
+            str(row["name"]),
+            address(row["address"], "address"),
+            0,
+            kind,
+            int(row["group"]),
+            CONDITIONS.get(row["status"], it.Condition.DRAINING),
+            float(row.get("weight") or 0.0),
+        )
         host.zone = config.zones.setdefault(str(row.get("zone")), len(config.zones))
         return host
     except (AttributeError, KeyError, TypeError, ValueError, OverflowError, ConfigError):
@@ -47,10 +70,20 @@
 
 def listed(host: ev.Host, config) -> dict:
     """A host as an entry of the list."""
-    name_of = {n: name for name, n in config.kinds.items()}, {n: name for name, n in config.zones.items()}
+    name_of = (
+        {n: name for name, n in config.kinds.items()},
+        {n: name for name, n in config.zones.items()},
+    )
     status = next(word for word, condition in CONDITIONS.items() if condition is host.condition)
-    return {"name": host.id, "address": "%s:%d" % host.address, "zone": name_of[1].get(host.zone), "status": status,
-            "type": name_of[0].get(host.kind), "group": host.destination, "weight": host.units}
+    return {
+        "name": host.id,
+        "address": "%s:%d" % host.address,
+        "zone": name_of[1].get(host.zone),
+        "status": status,
+        "type": name_of[0].get(host.kind),
+        "group": host.destination,
+        "weight": host.units,
+    }
 
 
 class Silent(Late):
@@ -62,7 +95,10 @@
         self.scheduler, self.config, self.post = scheduler, config, post
         self.clock, self.version, self.watching = scheduler.clock, 0, False
         kind = partial(HttpStream, most=max(LIST_LEAST, config.memory // LIST_PART))
-        self.line, self.moves = Single(scheduler, lambda: config.discovery, "discovery", budget, kind), 0
+        self.line, self.moves = (
+            Single(scheduler, lambda: config.discovery, "discovery", budget, kind),
+            0,
+        )
 
     def begin(self, known=None) -> None:
         """The list as this relay last had it, `known` by the process before it or by the file; none at all rather than no
@@ -112,7 +148,7 @@
                 # no watch while what it misses counts as told. Each waits its whole time, so nobody is pressed by this.
                 self.line.close()
                 patience = min(2 * patience, WHOLE_MOST)
-            except Late:                   # it never came up: once more at once
+            except Late:  # it never came up: once more at once
                 self.line.close()
                 if not again:
                     raise
@@ -127,7 +163,7 @@
     def _ask(self, patience):
         until = self.clock() + (patience if self.version is None else HOLD + ANSWER_WITHIN)
         stream = self.line.get(self.clock() + self.config.connect_time_out)
-        target = "/registry/instances"     # the whole list, at once
+        target = "/registry/instances"  # the whole list, at once
         if self.version is not None:
             target += f"?from={self.version}&hold_ms={HOLD // MS}"
         stream.send(http.request("GET", target, "%s:%d" % self.config.discovery), until)
