--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -1,31 +1,49 @@
 """Calls to hosts: kept connections, one call at a time on each, and what came back read as an outcome."""
+
 import re
 from collections import Counter
 from dataclasses import replace
 
 from molehill.config import MS, OUTGOING, SECOND, ConfigError, address, nanos
 from molehill.core import events as ev
-from molehill.interface import Result
 from molehill.http import parser as http
 from molehill.http.stream import HttpStream
+from molehill.interface import Result
 from molehill.runtime.stream import Broken, Late, LocalError, Short, connected
 
 SECOND_DIGITS = 9
-SWEEP = 200 * MS                   # looks at idle connections: an ended one gives its descriptor back soon
-LOCAL_ERROR_REST = 20 * MS         # before a call is given back for which this machine lacked something
-REST_WITHIN = 250 * MS             # for the rest of an answer whose outcome is known: pieces come close together
-SOONEST = MS                       # no answer comes within it: a host has to read the call, do its work and write
+# looks at idle connections: an ended one gives its descriptor back soon
+SWEEP = 200 * MS
+# before a call is given back for which this machine lacked something
+LOCAL_ERROR_REST = 20 * MS
+# for the rest of an answer whose outcome is known: pieces come close together
+REST_WITHIN = 250 * MS
+# no answer comes within it: a host has to read the call, do its work and write
+SOONEST = MS
 # status -> outcome of a call of one; 200 in a call of several is read line by line
-STATUS = {200: ev.End("", Result.DELIVERED, closed=True), 500: ev.End("", Result.ERROR),
-          429: ev.End("", Result.FULL), 503: ev.End("", Result.FULL),
-          400: ev.End("", Result.FULL), 413: ev.End("", Result.FULL),
-          410: ev.End("", Result.NOT_SENT, closed=True), 504: ev.End("", Result.NOT_SENT, spent=True)}
-LINES = {"delivered": STATUS[200], "failed": STATUS[500], "refused": STATUS[503], "over": STATUS[410],
-         "spent": STATUS[504]}
-REPORT = re.compile(r"\w+=\d+(\.\d+)?([eE][+-]?\d+)?( *, *\w+=\d+(\.\d+)?([eE][+-]?\d+)?)*", re.ASCII)
+STATUS = {
+    200: ev.End("", Result.DELIVERED, closed=True),
+    500: ev.End("", Result.ERROR),
+    429: ev.End("", Result.FULL),
+    503: ev.End("", Result.FULL),
+    400: ev.End("", Result.FULL),
+    413: ev.End("", Result.FULL),
+    410: ev.End("", Result.NOT_SENT, closed=True),
+    504: ev.End("", Result.NOT_SENT, spent=True),
+}
+LINES = {
+    "delivered": STATUS[200],
+    "failed": STATUS[500],
+    "refused": STATUS[503],
+    "over": STATUS[410],
+    "spent": STATUS[504],
+}
+REPORT = re.compile(
+    r"\w+=\d+(\.\d+)?([eE][+-]?\d+)?( *, *\w+=\d+(\.\d+)?([eE][+-]?\d+)?)*", re.ASCII
+)
 NO_ROOM = ev.End("", Result.NO_CONNECT)
 KEPT_BACK = ev.End("", Result.NOT_SENT, unsent=True)
-OTHER = ev.End("", Result.ERROR)   # an answer that the protocol does not know: it may have run
+OTHER = ev.End("", Result.ERROR)  # an answer that the protocol does not know: it may have run
 
 
 class Running:
@@ -37,15 +55,22 @@
 
 class Hosts:
     def __init__(self, scheduler, config, budget, post, may_send, figures):
-        self.scheduler, self.config, self.budget, self.post, self.may_send = \
-            scheduler, config, budget, post, may_send
+        self.scheduler, self.config, self.budget, self.post, self.may_send = (
+            scheduler,
+            config,
+            budget,
+            post,
+            may_send,
+        )
         self.clock, self.figures = scheduler.clock, figures
-        self.idle: dict[str, list] = {}        # host -> its idle connections, the one used last at the end
-        self.streams: dict[int, object] = {}   # call -> its connection
+        # host -> its idle connections, the one used last at the end
+        self.idle: dict[str, list] = {}
+        self.streams: dict[int, object] = {}  # call -> its connection
         self.running: dict[int, Running] = {}  # calls out, by number
         self.aborted: set[int] = set()
-        self.given, self.lent = False, {}      # to the next process: nothing is begun any more; calls that may come back
-        self.out, self.counts = 0, Counter()   # calls out; outcomes by name, for the log
+        # to the next process: nothing is begun any more; calls that may come back
+        self.given, self.lent = False, {}
+        self.out, self.counts = 0, Counter()  # calls out; outcomes by name, for the log
         self.keep = config.settings.connection_idle
         budget.idlers["host"] = self.close_idlest
         scheduler.at(self.clock() + SWEEP, self.sweep)
@@ -99,9 +124,23 @@
                     stream.close()
                 continue
             sock, data = stream.detach()
-            rows.append(({"k": "call", "n": number, "host": call.host, "at": "%s:%d" % call.address, "bundle": call.bundle,
-                          "start": running.start, "members": [[m.id, m.until] for m in call.members]}, data, sock))
-            self.lent[number], call.members = replace(call), []        # its task here has nothing more to tell of it
+            rows.append(
+                (
+                    {
+                        "k": "call",
+                        "n": number,
+                        "host": call.host,
+                        "at": "%s:%d" % call.address,
+                        "bundle": call.bundle,
+                        "start": running.start,
+                        "members": [[m.id, m.until] for m in call.members],
+                    },
+                    data,
+                    sock,
+                )
+            )
+            # its task here has nothing more to tell of it
+            self.lent[number], call.members = replace(call), []
         for host, streams in self.idle.items():
             for stream in [s for s in streams if s.quiet()]:
                 since = stream.idle_since
@@ -122,8 +161,13 @@
         """A connection that an earlier process gave, or that comes back with its call; whether it can be used. Raises ValueError
         and the like for no such row."""
         if message["k"] == "call":
-            call = call or ev.Call(message["n"], message["host"], address(message["at"], "at"), message["bundle"],
-                           [ev.Member(number, None, b"", until) for number, until in message["members"]])
+            call = call or ev.Call(
+                message["n"],
+                message["host"],
+                address(message["at"], "at"),
+                message["bundle"],
+                [ev.Member(number, None, b"", until) for number, until in message["members"]],
+            )
         if not self.budget.take("host", OUTGOING):
             sock.close()
             return False
@@ -134,7 +178,10 @@
             self.idle.setdefault(message["host"], []).append(stream)
             return True
         self.out += 1
-        self.running[call.number], self.streams[call.number] = Running(call, message["start"]), stream
+        self.running[call.number], self.streams[call.number] = (
+            Running(call, message["start"]),
+            stream,
+        )
         self.scheduler.spawn(self._call, call, stream)
         return True
 
@@ -165,7 +212,8 @@
             del self.running[call.number]
             if stream is not None and not stream.idle_since:
                 stream.close()
-            if call.members:               # a fault of this code: nothing is known, so each may have run
+            # a fault of this code: nothing is known, so each may have run
+            if call.members:
                 self._end(call, start, call.members, ev.End("", Result.RESET))
             self.aborted.discard(call.number)
 
@@ -190,8 +238,15 @@
             try:
                 if fresh:
                     within = min(until, start + self.config.connect_time_out)
-                    stream = connected(self.scheduler, call.address, "host", self.budget, HttpStream, within,
-                                       OUTGOING)
+                    stream = connected(
+                        self.scheduler,
+                        call.address,
+                        "host",
+                        self.budget,
+                        HttpStream,
+                        within,
+                        OUTGOING,
+                    )
                     self.counts["connected"] += 1
                 self.streams[call.number], stream.idle_since, stream.parser.line = stream, 0, b""
                 self.running[call.number].fresh = fresh
@@ -199,7 +254,8 @@
                     stream.close()
                     return None
                 request, begun = self._request(call), self.clock()
-                self.post(ev.Begun(call.number))       # in the log before its first byte; where that fails, the call is aborted
+                # in the log before its first byte; where that fails, the call is aborted
+                self.post(ev.Begun(call.number))
                 stream.send(request, until)
                 self.figures.relayed += len(call.members)
                 # More than the last answer, if no answer to this can have come. Danger: after a standstill in between, one can.
@@ -208,7 +264,7 @@
                     self._end(call, start, call.members, ev.End("", Result.RESET))
                     return None
                 return stream
-            except Short as error:         # this relay's own trouble: it tells nothing of the host
+            except Short as error:  # this relay's own trouble: it tells nothing of the host
                 if stream is not None:
                     stream.close()
                 if isinstance(error, LocalError):
@@ -219,9 +275,9 @@
                 return None
             except (Broken, Late) as error:
                 if stream is not None:
-                    stream.close()         # before the last byte: it never ran
+                    stream.close()  # before the last byte: it never ran
                 if fresh or isinstance(error, Late):
-                    break                  # else a kept connection broke: once more on a new one
+                    break  # else a kept connection broke: once more on a new one
         self._end(call, start, call.members, ev.End("", Result.NO_CONNECT))
         return None
 
@@ -229,15 +285,19 @@
         """Whether its time is not up, and the relay was not told meanwhile to wait, or that the host drains; else the call's end.
 
         Danger: a connection comes up in the very turn in which the call's time is up, and it is sent on after its end."""
-        if not self.given and call.number not in self.aborted and self.clock() < ends(call) \
-                and self.may_send(call.host, [m.id for m in call.members], self.clock()):
+        if (
+            not self.given
+            and call.number not in self.aborted
+            and self.clock() < ends(call)
+            and self.may_send(call.host, [m.id for m in call.members], self.clock())
+        ):
             return True
         self._end(call, start, call.members, KEPT_BACK)
         return False
 
     def _request(self, call) -> bytes:
         now, host = self.clock(), "%s:%d" % call.address
-        wait = max(1, -(-(ends(call) - now) // MS))    # up: never less than what is really waited
+        wait = max(1, -(-(ends(call) - now) // MS))  # up: never less than what is really waited
         headers = [("Req-Deadline-Ms", str(wait))]
         if not call.bundle:
             member = call.members[0]
@@ -245,8 +305,10 @@
             if member.mark is not None:
                 headers.append(("Idempotency-Key", member.mark))
             return http.request("POST", "/events", host, headers, member.body)
-        body = b"".join(f"{m.id} {m.mark or '-'} {len(m.body)}\r\n".encode("latin-1") + m.body + b"\r\n"
-                        for m in call.members)
+        body = b"".join(
+            f"{m.id} {m.mark or '-'} {len(m.body)}\r\n".encode("latin-1") + m.body + b"\r\n"
+            for m in call.members
+        )
         return http.request("POST", "/events/bundle", host, headers, body)
 
     def _answered(self, call, stream, start) -> None:
@@ -271,10 +333,14 @@
         # Danger: an answer that comes once the call's time is up is no delivery, whatever it says: the host has given the call up
         # by then, as this relay told it to. What is read too late, since this relay stood still, may be such a one, and it
         # tells nothing of the host.
-        if (end is None or end.result is not Result.TIMEOUT) and (came if settled else self.clock()) > until:
+        if (end is None or end.result is not Result.TIMEOUT) and (
+            came if settled else self.clock()
+        ) > until:
             end = ev.End("", Result.CANCELLED)
         if end is not None:
-            return self._useless(call, stream, start, end, came if end.result is not Result.TIMEOUT else None)
+            return self._useless(
+                call, stream, start, end, came if end.result is not Result.TIMEOUT else None
+            )
         if head.keep and self.keep > 0 and stream.quiet():
             stream.idle_since, stream.parser.raw = self.clock(), b""
             self.idle.setdefault(call.host, []).append(stream)
@@ -310,7 +376,7 @@
             end = told.get(m.id, ev.End("", Result.RESET))
             ends.append(replace(end, id=m.id, wait=wait if end.result is Result.FULL else 0))
         if wait and not any(end.wait for end in ends):
-            ends[0].wait = wait            # the wait binds whatever became of each
+            ends[0].wait = wait  # the wait binds whatever became of each
         return ends
 
     def _told_limit(self, head):
@@ -334,6 +400,8 @@
 def retry_after(head) -> int:
     """The told wait in nanoseconds, whole or decimal seconds; 0 where none is told."""
     try:
-        return max(0, min(nanos(head.headers.get("retry-after", "0"), SECOND_DIGITS), 3600 * SECOND))
+        return max(
+            0, min(nanos(head.headers.get("retry-after", "0"), SECOND_DIGITS), 3600 * SECOND)
+        )
     except ConfigError:
         return 0
--- a/molehill/http/notices.py
+++ b/molehill/http/notices.py
@@ -1,4 +1,5 @@
 """Notices to the platform: each is sent again until it is answered."""
+
 import json
 
 from molehill.config import MS
@@ -7,11 +8,15 @@
 from molehill.http.stream import HttpStream
 from molehill.runtime.stream import Broken, Late, Single
 
-BATCH = 50                         # notices in one request: under 64 KiB with the longest ids, 1,024 characters
-FIRST_WITHIN = 120 * MS            # an answer comes at once; a lost request is sent again inside the rules' 300 ms
-PAUSE = 10 * MS                    # after a second quick failure, then doubled: a few more fit into the 300 ms
-LONGEST = 2000 * MS                # at most for an answer, half of it between tries, while none comes
-IDLE = 2000 * MS                   # a connection that stood longer is not used again
+# notices in one request: under 64 KiB with the longest ids, 1,024 characters
+BATCH = 50
+# an answer comes at once; a lost request is sent again inside the rules' 300 ms
+FIRST_WITHIN = 120 * MS
+# after a second quick failure, then doubled: a few more fit into the 300 ms
+PAUSE = 10 * MS
+# at most for an answer, half of it between tries, while none comes
+LONGEST = 2000 * MS
+IDLE = 2000 * MS  # a connection that stood longer is not used again
 
 
 class Declined(Broken):
@@ -29,7 +34,8 @@
         self.waiting[effect.id] = effect
         if self.task is None:
             self.task = self.scheduler.spawn_kept(self._send_all)
-        elif self.resting:                 # danger: a new one shall not be late for what became of others
+        # danger: a new one shall not be late for what became of others
+        elif self.resting:
             self.scheduler.at(self.failed + PAUSE, self._wake)
 
     def _wake(self) -> None:
@@ -64,11 +70,13 @@
             except (Broken, Late, http.Malformed) as error:
                 self.line.close()
                 tries += 1
-                if isinstance(error, Declined):    # one that can't be read shall not hold up the others
+                # one that can't be read shall not hold up the others
+                if isinstance(error, Declined):
                     most = 1
                     if batch[0].id in self.waiting:
                         self.waiting[batch[0].id] = self.waiting.pop(batch[0].id)
-                if tries > 1:          # the first failure may be a kept connection's: at once on a new one
+                # the first failure may be a kept connection's: at once on a new one
+                if tries > 1:
                     self.resting, self.failed = True, self.clock()
                     self.scheduler.sleep(self.failed + min(PAUSE << min(tries, 8), LONGEST) // 2)
                     self.resting = False
@@ -89,7 +97,9 @@
             if notice.denied and notice.wait:
                 row["wait_ms"] = -(-notice.wait // MS)
             rows.append(json.dumps(row, separators=(",", ":")) + "\n")
-        data = http.request("POST", "/v2/finals", "%s:%d" % self.config.discovery, (), "".join(rows).encode())
+        data = http.request(
+            "POST", "/v2/finals", "%s:%d" % self.config.discovery, (), "".join(rows).encode()
+        )
         stream.send(data, until)
         head = stream.answer(until)
         if head.status != 204:
--- a/molehill/http/parser.py
+++ b/molehill/http/parser.py
@@ -1,16 +1,28 @@
 """HTTP/1.1 heads: an incremental, bounded parser for both sides, and a writer."""
+
 import re
 from dataclasses import dataclass
 from typing import Optional
 
-HEAD_MOST = 16 * 1024              # ample for the few short headers of the protocol
-BODY_MOST = 64 * 1024              # the protocol's bound
-REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-           405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
-           500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable",
-           505: "HTTP Version Not Supported"}
+HEAD_MOST = 16 * 1024  # ample for the few short headers of the protocol
+BODY_MOST = 64 * 1024  # the protocol's bound
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    503: "Service Unavailable",
+    505: "HTTP Version Not Supported",
+}
 CHUNK = re.compile(rb"[0-9A-Fa-f]{1,6}[ \t]*(;.*)?")
-CHUNK_LINE_MOST = 256              # of a chunk's length and what may stand beside it
+CHUNK_LINE_MOST = 256  # of a chunk's length and what may stand beside it
 TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 
 
@@ -22,11 +34,11 @@
 
 @dataclass(slots=True)
 class Head:
-    first: tuple[str, str, str]    # method, target, version; or version, status, reason
+    first: tuple[str, str, str]  # method, target, version; or version, status, reason
     headers: dict[str, str]
-    keep: bool                     # the connection may carry another message
-    length: Optional[int]          # of the body; None where no header tells it
-    chunked: bool = False          # the body comes in chunks, in answers only
+    keep: bool  # the connection may carry another message
+    length: Optional[int]  # of the body; None where no header tells it
+    chunked: bool = False  # the body comes in chunks, in answers only
 
     @property
     def status(self) -> int:
@@ -39,14 +51,15 @@
     def __init__(self, buffer, answers: bool, most: int = BODY_MOST):
         """`most`: bytes of a body."""
         self.buffer, self.answers, self.seen, self.most = buffer, answers, 0, most
-        self.raw = b""                 # the head read last, until its message is whole
-        self.line = b""                # the start of the head read last, also of one that was malformed
+        self.raw = b""  # the head read last, until its message is whole
+        # the start of the head read last, also of one that was malformed
+        self.line = b""
 
     def head(self) -> Optional[Head]:
         """The next head once it is whole, else None; raises Malformed."""
         buffer = self.buffer
         while not self.answers and buffer.peek(2) == b"\r\n":
-            buffer.take(2)             # empty lines before a request are passed over
+            buffer.take(2)  # empty lines before a request are passed over
             self.seen = 0
         end = buffer.find(b"\r\n\r\n", max(0, self.seen - 3))
         if end < 0:
@@ -66,7 +79,7 @@
         data, at, parts, ended = self.buffer.peek(len(self.buffer)), 0, [], False
         while (end := data.find(b"\r\n", at)) >= 0:
             line, at = data[at:end], end + 2
-            if ended:                  # the lines of a trailer, and an empty one
+            if ended:  # the lines of a trailer, and an empty one
                 if not line:
                     self.buffer.take(at)
                     return b"".join(parts)
@@ -78,9 +91,9 @@
                 raise Malformed(413, "the body is too long")
             ended = not size
             if size:
-                parts.append(data[at:at + size])
+                parts.append(data[at : at + size])
                 at += size + 2
-                if not b"\r\n".startswith(data[at - 2:at]):
+                if not b"\r\n".startswith(data[at - 2 : at]):
                     raise Malformed(400, "a chunk of another length")
                 if at > len(data):
                     return None
@@ -103,7 +116,9 @@
                 raise Malformed(400, "not a request line")
             version = first[2]
         if version not in ("HTTP/1.1", "HTTP/1.0"):
-            raise Malformed(505 if version.startswith("HTTP/") else 400, "not a version that is spoken here")
+            raise Malformed(
+                505 if version.startswith("HTTP/") else 400, "not a version that is spoken here"
+            )
         headers: dict[str, str] = {}
         for line in lines[1:]:
             name, colon, value = line.partition(":")
@@ -112,7 +127,11 @@
             name, value = name.lower(), value.strip(" \t")
             if name in headers and name == "content-length" and headers[name] != value:
                 raise Malformed(400, "two lengths")
-            headers[name] = f"{headers[name]}, {value}" if name in headers and name != "content-length" else value
+            headers[name] = (
+                f"{headers[name]}, {value}"
+                if name in headers and name != "content-length"
+                else value
+            )
         said = headers.get("connection", "").lower()
         keep = "close" not in said and (version == "HTTP/1.1" or "keep-alive" in said)
         chunked = "transfer-encoding" in headers
@@ -143,7 +162,13 @@
 
 
 def _lines(first: str, headers, body: bytes) -> bytes:
-    lines = [first, *(f"{name}: {value}" for name, value in headers), f"Content-Length: {len(body)}", "", ""]
+    lines = [
+        first,
+        *(f"{name}: {value}" for name, value in headers),
+        f"Content-Length: {len(body)}",
+        "",
+        "",
+    ]
     return "\r\n".join(lines).encode("latin-1") + body
 
 
--- a/molehill/http/stream.py
+++ b/molehill/http/stream.py
@@ -1,8 +1,9 @@
 """A connection that speaks HTTP/1.1: heads, interim answers and bodies off its one buffer."""
+
 from molehill.http.parser import BODY_MOST, HEAD_MOST, Malformed, Parser
 from molehill.runtime.stream import Broken, Stream
 
-MORE = HEAD_MOST + 1024                # bytes of one message beside its body, and some of the next
+MORE = HEAD_MOST + 1024  # bytes of one message beside its body, and some of the next
 
 
 class HttpStream(Stream):
@@ -20,7 +21,7 @@
     def unread_message(self) -> bytes:
         return self.parser.raw + super().unread_message()
 
-    INTERIM_MOST = 16                  # answers of 1xx before the real one; more is no answer
+    INTERIM_MOST = 16  # answers of 1xx before the real one; more is no answer
 
     def answer(self, until):
         """The head of an answer; interim ones before it are passed over."""
--- a/molehill/log_clock.py
+++ b/molehill/log_clock.py
@@ -7,6 +7,7 @@
 it is taken as it is, but never as earlier than the latest time in the log: a span may be cut short or drawn out by as much as the wall
 clock was stepped meanwhile, and drawn out by no more than from the last record to the reboot.
 """
+
 import json
 import re
 from dataclasses import dataclass
@@ -15,15 +16,23 @@
 
 KIND = "clock"
 # kind of record -> its keys that hold times of the log's clock
-TIMES = {"taken": ("due", "ran_at"), "launch": ("at",), "end": ("at",), "rest": ("until",), "health": ("at",)}
-SEEN = "at"                        # key of records that tell when they were written
+TIMES = {
+    "taken": ("due", "ran_at"),
+    "launch": ("at",),
+    "end": ("at",),
+    "rest": ("until",),
+    "health": ("at",),
+}
+SEEN = "at"  # key of records that tell when they were written
 SEEN_IN_LINE = re.compile(rb'"at":(\d{1,20})\b')
 CLOCK_LINE = b'{"k":"clock"'
-STEP_MOST = 1_000_000_000          # ns by which the latest time in the log may lie ahead of a clock that is believed
+# ns by which the latest time in the log may lie ahead of a clock that is believed
+STEP_MOST = 1_000_000_000
 
 
 class Base(Enum):
     """Where the epoch came from."""
+
     FIRST = "nothing was logged yet"
     SAME_BOOT = "the log's own clock"
     REBOOTED = "wall clock: the machine was booted anew"
@@ -33,12 +42,18 @@
 @dataclass(frozen=True, slots=True)
 class LogClock:
     """`epoch`: nanoseconds to add to the monotonic clock; `base`: how it was found."""
+
     epoch: int
     base: Base
 
     def record(self, machine) -> dict:
         """What later processes find it by."""
-        return {"k": KIND, "boot": machine.boot_id, "epoch": self.epoch, SEEN: machine.clock() + self.epoch}
+        return {
+            "k": KIND,
+            "boot": machine.boot_id,
+            "epoch": self.epoch,
+            SEEN: machine.clock() + self.epoch,
+        }
 
     def to_log(self, record: dict) -> dict:
         """A record of the core, with its times as the log holds them."""
@@ -86,4 +101,9 @@
 def is_whole(record: dict) -> bool:
     """Whether a `clock` record has what it is to have."""
     boot = record.get("boot")
-    return isinstance(boot, str) and boot != "" and is_time(record.get("epoch")) and is_time(record.get(SEEN))
+    return (
+        isinstance(boot, str)
+        and boot != ""
+        and is_time(record.get("epoch"))
+        and is_time(record.get(SEEN))
+    )
--- a/molehill/membership/member.py
+++ b/molehill/membership/member.py
@@ -5,30 +5,41 @@
 a probe by a helper is answered to the helper *and* to whoever asked; a relay that hears no answer says `alone` by time alone, and neither it
 nor one that has just stood still accuses anybody. docs/design/membership.md has the reasons.
 """
+
 from dataclasses import dataclass, field
 from math import ceil, log, log2
 from typing import NamedTuple, Optional
 
 MS = 1_000_000
 JOINING, ALIVE, SUSPECT, LOST, LEFT = "joining", "alive", "suspect", "lost", "left"
-RANK = {JOINING: 0, ALIVE: 1, SUSPECT: 2, LOST: 3, LEFT: 4}        # of two words on one incarnation the higher one stands
+# of two words on one incarnation the higher one stands
+RANK = {JOINING: 0, ALIVE: 1, SUSPECT: 2, LOST: 3, LEFT: 4}
 ALONE, THINNED, CONNECTED, SUPERSEDED = "alone", "thinned", "connected", "superseded"
-HELPERS = 3                            # asked to probe where no answer came: SWIM's figure; more pay little
-PASSERS = 2                            # by whom an answer goes that its asker may not hear straight
-SLOW_MOST = 3                          # steps by which own probes slow down, one for each sign that this relay is the one that is late
-CARRIED = 8                            # rumours in a message: with the head they fit 1,200 bytes (wire.py)
-REPEATS = 3                            # a rumour is told so many times the logarithm of the fleet's size
-CONFIRMED_BY = 3                       # suspicions from so many others shorten the wait to its least
-WAIT_LEAST, WAIT_MOST = 5, 3           # a suspect's time: so many rounds by log10 of the size; up to so many times that, alone in the suspicion
-ROUND_TRIPS = 4                        # smoothed round trips that a direct probe waits before helpers are asked
-BACK_EVERY = 5                         # rounds between words to one that is lost, or to a seed: a fleet that was cut in two finds itself
-GRAVES = 1024                          # names forgotten, of which old rumours are not believed
+# asked to probe where no answer came: SWIM's figure; more pay little
+HELPERS = 3
+PASSERS = 2  # by whom an answer goes that its asker may not hear straight
+# steps by which own probes slow down, one for each sign that this relay is the one that is late
+SLOW_MOST = 3
+# rumours in a message: with the head they fit 1,200 bytes (wire.py)
+CARRIED = 8
+# a rumour is told so many times the logarithm of the fleet's size
+REPEATS = 3
+# suspicions from so many others shorten the wait to its least
+CONFIRMED_BY = 3
+# a suspect's time: so many rounds by log10 of the size; up to so many times that, alone in the suspicion
+WAIT_LEAST, WAIT_MOST = 5, 3
+# smoothed round trips that a direct probe waits before helpers are asked
+ROUND_TRIPS = 4
+# rounds between words to one that is lost, or to a seed: a fleet that was cut in two finds itself
+BACK_EVERY = 5
+GRAVES = 1024  # names forgotten, of which old rumours are not believed
 
 
 @dataclass(frozen=True)
 class Settings:
     """Spans in nanoseconds. `round`: one probe each; `floor`: least wait for an answer; `alone_after`: without an answer so long, alone;
     `stalled`: not looked at for so long, this relay stood still; `forget_after`: one lost or left is forgotten; `sync_every`: all is told to one."""
+
     round: int = 500 * MS
     floor: int = 100 * MS
     alone_after: int = 2000 * MS
@@ -39,6 +50,7 @@
 
 class Who(NamedTuple):
     """One process of a member. `number` rises with each start, `token` is drawn at it, `turn` rises with each refutation."""
+
     name: str
     number: int
     token: int
@@ -54,13 +66,14 @@
 class Rumour(NamedTuple):
     who: Who
     state: str
-    address: tuple                     # as it gives it itself
-    by: str                            # whose word it is
+    address: tuple  # as it gives it itself
+    by: str  # whose word it is
 
 
 class Message(NamedTuple):
     """`kind`: ping, again (a ping that had no answer), ack, nack, ask, pass, word. `target`: who is to be probed, answered or reached; `seq` of
     the sender, or of the one answered; `asked`: of a ping by a helper the (name, seq) of the one who asked for it, of a pass (who answers, seq)."""
+
     kind: str
     sender: Who
     address: tuple
@@ -74,25 +87,25 @@
 @dataclass
 class Peer:
     who: Who
-    address: tuple                     # where this relay reaches it
-    told: tuple                        # as it gives it itself
+    address: tuple  # where this relay reaches it
+    told: tuple  # as it gives it itself
     state: str
     since: int
     by: str
-    heard: int = 0                     # a message of its own came last; 0: never
-    answered: int = 0                  # it answered a probe of this relay last
+    heard: int = 0  # a message of its own came last; 0: never
+    answered: int = 0  # it answered a probe of this relay last
     accusers: set = field(default_factory=set)
-    until: int = 0                     # of a suspect: taken for lost then
+    until: int = 0  # of a suspect: taken for lost then
 
 
 @dataclass
 class Probe:
     target: str
     began: int
-    asks_at: int                       # helpers are asked
+    asks_at: int  # helpers are asked
     over_at: int
     nacks: int = 0
-    asked: int = 0                     # helpers that were asked; 0: not yet
+    asked: int = 0  # helpers that were asked; 0: not yet
 
 
 class Member:
@@ -102,16 +115,23 @@
     after each call, and calls `turn` first whenever it gets to run.
     """
 
-    def __init__(self, settings: Settings, name: str, address, number: int, seeds: dict, chance, now: int):
-        self.set, self.chance, self.seeds, self.address = settings, chance, dict(seeds), tuple(address)
+    def __init__(
+        self, settings: Settings, name: str, address, number: int, seeds: dict, chance, now: int
+    ):
+        self.set, self.chance, self.seeds, self.address = (
+            settings,
+            chance,
+            dict(seeds),
+            tuple(address),
+        )
         self.me = Who(name, number, chance.getrandbits(32), 0)
         self.peers: dict[str, Peer] = {}
         self.graves: dict[str, Who] = {}
         self.ring, self.probes, self.helped, self.seq = [], {}, {}, 0
-        self.rumours: dict[str, list] = {}             # name -> [rumour, times told]
+        self.rumours: dict[str, list] = {}  # name -> [rumour, times told]
         self.slow, self.trip, self.trip_dev = 0, settings.floor / ROUND_TRIPS, 0.0
         self.looked, self.next_round, self.next_sync, self.rounds = now, now, now, 0
-        self.answered = None                           # when any probe was answered last
+        self.answered = None  # when any probe was answered last
         self.leaving, self.superseded, self.asked_self = False, False, {}
         self.out, self.syncs, self.news = [], [], []
         self.counts = dict.fromkeys(("refuted", "false_suspicions", "lost", "stood", "old"), 0)
@@ -150,7 +170,7 @@
         if self.superseded:
             return SUPERSEDED
         if not self.seeds and not self.peers:
-            return CONNECTED                           # a fleet of one by its settings
+            return CONNECTED  # a fleet of one by its settings
         if self.answered is None or now - self.answered > self.set.alone_after:
             return ALONE
         return CONNECTED if 2 * self.reached() > self.expected() else THINNED
@@ -182,12 +202,25 @@
     def look_at_self(self, now: int) -> None:
         standing = self.stands(now)
         if standing != self.standing:
-            self.news.append(("standing", {"was": self.standing, "now": standing, "reached": self.reached(), "expected": self.expected()}))
+            self.news.append(
+                (
+                    "standing",
+                    {
+                        "was": self.standing,
+                        "now": standing,
+                        "reached": self.reached(),
+                        "expected": self.expected(),
+                    },
+                )
+            )
             self.standing, self.since = standing, now
 
     def due(self) -> int:
         """When `tick` has something to do."""
-        times = [self.next_round, *(p.over_at if p.asked else p.asks_at for p in self.probes.values())]
+        times = [
+            self.next_round,
+            *(p.over_at if p.asked else p.asks_at for p in self.probes.values()),
+        ]
         times += [p.until for p in self.peers.values() if p.state == SUSPECT]
         if self.answered is not None and self.standing != ALONE:
             times.append(self.answered + self.set.alone_after + 1)
@@ -238,7 +271,9 @@
         if self.rounds % BACK_EVERY == 1:
             self.call_back()
         if now >= self.next_sync:
-            names = [n for n, p in self.peers.items() if p.state in (ALIVE, SUSPECT, JOINING)] or list(self.seeds)
+            names = [
+                n for n, p in self.peers.items() if p.state in (ALIVE, SUSPECT, JOINING)
+            ] or list(self.seeds)
             if names:
                 self.next_sync = now + self.set.sync_every
                 self.syncs.append(self.chance.choice(names))
@@ -247,7 +282,9 @@
         """Each once, in an order drawn anew: none waits longer than two turns through the ring."""
         for _ in range(len(self.ring) + 1):
             if not self.ring:
-                self.ring = [n for n, p in self.peers.items() if p.state in (JOINING, ALIVE, SUSPECT)]
+                self.ring = [
+                    n for n, p in self.peers.items() if p.state in (JOINING, ALIVE, SUSPECT)
+                ]
                 self.chance.shuffle(self.ring)
                 if not self.ring:
                     return None
@@ -257,21 +294,27 @@
         return None
 
     def wait(self) -> int:
-        return int(max(self.set.floor, ROUND_TRIPS * (self.trip + 2 * self.trip_dev))) * (1 + self.slow)
+        return int(max(self.set.floor, ROUND_TRIPS * (self.trip + 2 * self.trip_dev))) * (
+            1 + self.slow
+        )
 
     def probe(self, name: str, now: int) -> None:
         self.seq += 1
         over = now + self.pace()
-        self.probes[self.seq] = Probe(name, now, min(now + self.wait(), over - self.set.floor), over)
+        self.probes[self.seq] = Probe(
+            name, now, min(now + self.wait(), over - self.set.floor), over
+        )
         self.say(self.peers[name].address, "ping", seq=self.seq, target=name, about=name)
 
     def ask_helpers(self, seq: int, probe: Probe) -> None:
         peer = self.peers.get(probe.target)
-        probe.asked = 1                                # also without any: it was tried
+        probe.asked = 1  # also without any: it was tried
         if peer is None:
             return
         self.say(peer.address, "again", seq=seq, target=probe.target, about=probe.target)
-        helpers = [n for n, p in self.peers.items() if n != probe.target and p.state in (ALIVE, SUSPECT)]
+        helpers = [
+            n for n, p in self.peers.items() if n != probe.target and p.state in (ALIVE, SUSPECT)
+        ]
         for name in self.chance.sample(helpers, min(HELPERS, len(helpers))):
             self.say(self.peers[name].address, "ask", seq=seq, target=probe.target)
             probe.asked += 1
@@ -298,7 +341,9 @@
         if names:
             name = self.chance.choice(names)
             peer = self.peers.get(name)
-            self.say(peer.address if peer else self.seeds[name], "ping", seq=0, target=name, about=name)
+            self.say(
+                peer.address if peer else self.seeds[name], "ping", seq=0, target=name, about=name
+            )
 
     # What comes
 
@@ -315,7 +360,7 @@
         if peer is None:
             return
         if heard_at is not None:
-            peer.address = tuple(heard_at)     # where it is now, whatever seeds and rumours say
+            peer.address = tuple(heard_at)  # where it is now, whatever seeds and rumours say
         for rumour in message.rumours:
             self.told(rumour, now)
         getattr(self, "on_" + message.kind)(message, peer, now)
@@ -325,15 +370,26 @@
         sender = message.sender
         peer, grave = self.peers.get(sender.name), self.graves.get(sender.name)
         if peer is None and grave is not None and sender.order() <= grave.order():
-            self.counts["old"] += 1                    # it is told so, and comes back by a turn more
-            self.say(source, "word", about=None, rumours=(Rumour(grave, LOST, message.address, self.me.name),))
+            # it is told so, and comes back by a turn more
+            self.counts["old"] += 1
+            self.say(
+                source,
+                "word",
+                about=None,
+                rumours=(Rumour(grave, LOST, message.address, self.me.name),),
+            )
             return None
         if peer is not None and sender.process() < peer.who.process():
-            self.counts["old"] += 1                    # another process has that name since: it is told so
-            self.say(source, "word", rumours=(Rumour(peer.who, peer.state, peer.told, self.me.name),))
+            # another process has that name since: it is told so
+            self.counts["old"] += 1
+            self.say(
+                source, "word", rumours=(Rumour(peer.who, peer.state, peer.told, self.me.name),)
+            )
             return None
         if peer is None:
-            peer = self.peers[sender.name] = Peer(sender, source, message.address, JOINING, now, sender.name)
+            peer = self.peers[sender.name] = Peer(
+                sender, source, message.address, JOINING, now, sender.name
+            )
             self.graves.pop(sender.name, None)
             self.ring.append(sender.name)
             self.believe(peer, ALIVE, now, sender.name)
@@ -350,7 +406,7 @@
 
     def on_ping(self, message: Message, peer: Peer, now: int) -> None:
         if message.target != self.me.name:
-            return                                     # meant for one that had this address before
+            return  # meant for one that had this address before
         if message.seq:
             self.say(peer.address, "ack", seq=message.seq, target=self.me.name, about=peer.who.name)
         else:
@@ -359,15 +415,30 @@
             # Danger: the helper may hear this one and not be heard by whoever asked. So the answer goes both ways.
             name, seq = message.asked
             if name in self.peers or name in self.seeds:
-                self.say(self.peers[name].address if name in self.peers else self.seeds[name], "ack", seq=seq, target=self.me.name)
+                self.say(
+                    self.peers[name].address if name in self.peers else self.seeds[name],
+                    "ack",
+                    seq=seq,
+                    target=self.me.name,
+                )
 
     def on_again(self, message: Message, peer: Peer, now: int) -> None:
         """Danger: the asker is heard here, and does not hear this one. So others pass the answer on."""
         self.on_ping(message, peer, now)
         if message.target == self.me.name:
-            helpers = [p.address for n, p in self.peers.items() if p is not peer and p.state in (ALIVE, SUSPECT)]
+            helpers = [
+                p.address
+                for n, p in self.peers.items()
+                if p is not peer and p.state in (ALIVE, SUSPECT)
+            ]
             for address in self.chance.sample(helpers, min(PASSERS, len(helpers))):
-                self.say(address, "pass", seq=message.seq, target=peer.who.name, asked=(self.me.name, message.seq))
+                self.say(
+                    address,
+                    "pass",
+                    seq=message.seq,
+                    target=peer.who.name,
+                    asked=(self.me.name, message.seq),
+                )
 
     def on_pass(self, message: Message, peer: Peer, now: int) -> None:
         there = self.peers.get(message.target)
@@ -390,7 +461,8 @@
         if target is not None:
             if peer is target:
                 target.answered = now
-                if probe.asked == 0:                   # else it is open which of the two was answered
+                # else it is open which of the two was answered
+                if probe.asked == 0:
                     took = now - probe.began
                     self.trip_dev += (abs(took - self.trip) - self.trip_dev) / 4
                     self.trip += (took - self.trip) / 8
@@ -401,7 +473,7 @@
         probe = self.probes.get(message.seq)
         if probe is not None and probe.target == message.target:
             probe.nacks += 1
-            self.answered = now                        # the helper was reached, and is heard
+            self.answered = now  # the helper was reached, and is heard
 
     def on_ask(self, message: Message, peer: Peer, now: int) -> None:
         target = self.peers.get(message.target)
@@ -410,7 +482,14 @@
             return
         self.seq += 1
         self.helped[self.seq] = peer.who.name, message.seq, message.target, now + self.set.floor
-        self.say(address, "ping", seq=self.seq, target=message.target, asked=(peer.who.name, message.seq), about=message.target)
+        self.say(
+            address,
+            "ping",
+            seq=self.seq,
+            target=message.target,
+            asked=(peer.who.name, message.seq),
+            about=message.target,
+        )
 
     def on_word(self, message: Message, peer: Peer, now: int) -> None:
         pass
@@ -426,14 +505,24 @@
     def told(self, rumour: Rumour, now: int) -> None:
         who, state = rumour.who, rumour.state
         if self.superseded:
-            return                                     # Danger: it would take a higher number yet, and both processes would give up
+            # Danger: it would take a higher number yet, and both processes would give up
+            return
         if who.name == self.me.name:
             return self.told_of_self(rumour, now)
         peer, grave = self.peers.get(who.name), self.graves.get(who.name)
         if peer is None:
-            if state in (JOINING, ALIVE) and not (grave is not None and who.order() <= grave.order()):
+            if state in (JOINING, ALIVE) and not (
+                grave is not None and who.order() <= grave.order()
+            ):
                 self.graves.pop(who.name, None)
-                self.peers[who.name] = peer = Peer(who, self.seeds.get(who.name, rumour.address), rumour.address, JOINING, now, rumour.by)
+                self.peers[who.name] = peer = Peer(
+                    who,
+                    self.seeds.get(who.name, rumour.address),
+                    rumour.address,
+                    JOINING,
+                    now,
+                    rumour.by,
+                )
                 self.ring.insert(self.chance.randrange(len(self.ring) + 1), who.name)
                 if state == ALIVE:
                     self.believe(peer, ALIVE, now, rumour.by)
@@ -452,7 +541,12 @@
 
     def another(self, peer: Peer, who: Who, told, address) -> None:
         """Its name is another process's now. Danger: what the one before did not answer is no sign against this one."""
-        self.news.append(("another process", {"name": who.name, "number": who.number, "moved": peer.told != told}))
+        self.news.append(
+            (
+                "another process",
+                {"name": who.name, "number": who.number, "moved": peer.told != told},
+            )
+        )
         peer.who, peer.told, peer.address, peer.answered = who, told, address, 0
         self.probes = {seq: probe for seq, probe in self.probes.items() if probe.target != who.name}
 
@@ -465,7 +559,19 @@
         if state == SUSPECT:
             peer.accusers.add(by)
             peer.until = now + self.patience(1)
-        self.news.append(("member", {"name": peer.who.name, "was": before, "now": state, "number": peer.who.number, "turn": peer.who.turn, "by": by}))
+        self.news.append(
+            (
+                "member",
+                {
+                    "name": peer.who.name,
+                    "was": before,
+                    "now": state,
+                    "number": peer.who.number,
+                    "turn": peer.who.turn,
+                    "by": by,
+                },
+            )
+        )
         self.spread(peer)
 
     def accuse(self, peer: Peer, by: str) -> None:
@@ -479,7 +585,8 @@
         """How long a suspect has: Lifeguard's curve, from the most with one accuser to the least with CONFIRMED_BY more."""
         least = WAIT_LEAST * max(1.0, log(max(2, self.expected()), 10)) * self.set.round
         most = WAIT_MOST * least
-        enough = max(1, min(CONFIRMED_BY, self.expected() - 2))        # a small fleet has no more to say so
+        # a small fleet has no more to say so
+        enough = max(1, min(CONFIRMED_BY, self.expected() - 2))
         share = min(1.0, log(accusers) / log(enough + 1))
         return int(max(least, most - (most - least) * share))
 
@@ -494,10 +601,15 @@
                 self.slow = min(SLOW_MOST, self.slow + 1)
                 self.me = self.me._replace(turn=who.turn + 1)
                 self.rumours[self.me.name] = [Rumour(self.me, ALIVE, self.address, self.me.name), 0]
-                self.news.append(("refuted", {"state": rumour.state, "by": rumour.by, "turn": self.me.turn}))
+                self.news.append(
+                    ("refuted", {"state": rumour.state, "by": rumour.by, "turn": self.me.turn})
+                )
         elif who.process() > self.me.process():
             # An earlier process of this relay whose number went with the folder, or another one that lives: asked, before it is believed.
-            if rumour.address == self.address or self.asked_self.get(who.process(), now) < now - 2 * self.set.round:
+            if (
+                rumour.address == self.address
+                or self.asked_self.get(who.process(), now) < now - 2 * self.set.round
+            ):
                 self.asked_self.clear()
                 self.me = self.me._replace(number=who.number + 1, turn=0)
                 self.rumours[self.me.name] = [Rumour(self.me, ALIVE, self.address, self.me.name), 0]
@@ -511,7 +623,9 @@
         if sender.process() > self.me.process():
             if not self.superseded:
                 self.superseded = True
-                self.news.append(("superseded", {"number": sender.number, "address": "%s:%d" % tuple(source)}))
+                self.news.append(
+                    ("superseded", {"number": sender.number, "address": "%s:%d" % tuple(source)})
+                )
             self.look_at_self(self.looked)
         elif sender.process() < self.me.process():
             self.counts["old"] += 1
@@ -519,11 +633,27 @@
 
     # What goes
 
-    def say(self, address, kind: str, seq: int = 0, target: str = "", asked=None, about=None, rumours=None) -> None:
+    def say(
+        self,
+        address,
+        kind: str,
+        seq: int = 0,
+        target: str = "",
+        asked=None,
+        about=None,
+        rumours=None,
+    ) -> None:
         """`about`: what is believed of that one goes first, so that it can answer a suspicion at once."""
         if rumours is None:
             rumours = self.carried(about)
-        self.out.append((tuple(address), Message(kind, self.me, self.address, self.standing, seq, target, asked, tuple(rumours))))
+        self.out.append(
+            (
+                tuple(address),
+                Message(
+                    kind, self.me, self.address, self.standing, seq, target, asked, tuple(rumours)
+                ),
+            )
+        )
 
     def carried(self, about) -> list[Rumour]:
         first = []
@@ -531,8 +661,14 @@
         if peer is not None and peer.state in (SUSPECT, LOST):
             first.append(Rumour(peer.who, peer.state, peer.told, peer.by))
         most = REPEATS * ceil(log2(len(self.peers) + 2))
-        rows = sorted(((times, name) for name, (_, times) in self.rumours.items() if name != about or not first))
-        for _, name in rows[:CARRIED - len(first)]:
+        rows = sorted(
+            (
+                (times, name)
+                for name, (_, times) in self.rumours.items()
+                if name != about or not first
+            )
+        )
+        for _, name in rows[: CARRIED - len(first)]:
             row = self.rumours[name]
             row[1] += 1
             first.append(row[0])
@@ -542,8 +678,10 @@
 
     def everything(self) -> tuple:
         """All that is believed, for one that is told all."""
-        return tuple([Rumour(self.me, ALIVE, self.address, self.me.name)] + [
-            Rumour(p.who, p.state, p.told, p.by) for p in self.peers.values()])
+        return tuple(
+            [Rumour(self.me, ALIVE, self.address, self.me.name)]
+            + [Rumour(p.who, p.state, p.told, p.by) for p in self.peers.values()]
+        )
 
     def learn_all(self, rumours, now: int) -> None:
         for rumour in rumours:
--- a/molehill/membership/wire.py
+++ b/molehill/membership/wire.py
@@ -3,25 +3,41 @@
 1,200 bytes at most. What does not verify costs one hash; what verifies and can't be read raises Unread as well. No length that a peer states
 is believed before that many bytes are there.
 """
+
 import hashlib
 import hmac
 from typing import Optional
 
 import msgspec
 
-from molehill.membership.member import ALIVE, ALONE, CONNECTED, JOINING, LEFT, LOST, SUPERSEDED, SUSPECT, THINNED, Message, Rumour, Who
+from molehill.membership.member import (
+    ALIVE,
+    ALONE,
+    CONNECTED,
+    JOINING,
+    LEFT,
+    LOST,
+    SUPERSEDED,
+    SUSPECT,
+    THINNED,
+    Message,
+    Rumour,
+    Who,
+)
 
 VERSION = 1
-MOST = 1200                            # bytes of a datagram: under the least path that is met in practice
-MAC = 16                               # bytes; forged ones would need 2^127 tries
+# bytes of a datagram: under the least path that is met in practice
+MOST = 1200
+MAC = 16  # bytes; forged ones would need 2^127 tries
 HEAD = 2 + MAC
 NAME_MOST = 64
 KINDS = ("ping", "again", "ack", "nack", "ask", "pass", "word")
 STATES = (JOINING, ALIVE, SUSPECT, LOST, LEFT)
 STANDINGS = (ALONE, THINNED, CONNECTED, SUPERSEDED)
-KEYS_MOST = 2                          # the one that signs, and during a change the one before or after it
+# the one that signs, and during a change the one before or after it
+KEYS_MOST = 2
 
-Row = tuple[str, int, int, int]        # a Who
+Row = tuple[str, int, int, int]  # a Who
 Told = tuple[Row, int, str, int, str]  # a Rumour
 
 
@@ -51,7 +67,9 @@
         self.keys, self.fleet = list(keys)[:KEYS_MOST], fleet.encode()
 
     def mac(self, n: int, body: bytes) -> bytes:
-        return hashlib.blake2b(self.fleet + b"\0" + body, key=self.keys[n], digest_size=MAC).digest()
+        return hashlib.blake2b(
+            self.fleet + b"\0" + body, key=self.keys[n], digest_size=MAC
+        ).digest()
 
     def key_id(self, n: int) -> int:
         """Told by a byte, so that one hash is enough to refuse."""
@@ -61,9 +79,22 @@
         """Leaves out rumours that do not fit; they have been counted as told, and are told again by others."""
         rumours = list(message.rumours)
         while True:
-            body = encode(Packet(KINDS.index(message.kind), tuple(message.sender), message.address[0], message.address[1],
-                                 STANDINGS.index(message.standing), message.seq, message.target, message.asked,
-                                 [(tuple(r.who), STATES.index(r.state), r.address[0], r.address[1], r.by) for r in rumours]))
+            body = encode(
+                Packet(
+                    KINDS.index(message.kind),
+                    tuple(message.sender),
+                    message.address[0],
+                    message.address[1],
+                    STANDINGS.index(message.standing),
+                    message.seq,
+                    message.target,
+                    message.asked,
+                    [
+                        (tuple(r.who), STATES.index(r.state), r.address[0], r.address[1], r.by)
+                        for r in rumours
+                    ],
+                )
+            )
             if len(body) + HEAD <= MOST or not rumours:
                 return bytes((VERSION, self.key_id(0))) + self.mac(0, body) + body
             rumours.pop()
@@ -82,9 +113,19 @@
             raise Unread("signature")
         try:
             p = decode(body)
-            return Message(KINDS[natural(p.kind)], who(p.sender), place(p.host, p.port), STANDINGS[natural(p.standing)], natural(p.seq),
-                           named(p.target, empty=True), p.asked and (named(p.asked[0]), natural(p.asked[1])),
-                           tuple(Rumour(who(row), STATES[natural(state)], place(host, port), named(by)) for row, state, host, port, by in p.rumours))
+            return Message(
+                KINDS[natural(p.kind)],
+                who(p.sender),
+                place(p.host, p.port),
+                STANDINGS[natural(p.standing)],
+                natural(p.seq),
+                named(p.target, empty=True),
+                p.asked and (named(p.asked[0]), natural(p.asked[1])),
+                tuple(
+                    Rumour(who(row), STATES[natural(state)], place(host, port), named(by))
+                    for row, state, host, port, by in p.rumours
+                ),
+            )
         except (msgspec.MsgspecError, IndexError, UnicodeError) as error:
             raise Unread(str(error)) from None
 
--- a/molehill/membership/wiring.py
+++ b/molehill/membership/wiring.py
@@ -1,47 +1,88 @@
 """A member on the project's scheduler: datagrams and streams in and out, its number in the folder, its log lines and figures."""
+
 import errno
 import json
 import os
 from random import Random
 
 from molehill.config import MS, SECOND
-from molehill.membership.member import CARRIED, CONNECTED, LEFT, LOST, SUSPECT, Member, Message, Rumour, Settings, Who
+from molehill.membership.member import (
+    CARRIED,
+    CONNECTED,
+    LEFT,
+    LOST,
+    SUSPECT,
+    Member,
+    Message,
+    Rumour,
+    Settings,
+    Who,
+)
 from molehill.membership.wire import MOST, Unread, Wire
 from molehill.runtime.scheduler import READ
 from molehill.runtime.stream import Broken, Budget, Late, Short, Stream, connected, listening
 from molehill.store import write_all
 
-A_TURN = 64                            # datagrams read before others have their turn: a flood does not hold callbacks up
-SEATS = 4                              # streams at once
-WITHIN = 2 * SECOND                    # for a whole stream
-PAGE = 2                               # bytes of a page's length; none is longer than a datagram
+# datagrams read before others have their turn: a flood does not hold callbacks up
+A_TURN = 64
+SEATS = 4  # streams at once
+WITHIN = 2 * SECOND  # for a whole stream
+PAGE = 2  # bytes of a page's length; none is longer than a datagram
 PAGES_MOST = 1024
-NUMBER = "member"                      # file in the folder that lasts
-BURST = 4                              # seconds of the allowance that may be said at once
-PAUSE = 100 * MS                       # after a socket that errs
+NUMBER = "member"  # file in the folder that lasts
+BURST = 4  # seconds of the allowance that may be said at once
+PAUSE = 100 * MS  # after a socket that errs
 
 
 class Membership:
     """`config`: the relay's; `inherited`: what the process before it in an upgrade was, as of `estate`, or None."""
 
     def __init__(self, scheduler, config, log, inherited=None):
-        self.scheduler, self.clock, self.log, self.config = scheduler, scheduler.clock, log, config.fleet
+        self.scheduler, self.clock, self.log, self.config = (
+            scheduler,
+            scheduler.clock,
+            log,
+            config.fleet,
+        )
         self.wire = Wire(self.config.name, self.config.keys)
-        self.seats, self.allowance, self.filled = Budget(SEATS), self.config.bytes_per_s * BURST, self.clock()
+        self.seats, self.allowance, self.filled = (
+            Budget(SEATS),
+            self.config.bytes_per_s * BURST,
+            self.clock(),
+        )
         self.sock = self.listener = None
-        self.era = 0                   # one more with each `begin` and `close`
-        self.counts = dict.fromkeys(("bytes_out", "bytes_in", "forged", "unread", "over_budget", "streams"), 0)
+        self.era = 0  # one more with each `begin` and `close`
+        self.counts = dict.fromkeys(
+            ("bytes_out", "bytes_in", "forged", "unread", "over_budget", "streams"), 0
+        )
         number = inherited["me"][1] if inherited else self.next_number(config.state)
-        self.member = Member(Settings(**self.config.spans), config.name, self.config.listen, number, self.config.seeds,
-                             Random(f"{config.seed:x} member"), self.clock())
+        self.member = Member(
+            Settings(**self.config.spans),
+            config.name,
+            self.config.listen,
+            number,
+            self.config.seeds,
+            Random(f"{config.seed:x} member"),
+            self.clock(),
+        )
         if inherited:
-            self.member.goes_on(inherited["me"], [Rumour(Who(*who), state, tuple(at), by) for who, state, at, by in inherited["all"]],
-                                self.clock() - inherited["answered_ago"])
+            self.member.goes_on(
+                inherited["me"],
+                [
+                    Rumour(Who(*who), state, tuple(at), by)
+                    for who, state, at, by in inherited["all"]
+                ],
+                self.clock() - inherited["answered_ago"],
+            )
 
     def estate(self) -> dict:
         """What the next process of an upgrade goes on with: to others it is the same member."""
         member = self.member
-        return {"me": member.me, "all": member.everything()[1:], "answered_ago": self.clock() - (member.answered or 0)}
+        return {
+            "me": member.me,
+            "all": member.everything()[1:],
+            "answered_ago": self.clock() - (member.answered or 0),
+        }
 
     def retake(self, config) -> None:
         """A file read again: all but its name and address counts at once."""
@@ -59,7 +100,7 @@
             try:
                 before = int(disk.read(path))
             except (OSError, ValueError):
-                pass                   # as if it were lost
+                pass  # as if it were lost
         number = max(before + 1, self.scheduler.machine.wall() // MS)
         try:
             fd = disk.open(path + ".new", anew=True)
@@ -100,14 +141,21 @@
                 self.scheduler.sleep(self.clock() + PAUSE)
         if era != self.era:
             return
-        self.log.info("member begins", number=self.member.me.number, seeds=len(self.config.seeds), listen="%s:%d" % self.config.listen)
+        self.log.info(
+            "member begins",
+            number=self.member.me.number,
+            seeds=len(self.config.seeds),
+            listen="%s:%d" % self.config.listen,
+        )
         self.scheduler.spawn_kept(lambda: self.hear(era))
         self.scheduler.spawn_kept(lambda: self.accept(era))
         while era == self.era:
             self.member.tick(self.clock())
             self.carry()
             now = self.clock()
-            self.scheduler.sleep(min(max(self.member.due(), now + MS), now + self.member.set.stalled // 4))
+            self.scheduler.sleep(
+                min(max(self.member.due(), now + MS), now + self.member.set.stalled // 4)
+            )
 
     def hear(self, era: int) -> None:
         while era == self.era:
@@ -118,7 +166,8 @@
                     self.scheduler.wait(self.sock.fileno(), READ)
                     break
                 except OSError:
-                    self.scheduler.sleep(self.clock() + PAUSE)     # an ICMP answer, or a machine short of memory
+                    # an ICMP answer, or a machine short of memory
+                    self.scheduler.sleep(self.clock() + PAUSE)
                     break
                 self.came(data, source)
             else:
@@ -159,7 +208,7 @@
                 try:
                     self.sock.sendto(data, address)
                 except OSError:
-                    pass               # as lost on the way
+                    pass  # as lost on the way
         syncs, member.syncs = member.syncs, []
         for name in syncs:
             self.scheduler.spawn(self.sync, name)
@@ -172,14 +221,25 @@
     def pages(self):
         member, rumours = self.member, self.member.everything()
         for at in range(0, len(rumours), CARRIED):
-            data = self.wire.write(Message("word", member.me, member.address, member.standing, rumours=rumours[at:at + CARRIED]))
+            data = self.wire.write(
+                Message(
+                    "word",
+                    member.me,
+                    member.address,
+                    member.standing,
+                    rumours=rumours[at : at + CARRIED],
+                )
+            )
             if not self.may_say(len(data)):
                 return
             yield len(data).to_bytes(PAGE, "big") + data
 
     def sync(self, name: str) -> None:
         peer = self.member.peers.get(name)
-        address, until = (peer.address if peer else self.config.seeds.get(name)), self.clock() + WITHIN
+        address, until = (
+            (peer.address if peer else self.config.seeds.get(name)),
+            self.clock() + WITHIN,
+        )
         try:
             stream = connected(self.scheduler, address, "stream", self.seats, self.make, until)
         except (Broken, Late, Short):
@@ -203,7 +263,12 @@
             if not self.seats.take("stream"):
                 sock.close()
                 continue
-            self.scheduler.spawn(self.exchange, self.make(self.scheduler, sock, "stream", self.seats), self.clock() + WITHIN, False)
+            self.scheduler.spawn(
+                self.exchange,
+                self.make(self.scheduler, sock, "stream", self.seats),
+                self.clock() + WITHIN,
+                False,
+            )
 
     def exchange(self, stream, until: int, first: bool) -> None:
         """Who came says all, then hears all."""
@@ -244,19 +309,49 @@
         """Lines of the door's form."""
         member = self.member
         states = [peer.state for peer in member.peers.values()]
-        rows = [("fleet.alive", member.reached() - 1, "g"), ("fleet.suspect", states.count(SUSPECT), "g"), ("fleet.lost", states.count(LOST), "g"),
-                ("fleet.left", states.count(LEFT), "g"), ("fleet.connected", int(member.standing == CONNECTED), "g"),
-                *((f"fleet.{name}", count, "c") for name, count in {**member.counts, **self.counts}.items())]
+        rows = [
+            ("fleet.alive", member.reached() - 1, "g"),
+            ("fleet.suspect", states.count(SUSPECT), "g"),
+            ("fleet.lost", states.count(LOST), "g"),
+            ("fleet.left", states.count(LEFT), "g"),
+            ("fleet.connected", int(member.standing == CONNECTED), "g"),
+            *(
+                (f"fleet.{name}", count, "c")
+                for name, count in {**member.counts, **self.counts}.items()
+            ),
+        ]
         return "".join(f"router.{name}:{value}|{kind}\n" for name, value, kind in rows)
 
     def view(self) -> bytes:
         """What is believed, as JSON: this one, and a row a member."""
         member, now = self.member, self.clock()
-        rows = [{"name": p.who.name, "state": p.state, "number": p.who.number, "turn": p.who.turn, "since_ms": (now - p.since) // MS, "by": p.by,
-                 "address": "%s:%d" % p.address, "heard_ms": (now - p.heard) // MS if p.heard else None} for p in member.peers.values()]
-        return json.dumps({"name": member.me.name, "number": member.me.number, "turn": member.me.turn, "standing": member.standing,
-                           "since_ms": (now - member.since) // MS, "hears": member.hears(now), "heard_by": member.heard_by(now),
-                           "reached": member.reached(), "expected": member.expected(), "members": sorted(rows, key=lambda r: r["name"])}).encode()
+        rows = [
+            {
+                "name": p.who.name,
+                "state": p.state,
+                "number": p.who.number,
+                "turn": p.who.turn,
+                "since_ms": (now - p.since) // MS,
+                "by": p.by,
+                "address": "%s:%d" % p.address,
+                "heard_ms": (now - p.heard) // MS if p.heard else None,
+            }
+            for p in member.peers.values()
+        ]
+        return json.dumps(
+            {
+                "name": member.me.name,
+                "number": member.me.number,
+                "turn": member.me.turn,
+                "standing": member.standing,
+                "since_ms": (now - member.since) // MS,
+                "hears": member.hears(now),
+                "heard_by": member.heard_by(now),
+                "reached": member.reached(),
+                "expected": member.expected(),
+                "members": sorted(rows, key=lambda r: r["name"]),
+            }
+        ).encode()
 
     def descriptors(self) -> int:
         """How many it holds: its two sockets, and the streams that are open."""
--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -4,6 +4,7 @@
 came in by `now`; the types of both lists stand in molehill/interface.py. It has no clock, input or output.
 docs/design.md tells what is kept of the design page, what was changed, and when each exception acts.
 """
+
 from heapq import heappop, heappush
 from math import log2
 from random import Random
@@ -23,61 +24,106 @@
 class Callback:
     def __init__(self, new, row, payoff, over):
         self.id, self.row, self.payoff, self.lane = new.callback, row, payoff, (new.category, over)
-        self.key, self.due, self.goal = None, new.abandon_at, new.abandon_at - row.abandon + row.goal
+        self.key, self.due, self.goal = (
+            None,
+            new.abandon_at,
+            new.abandon_at - row.abandon + row.goal,
+        )
         self.dest, self.state, self.launches, self.call = new.destination, None, new.launches, None
-        self.kept = False                     # found untried by a restart
-        self.ran, self.zone, self.stale = False, None, self.due    # may have run, and is known only there;
-        self.repeat_until = self.due if row.effect is Effect.IDEMPOTENT else 0    # if so, it may go till then
+        self.kept = False  # found untried by a restart
+        # may have run, and is known only there;
+        self.ran, self.zone, self.stale = False, None, self.due
+        # if so, it may go till then
+        self.repeat_until = self.due if row.effect is Effect.IDEMPOTENT else 0
 
 
 class Limiter:
     """The design's limiter, one a route: limit, calls out, recent best, pause; beside it the crawl delay."""
-    START, LEAST = 2.0, 1.0                   # the design's figures
+
+    START, LEAST = 2.0, 1.0  # the design's figures
 
     def __init__(self, now, told=0.0):
         self.limit, self.out, self.fresh, self.paused, self.used = self.START, 0, True, 0, now
-        self.waits = 0                        # till when a told wait binds: what is left of a pause is a rest
-        self.smooth, self.dev, self.now_best, self.last_best, self.window_at = None, 0, None, None, now
-        self.pace, self.told, self.credit, self.credit_at = 0.0, told, 0.0, now   # calls a second; 0: none
-        self.left = None                      # share of the told limit that is left, smoothed; None: not told
-        self.count, self.count_at, self.served, self.rounds, self.bad_at = 0, now, 0.0, 0, 0   # bad rounds
+        # till when a told wait binds: what is left of a pause is a rest
+        self.waits = 0
+        self.smooth, self.dev, self.now_best, self.last_best, self.window_at = (
+            None,
+            0,
+            None,
+            None,
+            now,
+        )
+        # calls a second; 0: none
+        self.pace, self.told, self.credit, self.credit_at = 0.0, told, 0.0, now
+        # share of the told limit that is left, smoothed; None: not told
+        self.left = None
+        # bad rounds
+        self.count, self.count_at, self.served, self.rounds, self.bad_at = 0, now, 0.0, 0, 0
 
 
 class Destination:
     def __init__(self, now):
         self.hosts, self.lanes, self.limiter = [], {}, Limiter(now)
-        self.out, self.waiting, self.sick, self.asked, self.asked_at = 0, 0, False, 0.0, now   # asked since
-        self.known = 0                        # hosts of it, listed or not
-        self.usual = 0                        # hosts that were listed as up at once, the most of late
+        # asked since
+        self.out, self.waiting, self.sick, self.asked, self.asked_at = 0, 0, False, 0.0, now
+        self.known = 0  # hosts of it, listed or not
+        # hosts that were listed as up at once, the most of late
+        self.usual = 0
 
 
 class Relay:
     def __init__(self, settings, seed):
         self.set, self.random, self.now, self.actions = settings, Random(seed).random, 0, []
-        self.held = {}                        # callbacks that are not over, and those over with a launch out
+        # callbacks that are not over, and those over with a launch out
+        self.held = {}
         self.dests, self.keys, self.rests, self.out = {}, {}, {}, 0
-        self.dirty, self.starved = {}, {}     # destinations to look at; those that lacked only a slot
+        # destinations to look at; those that lacked only a slot
+        self.dirty, self.starved = {}, {}
         self.timers, self.wake_at, self.serial, self.ends = [], None, 0, float("inf")
         self.quota = [[float("inf"), 0] for _ in settings.tenants]
-        self.on = {it.Outcome: self._outcome, it.NewCallback: self._taken, it.ListNews: self._news,
-                   it.Withdrawn: self._withdrawn, it.Stopping: self._stopping, it.NewSettings: self._retuned,
-                   it.Learnt: self._learnt}
-        self.hosts, self.spare = {}, []       # host id -> index into the arrays below; indices to use again
+        self.on = {
+            it.Outcome: self._outcome,
+            it.NewCallback: self._taken,
+            it.ListNews: self._news,
+            it.Withdrawn: self._withdrawn,
+            it.Stopping: self._stopping,
+            it.NewSettings: self._retuned,
+            it.Learnt: self._learnt,
+        }
+        # host id -> index into the arrays below; indices to use again
+        self.hosts, self.spare = {}, []
         # from state on: health; calls out; share of failures; next call at; state, idle connection since; kind; failed calls since
         # its last good answer, and when the first of them was sent
-        self.rows = (self.h_id, self.h_zone, self.h_size, self.h_dest, self.h_up, self.h_route, self.h_state,
-                     self.h_out, self.h_bad, self.h_next, self.h_since, self.h_free,
-                     self.h_kind, self.h_fails, self.h_failing) = [[] for _ in range(15)]
-        self.tight = [0] * max(1, len(settings.kinds))    # by kind: calls for which no idle connection is kept
+        self.rows = (
+            self.h_id,
+            self.h_zone,
+            self.h_size,
+            self.h_dest,
+            self.h_up,
+            self.h_route,
+            self.h_state,
+            self.h_out,
+            self.h_bad,
+            self.h_next,
+            self.h_since,
+            self.h_free,
+            self.h_kind,
+            self.h_fails,
+            self.h_failing,
+        ) = [[] for _ in range(15)]
+        # by kind: calls for which no idle connection is kept
+        self.tight = [0] * max(1, len(settings.kinds))
         self.worn_span, self.worn, self.new = settings.connection_idle, 0.0, 0.0
 
     def step(self, now, events):
         self.now, self.actions, self.joined = now, [], {}
         for event in [event for event in events if type(event) in self.on]:
             self.on[type(event)](event)
-        self._ring()                          # what a timer was set for is found by the clock
+        self._ring()  # what a timer was set for is found by the clock
         self._launch_all()
-        if self.timers and (self.wake_at is None or self.timers[0][0] < self.wake_at or self.wake_at <= now):
+        if self.timers and (
+            self.wake_at is None or self.timers[0][0] < self.wake_at or self.wake_at <= now
+        ):
             self.wake_at = max(self.timers[0][0], now + 1)
             self.actions.append(it.Wake(self.wake_at - now, "wake"))
         return self.actions
@@ -89,10 +135,14 @@
     def _ring(self):
         while self.timers and self.timers[0][0] <= self.now:
             _, _, work, ref = heappop(self.timers)
-            work(ref) if work else self.dirty.setdefault(ref)    # without: a destination to look at
+            work(ref) if work else self.dirty.setdefault(ref)  # without: a destination to look at
 
     def _time_up(self, number):
-        if (one := self.held.get(number)) is not None and one.state in WAITING and not self._may_launch(one):
+        if (
+            (one := self.held.get(number)) is not None
+            and one.state in WAITING
+            and not self._may_launch(one)
+        ):
             self._give_up(one)
 
     def _move(self, callback, state):
@@ -106,7 +156,10 @@
             # What loses no more by waiting goes after the rest. One whose launch failed yields a second.
             callback.late, self.serial = self.now >= callback.stale, self.serial + 1
             pair = dest.lanes.setdefault((callback.lane, callback.ran, callback.zone), ([], []))
-            heappush(pair[callback.late], (callback.goal + callback.launches * SECOND, self.serial, callback))
+            heappush(
+                pair[callback.late],
+                (callback.goal + callback.launches * SECOND, self.serial, callback),
+            )
             self.dirty[callback.dest] = True
         elif state is OVER and before is not OVER:
             if callback.call is None:
@@ -120,9 +173,14 @@
         # that, nor for what came with it in this one moment: it had its place and its share when it came.
         if not (new.taken or new.destination in self.dests and self.dests[new.destination].known):
             return self.actions.append(it.Reject(new.callback, self._back()))
-        row, over = self.set.categories[new.category], not new.taken and self._over_share(new.tenant)
-        callback = Callback(new, row, row.payoff * (self.set.over_share_payoff if over else 1.0), over)
-        if self.set.halving and row.late_share > 0.0:    # its payoff falls no more from then on
+        row, over = (
+            self.set.categories[new.category],
+            not new.taken and self._over_share(new.tenant),
+        )
+        callback = Callback(
+            new, row, row.payoff * (self.set.over_share_payoff if over else 1.0), over
+        )
+        if self.set.halving and row.late_share > 0.0:  # its payoff falls no more from then on
             callback.stale = callback.goal - int(row.goal * log2(row.late_share))
         self.held[callback.id] = callback
         if row.ordered and new.key is not None:
@@ -139,13 +197,17 @@
         dest.asked += 1
         callback.kept = new.taken and not new.launches
         self._make_room() if not new.taken else None
-        self._at(callback.due if self._may_launch(callback) else self.now, self._time_up, callback.id)
+        self._at(
+            callback.due if self._may_launch(callback) else self.now, self._time_up, callback.id
+        )
         self._next_turn(callback.key)
 
     def _join(self, callback, under):
         """Its launch by an earlier process is out, and its outcome comes here."""
         h = self.hosts[under.host]
-        call = callback.call = self.joined.setdefault(under.number, [h, 0, under.sent, False, under.time_out, 0])
+        call = callback.call = self.joined.setdefault(
+            under.number, [h, 0, under.sent, False, under.time_out, 0]
+        )
         if call[1] == 0:
             self._count_out(h, 1)
         call[1] += 1
@@ -160,13 +222,30 @@
 
     def learnt(self):
         """What was measured, as plain rows for the next process of this relay."""
-        rows = [{"dest": n, "asked": d.asked, "asked_at": d.asked_at, "sick": d.sick, "route": self._measured(d.limiter)}
-                for n, d in self.dests.items()]
+        rows = [
+            {
+                "dest": n,
+                "asked": d.asked,
+                "asked_at": d.asked_at,
+                "sick": d.sick,
+                "route": self._measured(d.limiter),
+            }
+            for n, d in self.dests.items()
+        ]
         for host, h in self.hosts.items():
             lim = self.h_route[h]
-            rows.append({"host": host, **{name: getattr(self, name)[h] for name in self.HANDED},
-                         "route": self._measured(lim) if lim is not self.dests[self.h_dest[h]].limiter else {}})
-        return rows + [{"tight": self.tight, "worn_span": self.worn_span, "worn": self.worn, "new": self.new}]
+            rows.append(
+                {
+                    "host": host,
+                    **{name: getattr(self, name)[h] for name in self.HANDED},
+                    "route": self._measured(lim)
+                    if lim is not self.dests[self.h_dest[h]].limiter
+                    else {},
+                }
+            )
+        return rows + [
+            {"tight": self.tight, "worn_span": self.worn_span, "worn": self.worn, "new": self.new}
+        ]
 
     @staticmethod
     def _measured(lim):
@@ -177,39 +256,57 @@
         for row in event.rows:
             if row.get("dest") in self.dests:
                 of = self.dests[row["dest"]]
-                lim, of.asked, of.asked_at, of.sick = of.limiter, row["asked"], row["asked_at"], row["sick"]
+                lim, of.asked, of.asked_at, of.sick = (
+                    of.limiter,
+                    row["asked"],
+                    row["asked_at"],
+                    row["sick"],
+                )
                 self._at(row["route"]["paused"], None, row["dest"])
             elif (h := self.hosts.get(row.get("host"))) is not None:
                 lim = self.h_route[h]
                 for name in self.HANDED:
                     getattr(self, name)[h] = row[name]
-                self.h_state[h] = next((state for state in (OPEN, RAMP) if state == row["h_state"]), CLOSED)
+                self.h_state[h] = next(
+                    (state for state in (OPEN, RAMP) if state == row["h_state"]), CLOSED
+                )
                 self._at(max(row["h_next"], row["route"].get("paused", 0)), None, self.h_dest[h])
             else:
-                self.__dict__.update({name: row[name] for name in ("worn_span", "worn", "new") if name in row})
-                self.tight = row["tight"] if len(row.get("tight", ())) == len(self.tight) else self.tight
+                self.__dict__.update(
+                    {name: row[name] for name in ("worn_span", "worn", "new") if name in row}
+                )
+                self.tight = (
+                    row["tight"] if len(row.get("tight", ())) == len(self.tight) else self.tight
+                )
                 continue
-            vars(lim).update({name: value for name, value in row["route"].items() if name in vars(lim)})
+            vars(lim).update(
+                {name: value for name, value in row["route"].items() if name in vars(lim)}
+            )
 
     def _withdrawn(self, event):
         self._move(self.held[event.callback], OVER) if event.callback in self.held else None
 
     def _stopping(self, event):
-        self.ends = event.at    # danger: cut off there, a call may have run; so none goes shortly before
+        # danger: cut off there, a call may have run; so none goes shortly before
+        self.ends = event.at
 
     def _retuned(self, event):
         """New settings count for what comes and for each launch from here on; what is held keeps its category."""
         more = len(event.settings.tenants) - len(self.quota)
         self.set, self.quota = event.settings, self.quota + [[float("inf"), 0] for _ in range(more)]
-        for callback in [c for c in self.held.values() if c.state in WAITING and not self._may_launch(c)]:
-            self._give_up(callback)           # fewer launches may be allowed: it is answered at once
+        for callback in [
+            c for c in self.held.values() if c.state in WAITING and not self._may_launch(c)
+        ]:
+            # fewer launches may be allowed: it is answered at once
+            self._give_up(callback)
         self.dirty.update(dict.fromkeys(self.dests, True))
 
     def _may_have_run(self, callback, sent, zone):
         """Rule 2: from the first such launch on, a deduplicated one goes only where and while it is known."""
         if not callback.ran and callback.row.effect is Effect.DEDUPLICATED:
             callback.zone = None if callback.row.all_hosts else zone
-            callback.repeat_until = sent + callback.row.window * 15 // 16    # a new connection takes its time
+            # a new connection takes its time
+            callback.repeat_until = sent + callback.row.window * 15 // 16
             self._at(callback.repeat_until, self._time_up, callback.id)
         callback.ran = True
 
@@ -222,7 +319,10 @@
         if tenant >= len(self.set.tenants) or not self.set.tenants[tenant].quota:
             return False
         rate, bucket = self.set.tenants[tenant].quota / self.set.relays, self.quota[tenant]
-        bucket[:] = min(max(1.0, 2.0 * rate), bucket[0] + rate * (self.now - bucket[1]) / SECOND), self.now
+        bucket[:] = (
+            min(max(1.0, 2.0 * rate), bucket[0] + rate * (self.now - bucket[1]) / SECOND),
+            self.now,
+        )
         bucket[0] -= (fits := bucket[0] >= 1.0)
         return not fits
 
@@ -230,9 +330,13 @@
         """Danger: callbacks for a sick destination fill the relay, newcomers for healthy ones are turned away
         at its door. While it is nearly full, what holds a place for the least payoff gives way at once; but not what
         a restart found untried."""
-        limit = self.set.max_held             # a sixteenth of it: what may come in one batch
+        limit = self.set.max_held  # a sixteenth of it: what may come in one batch
         full = limit is not None and len(self.held) >= limit - limit // 16
-        waiting = [c for c in self.held.values() if c.state in WAITING and (c.launches or not c.kept)] if full else []
+        waiting = (
+            [c for c in self.held.values() if c.state in WAITING and (c.launches or not c.kept)]
+            if full
+            else []
+        )
         if waiting:
             self._give_up(min(waiting, key=self._keeping))
 
@@ -258,22 +362,32 @@
     def _may_launch(self, callback):
         """Rule 2: whether it may be launched now. Danger: in a long queue all go too late for an answer."""
         ends = min(callback.due, callback.repeat_until) if callback.ran else callback.due
-        hosts = self._dest(callback.dest).hosts    # bounded, so that a slow spell long past shuts nobody out
-        took = max(self.EDGE, min([callback.row.abandon // 16, *(self.h_route[h].now_best or 0 for h in hosts)]))
+        # bounded, so that a slow spell long past shuts nobody out
+        hosts = self._dest(callback.dest).hosts
+        took = max(
+            self.EDGE,
+            min([callback.row.abandon // 16, *(self.h_route[h].now_best or 0 for h in hosts)]),
+        )
         return callback.launches < self.set.max_launches and self.now + took < ends
 
-    EDGE = SECOND // 200    # a client counts from when it sent: its way here and one batch, as batches are no closer
+    # a client counts from when it sent: its way here and one batch, as batches are no closer
+    EDGE = SECOND // 200
 
-    def _back(self):    # when a rejected one may come again: a queue thins by then
+    def _back(self):  # when a rejected one may come again: a queue thins by then
         return min(SECOND, self.set.max_return) if self.set.tells_return else 0
 
     def _give_up(self, callback):
         """The final answer for what is not delivered: rejected where that is harmless, else failed."""
         effect = callback.row.effect
-        harmless = self.now < callback.due - (self.EDGE if callback.ran else 0) \
-            and (not callback.ran or effect is Effect.IDEMPOTENT
-                 or effect is Effect.DEDUPLICATED and callback.row.all_hosts)
-        self.actions.append(it.Reject(callback.id, self._back()) if harmless else it.Fail(callback.id))
+        harmless = self.now < callback.due - (self.EDGE if callback.ran else 0) and (
+            not callback.ran
+            or effect is Effect.IDEMPOTENT
+            or effect is Effect.DEDUPLICATED
+            and callback.row.all_hosts
+        )
+        self.actions.append(
+            it.Reject(callback.id, self._back()) if harmless else it.Fail(callback.id)
+        )
         self._move(callback, OVER)
 
     def _outcome(self, event):
@@ -288,17 +402,21 @@
             self._connection(h, call, result, event.took)
         lim = self.h_route[h]
         lim.waits = max(lim.waits, self.now + event.wait)
-        lim.paused = max(lim.paused, lim.waits)    # rule 6
+        lim.paused = max(lim.paused, lim.waits)  # rule 6
         if not call[3]:
-            self._told(lim, event)            # first: a refusal is judged by the limit that it tells
+            # first: a refusal is judged by the limit that it tells
+            self._told(lim, event)
         if not call[3] or event.wait:
-            call[3] = True                    # a call of several is judged once, but each told wait counts
+            # a call of several is judged once, but each told wait counts
+            call[3] = True
             self._judge(h, dest, call, event)
         if result.may_have_run:
             self._may_have_run(callback, call[2], self.h_zone[h])
             if result.may_run_still and callback.key is not None:
                 self._settle(callback.key, self.now + self.set.settle)
-        callback.launches = self.set.max_launches if event.spent else callback.launches - event.unsent
+        callback.launches = (
+            self.set.max_launches if event.spent else callback.launches - event.unsent
+        )
         if callback.state is OVER or event.closed:
             self._move(callback, OVER)
             self.held.pop(callback.id, None)
@@ -308,15 +426,20 @@
             self._move(callback, TURN)
         self._next_turn(callback.key)
 
-    SCARCE = 32  # calls: seconds of a small relay's, as a crowd takes to thin; each a handshake dearer
-    WORN_GAIN, WORN = 0.25, 0.5  # smoothing, and share of lost calls beyond that of new connections: three
+    # calls: seconds of a small relay's, as a crowd takes to thin; each a handshake dearer
+    SCARCE = 32
+    # smoothing, and share of lost calls beyond that of new connections: three
+    WORN_GAIN, WORN = 0.25, 0.5
 
     def _connection(self, h, call, result, took):
         """Danger: idle connections of many relays fill a host that takes few: none is kept once one failed.
         Danger: dropped unseen, they lose the next call: most calls on long idle ones are lost, few on new."""
         self.h_free[h] = 0 if result.may_run_still else self.now
-        kind = self.h_kind[h]                 # danger: as one kind takes few, handshakes are paid for at all
-        self.tight[kind] = self.SCARCE if result is Result.NO_CONNECT else max(0, self.tight[kind] - 1)
+        # danger: as one kind takes few, handshakes are paid for at all
+        kind = self.h_kind[h]
+        self.tight[kind] = (
+            self.SCARCE if result is Result.NO_CONNECT else max(0, self.tight[kind] - 1)
+        )
         if self.tight[kind] and not self.h_out[h] and not self.dests[self.h_dest[h]].waiting:
             self.h_free[h] = 0
             self.actions.append(it.CloseIdle(self.h_id[h]))
@@ -335,9 +458,12 @@
     def _judge(self, h, dest, call, event):
         lim, now, result = self.h_route[h], self.now, event.result
         self._count_failures(h, lim, call, event)
-        apart = result is Result.TIMEOUT and event.took < call[4] or result is Result.RESET and call[5]
+        apart = (
+            result is Result.TIMEOUT and event.took < call[4] or result is Result.RESET and call[5]
+        )
         if apart or result in (Result.NOT_SENT, Result.CANCELLED):
-            return    # a time-out cut by an abandon time, a kept connection's reset: not the host's doing
+            # a time-out cut by an abandon time, a kept connection's reset: not the host's doing
+            return
         if result is not Result.DELIVERED and call[2] >= lim.bad_at:
             lim.rounds, lim.bad_at = lim.rounds + 1, now
         if result is Result.FULL:
@@ -348,7 +474,11 @@
             slow = min(event.took, lim.smooth) > self.TOLERANCE * best
             lim.rounds, lim.count = 0, lim.count + 1
             if now - lim.count_at >= self.RATE_SPAN:
-                lim.served, lim.count, lim.count_at = lim.count * SECOND / (now - lim.count_at), 0, now
+                lim.served, lim.count, lim.count_at = (
+                    lim.count * SECOND / (now - lim.count_at),
+                    0,
+                    now,
+                )
             lim.pace += self.PACE_STEP if lim.pace else 0.0
         if not good or slow:
             lim.limit, lim.fresh, dest.sick = max(lim.LEAST, lim.limit * self.CUT), False, True
@@ -363,16 +493,26 @@
         """Danger: a relay with few calls sees too few failures to close a host that is silent for seconds, and feeds it by the
         window alone as it returns, cold. So a good answer after failures that span as much as the settings count in is a return."""
         if event.result is Result.DELIVERED:
-            if self.h_state[h] is OPEN and self.h_fails[h] >= self.FAILURES and self.set.fall_span \
-                    and call[2] - self.h_failing[h] >= self.set.fall_span:
+            if (
+                self.h_state[h] is OPEN
+                and self.h_fails[h] >= self.FAILURES
+                and self.set.fall_span
+                and call[2] - self.h_failing[h] >= self.set.fall_span
+            ):
                 self._returns(h)
             self.h_fails[h] = 0
             return
         if event.result is Result.TIMEOUT:
             # cut short by a callback's time it counts too, if an answer would have come by then
-            failed = event.took >= min(call[4], lim.smooth + self.DEVIATIONS * lim.dev if lim.smooth else self.PAUSE)
+            failed = event.took >= min(
+                call[4], lim.smooth + self.DEVIATIONS * lim.dev if lim.smooth else self.PAUSE
+            )
         else:
-            failed = event.result in (Result.ERROR, Result.NO_CONNECT) or event.result is Result.RESET and not call[5]
+            failed = (
+                event.result in (Result.ERROR, Result.NO_CONNECT)
+                or event.result is Result.RESET
+                and not call[5]
+            )
         if failed:
             self.h_failing[h] = self.h_failing[h] if self.h_fails[h] else call[2]
             self.h_fails[h] += 1
@@ -395,18 +535,21 @@
         lim.now_best = min(lim.smooth, lim.now_best or lim.smooth)
         return min(lim.now_best, lim.last_best or lim.now_best)
 
-    def _asked(self, dest):    # callbacks a second, of this relay; a new one is taken as ten seconds old
+    # callbacks a second, of this relay; a new one is taken as ten seconds old
+    def _asked(self, dest):
         return max(1.0, dest.asked) * SECOND / max(self.now - dest.asked_at, 10 * SECOND)
 
-    GROWTH = 4  # of the rest with each bad round in a row; doubling still pushed returning destinations over
+    # of the rest with each bad round in a row; doubling still pushed returning destinations over
+    GROWTH = 4
 
     def _rest(self, h):
         """Danger: many relays with few callbacks each try a sick destination often, or all at the end of a
         told wait, and push it over as it returns. Each rests half its time between two, longer each round."""
         longest, told = self._gap(h), self.h_route[h].told
-        rounds = min(self.h_route[h].rounds - (2 if told else 1), 4)    # a told limit explains one refusal
+        # a told limit explains one refusal
+        rounds = min(self.h_route[h].rounds - (2 if told else 1), 4)
         first = max(self.PAUSE, min(SECOND / self._asked(self.dests[self.h_dest[h]]), longest))
-        span = min(first * self.GROWTH ** rounds, longest) if rounds >= 0 else self.PAUSE
+        span = min(first * self.GROWTH**rounds, longest) if rounds >= 0 else self.PAUSE
         return int(span * (0.5 + self.random()))
 
     PAUSE = SECOND * 3 // 10  # where a refusal tells no wait; 1 s idles much of a small allowance
@@ -425,12 +568,15 @@
         # Where answers tell allowances and none was told, there is none: refused at a drain or a full queue.
         got = max(lim.served, lim.count * SECOND / max(SECOND, self.now - lim.count_at))
         if lim.told or not self.set.tells_limit:
-            lim.pace = max(self.LEAST_PACE, lim.told / self.set.relays, self.CUT * min(got, lim.pace or got))
+            lim.pace = max(
+                self.LEAST_PACE, lim.told / self.set.relays, self.CUT * min(got, lim.pace or got)
+            )
         lim.credit, lim.credit_at = 0.0, self.now
         if self.h_state[h] is CLOSED:
             self._close(h, Result.FULL)
 
-    BAD_GAIN, MOSTLY_BAD = 0.25, 0.5  # smoothing and share of failures that closes: three in a row, no fewer
+    # smoothing and share of failures that closes: three in a row, no fewer
+    BAD_GAIN, MOSTLY_BAD = 0.25, 0.5
 
     def _health(self, h, good, sent, result):
         self.h_bad[h] += ((0.0 if good else 1.0) - self.h_bad[h]) * self.BAD_GAIN
@@ -438,15 +584,18 @@
             self._returns(h)
         if not good and self.h_route[h].rounds > 1:
             until = self.h_next[h] = max(self.h_next[h], self.now + self._rest(h))
-            if result in (Result.ERROR, Result.NO_CONNECT):    # not silence: that may be the connection's own
+            # not silence: that may be the connection's own
+            if result in (Result.ERROR, Result.NO_CONNECT):
                 self.h_route[h].paused = max(self.h_route[h].paused, until)
-                self._at(until, None, self.h_dest[h])   # danger: nothing new comes, and it waits on
+                self._at(until, None, self.h_dest[h])  # danger: nothing new comes, and it waits on
         if not good and (self.h_bad[h] > self.MOSTLY_BAD or self.h_state[h] is CLOSED):
             self._close(h, result)
 
     def _close(self, h, result):
         if self.h_state[h] is not CLOSED:
-            self.actions.append(it.Health(self.h_id[h], True, f"host {self.h_id[h]} closed: {result.value}"))
+            self.actions.append(
+                it.Health(self.h_id[h], True, f"host {self.h_id[h]} closed: {result.value}")
+            )
             self.h_state[h], self.h_since[h] = CLOSED, self.now
         start = max(self.now, self.h_route[h].paused)
         self.h_next[h] = max(self.h_next[h], start + int(self._gap(h) * (0.5 + self.random())))
@@ -459,8 +608,12 @@
         of it, and a relay's fair part is what that relay is asked for, or an even part of a told rate. Danger: it can do no more
         for its siblings being away, so each host counts for its part of a usual list."""
         s, dest = self.set, self.dests[self.h_dest[h]]
-        cold = s.cold_from or 1.0             # no such rule: as warm as ever
-        warm = (self.now - self.h_since[h]) / s.ramp_time if self.h_state[h] is RAMP and s.ramp_time else 0.0
+        cold = s.cold_from or 1.0  # no such rule: as warm as ever
+        warm = (
+            (self.now - self.h_since[h]) / s.ramp_time
+            if self.h_state[h] is RAMP and s.ramp_time
+            else 0.0
+        )
         lim, hosts = self.h_route[h], max(1, dest.usual, len(dest.hosts))
         told = lim.told / s.relays / (hosts if lim is dest.limiter else 1)
         can = max(self.BUDGET * self._asked(dest) / hosts, told)
@@ -470,7 +623,8 @@
     def _dest(self, number):
         return self.dests.get(number) or self.dests.setdefault(number, Destination(self.now))
 
-    ASK_AGAIN = 2 * SECOND  # jittered; sooner, many relays that were turned away keep the list overloaded
+    # jittered; sooner, many relays that were turned away keep the list overloaded
+    ASK_AGAIN = 2 * SECOND
 
     def _news(self, news):
         if news.scope is it.Scope.FAILED:
@@ -492,14 +646,29 @@
         self._dest(entry.destination).known += 1
         kind = self.set.kinds[entry.kind] if entry.kind < len(self.set.kinds) else it.Kind(False, 1)
         route = Limiter(self.now) if kind.apart else self._dest(entry.destination).limiter
-        row = (entry.host, entry.zone, kind.per_call, entry.destination, False, route,
-               CLOSED if entry.away else OPEN, 0, 0.0, 0, self.now, 0,    # rule 4
-               min(entry.kind, len(self.tight) - 1), 0, 0)
+        row = (
+            entry.host,
+            entry.zone,
+            kind.per_call,
+            entry.destination,
+            False,
+            route,
+            CLOSED if entry.away else OPEN,
+            0,
+            0.0,
+            0,
+            self.now,
+            0,  # rule 4
+            min(entry.kind, len(self.tight) - 1),
+            0,
+            0,
+        )
         for array, value in zip(self.rows, row):
-            array[h:h + 1] = [value]
+            array[h : h + 1] = [value]
         return h
 
-    LEFT = 30 * SECOND  # longer than ramps and gaps in the list: one that comes back sooner is known
+    # longer than ramps and gaps in the list: one that comes back sooner is known
+    LEFT = 30 * SECOND
 
     def _drop(self, host):
         """Danger: hosts come and go all day. What left is forgotten, with its destination if the last."""
@@ -547,12 +716,16 @@
     def _launch_dest(self, number):
         dest = self._dest(number)
         # The slot share: three quarters of the slots while healthy, half while sick, one at least.
-        while dest.out < max(1, self.set.slots * (2 if dest.sick else 3) // 4) and self.out < self.set.slots:
+        while (
+            dest.out < max(1, self.set.slots * (2 if dest.sick else 3) // 4)
+            and self.out < self.set.slots
+        ):
             h = None
             for callback in self._heads(dest):
                 h = self._pick(dest, callback)
                 if h is not None or callback.zone is None:
-                    break                     # only one bound to a zone may lack a route that others have
+                    # only one bound to a zone may lack a route that others have
+                    break
             if h is None:
                 return
             self._send(dest, h, callback)
@@ -562,17 +735,29 @@
     def _heads(self, dest):
         """The oldest of each lane, first the one whose delay by the look-ahead loses the most payoff."""
         heads = []
-        for lane, late in [(lane, late) for lanes in dest.lanes.values() for late, lane in enumerate(lanes)]:
-            while lane and (lane[0][2].state is not QUEUED or not self._may_launch(lane[0][2])
-                            or not late and self.now >= lane[0][2].stale):
+        for lane, late in [
+            (lane, late) for lanes in dest.lanes.values() for late, lane in enumerate(lanes)
+        ]:
+            while lane and (
+                lane[0][2].state is not QUEUED
+                or not self._may_launch(lane[0][2])
+                or not late
+                and self.now >= lane[0][2].stale
+            ):
                 callback = heappop(lane)[2]
                 if callback.state is QUEUED:
-                    self._move(callback, QUEUED) if self._may_launch(callback) else self._give_up(callback)
+                    self._move(callback, QUEUED) if self._may_launch(callback) else self._give_up(
+                        callback
+                    )
             if lane:
                 callback = lane[0][2]
                 worth = self._worth(callback, self.now)
-                after = late or callback.payoff < callback.row.payoff    # over its tenant's share
-                loss = worth if after else 1.001 * worth - self._worth(callback, self.now + self.LOOK_AHEAD)
+                after = late or callback.payoff < callback.row.payoff  # over its tenant's share
+                loss = (
+                    worth
+                    if after
+                    else 1.001 * worth - self._worth(callback, self.now + self.LOOK_AHEAD)
+                )
                 heads.append((after, -loss, lane[0][1], callback))
         return [head[3] for head in sorted(heads)]
 
@@ -580,17 +765,26 @@
         """Danger: short of slots, slow destinations take most of their time. So: payoff for a slot's time."""
         to = self._dest(number)
         heads = self._heads(to) if to.hosts and self.out < self.set.slots else []
-        return self._worth(heads[0], self.now) / (self.h_route[to.hosts[0]].smooth or SECOND) if heads else 0
+        return (
+            self._worth(heads[0], self.now) / (self.h_route[to.hosts[0]].smooth or SECOND)
+            if heads
+            else 0
+        )
 
     def _worth(self, callback, at):
         row, late = callback.row, at - callback.goal
         if late <= 0 or at >= callback.due:
             return callback.payoff if late <= 0 else 0.0
         if self.set.halving:
-            return callback.payoff * max(row.late_share, 0.5 ** (late / row.goal) if row.goal else 0.0)
-        return callback.payoff * (1.0 - (1.0 - row.late_share) * late / max(1, row.abandon - row.goal))
+            return callback.payoff * max(
+                row.late_share, 0.5 ** (late / row.goal) if row.goal else 0.0
+            )
+        return callback.payoff * (
+            1.0 - (1.0 - row.late_share) * late / max(1, row.abandon - row.goal)
+        )
 
-    KEPT = 3.0  # times the odds for a host with an idle connection: a handshake is time, work and a price
+    # times the odds for a host with an idle connection: a handshake is time, work and a price
+    KEPT = 3.0
 
     def _pick(self, dest, callback):
         """One host at random, odds in step with its room; a dearer zone only when no cheaper one has room."""
@@ -599,10 +793,14 @@
             lim = self.h_route[h]
             # Danger: small calls spend an allowance counted in calls. The upper half is for full ones.
             small = dest.waiting < self.h_size[h] > 1
-            if callback.zone not in (None, self.h_zone[h]) or lim.paused > now \
-                    or lim.out >= int(lim.limit / 2 + 0.5 if small else lim.limit) \
-                    or now + 2 * (lim.smooth or SECOND) > self.ends \
-                    or not self._paced(lim, h) or not self._may_try(h):
+            if (
+                callback.zone not in (None, self.h_zone[h])
+                or lim.paused > now
+                or lim.out >= int(lim.limit / 2 + 0.5 if small else lim.limit)
+                or now + 2 * (lim.smooth or SECOND) > self.ends
+                or not self._paced(lim, h)
+                or not self._may_try(h)
+            ):
                 continue
             apart = lim is not dest.limiter
             fee = fees[self.h_zone[h]] if apart and self.h_zone[h] < len(fees) else 0.0
@@ -610,18 +808,25 @@
                 rooms, total, least = [], 0.0, fee
             if fee == least:
                 share = lim.limit if apart else lim.limit / len(dest.hosts)
-                total += max(share - self.h_out[h], 0.25) * (1.0 - self.h_bad[h]) \
+                total += (
+                    max(share - self.h_out[h], 0.25)
+                    * (1.0 - self.h_bad[h])
                     * (self.KEPT if now - self.h_free[h] < self.set.connection_idle else 1.0)
+                )
                 rooms.append((total, h))
         drawn = self.random() * total if rooms else 0.0
         return next((h for upto, h in rooms if drawn < upto), None)
 
     PACE_DEPTH = 0.3  # seconds of the pace that may go at once: a limiter has at least that depth
 
-    SPREAD = 5.0  # a fifth of an even part with nothing left, five with all: even with half, a span's mean
-    SELDOM, OFTEN = 1 / 3, 2.0  # calls a second, at least, likewise: where an even part is a call in a minute
-    LONE = 1 / 3  # of the pace for a lone one where a call takes several: it waits thrice as long, no more
-    LEFT_GAIN = 0.25  # smoothing: what is told is up to a second old, and falls and rises with each span
+    # a fifth of an even part with nothing left, five with all: even with half, a span's mean
+    SPREAD = 5.0
+    # calls a second, at least, likewise: where an even part is a call in a minute
+    SELDOM, OFTEN = 1 / 3, 2.0
+    # of the pace for a lone one where a call takes several: it waits thrice as long, no more
+    LONE = 1 / 3
+    # smoothing: what is told is up to a second old, and falls and rises with each span
+    LEFT_GAIN = 0.25
 
     def _told(self, lim, event):
         """Danger: refused calls use a told limit up, and many relays that each learn from refusals alone run
@@ -642,7 +847,7 @@
             seldom = self.SELDOM / 2 ** min(max(0, lim.rounds - 1), 6)
             low, high = max(part / self.SPREAD, seldom), max(part * self.SPREAD, self.OFTEN)
             rate = min(lim.told, low * max(1.0, high / low) ** lim.left)
-            if part > self.SELDOM:    # else nothing gathers in time
+            if part > self.SELDOM:  # else nothing gathers in time
                 # Danger: small calls spend a limit counted in calls. One waits for more to go with it, unless much
                 # is left: half of it is a span's mean where all is used. Keys' lines go one by one, never full.
                 full = self.dests[self.h_dest[h]].waiting / self.h_size[h]
@@ -672,17 +877,26 @@
         lim, now = self.h_route[h], self.now
         if now - lim.used > self.FORGET and lim.out == 0 and lim.paused <= now:
             lim.__init__(now, lim.told)
-        idle = now - self.h_free[h] if now - self.h_free[h] < self.set.connection_idle else 0    # else closed
+        # else closed
+        idle = now - self.h_free[h] if now - self.h_free[h] < self.set.connection_idle else 0
         if 0 < self.worn_span <= idle and self.worn > self.WORN + self.new:
-            idle, self.worn = 0, self.worn * 0.98    # some three dozen calls later one is tried again
+            # some three dozen calls later one is tried again
+            idle, self.worn = 0, self.worn * 0.98
             self.actions.append(it.CloseIdle(self.h_id[h]))
-        call = [h, 0, now, False, self._time_out(lim, callback), idle]   # callbacks, sent, judged, cap
+        # callbacks, sent, judged, cap
+        call = [h, 0, now, False, self._time_out(lim, callback), idle]
         while callback is not None and call[1] < self.h_size[h]:
             heappop(dest.lanes[callback.lane, callback.ran, callback.zone][callback.late])
             self._move(callback, OUT)
             callback.call, callback.launches, call[1] = call, callback.launches + 1, call[1] + 1
-            self.actions.append(it.Launch(callback.id, self.h_id[h], min(call[4], callback.due - self.EDGE - now)))
-            more = self._heads(dest) if call[1] < self.h_size[h] and self.h_state[h] is not CLOSED else []
+            self.actions.append(
+                it.Launch(callback.id, self.h_id[h], min(call[4], callback.due - self.EDGE - now))
+            )
+            more = (
+                self._heads(dest)
+                if call[1] < self.h_size[h] and self.h_state[h] is not CLOSED
+                else []
+            )
             callback = next((c for c in more if c.zone in (None, self.h_zone[h])), None)
         lim.used, lim.credit, self.h_free[h] = now, lim.credit - 1.0, 0
         self._count_out(h, 1)
@@ -696,6 +910,6 @@
         """Learnt as TCP learns it, doubled while nothing comes. What may not be repeated is over with it, so it
         waits for its goal time at least. Danger: to the end, those out at hosts that hang hold all slots."""
         span = lim.smooth + self.DEVIATIONS * lim.dev if lim.smooth else callback.row.goal
-        span = max(span, self.LEAST_TIME_OUT) << min(lim.rounds, 2)    # more outlasts the trouble
+        span = max(span, self.LEAST_TIME_OUT) << min(lim.rounds, 2)  # more outlasts the trouble
         exclusive = callback.row.effect is Effect.AT_MOST_ONCE
         return min(max(span, callback.row.goal), callback.due - self.now) if exclusive else span
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -3,13 +3,13 @@
 All that lies outside is handed in: the machine (clock, pollers, sockets, disk), the configuration and a way to read it
 again, the sink of log lines, and a socket on which each signal comes as a byte.
 """
+
 import signal
 
 from molehill import config as configuration
 from molehill import holds, upgrade
 from molehill.core import events as ev
 from molehill.core.reducer import Core
-from molehill.shutdown import ENDED, SERVING, Shutdown
 from molehill.http.clients import Clients
 from molehill.http.discovery import Discovery
 from molehill.http.hosts import Hosts
@@ -19,6 +19,7 @@
 from molehill.runtime.engine import Engine
 from molehill.runtime.scheduler import READ
 from molehill.runtime.stream import Budget
+from molehill.shutdown import ENDED, SERVING, Shutdown
 from molehill.startup import Start, log_room
 
 
@@ -29,34 +30,62 @@
         self.start = start = start or Start(config, machine, sink)
         if start.store is None:
             start.open_log()
-        self.log, self.scheduler, self.lock, self.given, self.handover_server = start.log, start.scheduler, start.lock, False, None
-        holds.report = lambda name, count, facts: self.log.error("broken invariant", name=name, count=count,
-                                                                 **{f"fact_{k}": v for k, v in facts.items()})
-        if start.estate is not None and "discovery" in start.estate.state:    # it may have moved since this one's start
+        self.log, self.scheduler, self.lock, self.given, self.handover_server = (
+            start.log,
+            start.scheduler,
+            start.lock,
+            False,
+            None,
+        )
+        holds.report = lambda name, count, facts: self.log.error(
+            "broken invariant", name=name, count=count, **{f"fact_{k}": v for k, v in facts.items()}
+        )
+        # it may have moved since this one's start
+        if start.estate is not None and "discovery" in start.estate.state:
             config.discovery = configuration.address(start.estate.state["discovery"], "discovery")
             config.discovery_in_file = start.estate.state.get("discovery_in_file")
         self.shutdown = Shutdown(self)
         self.budget = budget = Budget(config.sockets, {"client": config.client_sockets})
         self.store, log_clock = start.store, start.log_clock
-        self.core = Core(config.settings, config.seed, Relay, log_room(config)[1], list(config.categories))
-        count = self.store.replay(lambda record, body: self.core.load(log_clock.from_log(record), body), self.core.load_spoilt)
-        spoilt = self.store.cut or self.store.odd or self.store.spoilt or log_clock.base is Base.UNKNOWN
+        self.core = Core(
+            config.settings, config.seed, Relay, log_room(config)[1], list(config.categories)
+        )
+        count = self.store.replay(
+            lambda record, body: self.core.load(log_clock.from_log(record), body),
+            self.core.load_spoilt,
+        )
+        spoilt = (
+            self.store.cut or self.store.odd or self.store.spoilt or log_clock.base is Base.UNKNOWN
+        )
         say = self.log.warning if spoilt else self.log.info
-        say("log read", records=count, held=len(self.core.held), cut=self.store.cut, odd=self.store.odd, spoilt=self.store.spoilt,
-            time_base=log_clock.base.value)
-        self.engine = engine = Engine(self.scheduler, self.core, self.store, self.log, config.period, log_clock)
+        say(
+            "log read",
+            records=count,
+            held=len(self.core.held),
+            cut=self.store.cut,
+            odd=self.store.odd,
+            spoilt=self.store.spoilt,
+            time_base=log_clock.base.value,
+        )
+        self.engine = engine = Engine(
+            self.scheduler, self.core, self.store, self.log, config.period, log_clock
+        )
         self.clients = engine.clients = Clients(self.scheduler, config, budget, engine.post)
-        self.hosts = engine.hosts = Hosts(self.scheduler, config, budget, engine.post, self.core.may_send,
-                                         self.core.figures)
+        self.hosts = engine.hosts = Hosts(
+            self.scheduler, config, budget, engine.post, self.core.may_send, self.core.figures
+        )
         self.notices = engine.notices = Notices(self.scheduler, config, budget, engine.post)
         self.clients.turned_away = self.core.turned_away
         self.discovery = engine.discovery = Discovery(self.scheduler, config, budget, engine.post)
         self.membership = None
         if config.fleet is not None:
             try:
-                from molehill.membership.wiring import Membership     # only where it is asked for: it costs memory and a start's time
+                # only where it is asked for: it costs memory and a start's time
+                from molehill.membership.wiring import Membership
             except ImportError as error:
-                raise configuration.ConfigError(f"fleet: {error}; pip install molehill[fleet]") from None
+                raise configuration.ConfigError(
+                    f"fleet: {error}; pip install molehill[fleet]"
+                ) from None
             inherited = start.estate and start.estate.state.get("member")
             self.membership = Membership(self.scheduler, config, self.log, inherited)
         start.process = self
@@ -69,7 +98,9 @@
         if estate is None:
             self.discovery.begin()
         else:
-            self.discovery.begin({"endpoints": estate.hosts, "index": estate.state["version"] or 0, "snapshot": True})
+            self.discovery.begin(
+                {"endpoints": estate.hosts, "index": estate.state["version"] or 0, "snapshot": True}
+            )
             self.engine.post(upgrade.inherit(self, estate))
             unread["unread"] = self.scheduler.clock() - estate.state["began"]
             self.start.estate = None
@@ -86,7 +117,12 @@
             self.handover_server = upgrade.HandoverServer(self)
         for number in self.start.seen:
             self.on_signal(number)
-        self.log.info("ready", taken_over=estate is not None, listen="%s:%d" % self.config.listen, discovery="%s:%d" % self.config.discovery)
+        self.log.info(
+            "ready",
+            taken_over=estate is not None,
+            listen="%s:%d" % self.config.listen,
+            discovery="%s:%d" % self.config.discovery,
+        )
 
     def run(self) -> None:
         """Serves until it was told to end."""
@@ -121,14 +157,23 @@
             self.log.error("configuration not taken", error=str(error))
             return
         self.core.figures.cfg_accepted += 1
-        self.log.info("configuration taken", discovery="%s:%d" % new.discovery, moved=new.discovery != self.config.discovery,
-                      classes=sorted(new.categories), at_next_start=configuration.waiting(self.config, new))
+        self.log.info(
+            "configuration taken",
+            discovery="%s:%d" % new.discovery,
+            moved=new.discovery != self.config.discovery,
+            classes=sorted(new.categories),
+            at_next_start=configuration.waiting(self.config, new),
+        )
         self.take(new)
 
     def take(self, new) -> None:
         """New settings and a new address of discovery count at once, the latter for the watch and for all notices."""
         moved = new.discovery != self.config.discovery
-        if moved or new.settings != self.config.settings or new.categories != self.config.categories:
+        if (
+            moved
+            or new.settings != self.config.settings
+            or new.categories != self.config.categories
+        ):
             self.retune(new)
         self.config.discovery_in_file = new.discovery_in_file
         if moved:
@@ -153,7 +198,8 @@
             self.log.error("configuration not taken", error=str(error))
             return
         if new.discovery_in_file == self.config.discovery_in_file:
-            new.discovery = self.config.discovery      # the old one's, which may have moved by another file or a variable
+            # the old one's, which may have moved by another file or a variable
+            new.discovery = self.config.discovery
         self.take(new)
 
     def figures(self) -> str:
@@ -171,23 +217,25 @@
         return self.clients.calm() and self.hosts.calm() and self.notices.calm()
 
     def give(self, began: int):
-        self.engine.post(ev.Step())        # what was read is decided, and in the log
+        self.engine.post(ev.Step())  # what was read is decided, and in the log
         self.engine.freeze()
         if self.membership is not None:
-            self.membership.close()        # the next process is the same member at the same address
+            self.membership.close()  # the next process is the same member at the same address
         return upgrade.rows_of(self, began)
 
     def go_on(self, rows, began: int) -> None:
         """The next process is gone: what was to pass is taken back, and all goes on. Danger: a connection that is closed here with
         an answer unread on it makes a callback that was delivered run once more."""
-        self.scheduler.pause()             # the tasks of what passed have ended by then
+        self.scheduler.pause()  # the tasks of what passed have ended by then
         self.hosts.go_on([row for row in rows if row[0]["k"] in ("call", "idle")])
         self.notices.go_on()
         self.engine.thaw()
         if self.membership is not None:
             self.membership.begin()
         self.engine.post(ev.Hold(False))
-        self.clients.go_on([row for row in rows if row[0]["k"] == "client"], self.scheduler.clock() - began)
+        self.clients.go_on(
+            [row for row in rows if row[0]["k"] == "client"], self.scheduler.clock() - began
+        )
 
     def gave(self) -> None:
         """The next process has it all; this one has nothing left to do but to end."""
--- a/molehill/runtime/buffer.py
+++ b/molehill/runtime/buffer.py
@@ -2,7 +2,7 @@
 
 
 class Buffer:
-    START = 4096                   # holds the usual message whole
+    START = 4096  # holds the usual message whole
 
     def __init__(self, most: int):
         self.most, self.data, self.start, self.end = most, bytearray(min(self.START, most)), 0, 0
@@ -15,11 +15,11 @@
         if self.end == len(self.data):
             if self.start:
                 size = len(self)
-                self.data[:size] = self.data[self.start:self.end]
+                self.data[:size] = self.data[self.start : self.end]
                 self.start, self.end = 0, size
             if len(self) > len(self.data) // 2:
                 self.data.extend(bytes(min(len(self.data), self.most - len(self.data))))
-        return memoryview(self.data)[self.end:]
+        return memoryview(self.data)[self.end :]
 
     def filled(self, count: int) -> None:
         self.end += count
@@ -30,7 +30,7 @@
         return at - self.start if at >= 0 else -1
 
     def peek(self, count: int) -> bytes:
-        return bytes(self.data[self.start:min(self.end, self.start + count)])
+        return bytes(self.data[self.start : min(self.end, self.start + count)])
 
     def take(self, count: int) -> bytes:
         taken = self.peek(count)
--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -1,4 +1,5 @@
 """Drives the core: hands it events, carries out its effects in order, and has the module stepped in batches."""
+
 from collections import Counter
 
 from molehill.config import MS
@@ -8,14 +9,21 @@
 
 class Engine:
     def __init__(self, scheduler, core, store, log, period, log_clock):
-        self.scheduler, self.core, self.store, self.log, self.period = scheduler, core, store, log, period
+        self.scheduler, self.core, self.store, self.log, self.period = (
+            scheduler,
+            core,
+            store,
+            log,
+            period,
+        )
         self.clock, self.queue, self.busy = scheduler.clock, [], False
-        self.log_clock = log_clock             # of molehill/log_clock.py
+        self.log_clock = log_clock  # of molehill/log_clock.py
         self.last, self.planned = 0, None
-        self.unwritten = []                    # rows that the log would not take, and has to have before any other
-        self.rewrite_at = 0                    # no rewrite is tried sooner
-        self.refused = 0                       # records refused since the log stopped taking them
-        self.clients = self.hosts = self.notices = self.discovery = None     # set when wiring
+        # rows that the log would not take, and has to have before any other
+        self.unwritten = []
+        self.rewrite_at = 0  # no rewrite is tried sooner
+        self.refused = 0  # records refused since the log stopped taking them
+        self.clients = self.hosts = self.notices = self.discovery = None  # set when wiring
 
     def post(self, event) -> None:
         """Takes an event at once; one that comes from carrying out effects waits for the rest of them."""
@@ -43,7 +51,7 @@
         if self.store.wants_rewrite():
             self.rewrite()
 
-    REWRITE_AGAIN = 100 * MS               # a failed rewrite costs as much as one that succeeds
+    REWRITE_AGAIN = 100 * MS  # a failed rewrite costs as much as one that succeeds
 
     def rewrite(self) -> bool:
         """Has the log written anew with what is owed now, unless that failed a moment ago; whether it was."""
@@ -69,7 +77,7 @@
             rows = self.flush(rows)
             try:
                 self.carry_out(effect, kind)
-            except Exception as error:     # the effects that come after it still go
+            except Exception as error:  # the effects that come after it still go
                 holds(False, "effect", what=kind.__name__, error=repr(error))
         self.flush(rows)
 
@@ -89,9 +97,8 @@
         else:
             self.log.info(effect.text)
 
-    REVERSIBLE = ("taken", "launch")       # kinds of record that the core can do without: what they tell has not happened yet
-
-    REVERSIBLE = ("taken", "launch")       # kinds of record that the core can do without: what they tell has not happened yet
+    # kinds of record that the core can do without: what they tell has not happened yet
+    REVERSIBLE = ("taken", "launch")
 
     def flush(self, rows):
         """Writes records. Of what the log does not take, not even written anew, the reversible goes back to the core, and the rest
@@ -106,7 +113,9 @@
             self.scheduler.at(self.clock() + self.PROBE_EVERY, self.probe)
         self.refused += len(rows)
         self.unwritten += [row for row in rows if row[0]["k"] not in self.REVERSIBLE]
-        self.queue.append(ev.Unlogged([record for record, _ in rows if record["k"] in self.REVERSIBLE]))
+        self.queue.append(
+            ev.Unlogged([record for record, _ in rows if record["k"] in self.REVERSIBLE])
+        )
         return []
 
     def write(self, rows) -> bool:
@@ -120,13 +129,15 @@
             self.queue.append(ev.LogWorks())
         return True
 
-    PROBE_EVERY = 100 * MS                 # while the log takes nothing
+    PROBE_EVERY = 100 * MS  # while the log takes nothing
 
     def probe(self) -> None:
         """Looks whether the log takes records again, as no call is begun until it does."""
         if not self.refused:
             return
-        if self.busy or not self.write(self.unwritten or [(self.log_clock.record(self.scheduler.machine), b"")]):
+        if self.busy or not self.write(
+            self.unwritten or [(self.log_clock.record(self.scheduler.machine), b"")]
+        ):
             self.scheduler.at(self.clock() + self.PROBE_EVERY, self.probe)
         elif self.queue:
             self.post(self.queue.pop(0))
@@ -143,23 +154,36 @@
 
     def step(self, planned) -> None:
         if planned != self.planned:
-            return                         # an earlier one took its place
+            return  # an earlier one took its place
         self.planned, self.last = None, self.clock()
         self.post(ev.Step())
 
-    COUNTS_EVERY = 10_000 * MS             # a line on what was done, unless nothing was
+    COUNTS_EVERY = 10_000 * MS  # a line on what was done, unless nothing was
 
     def keep_counting(self) -> None:
         self.scheduler.at(self.clock() + self.COUNTS_EVERY, self.keep_counting)
         done, self.hosts.counts = dict(sorted(self.hosts.counts.items())), Counter()
         came, self.clients.counts = dict(sorted(self.clients.counts.items(), key=str)), Counter()
         stood, self.scheduler.most_stood = self.scheduler.most_stood, 0
-        kept_back, self.core.refusals = {why.name.lower(): n for why, n in self.core.refusals.items()}, Counter()
+        kept_back, self.core.refusals = (
+            {why.name.lower(): n for why, n in self.core.refusals.items()},
+            Counter(),
+        )
         if done or came or self.core.held:
-            self.log.info("counts", clients=came, stood_ms=stood // MS, held=len(self.core.held), out=self.hosts.out, outcomes=done, not_sent=kept_back,
-                          notices=len(self.notices.waiting), log_bytes=self.store.size, broken=sum(counts.values()))
-
-    FLUSH_EVERY = 100 * MS                 # for log lines that nobody took at once
+            self.log.info(
+                "counts",
+                clients=came,
+                stood_ms=stood // MS,
+                held=len(self.core.held),
+                out=self.hosts.out,
+                outcomes=done,
+                not_sent=kept_back,
+                notices=len(self.notices.waiting),
+                log_bytes=self.store.size,
+                broken=sum(counts.values()),
+            )
+
+    FLUSH_EVERY = 100 * MS  # for log lines that nobody took at once
 
     def keep_flushing(self, sink) -> None:
         self.scheduler.at(self.clock() + self.FLUSH_EVERY, self.keep_flushing, sink)
--- a/molehill/runtime/kernel.py
+++ b/molehill/runtime/kernel.py
@@ -2,6 +2,7 @@
 
 The emulator hands in one of its own with the same methods; nothing above this file asks the kernel itself.
 """
+
 import errno
 import fcntl
 import os
@@ -9,8 +10,8 @@
 import socket
 import time
 
-
-BOOT_ID = "/proc/sys/kernel/random/boot_id"    # one text from boot to boot: as long the monotonic clock runs on
+# one text from boot to boot: as long the monotonic clock runs on
+BOOT_ID = "/proc/sys/kernel/random/boot_id"
 
 
 def read_boot_id() -> str:
@@ -27,14 +28,21 @@
 
 class Disk:
     """The few calls that the log makes; each raises OSError as the kernel's own."""
+
     makedirs = staticmethod(lambda folder: os.makedirs(folder, exist_ok=True))
-    exists, unlink, rename, close = map(staticmethod, (os.path.exists, os.unlink, os.rename, os.close))
-    write, truncate, seek = map(staticmethod, (os.write, os.ftruncate, lambda fd, at: os.lseek(fd, at, os.SEEK_SET)))
+    exists, unlink, rename, close = map(
+        staticmethod, (os.path.exists, os.unlink, os.rename, os.close)
+    )
+    write, truncate, seek = map(
+        staticmethod, (os.write, os.ftruncate, lambda fd, at: os.lseek(fd, at, os.SEEK_SET))
+    )
 
     @staticmethod
     def open(path: str, anew: bool = False) -> int:
         """A descriptor to read and write by; `anew`: empty, whatever was there."""
-        return os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | (os.O_TRUNC if anew else 0), 0o600)
+        return os.open(
+            path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | (os.O_TRUNC if anew else 0), 0o600
+        )
 
     @staticmethod
     def is_file(path: str, fd: int) -> bool:
@@ -77,9 +85,10 @@
     def poller():
         return select.poll()
 
-    close = staticmethod(os.close)     # of a descriptor by its number
+    close = staticmethod(os.close)  # of a descriptor by its number
 
-    MEETING = "upgrade"                # in the folder that lasts: where the next process finds this one
+    # in the folder that lasts: where the next process finds this one
+    MEETING = "upgrade"
 
     def meet(self, folder: str) -> socket.socket:
         """A listener there for the next process of this relay; only for the owner of the folder's lock."""
@@ -113,8 +122,12 @@
 
     @staticmethod
     def udp_socket(address) -> socket.socket:
-        return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+        return socket.socket(
+            socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM
+        )
 
     @staticmethod
     def tcp_socket(address) -> socket.socket:
-        return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        return socket.socket(
+            socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM
+        )
--- a/molehill/runtime/line.py
+++ b/molehill/runtime/line.py
@@ -1,11 +1,13 @@
 """Messages with descriptors between two processes of one relay, over a Unix socket that keeps each message whole."""
+
 import json
 import socket
 
 from molehill.runtime.scheduler import CUT, READ, READY, WRITE
 from molehill.runtime.stream import Broken, Late
 
-MOST = 160 * 1024                  # of a message: a connection's whole buffer and some; less than a socket takes at once
+# of a message: a connection's whole buffer and some; less than a socket takes at once
+MOST = 160 * 1024
 
 
 class Line:
@@ -48,7 +50,11 @@
         line, _, body = data.partition(b"\n")
         try:
             message = json.loads(line)
-            if not isinstance(message, dict) or len(fds) > 1 or flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC):
+            if (
+                not isinstance(message, dict)
+                or len(fds) > 1
+                or flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC)
+            ):
                 raise ValueError
         except ValueError:
             for fd in fds:
--- a/molehill/runtime/log.py
+++ b/molehill/runtime/log.py
@@ -1,4 +1,5 @@
 """structlog to standard error that never blocks the loop: lines wait in a bounded row while nobody reads."""
+
 import os
 import select
 from collections import deque
@@ -6,8 +7,9 @@
 
 import structlog
 
-PIECE = 4096                       # a pipe that polls as writable takes so many bytes whole (PIPE_BUF)
-LINES_KEPT = 1000                  # beyond it the oldest are dropped and counted
+# a pipe that polls as writable takes so many bytes whole (PIPE_BUF)
+PIECE = 4096
+LINES_KEPT = 1000  # beyond it the oldest are dropped and counted
 
 
 class Sink:
@@ -34,10 +36,10 @@
             if not any(mask & select.POLLOUT for _, mask in self.poll.poll(0)):
                 return False
             try:
-                self.part = self.part[os.write(self.fd, self.part[:PIECE]):]
+                self.part = self.part[os.write(self.fd, self.part[:PIECE]) :]
             except BlockingIOError:
                 return False
-            except OSError:                # nobody will ever read it
+            except OSError:  # nobody will ever read it
                 self.part = b""
                 self.lines.clear()
         return True
@@ -45,10 +47,21 @@
 
 def logger(sink, name: str, clock):
     """structlog on a sink, with the relay's own clock (nanoseconds, Unix time) in each line."""
+
     def stamp(_, __, line):
-        line["timestamp"] = datetime.fromtimestamp(clock() / 1e9, timezone.utc).isoformat().replace("+00:00", "Z")
+        line["timestamp"] = (
+            datetime.fromtimestamp(clock() / 1e9, timezone.utc).isoformat().replace("+00:00", "Z")
+        )
         return line
-    made = structlog.wrap_logger(sink, processors=[
-        structlog.processors.add_log_level, stamp,
-        structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"], sort_keys=True)])
+
+    made = structlog.wrap_logger(
+        sink,
+        processors=[
+            structlog.processors.add_log_level,
+            stamp,
+            structlog.processors.KeyValueRenderer(
+                key_order=["timestamp", "level", "event"], sort_keys=True
+            ),
+        ],
+    )
     return made.bind(relay=name)
--- a/molehill/runtime/scheduler.py
+++ b/molehill/runtime/scheduler.py
@@ -2,6 +2,7 @@
 
 A task runs until it waits. Whatever escapes a task is counted and logged, and ends that task alone.
 """
+
 import select
 from collections import deque
 from heapq import heappop, heappush
@@ -12,7 +13,8 @@
 from molehill.holds import holds
 
 READ, WRITE = select.POLLIN, select.POLLOUT
-READY, LATE, CUT = "ready", "late", "cut"      # what a wait gives: the descriptor moved, time is up, taken away
+# what a wait gives: the descriptor moved, time is up, taken away
+READY, LATE, CUT = "ready", "late", "cut"
 
 
 class Waiter:
@@ -30,7 +32,7 @@
         self.waiting: dict[int, Waiter] = {}
         self.stopped, self.hub = False, getcurrent()
         self.looked, self.stood = self.clock(), 0
-        self.most_stood = 0                        # since whoever tells it set it back
+        self.most_stood = 0  # since whoever tells it set it back
 
     def spawn(self, work, *args):
         task = greenlet(self._run_task, parent=self.hub)
@@ -46,10 +48,11 @@
         except Exception as error:
             holds(False, "task", work=getattr(work, "__qualname__", str(work)), error=repr(error))
 
-    AGAIN = 100 * MS               # before work that has to go on is begun anew
+    AGAIN = 100 * MS  # before work that has to go on is begun anew
 
     def spawn_kept(self, work):
         """A task that the relay can't do without: begun anew if it fails, until it returns."""
+
         def kept():
             done = False
             while not done:
@@ -59,6 +62,7 @@
                 except Exception as error:
                     holds(False, "kept_task", work=work.__qualname__, error=repr(error))
                     self.sleep(self.clock() + self.AGAIN)
+
         return self.spawn(kept)
 
     def at(self, when, work, *args):
@@ -107,13 +111,14 @@
         if waiter is not None:
             self._wake(waiter, CUT)
 
-    LONGEST = 1000 * MS            # a loop that has nothing to do still looks at the clock once a second
+    # a loop that has nothing to do still looks at the clock once a second
+    LONGEST = 1000 * MS
 
     def run(self):
         while not self.stopped:
             try:
                 self.turn()
-            except Exception as error:     # whatever it is, the relay goes on
+            except Exception as error:  # whatever it is, the relay goes on
                 holds(False, "loop", error=repr(error))
 
     def turn(self, block=True):
@@ -148,4 +153,6 @@
             try:
                 work(*args)
             except Exception as error:
-                holds(False, "timer", work=getattr(work, "__qualname__", str(work)), error=repr(error))
+                holds(
+                    False, "timer", work=getattr(work, "__qualname__", str(work)), error=repr(error)
+                )
--- a/molehill/runtime/stream.py
+++ b/molehill/runtime/stream.py
@@ -2,6 +2,7 @@
 
 Sockets come from the machine that the scheduler was handed, so the same code runs on the kernel and in the emulator.
 """
+
 import contextlib
 import errno
 import socket
@@ -23,9 +24,19 @@
 
 
 # Errors of connect(2) and send(2) that are this machine's own: no local port, no route, no buffer, a rule of its firewall.
-OWN_ERRORS = (errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENETUNREACH, errno.ENETDOWN, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN,
-              errno.EPERM, errno.EACCES)
-UNDER_WAY = (errno.EINPROGRESS, errno.EINTR, errno.EALREADY)       # of connect(2): it goes on by itself
+OWN_ERRORS = (
+    errno.EADDRNOTAVAIL,
+    errno.EADDRINUSE,
+    errno.ENETUNREACH,
+    errno.ENETDOWN,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EAGAIN,
+    errno.EPERM,
+    errno.EACCES,
+)
+# of connect(2): it goes on by itself
+UNDER_WAY = (errno.EINPROGRESS, errno.EINTR, errno.EALREADY)
 
 
 class Late(Exception):
@@ -42,7 +53,8 @@
 
     def __init__(self, most: int, quotas=None):
         self.most, self.used, self.quotas = most, {}, quotas or {}
-        self.idlers = {}               # name in ORDER -> closes one idle connection and tells whether it did
+        # name in ORDER -> closes one idle connection and tells whether it did
+        self.idlers = {}
 
     def total(self) -> int:
         return sum(self.used.values())
@@ -77,7 +89,7 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
-            pass                       # not a TCP socket, as in tests
+            pass  # not a TCP socket, as in tests
         self.scheduler, self.sock, self.kind, self.budget = scheduler, sock, kind, budget
         self.buffer, self.open, self.idle_since = Buffer(most), True, 0
 
@@ -86,7 +98,7 @@
             self.open = False
             self.scheduler.cut(self.sock.fileno())
             self.budget.give(self.kind)
-            with contextlib.suppress(OSError):     # Linux frees the descriptor all the same
+            with contextlib.suppress(OSError):  # Linux frees the descriptor all the same
                 self.sock.close()
 
     def detach(self):
@@ -137,7 +149,7 @@
             if not self.open:
                 raise Broken("cut")
             try:
-                view = view[self.sock.send(view):]
+                view = view[self.sock.send(view) :]
             except BlockingIOError:
                 self._wait(WRITE, until)
             except OSError as error:
@@ -253,7 +265,9 @@
         if self.stream is None or not self.stream.quiet():
             self.close()
             address = self.address()
-            stream = self.stream = opened(self.scheduler, address, self.kind, self.budget, self.make)
+            stream = self.stream = opened(
+                self.scheduler, address, self.kind, self.budget, self.make
+            )
             stream.connect(address, until)
         return self.stream
 
--- a/molehill/shutdown.py
+++ b/molehill/shutdown.py
@@ -6,22 +6,47 @@
 waited for. CUTTING: what is not whole by now is not read any more; what is gets its answer. ENDED: the loop stops.
 docs/design/shutdown.md tells what each party sees in each of them.
 """
+
 from molehill.config import MS
 from molehill.core import events as ev
 from molehill.holds import holds
 
-SERVING, STOPPING, LETTING_GO, LAST_ANSWERS, CUTTING, ENDED = "serving", "stopping", "letting go", "last answers", "cutting", "ended"
-NEXT = {SERVING: (STOPPING, ENDED), STOPPING: (LETTING_GO, ENDED), LETTING_GO: (LAST_ANSWERS, ENDED), LAST_ANSWERS: (CUTTING, ENDED),
-        CUTTING: (ENDED,), ENDED: ()}
+SERVING, STOPPING, LETTING_GO, LAST_ANSWERS, CUTTING, ENDED = (
+    "serving",
+    "stopping",
+    "letting go",
+    "last answers",
+    "cutting",
+    "ended",
+)
+NEXT = {
+    SERVING: (STOPPING, ENDED),
+    STOPPING: (LETTING_GO, ENDED),
+    LETTING_GO: (LAST_ANSWERS, ENDED),
+    LAST_ANSWERS: (CUTTING, ENDED),
+    CUTTING: (ENDED,),
+    ENDED: (),
+}
 # From SIGTERM on, with SIGKILL no sooner than at 3.7 s: when each state begins at the latest; the last come as soon as nobody
 # is waited for.
-AT = {STOPPING: 0, LETTING_GO: 3000 * MS, LAST_ANSWERS: 3300 * MS, CUTTING: 3500 * MS, ENDED: 3600 * MS}
-LOOK_EVERY = 5 * MS                # whether anybody still waits for a last answer
+AT = {
+    STOPPING: 0,
+    LETTING_GO: 3000 * MS,
+    LAST_ANSWERS: 3300 * MS,
+    CUTTING: 3500 * MS,
+    ENDED: 3600 * MS,
+}
+LOOK_EVERY = 5 * MS  # whether anybody still waits for a last answer
 
 
 class Shutdown:
     def __init__(self, process):
-        self.process, self.scheduler, self.state, self.told = process, process.scheduler, SERVING, None
+        self.process, self.scheduler, self.state, self.told = (
+            process,
+            process.scheduler,
+            SERVING,
+            None,
+        )
 
     def begin(self) -> None:
         """The relay is told to end; told again, it goes on with that."""
@@ -31,7 +56,7 @@
 
     def run(self) -> None:
         """From one state to the next, each at its time; begun anew after a fault, it goes on from where it is."""
-        if self.process.given:             # another process has all of it
+        if self.process.given:  # another process has all of it
             self.move(ENDED)
         while self.state is not ENDED:
             state = NEXT[self.state][0]
--- a/molehill/startup.py
+++ b/molehill/startup.py
@@ -3,6 +3,7 @@
 Another process may have the lock, and the disk may fail for a while. Both are waited for in the loop, so that the door answers
 and signals are heard meanwhile. What only an operator can mend ends the start with an error that names the key.
 """
+
 import errno
 
 from molehill import log_clock
@@ -15,8 +16,17 @@
 from molehill.upgrade import Successor
 
 # Errors of the folder that waiting does not mend: it is no folder, or this process may not use it.
-UNUSABLE = (errno.ENOTDIR, errno.EEXIST, errno.EISDIR, errno.EACCES, errno.EPERM, errno.EROFS, errno.ENAMETOOLONG, errno.ELOOP,
-            errno.EINVAL)
+UNUSABLE = (
+    errno.ENOTDIR,
+    errno.EEXIST,
+    errno.EISDIR,
+    errno.EACCES,
+    errno.EPERM,
+    errno.EROFS,
+    errno.ENAMETOOLONG,
+    errno.ELOOP,
+    errno.EINVAL,
+)
 SAY_EVERY = 10 * SECOND
 
 
@@ -36,13 +46,21 @@
     def __init__(self, config, machine, sink):
         self.config, self.machine = config, machine
         self.scheduler, self.log = Scheduler(machine), logger(sink, config.name, machine.wall)
-        self.process = self.estate = self.admin = self.successor = self.store = self.log_clock = None
-        self.seen = []                 # signals that came before the relay was there
+        self.process = self.estate = self.admin = self.successor = self.store = self.log_clock = (
+            None
+        )
+        self.seen = []  # signals that came before the relay was there
         self.lock = self.waits_for = None
         self.try_lock()
         if config.admin is not None:
-            self.admin = Admin(self.scheduler, config.admin, lambda: self.process is not None and self.process.can_serve(),
-                               lambda: self.process.figures() if self.process else Figures(config.categories).text())
+            self.admin = Admin(
+                self.scheduler,
+                config.admin,
+                lambda: self.process is not None and self.process.can_serve(),
+                lambda: self.process.figures()
+                if self.process
+                else Figures(config.categories).text(),
+            )
 
     def try_lock(self) -> None:
         """Takes the folder's lock if it is free. Raises ConfigError for a folder that can't be used."""
--- a/molehill/storage/codec.py
+++ b/molehill/storage/codec.py
@@ -2,6 +2,7 @@
 
 A version is never changed once a release wrote it; another form gets a number of its own, and all stay readable.
 """
+
 import json
 
 import msgspec
@@ -33,9 +34,15 @@
 
 # version -> (fields and body to a payload, and back): 1 the log's form before segments, 2 the same by msgspec, 3 MessagePack
 VERSIONS = {
-    1: (lambda fields, body: json.dumps(fields, separators=(",", ":")).encode("ascii") + b"\n" + body, _read_json),
+    1: (
+        lambda fields, body: json.dumps(fields, separators=(",", ":")).encode("ascii")
+        + b"\n"
+        + body,
+        _read_json,
+    ),
     2: (lambda fields, body: _text(fields) + b"\n" + body, _read_text),
-    3: (lambda fields, body: _pack((fields, body)), lambda payload: tuple(_unpack(payload)))}
+    3: (lambda fields, body: _pack((fields, body)), lambda payload: tuple(_unpack(payload))),
+}
 
 
 def encode(version: int, fields: dict, body: bytes = b"") -> bytes:
@@ -46,7 +53,9 @@
 def decode(version: int, payload: bytes) -> tuple[dict, bytes]:
     """(fields, body); CodecError for what can't be read, whatever it holds."""
     if version not in VERSIONS:
-        raise CodecError(f"version {version} of the records is not known here; known are {sorted(VERSIONS)}")
+        raise CodecError(
+            f"version {version} of the records is not known here; known are {sorted(VERSIONS)}"
+        )
     try:
         fields, body = VERSIONS[version][1](payload)
     except (ValueError, TypeError, RecursionError, msgspec.DecodeError) as error:
--- a/molehill/storage/drive.py
+++ b/molehill/storage/drive.py
@@ -1,14 +1,21 @@
 """Drives a Space as an engine would, in memory: for tests and measurements of what it decides."""
+
 from molehill.storage.space import Space
 
-HEAD = 40                              # bytes of a segment's head
+HEAD = 40  # bytes of a segment's head
 
 
 class Disk:
     """Rolls, writes, moves, unlinks. Counts bytes asked for and written, and the most states moved after one append."""
 
     def __init__(self, most, size):
-        self.space, self.serial, self.asked, self.written, self.longest = Space(most, size), 0, 0, 0, 0
+        self.space, self.serial, self.asked, self.written, self.longest = (
+            Space(most, size),
+            0,
+            0,
+            0,
+            0,
+        )
 
     def write(self, length, ident=None):
         if not self.space.fits(length):
@@ -30,5 +37,7 @@
             self.write(size)
             self.space.begins(one, size, left)
         for number in self.space.empty():
-            assert not self.space.segments[number].owed and number == next(iter(self.space.segments))
+            assert not self.space.segments[number].owed and number == next(
+                iter(self.space.segments)
+            )
             self.space.dropped(number)
--- a/molehill/storage/records.py
+++ b/molehill/storage/records.py
@@ -5,25 +5,30 @@
 one, not even when the head before it is spoilt. The head has its own, so that bytes made to look like many heads of long records
 cost a search no more than their count.
 """
+
 import struct
 from typing import Iterator, NamedTuple, Union
 
 import google_crc32c
 
-MARK = b"\xf1mh\x9c"                   # no text in UTF-8 and no small number in MessagePack begins so
-HEAD = struct.Struct(">4sIQII")        # mark, length of the payload, sequence number, checksums of these and of all
-MOST = 1 << 24                         # bytes of a payload: far over what any front takes; a length beyond it is spoilt
-SALT = 8                               # bytes: as likely guessed as a checksum of 64 bits
+# no text in UTF-8 and no small number in MessagePack begins so
+MARK = b"\xf1mh\x9c"
+# mark, length of the payload, sequence number, checksums of these and of all
+HEAD = struct.Struct(">4sIQII")
+# bytes of a payload: far over what any front takes; a length beyond it is spoilt
+MOST = 1 << 24
+SALT = 8  # bytes: as likely guessed as a checksum of 64 bits
 
 
 class Record(NamedTuple):
-    at: int                            # where it begins in the segment
+    at: int  # where it begins in the segment
     number: int
     payload: bytes
 
 
 class Gap(NamedTuple):
     """Bytes that are no whole record: spoilt, or torn if nothing whole follows."""
+
     at: int
     length: int
 
@@ -33,7 +38,9 @@
     if len(payload) > MOST:
         raise ValueError(f"a payload of {len(payload)} bytes, {MOST} at most")
     check = _check(salt, len(payload), number)
-    return HEAD.pack(MARK, len(payload), number, check, google_crc32c.extend(check, payload)) + payload
+    return (
+        HEAD.pack(MARK, len(payload), number, check, google_crc32c.extend(check, payload)) + payload
+    )
 
 
 def _check(salt: bytes, length: int, number: int) -> int:
@@ -46,9 +53,14 @@
         return None
     mark, length, number, check, whole = HEAD.unpack_from(data, at)
     start = at + HEAD.size
-    if mark != MARK or length > MOST or start + length > len(data) or _check(salt, length, number) != check:
+    if (
+        mark != MARK
+        or length > MOST
+        or start + length > len(data)
+        or _check(salt, length, number) != check
+    ):
         return None
-    payload = data[start:start + length]
+    payload = data[start : start + length]
     return Record(at, number, payload) if google_crc32c.extend(check, payload) == whole else None
 
 
--- a/molehill/storage/space.py
+++ b/molehill/storage/space.py
@@ -4,9 +4,10 @@
 behind. So a segment that is the oldest and holds no state that is still owed can go at once, and the room that is free comes from
 moving states out of the oldest, a piece a turn.
 """
+
 from collections import OrderedDict
 
-BLOCK = 512                            # files count in whole blocks of so many bytes
+BLOCK = 512  # files count in whole blocks of so many bytes
 # Share of the room that states and what they may yet write can take. At three quarters, a full round over the log writes three
 # bytes for each that it frees; at more, twice that and over for the last eighth.
 SHARE = 3 / 4
@@ -21,7 +22,8 @@
 
     def __init__(self, number: int, size: int):
         self.number, self.size = number, size
-        self.owed: OrderedDict[str, int] = OrderedDict()   # id -> bytes of its state here, the first written first
+        # id -> bytes of its state here, the first written first
+        self.owed: OrderedDict[str, int] = OrderedDict()
 
 
 class Space:
@@ -32,10 +34,12 @@
             raise ValueError(f"{most} bytes hold no eight segments of {segment}")
         self.most, self.segment = most, segment
         self.segments: OrderedDict[int, Segment] = OrderedDict()
-        self.places: dict[str, Segment] = {}               # id -> where its state lies
-        self.reserved: dict[str, int] = {}                 # id -> bytes that it may yet write
-        self.used = self.owed = self.promised = 0          # bytes in blocks; of states; that may yet come
-        self.due = 0.0                                     # bytes to be moved that were not a whole state's yet
+        self.places: dict[str, Segment] = {}  # id -> where its state lies
+        self.reserved: dict[str, int] = {}  # id -> bytes that it may yet write
+        # bytes in blocks; of states; that may yet come
+        self.used = self.owed = self.promised = 0
+        # bytes to be moved that were not a whole state's yet
+        self.due = 0.0
 
     # What was written
 
--- a/molehill/store.py
+++ b/molehill/store.py
@@ -9,6 +9,7 @@
 overwritten by a record that says nothing, before anything else is written. Once the log has grown past its mark it is
 written anew with just what is owed, and takes the old one's place by a rename.
 """
+
 import base64
 import json
 import os.path
@@ -17,19 +18,21 @@
 from typing import Callable, Iterator, NamedTuple
 
 HEAD = struct.Struct(">II")
-MARK = b'{"k":"'                   # how each record's JSON begins; JSON escapes it in texts, and a body that holds it is encoded
-BLOCK = 512                        # files count in whole blocks of so many bytes
-FILLER = "filler"                  # kind of a record that only covers what a failed write left
-FOLLOWING = "more"                 # key of a record: how many records of the same append follow it
-ENCODED = "b64"                    # key of a record: its body is in base64
+# how each record's JSON begins; JSON escapes it in texts, and a body that holds it is encoded
+MARK = b'{"k":"'
+BLOCK = 512  # files count in whole blocks of so many bytes
+FILLER = "filler"  # kind of a record that only covers what a failed write left
+FOLLOWING = "more"  # key of a record: how many records of the same append follow it
+ENCODED = "b64"  # key of a record: its body is in base64
 
 
 class Piece(NamedTuple):
     """A stretch of the log's bytes: a whole record, or what lies between two."""
+
     at: int
     end: int
-    payload: bytes | None          # None: no record
-    torn: bool = False             # no record, and cut off by the end of the log
+    payload: bytes | None  # None: no record
+    torn: bool = False  # no record, and cut off by the end of the log
 
 
 def encode(record: dict, body: bytes = b"") -> bytes:
@@ -43,7 +46,10 @@
 def encode_together(rows) -> bytes:
     """Rows (record, body) of one append; read again all or none."""
     last = len(rows) - 1
-    return b"".join(encode({**record, FOLLOWING: last - n} if n < last else record, body) for n, (record, body) in enumerate(rows))
+    return b"".join(
+        encode({**record, FOLLOWING: last - n} if n < last else record, body)
+        for n, (record, body) in enumerate(rows)
+    )
 
 
 def decode(payload: bytes) -> tuple[dict, bytes]:
@@ -66,7 +72,7 @@
     if at + HEAD.size > len(data):
         return None
     length, check = HEAD.unpack_from(data, at)
-    payload = data[at + HEAD.size:at + HEAD.size + length]
+    payload = data[at + HEAD.size : at + HEAD.size + length]
     return payload if len(payload) == length and zlib.crc32(payload) == check else None
 
 
@@ -90,7 +96,10 @@
             yield Piece(at, end, payload)
         else:
             end = next_record(data, at)
-            whole = len(data) - at >= HEAD.size and at + HEAD.size + HEAD.unpack_from(data, at)[0] == end
+            whole = (
+                len(data) - at >= HEAD.size
+                and at + HEAD.size + HEAD.unpack_from(data, at)[0] == end
+            )
             yield Piece(at, end, None, torn=end == len(data) and not whole)
         at = end
 
@@ -119,13 +128,14 @@
         self.disk = disk
         self.path, self.new_path = os.path.join(folder, self.NAME), os.path.join(folder, self.NEW)
         self.most, self.size, self.live, self.failed = most, 0, 0, False
-        self.full = False          # the last append had no room
-        self.tail = 0              # bytes behind `size` that a failed write may have left
-        self.cut = self.odd = self.spoilt = 0      # as read: bytes cut off; records of no use; stretches that can't be read
-        self.data = b""            # as read, until it is replayed
+        self.full = False  # the last append had no room
+        self.tail = 0  # bytes behind `size` that a failed write may have left
+        # as read: bytes cut off; records of no use; stretches that can't be read
+        self.cut = self.odd = self.spoilt = 0
+        self.data = b""  # as read, until it is replayed
         disk.makedirs(folder)
         if disk.exists(self.new_path):
-            disk.unlink(self.new_path)   # a rewrite that was cut off before its rename
+            disk.unlink(self.new_path)  # a rewrite that was cut off before its rename
         self.fd = disk.open(self.path)
 
     def read(self) -> None:
@@ -141,7 +151,7 @@
 
     def _committed(self) -> int:
         """Where the last append that was not cut off ends."""
-        end, begun = 0, None       # begun: where an append begins whose last record has not come
+        end, begun = 0, None  # begun: where an append begins whose last record has not come
         for piece in scan(self.data):
             if piece.payload is None:
                 if piece.torn:
@@ -168,15 +178,16 @@
         for piece in scan(self.data):
             if piece.payload is None:
                 self.spoilt += 1
-                load_spoilt(self.data[piece.at:piece.end])
+                load_spoilt(self.data[piece.at : piece.end])
                 continue
             try:
                 record, body = decode(piece.payload)
                 record.pop(FOLLOWING, None)
                 load(record, body)
                 count += 1
-            except Exception:          # whatever it is: danger, one record that can't be read would keep the relay from its start
-                self.odd += 1          # whole, but of no use here: what follows it still counts
+            # whatever it is: danger, one record that can't be read would keep the relay from its start
+            except Exception:
+                self.odd += 1  # whole, but of no use here: what follows it still counts
         self.data = b""
         return count
 
@@ -224,7 +235,11 @@
     def wants_rewrite(self) -> bool:
         """After a failure, or past 9/20 of the room, which leaves room beside it for what is owed, 7/20 at most;
         then not again before a sixteenth has come in."""
-        return self.failed or self.size > self.most * 9 // 20 and self.size > self.live + self.most // 16
+        return (
+            self.failed
+            or self.size > self.most * 9 // 20
+            and self.size > self.live + self.most // 16
+        )
 
     def rewrite(self, rows) -> bool:
         """A new log with these rows in place of the old one; on failure the old one stays as it is."""
@@ -264,7 +279,7 @@
         try:
             self.disk.close(fd)
         except OSError:
-            pass                   # Linux frees the descriptor all the same
+            pass  # Linux frees the descriptor all the same
 
     def close(self) -> None:
         """Nothing is written any more: its descriptor's number may be another file's from here on."""
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -10,6 +10,7 @@
     old -> new   lock    the lock's descriptor, and with it everything
     new -> old   mine    from here on the new one may write; without it the old one goes on
 """
+
 import signal
 from dataclasses import dataclass, field
 
@@ -20,25 +21,29 @@
 from molehill.runtime.scheduler import CUT, READ
 from molehill.runtime.stream import Broken, Late
 
-VERSION = 2                        # 1 had times of the wall clock in its rows
-CALM_WITHIN = 100 * MS             # for requests that are answered and calls that are written: a quarter of a client's wait
-STEP_WITHIN = SECOND               # for a message of the other process: many times what it takes, well within the 6 s for a yes
+VERSION = 2  # 1 had times of the wall clock in its rows
+# for requests that are answered and calls that are written: a quarter of a client's wait
+CALM_WITHIN = 100 * MS
+# for a message of the other process: many times what it takes, well within the 6 s for a yes
+STEP_WITHIN = SECOND
 # For all that passes, as the relay stands meanwhile: half of the time within which it owes a notice (300 ms). Some 10 ms are taken.
 PASS_WITHIN = 150 * MS
-TRY_AGAIN = 50 * MS                # between looks at the lock while another process has it
-SELDOM = SECOND                    # at most, between two hand-overs that broke off: each costs the one that serves a pause
+TRY_AGAIN = 50 * MS  # between looks at the lock while another process has it
+# at most, between two hand-overs that broke off: each costs the one that serves a pause
+SELDOM = SECOND
 SAY_EVERY = 10 * SECOND
 
 
 @dataclass(slots=True)
 class HandedOver:
     """What the new process got."""
+
     lock: int = -1
     listener: object = None
     state: dict = field(default_factory=dict)
     hosts: list = field(default_factory=list)
     learnt: list = field(default_factory=list)
-    conns: list = field(default_factory=list)          # (message, body, socket)
+    conns: list = field(default_factory=list)  # (message, body, socket)
 
     def close(self, machine) -> None:
         for _, _, sock in self.conns:
@@ -53,7 +58,13 @@
     """The new process, until it has the lock and the log. `start`: of molehill/startup.py."""
 
     def __init__(self, start, signals):
-        self.start, self.scheduler, self.config, self.log, self.signals = start, start.scheduler, start.config, start.log, signals
+        self.start, self.scheduler, self.config, self.log, self.signals = (
+            start,
+            start.scheduler,
+            start.config,
+            start.log,
+            signals,
+        )
         self.clock, self.machine = self.scheduler.clock, self.scheduler.machine
         self.estate, self.seen, self.told_to_end, self.fault = None, [], False, None
 
@@ -68,7 +79,8 @@
         self.scheduler.stopped = False
         if self.fault is not None:
             raise self.fault
-        return self.estate is not None or not self.told_to_end     # told to end, it ends by the relay's shutdown
+        # told to end, it ends by the relay's shutdown
+        return self.estate is not None or not self.told_to_end
 
     def on_signals(self) -> None:
         while self.scheduler.wait(self.signals.fileno(), READ) != CUT:
@@ -76,7 +88,7 @@
 
     def heard(self, numbers: bytes) -> None:
         """Signals that have come, a byte each."""
-        self.seen += numbers                           # the relay acts on them once it is there
+        self.seen += numbers  # the relay acts on them once it is there
         if signal.SIGTERM in self.seen or signal.SIGINT in self.seen:
             self.told_to_end = True
             self.scheduler.stopped = self.scheduler.stopped or self.estate is None
@@ -119,7 +131,8 @@
             line.send({"k": "mine"}, self.clock() + STEP_WITHIN)
             self.estate, self.start.lock = estate, estate.lock
         except (Broken, Late, OSError, KeyError, TypeError, ValueError) as error:
-            estate.close(self.machine)                 # the lock's copy too: it stays with whoever has it
+            # the lock's copy too: it stays with whoever has it
+            estate.close(self.machine)
             if not isinstance(error, OSError):
                 self.log.warning("no hand-over", error=repr(error))
             return line is not None
@@ -153,7 +166,12 @@
     """The process that serves: waits for the next one, and hands over."""
 
     def __init__(self, process):
-        self.process, self.scheduler, self.clock, self.log = process, process.scheduler, process.scheduler.clock, process.log
+        self.process, self.scheduler, self.clock, self.log = (
+            process,
+            process.scheduler,
+            process.scheduler.clock,
+            process.log,
+        )
         self.listener = None
         self.meet()
         self.scheduler.spawn_kept(self.serve)
@@ -180,7 +198,10 @@
             try:
                 message, _, _ = line.receive(self.clock() + STEP_WITHIN)
                 if message.get("k") != "hello" or message.get("v") != VERSION:
-                    line.send({"k": "no", "why": f"version {VERSION} is spoken here"}, self.clock() + STEP_WITHIN)
+                    line.send(
+                        {"k": "no", "why": f"version {VERSION} is spoken here"},
+                        self.clock() + STEP_WITHIN,
+                    )
                 else:
                     self.hand_over(line)
             except (Broken, Late) as error:
@@ -195,10 +216,12 @@
         while self.clock() < began + CALM_WITHIN and not process.calm():
             self.scheduler.sleep(self.clock() + MS)
         process.clients.drop_busy()
-        self.scheduler.pause()             # danger: their clients have not heard, and the next process could not know
+        # danger: their clients have not heard, and the next process could not know
+        self.scheduler.pause()
         rows, error, until = process.give(began), None, self.clock() + PASS_WITHIN
         try:
-            if process.engine.unwritten:       # danger: the next process goes by the log, and would not know of it
+            # danger: the next process goes by the log, and would not know of it
+            if process.engine.unwritten:
                 raise Broken("the log does not take records")
             for message, body, sock in rows:
                 line.send(message, until, body, sock and sock.fileno())
@@ -222,14 +245,23 @@
     """All that passes, as rows (message, body, socket or None); nothing of it is used by this process unless it comes back."""
     core, rows = process.core, []
     state, learnt = core.estate()
-    rows += [({"k": "host", "row": listed(host, process.config)}, b"", None) for host in core.hosts.values()]
+    rows += [
+        ({"k": "host", "row": listed(host, process.config)}, b"", None)
+        for host in core.hosts.values()
+    ]
     rows += [({"k": "learnt", "row": row}, b"", None) for row in learnt]
     calls = process.hosts.give()
     process.notices.give()
     rows += process.clients.give() + calls
     rows.append(({"k": "listener"}, b"", process.clients.listener))
-    state.update(k="state", lost=[], began=began, version=process.discovery.version,
-                 discovery="%s:%d" % process.config.discovery, discovery_in_file=process.config.discovery_in_file)
+    state.update(
+        k="state",
+        lost=[],
+        began=began,
+        version=process.discovery.version,
+        discovery="%s:%d" % process.config.discovery,
+        discovery_in_file=process.config.discovery_in_file,
+    )
     if process.membership is not None:
         state["member"] = process.membership.estate()
     return [*rows, (state, b"", None)]
@@ -245,7 +277,9 @@
             continue
         if kind == "call":
             until = min(m[1] for m in message["members"])
-            message["members"] = [[number, until] for number, _ in message["members"] if number in held]
+            message["members"] = [
+                [number, until] for number, _ in message["members"] if number in held
+            ]
         ids = [number for number, _ in message.get("members", ())]
         if kind == "call" and not ids or message["host"] not in process.core.hosts:
             sock.close()
@@ -254,4 +288,6 @@
                 calls.append((message["n"], message["host"], ids, message["start"], until))
             continue
         lost += ids
-    return ev.Inherited(calls, lost, {route: until for route, until in estate.state["waits"]}, estate.learnt)
+    return ev.Inherited(
+        calls, lost, {route: until for route, until in estate.state["waits"]}, estate.learnt
+    )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
 """What several test files start from, and the list of failures that are known."""
+
 from pathlib import Path
 
 import pytest
@@ -13,9 +14,15 @@
     """Test id -> its cause and issue, from KNOWN-RED.txt: a line each, `TEST: cause (issue N)`."""
     if not KNOWN_RED.exists():
         return {}
-    lines = [line.split(": ", 1) for line in KNOWN_RED.read_text(encoding="utf-8").splitlines() if line.strip()]
+    lines = [
+        line.split(": ", 1)
+        for line in KNOWN_RED.read_text(encoding="utf-8").splitlines()
+        if line.strip()
+    ]
     if len(lines) > KNOWN_RED_LIMIT:
-        raise pytest.UsageError(f"KNOWN-RED.txt lists {len(lines)} tests, {KNOWN_RED_LIMIT} at most")
+        raise pytest.UsageError(
+            f"KNOWN-RED.txt lists {len(lines)} tests, {KNOWN_RED_LIMIT} at most"
+        )
     return {test: reason for test, reason in lines}
 
 
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -1,4 +1,5 @@
 """A world around one relay: it plays what it is told and checks the six rules after every batch."""
+
 import socket
 
 from molehill import config
@@ -18,16 +19,44 @@
 MAY_HAVE_RUN = (R.ERROR, R.TIMEOUT, R.RESET, R.CANCELLED)
 
 
-def category(effect="rerunnable", goal=1000, abandon=5000, payoff=1.0, window=3000, same_zone=False,
-             ordered=False):
-    return it.Category(it.Effect(effect), goal * MS, abandon * MS, payoff, 0.5, window * MS, same_zone,
-                       not same_zone, ordered)
+def category(
+    effect="rerunnable",
+    goal=1000,
+    abandon=5000,
+    payoff=1.0,
+    window=3000,
+    same_zone=False,
+    ordered=False,
+):
+    return it.Category(
+        it.Effect(effect),
+        goal * MS,
+        abandon * MS,
+        payoff,
+        0.5,
+        window * MS,
+        same_zone,
+        not same_zone,
+        ordered,
+    )
 
 
 def settings(**given):
-    base = dict(categories=[category()], kinds=[it.Kind(False, 1)], slots=8, max_launches=6, relays=2,
-                max_held=200, tells_return=True, max_return=2 * SECOND, fall_span=1500 * MS,
-                fall_multiple=2.0, cold_from=0.2, ramp_time=10 * SECOND, settle=100 * MS)
+    base = dict(
+        categories=[category()],
+        kinds=[it.Kind(False, 1)],
+        slots=8,
+        max_launches=6,
+        relays=2,
+        max_held=200,
+        tells_return=True,
+        max_return=2 * SECOND,
+        fall_span=1500 * MS,
+        fall_multiple=2.0,
+        cold_from=0.2,
+        ramp_time=10 * SECOND,
+        settle=100 * MS,
+    )
     return it.Settings(**{**base, **given})
 
 
@@ -61,7 +90,9 @@
         self.serial += 1
         row = self.set.categories[cat]
         due = self.now + (row.abandon if abandon is None else abandon)
-        self.open[self.serial] = dict(row=row, key=key if row.ordered else None, due=due, launches=[])
+        self.open[self.serial] = dict(
+            row=row, key=key if row.ordered else None, due=due, launches=[]
+        )
         self.step([it.NewCallback(self.serial, cat, tenant, key, due, destination)])
         return self.serial
 
@@ -78,7 +109,8 @@
             if number in self.open:
                 self.final[number] = self.open.pop(number)
         elif result not in (R.FULL, R.CANCELLED) and (
-                result is not R.TIMEOUT or entry and entry["due"] > self.now):
+            result is not R.TIMEOUT or entry and entry["due"] > self.now
+        ):
             self.fails[host] = self.fails.get(host, 0) + 1
             if self.fails[host] == 4:
                 self.shut[host] = self.now
@@ -86,8 +118,17 @@
             route = self.route(host)
             self.waits[route] = max(self.waits.get(route, 0), self.now + wait)
         attempts = len(entry["launches"]) - 1 if entry else 0
-        return it.Outcome(number, attempts, host, result, self.now - sent, wait if result is R.FULL else 0,
-                          number in self.final, told[0], told_left=told[1])
+        return it.Outcome(
+            number,
+            attempts,
+            host,
+            result,
+            self.now - sent,
+            wait if result is R.FULL else 0,
+            number in self.final,
+            told[0],
+            told_left=told[1],
+        )
 
     def answer(self, number, result=R.DELIVERED, wait=0, told=(0.0, None)):
         self.step([self.outcome(number, result, wait, told)])
@@ -103,14 +144,18 @@
             self.step(events + [it.Timer("wake")])
 
     def step(self, events=()):
-        self.wake = None if any(type(e) is it.Timer for e in events) else getattr(self, "wake", None)
+        self.wake = (
+            None if any(type(e) is it.Timer for e in events) else getattr(self, "wake", None)
+        )
         for action in self.relay.step(self.now, list(events)):
             getattr(self, "on_" + type(action).__name__.lower())(action)
         for number, entry in self.open.items():
             assert entry["due"] > self.now, f"rule 1: {number} has no final answer in time"
         share = max(1, self.set.slots * 3 // 4)
         for destination in {h[3] for h in self.table.values()}:
-            sends = [(h, sent) for h, sent, _ in self.out.values() if self.table[h][3] == destination]
+            sends = [
+                (h, sent) for h, sent, _ in self.out.values() if self.table[h][3] == destination
+            ]
             size = self.set.kinds[self.table[sends[0][0]][2]].per_call if sends else 1
             calls = sum(-(-sends.count(call) // size) for call in set(sends))
             assert calls <= share, "the slot share is kept"
@@ -134,16 +179,24 @@
         assert number in self.open and number not in self.out, "rules 1, 2: open, and none out"
         entry = self.open[number]
         row = entry["row"]
-        assert entry["due"] > now and len(entry["launches"]) < self.set.max_launches and action.time_out > 0
+        assert (
+            entry["due"] > now
+            and len(entry["launches"]) < self.set.max_launches
+            and action.time_out > 0
+        )
         if "bound" in entry:
             sent, zone = entry["bound"]
-            assert row.effect is not it.Effect.AT_MOST_ONCE, "rule 2: an exclusive callback that may have run"
+            assert (
+                row.effect is not it.Effect.AT_MOST_ONCE
+            ), "rule 2: an exclusive callback that may have run"
             if row.effect is it.Effect.DEDUPLICATED:
                 assert now <= sent + row.window, "rule 2: a repeat after the window"
                 assert row.all_hosts or self.table[host][1] == zone, "rule 2: a repeat out of scope"
         assert self.up.get(host), "rule 3: new work for a host that drains or is gone"
         if self.fails.get(host, 0) >= 4 and self.set.kinds[self.table[host][2]].per_call == 1:
-            trials = [h for h, sent, _ in self.out.values() if h == host and sent >= self.shut[host]]
+            trials = [
+                h for h, sent, _ in self.out.values() if h == host and sent >= self.shut[host]
+            ]
             assert not trials, "rule 4: one trial at a time"
         assert self.waits.get(self.route(host), 0) <= now, "rule 6: a told wait"
         if entry["key"]:
@@ -159,8 +212,11 @@
         entry = self.open[action.callback]
         row = entry["row"]
         assert action.callback not in self.out, "rule 2: denied with a launch out"
-        assert "bound" not in entry or row.effect is it.Effect.IDEMPOTENT or (
-            row.effect is it.Effect.DEDUPLICATED and row.all_hosts), "rule 2: denied though it may have run"
+        assert (
+            "bound" not in entry
+            or row.effect is it.Effect.IDEMPOTENT
+            or (row.effect is it.Effect.DEDUPLICATED and row.all_hosts)
+        ), "rule 2: denied though it may have run"
         self.final[action.callback] = self.open.pop(action.callback)
 
     def on_fail(self, action):
@@ -186,18 +242,27 @@
     def __init__(self, folder, given, hosts, make_module=Relay, most=400_000):
         self.folder, self.set, self.make, self.most = str(folder), given, make_module, most
         self.now, self.serial, self.effects_left = 1000 * SECOND, 0, None
-        self.hosts = {h[0]: ev.Host(h[0], ("127.0.0.1", 1), *h[1:], it.Condition.UP, 1.0) for h in hosts}
+        self.hosts = {
+            h[0]: ev.Host(h[0], ("127.0.0.1", 1), *h[1:], it.Condition.UP, 1.0) for h in hosts
+        }
         self.owed, self.ended, self.notices, self.rows, self.ran = {}, {}, {}, {}, {}
         self.answers, self.out, self.waits, self.gone, self.said = {}, {}, {}, set(), []
         self.unsure, self.counted = set(), {}
-        self.starts, self.sent, self.logged, self.slow = 0, {}, [], False     # slow: connections do not come up by themselves
+        # slow: connections do not come up by themselves
+        self.starts, self.sent, self.logged, self.slow = 0, {}, [], False
         self.start()
 
     def start(self):
         self.store = Store(self.folder, self.most, Disk())
         self.core = Core(self.set, self.starts, self.make, self.most * 7 // 20)
         self.store.replay(self.core.load)
-        self.out, self.waits, self.queue, self.starts, self.begun = {}, {}, [], self.starts + 1, set()
+        self.out, self.waits, self.queue, self.starts, self.begun = (
+            {},
+            {},
+            [],
+            self.starts + 1,
+            set(),
+        )
         # callback -> how it ended in this life, None: in an earlier one, and the log says so
         self.counted = {i: None for i in self.ended if i not in self.core.held}
         self.post(ev.Listed(it.Scope.RESTORED, list(self.hosts.values())))
@@ -207,8 +272,17 @@
     def kill(self):
         """Nothing that is left of the effects is carried out; calls that are out may have run."""
         self.queue, self.notices, self.core = [], {}, None
-        self.unsure |= {r["id"] for r in self.records() if r["k"] == "taken"}    # logged: it can't know who heard
-        self.ran.update({m.id: self.sent[m.id] for n, (_, ms) in self.out.items() if n in self.begun for m in ms if m.id not in self.ran})
+        # logged: it can't know who heard
+        self.unsure |= {r["id"] for r in self.records() if r["k"] == "taken"}
+        self.ran.update(
+            {
+                m.id: self.sent[m.id]
+                for n, (_, ms) in self.out.items()
+                if n in self.begun
+                for m in ms
+                if m.id not in self.ran
+            }
+        )
         self.store.close()
         self.start()
 
@@ -236,11 +310,14 @@
         """The figures against what was seen from outside in this life."""
         ends = list(self.counted.values())
         for name in ("fulfilled", "throttled", "faulted"):
-            assert sum(row[name] for row in self.core.figures.ends.values()) == ends.count(name), name
+            assert sum(row[name] for row in self.core.figures.ends.values()) == ends.count(
+                name
+            ), name
         held = [c.state for c in self.core.held.values()]
         assert self.core.figures.open_requests == held.count("taken") + held.count("held")
         assert self.core.figures.registry_entries == sum(
-            h.condition is not it.Condition.GONE for h in self.core.hosts.values())
+            h.condition is not it.Condition.GONE for h in self.core.hosts.values()
+        )
 
     def advance(self, span):
         until = self.now + span
@@ -260,8 +337,14 @@
         self.rows[number] = (row, key if row.ordered else None, due, self.serial)
         if gone:
             self.gone.add(number)
-        self.post(ev.Arrived(f"client of {number}", ev.Fresh(
-            number, cat, 0, key if row.ordered else None, destination, due, None, body)))
+        self.post(
+            ev.Arrived(
+                f"client of {number}",
+                ev.Fresh(
+                    number, cat, 0, key if row.ordered else None, destination, due, None, body
+                ),
+            )
+        )
         if step:
             self.step()
         return number
@@ -277,7 +360,7 @@
         if number not in self.begun and result not in (R.NO_CONNECT, R.NOT_SENT):
             life = self.starts
             self.post(ev.Begun(number))
-            if life != self.starts:        # killed as it was logged: that call is no more
+            if life != self.starts:  # killed as it was logged: that call is no more
                 return
         call, members = self.out[number]
         ids = [m.id for m in members] if ids is None else ids
@@ -290,14 +373,20 @@
                 self.ran.setdefault(i, self.sent[i])
         if wait:
             self.waits[self.hosts[call.host].destination] = self.now + wait
-        self.post(ev.Ended(number, 50 * MS if result is R.DELIVERED else self.now, [
-            ev.End(i, result, wait, result is R.DELIVERED, **more) for i in ids]))
+        self.post(
+            ev.Ended(
+                number,
+                50 * MS if result is R.DELIVERED else self.now,
+                [ev.End(i, result, wait, result is R.DELIVERED, **more) for i in ids],
+            )
+        )
 
     def on_append(self, effect):
         assert self.store.append([(effect.record, effect.body)])
         if effect.record["k"] == "launch":
             self.logged = effect.record["ids"]
-        if effect.record["k"] == "end":    # killed before that, it may be delivered once more where a repeat is harmless
+        # killed before that, it may be delivered once more where a repeat is harmless
+        if effect.record["k"] == "end":
             for i in [i for i, _, over, _ in effect.record["ends"] if over]:
                 self.ended.setdefault(i, "fulfilled")
                 self.counted.setdefault(i, "fulfilled")
@@ -307,8 +396,10 @@
         if effect.status != 202:
             self.counted.setdefault(effect.id, "throttled" if effect.status == 503 else "faulted")
             return
-        assert any(r["k"] == "taken" and r["id"] == effect.id for r in self.records()) or effect.id in self.ended, \
-            "taken on before it is in the log"
+        assert (
+            any(r["k"] == "taken" and r["id"] == effect.id for r in self.records())
+            or effect.id in self.ended
+        ), "taken on before it is in the log"
         if effect.id in self.gone:
             self.queue.append(ev.Unheard(effect.id, effect.client))
         else:
@@ -327,23 +418,35 @@
         assert self.waits.get(host.destination, 0) <= self.now, "rule 6"
         for m in effect.members:
             row, key, due, order = self.rows[m.id]
-            assert m.id in self.owed or m.id in self.unsure, "nothing is sent before its client heard"
+            assert (
+                m.id in self.owed or m.id in self.unsure
+            ), "nothing is sent before its client heard"
             assert m.id not in self.ended and m.until <= due, "rule 1: sent after its end"
-            assert all(m.id != o.id for _, ms in self.out.values() for o in ms), "rule 2: two at once"
+            assert all(
+                m.id != o.id for _, ms in self.out.values() for o in ms
+            ), "rule 2: two at once"
             if m.id in self.ran:
                 assert row.effect is not it.Effect.AT_MOST_ONCE, "rule 2"
-                assert row.effect is it.Effect.IDEMPOTENT or self.now <= self.ran[m.id] + row.window, "rule 2"
+                assert (
+                    row.effect is it.Effect.IDEMPOTENT or self.now <= self.ran[m.id] + row.window
+                ), "rule 2"
             for other, (_, its_key, _, its_order) in self.rows.items():
                 if key is not None and its_key == key and its_order < order and other in self.owed:
                     assert other in self.ended, "rule 5: an earlier one of its key is not over"
-                    assert all(other != o.id for _, ms in self.out.values() for o in ms), "rule 5: it is still out"
+                    assert all(
+                        other != o.id for _, ms in self.out.values() for o in ms
+                    ), "rule 5: it is still out"
         self.out[effect.number] = (effect, list(effect.members))
         if not self.slow:
             self.queue.append(ev.Begun(effect.number))
 
     def on_notify(self, effect):
         row = self.rows[effect.id][0]
-        assert not effect.denied or effect.id not in self.ran or row.effect is not it.Effect.AT_MOST_ONCE, "rule 2"
+        assert (
+            not effect.denied
+            or effect.id not in self.ran
+            or row.effect is not it.Effect.AT_MOST_ONCE
+        ), "rule 2"
         self.notices[effect.id] = effect
         self.counted.setdefault(effect.id, "throttled" if effect.denied else "faulted")
 
@@ -371,7 +474,11 @@
 
     def __init__(self, sockets=50):
         self.clock = Ticks()
-        self.scheduler, self.budget, self.events = Scheduler(Kernel(self.clock)), Budget(sockets), []
+        self.scheduler, self.budget, self.events = (
+            Scheduler(Kernel(self.clock)),
+            Budget(sockets),
+            [],
+        )
 
     def post(self, event):
         self.events.append(event)
@@ -405,6 +512,7 @@
             stream.connect = lambda *_: None
             made.append(theirs)
             return stream
+
         monkeypatch.setattr("molehill.runtime.stream.opened", opened)
         return made, refusals
 
@@ -423,12 +531,30 @@
 
 
 def net_given(**given):
-    settings_given = dict(grades=[{"name": "notice", "semantics": "deduplicated", "dedupScope": "all",
-                                   "dedupWindowMs": 9000, "deadlineMs": 15000, "serialByKey": True},
-                                   {"name": "plain", "semantics": "at_most_once", "deadlineMs": 4000}],
-                          allowed={"connIdleMs": 10000, "connectTimeoutMs": 1500, "maxAttempts": 6}, azs=["a"], machineTypes=["m"],
-                          telemetry={"fields": ["x0", "x1"], "how": "piggyback"})
-    return {"listen": "127.0.0.1:81", "discovery": "127.0.0.1:82", "state": "/x", "settings": settings_given, **given}
+    settings_given = dict(
+        grades=[
+            {
+                "name": "notice",
+                "semantics": "deduplicated",
+                "dedupScope": "all",
+                "dedupWindowMs": 9000,
+                "deadlineMs": 15000,
+                "serialByKey": True,
+            },
+            {"name": "plain", "semantics": "at_most_once", "deadlineMs": 4000},
+        ],
+        allowed={"connIdleMs": 10000, "connectTimeoutMs": 1500, "maxAttempts": 6},
+        azs=["a"],
+        machineTypes=["m"],
+        telemetry={"fields": ["x0", "x1"], "how": "piggyback"},
+    )
+    return {
+        "listen": "127.0.0.1:81",
+        "discovery": "127.0.0.1:82",
+        "state": "/x",
+        "settings": settings_given,
+        **given,
+    }
 
 
 def net_config(**given):
--- a/tests/members.py
+++ b/tests/members.py
@@ -1,4 +1,5 @@
 """Members of one fleet on a clock moved by a heap: latencies, losses, cuts by direction, pauses, kills. Used by tests and measurements."""
+
 from collections import deque
 from heapq import heappop, heappush
 from itertools import count
@@ -7,18 +8,40 @@
 from molehill.membership.member import ALIVE, ALONE, CONNECTED, LOST, MS, SUSPECT, Member, Settings
 
 LATE = 4000 * MS
-UNREAD = 256                           # datagrams that a paused one finds when it wakes
+UNREAD = 256  # datagrams that a paused one finds when it wakes
 
 
 class Fleet:
     """`m`: name -> Member of those that run; `cuts`: (from, to) through which nothing comes."""
 
-    def __init__(self, size: int, seed: int = 1, settings=None, loss: float = 0.0, latency=(1 * MS, 3 * MS), seeds: int = 3):
-        self.late = 0.0                # share of datagrams that come twice, the second time up to LATE behind the first
-        self.set, self.chance, self.loss, self.latency = settings or Settings(), Random(f"fleet {seed}"), loss, latency
+    def __init__(
+        self,
+        size: int,
+        seed: int = 1,
+        settings=None,
+        loss: float = 0.0,
+        latency=(1 * MS, 3 * MS),
+        seeds: int = 3,
+    ):
+        # share of datagrams that come twice, the second time up to LATE behind the first
+        self.late = 0.0
+        self.set, self.chance, self.loss, self.latency = (
+            settings or Settings(),
+            Random(f"fleet {seed}"),
+            loss,
+            latency,
+        )
         self.now, self.heap, self.serial, self.cuts = 1_000 * MS, [], count(), set()
         self.names = [f"r{n}" for n in range(size)]
-        self.m, self.asleep, self.unread, self.numbers, self.bytes, self.sent, self.news = {}, {}, {}, {}, {}, 0, []
+        self.m, self.asleep, self.unread, self.numbers, self.bytes, self.sent, self.news = (
+            {},
+            {},
+            {},
+            {},
+            {},
+            0,
+            [],
+        )
         self.n_seeds = seeds
         for name in self.names:
             self.start(name)
@@ -28,8 +51,18 @@
 
     def start(self, name, number=None):
         self.numbers[name] = number or self.numbers.get(name, 0) + 1
-        seeds = {other: self.address(other) for other in self.names[:self.n_seeds + 1] if other != name}
-        self.m[name] = Member(self.set, name, self.address(name), self.numbers[name], seeds, Random(f"{name} {self.chance.random()}"), self.now)
+        seeds = {
+            other: self.address(other) for other in self.names[: self.n_seeds + 1] if other != name
+        }
+        self.m[name] = Member(
+            self.set,
+            name,
+            self.address(name),
+            self.numbers[name],
+            seeds,
+            Random(f"{name} {self.chance.random()}"),
+            self.now,
+        )
         self.wake(name, self.chance.randrange(self.set.round))
 
     def kill(self, name):
@@ -82,12 +115,28 @@
             self.sent += 1
             other = address[0]
             if (name, other) not in self.cuts and self.chance.random() >= self.loss:
-                self.at(self.now + self.chance.randrange(*self.latency), self.comes, other, message, self.address(name))
+                self.at(
+                    self.now + self.chance.randrange(*self.latency),
+                    self.comes,
+                    other,
+                    message,
+                    self.address(name),
+                )
                 if self.late and self.chance.random() < self.late:
-                    self.at(self.now + self.chance.randrange(LATE), self.comes, other, message, self.address(name))
+                    self.at(
+                        self.now + self.chance.randrange(LATE),
+                        self.comes,
+                        other,
+                        message,
+                        self.address(name),
+                    )
         syncs, member.syncs = member.syncs, []
         for other in syncs:
-            if not {(name, other), (other, name)} & self.cuts and other in self.m and other not in self.asleep:
+            if (
+                not {(name, other), (other, name)} & self.cuts
+                and other in self.m
+                and other not in self.asleep
+            ):
                 there = self.m[other]
                 there.turn(self.now)
                 there.learn_all(member.everything(), self.now)
@@ -112,10 +161,17 @@
         return {peer.who.name: peer.state for peer in self.m[name].peers.values()}
 
     def states_of(self, name, among=None):
-        return {self.m[other].peers[name].state if name in self.m[other].peers else None for other in among or self.m if other != name}
+        return {
+            self.m[other].peers[name].state if name in self.m[other].peers else None
+            for other in among or self.m
+            if other != name
+        }
 
     def all_alive(self):
-        return all(set(self.view(name).values()) <= {ALIVE} and len(self.view(name)) == len(self.m) - 1 for name in self.m)
+        return all(
+            set(self.view(name).values()) <= {ALIVE} and len(self.view(name)) == len(self.m) - 1
+            for name in self.m
+        )
 
     def cut(self, left, right, both=True):
         ways = {(a, b) for a in left for b in right if a != b}
@@ -133,7 +189,11 @@
 def unsound(fleet, best) -> str:
     """What no state may show; `best`: the newest incarnation that each viewer has believed so far, kept by the caller."""
     for viewer, member in fleet.m.items():
-        if member.standing == CONNECTED and member.seeds and (member.answered is None or member.looked - member.answered > fleet.set.alone_after):
+        if (
+            member.standing == CONNECTED
+            and member.seeds
+            and (member.answered is None or member.looked - member.answered > fleet.set.alone_after)
+        ):
             return f"{viewer} says connected, and nobody answered it"
         for peer in member.peers.values():
             place = viewer, member.me.process(), peer.who.name
@@ -141,7 +201,11 @@
                 return f"{viewer} believes an older incarnation of {peer.who.name}"
             best[place] = peer.who.order()
             known = fleet.m.get(peer.who.name)
-            if known is not None and known.me.process() == peer.who.process() and peer.who.turn > known.me.turn:
+            if (
+                known is not None
+                and known.me.process() == peer.who.process()
+                and peer.who.turn > known.me.turn
+            ):
                 return f"{viewer} believes an incarnation that {peer.who.name} never had"
     return ""
 
@@ -151,7 +215,12 @@
     for when, viewer, what, facts in fleet.news:
         if when < since or what != "member" or facts["now"] not in (SUSPECT, LOST):
             continue
-        if facts["by"] == viewer and viewer in fleet.m and fleet.m[viewer].standing == ALONE and fleet.m[viewer].since < when:
+        if (
+            facts["by"] == viewer
+            and viewer in fleet.m
+            and fleet.m[viewer].standing == ALONE
+            and fleet.m[viewer].since < when
+        ):
             return f"{viewer} is alone and accuses {facts['name']}"
         if facts["now"] == LOST and viewer not in may and facts["name"] not in may:
             return f"{viewer} lost {facts['name']}, to which nothing was done"
@@ -172,7 +241,11 @@
         elif what < 0.4 and name in fleet.m and name not in fleet.asleep and len(fleet.m) > 2:
             fleet.kill(name)
         elif what < 0.6:
-            [fleet.start(gone) for gone in fleet.names if gone not in fleet.m and gone not in fleet.asleep]
+            [
+                fleet.start(gone)
+                for gone in fleet.names
+                if gone not in fleet.m and gone not in fleet.asleep
+            ]
         elif what < 0.8:
             fleet.cut([name], chance.sample(fleet.names, 2), both=chance.random() < 0.3)
         else:
