--- a/tests/place.py
+++ b/tests/place.py
@@ -1,4 +1,5 @@
 """One whole relay on loopback sockets and a clock moved by hand, with the other parties' ends of its connections."""
+
 import os
 import socket
 from dataclasses import replace
@@ -10,8 +11,10 @@
 from molehill.runtime.log import Sink
 from tests.ledger import MS, Ticks, drain, net_config
 
-ASK = (b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nX-Consignee: dest=3\r\nCookie: subject=k\r\n"
-       b"Content-Length: 2\r\n\r\nab")
+ASK = (
+    b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nX-Consignee: dest=3\r\nCookie: subject=k\r\n"
+    b"Content-Length: 2\r\n\r\nab"
+)
 
 
 class Place:
@@ -31,14 +34,34 @@
 
     def config(self, **given):
         at = "127.0.0.1:%d" % self.host.getsockname()[1]
-        known = {"index": 1, "endpoints": [{"name": "h1", "address": at, "zone": "a", "type": "m", "group": 3,
-                                            "status": "active", "weight": 1.0, "since_ms": 0}]}
-        return replace(net_config(known=known, state=str(self.folder), **given), listen=("127.0.0.1", 0),
-                       discovery=self.platform.getsockname())
+        known = {
+            "index": 1,
+            "endpoints": [
+                {
+                    "name": "h1",
+                    "address": at,
+                    "zone": "a",
+                    "type": "m",
+                    "group": 3,
+                    "status": "active",
+                    "weight": 1.0,
+                    "since_ms": 0,
+                }
+            ],
+        }
+        return replace(
+            net_config(known=known, state=str(self.folder), **given),
+            listen=("127.0.0.1", 0),
+            discovery=self.platform.getsockname(),
+        )
 
     def start(self):
-        self.relay = Process(self.config(), self.machine(self.clock), Sink(),
-                             lambda old: configuration.load(os.environ, again=old))
+        self.relay = Process(
+            self.config(),
+            self.machine(self.clock),
+            Sink(),
+            lambda old: configuration.load(os.environ, again=old),
+        )
         self.relay.clients.listen()
         self.address = self.relay.clients.listener.getsockname()
         self.relay.discovery.begin()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,5 @@
 """The operators' door: what it answers, that nobody who says nothing keeps others out, and the text of the figures."""
+
 import re
 import socket
 from pathlib import Path
@@ -14,7 +15,9 @@
 class Door:
     def __init__(self):
         self.net, self.ready, self.figures, self.open = Net(), True, Figures(["c"]), []
-        self.admin = Admin(self.net.scheduler, ("127.0.0.1", 0), lambda: self.ready, self.figures.text)
+        self.admin = Admin(
+            self.net.scheduler, ("127.0.0.1", 0), lambda: self.ready, self.figures.text
+        )
         self.address = self.admin.listener.getsockname()
 
     def call(self, data=b""):
@@ -38,19 +41,33 @@
     made.close()
 
 
-@pytest.mark.parametrize("ready,ask,status,body", [
-    (True, b"GET /ready HTTP/1.1\r\n\r\n", 200, b"ready"), (False, b"GET /ready HTTP/1.1\r\n\r\n", 503, b"not ready"),
-    (False, b"GET /metrics?x HTTP/1.1\r\n\r\n", 200, b"router.fulfilled.c:0|c\nrouter.throttled.c:0|c\nrouter.faulted.c:0|c\n"
-     b"router.relayed:0|c\nrouter.cfg_accepted:0|c\nrouter.cfg_invalid:0|c\nrouter.open_requests:0|g\n"
-     b"router.registry_entries:0|g\nrouter.out_of_rotation:0|g\n"),
-    (True, b"GET /api HTTP/1.1\r\n\r\n", 404, b""), (True, b"POST /ready HTTP/1.1\r\n\r\n", 405, b""),
-    (True, b"nonsense\r\n\r\n", 400, b""), (True, b"GET /ready HTTP/1.1\r\nX: " + b"x" * 20_000, 400, b"")])
+@pytest.mark.parametrize(
+    "ready,ask,status,body",
+    [
+        (True, b"GET /ready HTTP/1.1\r\n\r\n", 200, b"ready"),
+        (False, b"GET /ready HTTP/1.1\r\n\r\n", 503, b"not ready"),
+        (
+            False,
+            b"GET /metrics?x HTTP/1.1\r\n\r\n",
+            200,
+            b"router.fulfilled.c:0|c\nrouter.throttled.c:0|c\nrouter.faulted.c:0|c\n"
+            b"router.relayed:0|c\nrouter.cfg_accepted:0|c\nrouter.cfg_invalid:0|c\nrouter.open_requests:0|g\n"
+            b"router.registry_entries:0|g\nrouter.out_of_rotation:0|g\n",
+        ),
+        (True, b"GET /api HTTP/1.1\r\n\r\n", 404, b""),
+        (True, b"POST /ready HTTP/1.1\r\n\r\n", 405, b""),
+        (True, b"nonsense\r\n\r\n", 400, b""),
+        (True, b"GET /ready HTTP/1.1\r\nX: " + b"x" * 20_000, 400, b""),
+    ],
+)
 def test_one_call_is_answered_and_its_connection_closed(door, ready, ask, status, body):
     door.ready = ready
     sock = door.call(ask)
     door.net.advance(300 * MS)
     text = drain(sock)
-    assert text.startswith(b"HTTP/1.1 %d " % status) and body in text and b"Connection: close" in text
+    assert (
+        text.startswith(b"HTTP/1.1 %d " % status) and body in text and b"Connection: close" in text
+    )
     assert drain(sock) is None and door.admin.seats.total() == 0
 
 
@@ -58,8 +75,12 @@
     silent = [door.call(b"GET /re" if n % 2 else b"") for n in range(5 * ADMIN_SEATS)]
     assert door.admin.seats.total() <= ADMIN_SEATS
     for _ in range(3):
-        assert b"200 OK" in drain(door.call(b"GET /ready HTTP/1.1\r\n\r\n")), "at once, though all seats are held"
-    assert drain(silent[0]) is None and drain(silent[-1]) == b"", "the one that had most time goes first"
+        assert b"200 OK" in drain(
+            door.call(b"GET /ready HTTP/1.1\r\n\r\n")
+        ), "at once, though all seats are held"
+    assert (
+        drain(silent[0]) is None and drain(silent[-1]) == b""
+    ), "the one that had most time goes first"
     door.net.advance(3 * SECOND)
     assert drain(silent[-1]) is None and door.admin.seats.total() == 0 and not door.admin.reading
     assert list(door.net.scheduler.waiting) == [door.admin.listener.fileno()]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,4 +1,5 @@
 """Configuration: both adapters get the same settings, and faults are told by key."""
+
 import json
 
 import pytest
@@ -8,16 +9,40 @@
 from molehill.benchlink import codec
 
 MS = 1_000_000
-GIVEN = {"name": "n0", "listen": "127.0.0.1:81", "discovery": "127.0.0.1:82", "state": "/x", "seed": "0f",
-         "limits": {"sockets": 100, "disk_mb": 2, "memory_mb": 64.5}, "known": {},
-         "settings": {
-             "allowed": {"connIdleMs": "1500.25", "maxOpen": 9, "maxAttempts": 3, "retryAfter": True},
-             "extra": {"kindApart": [False, True], "perCall": [10, 1], "maxCalls": 4, "feeByZone": ["0.5", 0]},
-             "grades": [{"name": "notice", "semantics": "deduplicated", "dedupScope": "zone", "aimMs": 10,
-                         "deadlineMs": 2000, "dedupWindowMs": 30, "serialByKey": True}],
-             "parties": [{"name": "p", "share": "0.5", "quotaPerS": None}], "azs": ["a", "b"],
-             "machineTypes": ["m1", "m2"], "discovery": "pushed",
-             "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"}}}
+GIVEN = {
+    "name": "n0",
+    "listen": "127.0.0.1:81",
+    "discovery": "127.0.0.1:82",
+    "state": "/x",
+    "seed": "0f",
+    "limits": {"sockets": 100, "disk_mb": 2, "memory_mb": 64.5},
+    "known": {},
+    "settings": {
+        "allowed": {"connIdleMs": "1500.25", "maxOpen": 9, "maxAttempts": 3, "retryAfter": True},
+        "extra": {
+            "kindApart": [False, True],
+            "perCall": [10, 1],
+            "maxCalls": 4,
+            "feeByZone": ["0.5", 0],
+        },
+        "grades": [
+            {
+                "name": "notice",
+                "semantics": "deduplicated",
+                "dedupScope": "zone",
+                "aimMs": 10,
+                "deadlineMs": 2000,
+                "dedupWindowMs": 30,
+                "serialByKey": True,
+            }
+        ],
+        "parties": [{"name": "p", "share": "0.5", "quotaPerS": None}],
+        "azs": ["a", "b"],
+        "machineTypes": ["m1", "m2"],
+        "discovery": "pushed",
+        "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"},
+    },
+}
 
 
 def changed(path, value):
@@ -33,40 +58,73 @@
     pairs = config.flat(GIVEN["settings"])
     made = config.settings(codec.pairs([f"{key}={value}" for key, value in pairs.items()]))
     assert made == config.settings(pairs)
-    assert made.connection_idle == 1500250000 and made.kinds == [it.Kind(False, 10), it.Kind(True, 1)]
-    assert made.categories[0] == it.Category(it.Effect.DEDUPLICATED, 10 * MS, 2000 * MS, 1.0, 0.0, 30 * MS, True,
-                                             False, True)
-    assert made.tenants == [it.Tenant(0.5, None)] and made.zone_fees == [0.5, 0.0] and made.max_held == 9
+    assert made.connection_idle == 1500250000 and made.kinds == [
+        it.Kind(False, 10),
+        it.Kind(True, 1),
+    ]
+    assert made.categories[0] == it.Category(
+        it.Effect.DEDUPLICATED, 10 * MS, 2000 * MS, 1.0, 0.0, 30 * MS, True, False, True
+    )
+    assert (
+        made.tenants == [it.Tenant(0.5, None)]
+        and made.zone_fees == [0.5, 0.0]
+        and made.max_held == 9
+    )
 
 
 def test_the_relay_s_own_values_and_their_defaults():
     made = config.check(GIVEN, {"ROUTER_NAME": "n7", "ROUTER_LISTEN": "127.0.0.9:99"})
     assert (made.name, made.listen, made.seed, made.state) == ("n7", ("127.0.0.9", 99), 15, "/x")
-    assert made.categories == {"notice": 0} and made.kinds == {"m1": 0, "m2": 1} and made.zones["b"] == 1
+    assert (
+        made.categories == {"notice": 0}
+        and made.kinds == {"m1": 0, "m2": 1}
+        and made.zones["b"] == 1
+    )
     assert made.period == config.PERIOD and made.connect_time_out == config.CONNECT_TIME_OUT
     assert (made.settings.slots, made.sockets, made.client_sockets) == (4, 92, 46)
     tight = config.check(changed("limits.sockets", 40), {})
     assert (tight.settings.slots, tight.sockets, tight.client_sockets) == (4, 32, 16)
     tight = config.check({**changed("settings.extra.maxCalls", 90), "limits": {"sockets": 40}}, {})
-    assert (tight.settings.slots, tight.client_sockets) == (20, 8), "no more calls than can have a connection"
-    assert made.settings.tells_limit and made.settings.list_on_request and (made.disk, made.memory) == (2 * 10**6, 64500000)
-
-
-@pytest.mark.parametrize("path,value,key", [
-    ("settings.allowed.connIdleMs", "soon", "settings.allowed.connIdleMs"),
-    ("settings.extra.perCall", [1, "x"], "settings.extra.perCall"),
-    ("settings.grades.0.semantics", "maybe", "settings.grades.0.semantics"),
-    ("settings.grades.0.deadlineMs", -5, "settings.grades.0.deadlineMs"),
-    ("settings.grades.0.deadlineMs", "2000", "settings.grades.0.deadlineMs"),
-    ("settings.allowed.maxAttempts", 0, "settings.allowed.maxAttempts"),
-    ("settings.allowed.maxAttempts", True, "settings.allowed.maxAttempts"),
-    ("settings.grades", GIVEN["settings"]["grades"] * 2, "settings.grades"),
-    *[(f"settings.grades.0.{key}", None, f"settings.grades.0.{key}") for key in ("name", "semantics", "deadlineMs", "dedupScope", "dedupWindowMs")],
-    ("settings.grades.0.dedupWindowMs", 0, "settings.grades.0.dedupWindowMs"), ("settings.grades.0.dedupScope", "town", "settings.grades.0.dedupScope"),
-    ("settings.grades", [], "settings.grades"), ("settings.azs", "a", "settings.azs"),
-    ("settings", [], "settings"), ("limits.sockets", 5, "limits.sockets"), ("limits.disk_mb", 0, "limits.disk_mb"),
-    ("limits.memory_mb", "nan", "limits.memory_mb"), ("listen", "localhost", "ROUTER_LISTEN"),
-    ("discovery", "127.0.0.1:0", "discovery"), ("seed", "xyz", "seed"), ("state", "", "ROUTER_STATE")])
+    assert (tight.settings.slots, tight.client_sockets) == (
+        20,
+        8,
+    ), "no more calls than can have a connection"
+    assert (
+        made.settings.tells_limit
+        and made.settings.list_on_request
+        and (made.disk, made.memory) == (2 * 10**6, 64500000)
+    )
+
+
+@pytest.mark.parametrize(
+    "path,value,key",
+    [
+        ("settings.allowed.connIdleMs", "soon", "settings.allowed.connIdleMs"),
+        ("settings.extra.perCall", [1, "x"], "settings.extra.perCall"),
+        ("settings.grades.0.semantics", "maybe", "settings.grades.0.semantics"),
+        ("settings.grades.0.deadlineMs", -5, "settings.grades.0.deadlineMs"),
+        ("settings.grades.0.deadlineMs", "2000", "settings.grades.0.deadlineMs"),
+        ("settings.allowed.maxAttempts", 0, "settings.allowed.maxAttempts"),
+        ("settings.allowed.maxAttempts", True, "settings.allowed.maxAttempts"),
+        ("settings.grades", GIVEN["settings"]["grades"] * 2, "settings.grades"),
+        *[
+            (f"settings.grades.0.{key}", None, f"settings.grades.0.{key}")
+            for key in ("name", "semantics", "deadlineMs", "dedupScope", "dedupWindowMs")
+        ],
+        ("settings.grades.0.dedupWindowMs", 0, "settings.grades.0.dedupWindowMs"),
+        ("settings.grades.0.dedupScope", "town", "settings.grades.0.dedupScope"),
+        ("settings.grades", [], "settings.grades"),
+        ("settings.azs", "a", "settings.azs"),
+        ("settings", [], "settings"),
+        ("limits.sockets", 5, "limits.sockets"),
+        ("limits.disk_mb", 0, "limits.disk_mb"),
+        ("limits.memory_mb", "nan", "limits.memory_mb"),
+        ("listen", "localhost", "ROUTER_LISTEN"),
+        ("discovery", "127.0.0.1:0", "discovery"),
+        ("seed", "xyz", "seed"),
+        ("state", "", "ROUTER_STATE"),
+    ],
+)
 def test_a_fault_is_told_by_its_key(path, value, key):
     with pytest.raises(config.ConfigError) as caught:
         config.check(changed(path, value), {})
@@ -78,7 +136,9 @@
 
     def again(given):
         path.write_text(json.dumps(given))
-        return config.load({"ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": "127.0.0.1:9"}, again=before)
+        return config.load(
+            {"ROUTER_CONFIG": str(path), "ROUTER_DISCOVERY": "127.0.0.1:9"}, again=before
+        )
 
     def without(at, name):
         given = json.loads(json.dumps(GIVEN))
@@ -87,16 +147,28 @@
             part = part[step]
         del part[name]
         return given
+
     row = GIVEN["settings"]["grades"][0]
-    strict = {**{k: v for k, v in row.items() if not k.startswith("dedup")}, "name": "once", "semantics": "at_most_once"}
+    strict = {
+        **{k: v for k, v in row.items() if not k.startswith("dedup")},
+        "name": "once",
+        "semantics": "at_most_once",
+    }
     made = again(changed("settings.grades", [row, strict]))
     assert made.categories == {"notice": 0, "once": 1} and made.discovery == ("127.0.0.1", 82)
-    for at, name, key in (((), "settings", "settings"), ((), "discovery", "discovery"),
-                          (("settings", "allowed"), "maxAttempts", "settings.allowed.maxAttempts"),
-                          (("settings", "grades", 0), "deadlineMs", "settings.grades.0.deadlineMs")):
+    for at, name, key in (
+        ((), "settings", "settings"),
+        ((), "discovery", "discovery"),
+        (("settings", "allowed"), "maxAttempts", "settings.allowed.maxAttempts"),
+        (("settings", "grades", 0), "deadlineMs", "settings.grades.0.deadlineMs"),
+    ):
         with pytest.raises(config.ConfigError, match=f"^{key}: missing"):
             again(without(at, name))
-    for text in ("", path.read_text()[:200], '{"settings": {"allowed": {"maxAttempts": Infinity}}}'):
+    for text in (
+        "",
+        path.read_text()[:200],
+        '{"settings": {"allowed": {"maxAttempts": Infinity}}}',
+    ):
         path.write_text(text)
         with pytest.raises(config.ConfigError, match="ROUTER_CONFIG"):
             config.load({"ROUTER_CONFIG": str(path)}, again=before)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,4 +1,5 @@
 """The reducer with its log: taking on, restarts at any moment, order, waits, and what a fault leaves."""
+
 import tempfile
 
 import pytest
@@ -28,14 +29,34 @@
 
 
 def fresh(number="a", due=1010 * SECOND, key=None, body=b"x", **given):
-    return ev.Fresh(**{**dict(id=number, category=0, tenant=0, key=key, destination=1, due=due, mark=None,
-                              body=body), **given})
+    return ev.Fresh(
+        **{
+            **dict(
+                id=number,
+                category=0,
+                tenant=0,
+                key=key,
+                destination=1,
+                due=due,
+                mark=None,
+                body=body,
+            ),
+            **given,
+        }
+    )
 
 
 def bare_core(room=100_000, **given):
     core = Core(settings(**given), 1, Relay, room)
-    effects_of(core, 1000 * SECOND, ev.Listed(it.Scope.RESTORED, [
-        ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, it.Condition.UP, 1.0)]), ev.Begin(), ev.Step())
+    effects_of(
+        core,
+        1000 * SECOND,
+        ev.Listed(
+            it.Scope.RESTORED, [ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, it.Condition.UP, 1.0)]
+        ),
+        ev.Begin(),
+        ev.Step(),
+    )
     return core
 
 
@@ -47,17 +68,24 @@
     then = effects_of(core, now, ev.Heard("a", "c"))
     assert [type(e) for e in then] == [ev.Call]
     begun = effects_of(core, now, ev.Begun(then[0].number))
-    assert [(type(e), e.record["k"]) for e in begun] == [(ev.Append, "launch")] and not effects_of(core, now, ev.Begun(then[0].number))
+    assert [(type(e), e.record["k"]) for e in begun] == [(ev.Append, "launch")] and not effects_of(
+        core, now, ev.Begun(then[0].number)
+    )
 
 
-def test_a_callback_keeps_its_category_over_new_settings_and_kills_and_the_table_stays_small(tmp_path):
+def test_a_callback_keeps_its_category_over_new_settings_and_kills_and_the_table_stays_small(
+    tmp_path,
+):
     """Danger: one that is held comes to bear another's row when classes appear, vanish or change under its name."""
     it_was, strict = category(abandon=60_000), category(abandon=61_000)
     world = wire(tmp_path, categories=[it_was])
     first = world.take()
-    for n in range(40):                               # the name means something else, then again, beside one that vanishes
+    # the name means something else, then again, beside one that vanishes
+    for n in range(40):
         rows = [strict, category("ticketed", abandon=5000 + n)]
-        world.post(ev.Retuned(settings(kinds=KINDS, list_on_request=True, categories=rows), ["0", "later"]))
+        world.post(
+            ev.Retuned(settings(kinds=KINDS, list_on_request=True, categories=rows), ["0", "later"])
+        )
         world.step()
         if n == 20:
             world.set.categories = [it_was, strict]
@@ -65,12 +93,21 @@
             world.kill()
     assert len(world.core.classes.rows) <= 5
     rows = [world.core.classes.rows[world.core.held[i].category] for i in (first, second)]
-    assert rows == [it_was, strict] and [world.core.module.held[i].row for i in (first, second)] == rows
+    assert (
+        rows == [it_was, strict]
+        and [world.core.module.held[i].row for i in (first, second)] == rows
+    )
     assert world.store.rewrite(world.core.snapshot())
-    world.set = settings(kinds=KINDS, list_on_request=True, categories=[strict])      # as the file of the next start has it
+    # as the file of the next start has it
+    world.set = settings(kinds=KINDS, list_on_request=True, categories=[strict])
     world.kill()
-    assert [world.core.classes.rows[world.core.held[i].category] for i in (first, second)] == [it_was, strict]
-    assert set(world.core.figures.ends) == {"0"}, "the one that vanished has no row in the next process"
+    assert [world.core.classes.rows[world.core.held[i].category] for i in (first, second)] == [
+        it_was,
+        strict,
+    ]
+    assert set(world.core.figures.ends) == {
+        "0"
+    }, "the one that vanished has no row in the next process"
 
 
 def test_what_new_settings_leave_no_launch_for_is_answered_at_once(tmp_path):
@@ -95,34 +132,69 @@
     effects = effects_of(core, now, ev.Arrived("c", fresh()), ev.Arrived("d", fresh()), ev.Step())
     assert [e.client for e in effects if type(e) is ev.Answer] == ["c", "d"]
     assert len([e for e in effects if type(e) is ev.Append]) == 1
-    effects = effects_of(core, now, ev.Unheard("a", "c"), ev.Heard("a", "d"), ev.Arrived("e", fresh()))
+    effects = effects_of(
+        core, now, ev.Unheard("a", "c"), ev.Heard("a", "d"), ev.Arrived("e", fresh())
+    )
     assert [type(e) for e in effects] == [ev.Call, ev.Answer]
-    effects = effects_of(core, now, ev.Ended(effects[0].number, 5, [ev.End("a", R.DELIVERED, closed=True)]),
-                         ev.Arrived("f", fresh()), ev.Step())
+    effects = effects_of(
+        core,
+        now,
+        ev.Ended(effects[0].number, 5, [ev.End("a", R.DELIVERED, closed=True)]),
+        ev.Arrived("f", fresh()),
+        ev.Step(),
+    )
     assert [e.status for e in effects if type(e) is ev.Answer] == [202] and not core.held
 
 
-OTHERS = [dict(category=1), dict(tenant=1), dict(key="k2"), dict(key=None), dict(destination=2), dict(mark="m"), dict(body=b"y"),
-          dict(body=b"")]
+OTHERS = [
+    dict(category=1),
+    dict(tenant=1),
+    dict(key="k2"),
+    dict(key=None),
+    dict(destination=2),
+    dict(mark="m"),
+    dict(body=b"y"),
+    dict(body=b""),
+]
 STAGES = ["arrived", "taken", "held", "out", "owed", "over"]
 
 
 @pytest.mark.parametrize("restart", ["", "log", "rewritten"])
 @pytest.mark.parametrize("stage", STAGES)
-def test_an_id_that_comes_with_other_contents_is_refused_and_ends_delays_or_withdraws_nothing(tmp_path, stage, restart):
+def test_an_id_that_comes_with_other_contents_is_refused_and_ends_delays_or_withdraws_nothing(
+    tmp_path, stage, restart
+):
     """Danger: told "taken on" for what is not held, a client hands in its key's next too early, and its own is lost."""
+
     def core_of(store):
-        core = Core(settings(categories=[category("exclusive", abandon=90000, ordered=True)] * 2), 1, Relay, 100_000)
+        core = Core(
+            settings(categories=[category("exclusive", abandon=90000, ordered=True)] * 2),
+            1,
+            Relay,
+            100_000,
+        )
         store.replay(core.load)
-        effects_of(core, now, ev.Listed(it.Scope.RESTORED, [
-            ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, it.Condition.UP, 1.0)]), ev.Begin())
+        effects_of(
+            core,
+            now,
+            ev.Listed(
+                it.Scope.RESTORED, [ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, it.Condition.UP, 1.0)]
+            ),
+            ev.Begin(),
+        )
         return core
+
     now, ours = 1001 * SECOND, dict(key="k", due=1080 * SECOND)
     store = Store(str(tmp_path), 100_000, Disk())
     core = core_of(store)
-    for name, events in (("arrived", [ev.Arrived("c", fresh(**ours))]), ("taken", [ev.Step()]),
-                         ("held", [ev.Heard("a", "stranger")]), ("out", [ev.Heard("a", "c")]),
-                         ("owed", [ev.Ended(1, 1, [ev.End("a", R.ERROR)]), ev.Step()]), ("over", [ev.Noticed(["a"])])):
+    for name, events in (
+        ("arrived", [ev.Arrived("c", fresh(**ours))]),
+        ("taken", [ev.Step()]),
+        ("held", [ev.Heard("a", "stranger")]),
+        ("out", [ev.Heard("a", "c")]),
+        ("owed", [ev.Ended(1, 1, [ev.End("a", R.ERROR)]), ev.Step()]),
+        ("over", [ev.Noticed(["a"])]),
+    ):
         effects = effects_of(core, now, *events)
         assert store.append([(e.record, e.body) for e in effects if type(e) is ev.Append])
         if name == stage:
@@ -135,11 +207,17 @@
     before = {number: (c.state, list(c.clients)) for number, c in core.held.items()}
     for n, other in enumerate(OTHERS):
         effects = effects_of(core, now, ev.Arrived(n, fresh(**{**ours, **other})))
-        assert [(type(e), e.client, e.status, e.why) for e in effects] == [(ev.Answer, n, 503, "id of another")]
+        assert [(type(e), e.client, e.status, e.why) for e in effects] == [
+            (ev.Answer, n, 503, "id of another")
+        ]
         effects_of(core, now, ev.Unheard("a", n), ev.Heard("a", n))
         assert {number: (c.state, list(c.clients)) for number, c in core.held.items()} == before
-    effects = effects_of(core, now, ev.Arrived("d", fresh(**{**ours, "due": 1070 * SECOND})), ev.Step())
-    assert [e.status for e in effects if type(e) is ev.Answer and e.client == "d"] == [202], "the same once more: as ever"
+    effects = effects_of(
+        core, now, ev.Arrived("d", fresh(**{**ours, "due": 1070 * SECOND})), ev.Step()
+    )
+    assert [e.status for e in effects if type(e) is ev.Answer and e.client == "d"] == [
+        202
+    ], "the same once more: as ever"
     store.close()
 
 
@@ -154,14 +232,32 @@
     assert world.store.rewrite(world.core.snapshot()) and world.store.size < world.most // 10
     for _ in range(2):
         world.kill()
-        again = world.core.reduce(world.now, ev.Arrived("c", ev.Fresh(number, 0, 0, None, 1, world.now + SECOND, None, b"body")))
-        assert [e.status for e in again] == [202] and not world.core.held and len(world.core.done) >= 20
+        again = world.core.reduce(
+            world.now,
+            ev.Arrived("c", ev.Fresh(number, 0, 0, None, 1, world.now + SECOND, None, b"body")),
+        )
+        assert (
+            [e.status for e in again] == [202]
+            and not world.core.held
+            and len(world.core.done) >= 20
+        )
 
 
 def test_what_an_older_log_tells_of_a_dropped_body_is_in_doubt_and_the_same_again():
     core = bare_core()
-    core.load({"k": "taken", "id": "a", "category": 0, "tenant": 0, "key": None, "destination": 1, "due": 1010 * SECOND,
-               "mark": None}, b"")
+    core.load(
+        {
+            "k": "taken",
+            "id": "a",
+            "category": 0,
+            "tenant": 0,
+            "key": None,
+            "destination": 1,
+            "due": 1010 * SECOND,
+            "mark": None,
+        },
+        b"",
+    )
     core.load({"k": "owed", "id": "a", "denied": False, "wait": 0}, b"")
     assert [e.status for e in effects_of(core, 1001 * SECOND, ev.Arrived("c", fresh()))] == [202]
 
@@ -186,8 +282,14 @@
         effects = effects_of(core, now, ev.Arrived("c", fresh(number, body=body)))
     assert [(e.status, e.id) for e in effects] == [(503, "c")] and len(core.held) == 2
     effects_of(core, now, ev.Step(), ev.Heard("a", "c"), ev.Heard("b", "c"))
-    effects_of(core, now, *[ev.Ended(c, 1, [ev.End(o.ids[0], R.DELIVERED, closed=True)])
-                            for c, o in core.calls.items()])
+    effects_of(
+        core,
+        now,
+        *[
+            ev.Ended(c, 1, [ev.End(o.ids[0], R.DELIVERED, closed=True)])
+            for c, o in core.calls.items()
+        ],
+    )
     assert core.used == 0 and core.open == 0
 
 
@@ -198,7 +300,9 @@
     world.end(number, R.ERROR)
     world.step()
     assert list(world.notices) == [first] and not world.out
-    assert not world.notices[first].denied, "it may have run: nothing says that a repeat is harmless"
+    assert not world.notices[
+        first
+    ].denied, "it may have run: nothing says that a repeat is harmless"
     assert world.store.rewrite(world.core.snapshot())
     world.kill()
     assert list(world.notices) == [first], "owed over a restart"
@@ -207,9 +311,17 @@
     assert [m.id for _, members in world.out.values() for m in members] == [second]
 
 
-@pytest.mark.parametrize("effect,result,again", [
-    ("exclusive", R.NO_CONNECT, True), ("exclusive", R.FULL, True), ("exclusive", R.RESET, False),
-    ("exclusive", None, False), ("ticketed", None, True), ("rerunnable", None, True)])
+@pytest.mark.parametrize(
+    "effect,result,again",
+    [
+        ("exclusive", R.NO_CONNECT, True),
+        ("exclusive", R.FULL, True),
+        ("exclusive", R.RESET, False),
+        ("exclusive", None, False),
+        ("ticketed", None, True),
+        ("rerunnable", None, True),
+    ],
+)
 def test_after_a_restart_it_is_known_whether_a_launch_may_have_run(tmp_path, effect, result, again):
     world = wire(tmp_path, categories=[category(effect, goal=19000, abandon=20000, window=9000)])
     number = world.take()
@@ -223,13 +335,15 @@
 
 @pytest.mark.parametrize("rewritten", [True, False])
 @pytest.mark.parametrize("effect", ["exclusive", "ticketed", "rerunnable"])
-def test_what_a_restart_finds_without_a_byte_at_any_host_is_still_tried(tmp_path, effect, rewritten):
+def test_what_a_restart_finds_without_a_byte_at_any_host_is_still_tried(
+    tmp_path, effect, rewritten
+):
     """Danger: logged as out while its connection came up, one that must not run twice is given up though no host has seen it."""
     world = wire(tmp_path, categories=[category(effect, goal=19000, abandon=20000, window=2000)])
     world.slow = True
     number = world.take()
     assert world.out and not world.begun
-    for lives in range(3):                 # killed again before its work is done
+    for lives in range(3):  # killed again before its work is done
         assert not rewritten or world.store.rewrite(world.core.snapshot())
         world.now += SECOND
         world.kill()
@@ -237,11 +351,15 @@
         assert world.core.held[number].launches == 1 and world.core.held[number].ran_at is None
     world.end(next(iter(world.out)), R.NO_CONNECT)
     world.kill()
-    assert world.core.held[number].launches == 1 + bool(world.out), "a connection that never came up is a launch that never ran"
+    assert world.core.held[number].launches == 1 + bool(
+        world.out
+    ), "a connection that never came up is a launch that never ran"
 
 
 @pytest.mark.parametrize("hosts", [(), HOSTS[2:]])
-def test_a_restart_without_a_host_of_its_destination_has_what_is_untried_wait_for_the_list(tmp_path, hosts):
+def test_a_restart_without_a_host_of_its_destination_has_what_is_untried_wait_for_the_list(
+    tmp_path, hosts
+):
     """Danger: discovery is down at the start, and what is owed is turned away for a destination that the file does not know yet."""
     world = wire(tmp_path, categories=[category("exclusive", abandon=20000)])
     world.slow = True
@@ -259,28 +377,47 @@
     world.hosts = {}
     world.kill()
     world.advance(16 * SECOND)
-    assert list(world.notices) == [number] and not world.core.held[number].body, "its time ends it all the same"
+    assert (
+        list(world.notices) == [number] and not world.core.held[number].body
+    ), "its time ends it all the same"
 
 
-def test_what_a_restart_finds_untried_gives_no_place_to_newcomers_and_is_not_judged_by_the_moment_of_its_return(tmp_path):
+def test_what_a_restart_finds_untried_gives_no_place_to_newcomers_and_is_not_judged_by_the_moment_of_its_return(
+    tmp_path,
+):
     """Danger: read back in one batch, a relay's backlog is over its room and its tenant's share at once, and is given up untried."""
-    world = wire(tmp_path, hosts=HOSTS[:1], max_held=32, slots=1, tenants=[it.Tenant(1.0, 2.0)], over_share_payoff=0.1,
-                 categories=[category("exclusive", abandon=60000)])
+    world = wire(
+        tmp_path,
+        hosts=HOSTS[:1],
+        max_held=32,
+        slots=1,
+        tenants=[it.Tenant(1.0, 2.0)],
+        over_share_payoff=0.1,
+        categories=[category("exclusive", abandon=60000)],
+    )
     world.slow = True
     held = []
     for _ in range(29):
         held.append(world.take())
-        world.now += SECOND                # just as many as its share allows
+        world.now += SECOND  # just as many as its share allows
     world.kill()
     assert not any(world.core.module.held[number].lane[1] for number in held)
     newcomers = [world.take() for _ in range(12)]
-    assert [world.answers[number] for number in newcomers].count(503) > 9 and not set(world.notices) & set(held)
+    assert [world.answers[number] for number in newcomers].count(503) > 9 and not set(
+        world.notices
+    ) & set(held)
     assert set(held) <= set(world.core.held) and len(world.core.module.held) <= 32
 
 
 def test_what_may_go_no_more_after_a_restart_ends_at_once_though_it_is_not_its_turn(tmp_path):
-    world = wire(tmp_path, categories=[category("rerunnable", abandon=90000, ordered=True),
-                                       category("exclusive", abandon=90000, ordered=True)], slots=1)
+    world = wire(
+        tmp_path,
+        categories=[
+            category("rerunnable", abandon=90000, ordered=True),
+            category("exclusive", abandon=90000, ordered=True),
+        ],
+        slots=1,
+    )
     world.take(0)
     second = world.take(1, destination=2, key="k")
     world.end(next(iter(world.out)), R.DELIVERED)
@@ -288,7 +425,9 @@
     assert [m.id for _, ms in world.out.values() for m in ms] == [second]
     world.take(0)
     world.kill()
-    assert world.out and list(world.notices) == [second], "its slot is another's, and it is over all the same"
+    assert world.out and list(world.notices) == [
+        second
+    ], "its slot is another's, and it is over all the same"
 
 
 def test_a_ticketed_one_is_not_repeated_after_its_window_though_the_log_was_rewritten(tmp_path):
@@ -306,23 +445,45 @@
 
 @pytest.mark.parametrize("effect", ["exclusive", "rerunnable"])
 def test_over_two_kills_a_key_still_rests(tmp_path, effect):
-    world = wire(tmp_path, categories=[category(effect, abandon=60000, ordered=True)], settle=3 * SECOND)
+    world = wire(
+        tmp_path, categories=[category(effect, abandon=60000, ordered=True)], settle=3 * SECOND
+    )
     first, second = world.take(key="k"), world.take(key="k")
     world.kill()
-    world.answer_notices()                 # the at-most-once one is over, its key rests for the launch that may run still
+    # the at-most-once one is over, its key rests for the launch that may run still
+    world.answer_notices()
     world.advance(SECOND)
     world.kill()
     world.advance(1900 * MS)
     assert not world.out
     world.advance(300 * MS)
-    assert [m.id for _, ms in world.out.values() for m in ms] == [second if effect == "exclusive" else first]
+    assert [m.id for _, ms in world.out.values() for m in ms] == [
+        second if effect == "exclusive" else first
+    ]
 
 
 def test_a_callback_that_was_over_while_its_call_was_out_leaves_its_key_a_rest():
-    core, now = bare_core(categories=[category("rerunnable", abandon=9000, ordered=True)], settle=SECOND), 1001 * SECOND
-    for record, body in (({"k": "taken", "id": "a", "category": 0, "tenant": 0, "key": "k", "destination": 1, "due": now,
-                           "mark": None}, b"x"), ({"k": "launch", "ids": ["a"], "at": now, "zone": 0, "call": 1}, b""),
-                         ({"k": "over", "ids": ["a"]}, b"")):
+    core, now = (
+        bare_core(categories=[category("rerunnable", abandon=9000, ordered=True)], settle=SECOND),
+        1001 * SECOND,
+    )
+    for record, body in (
+        (
+            {
+                "k": "taken",
+                "id": "a",
+                "category": 0,
+                "tenant": 0,
+                "key": "k",
+                "destination": 1,
+                "due": now,
+                "mark": None,
+            },
+            b"x",
+        ),
+        ({"k": "launch", "ids": ["a"], "at": now, "zone": 0, "call": 1}, b""),
+        ({"k": "over", "ids": ["a"]}, b""),
+    ):
         core.load(record, body)
     effects_of(core, now, ev.Begin())
     assert core.rests == {"k": now + SECOND} and not core.unsettled and not core.held
@@ -332,7 +493,8 @@
     world = wire(tmp_path, categories=[category("ticketed", abandon=60000, window=3000)])
     number = world.take()
     world.now += 2 * SECOND
-    world.kill()                           # its launch may have run; it goes again, inside the window
+    # its launch may have run; it goes again, inside the window
+    world.kill()
     world.advance(500 * MS)
     assert [m.id for _, ms in world.out.values() for m in ms] == [number]
     world.now += SECOND
@@ -349,13 +511,17 @@
     world.end(next(iter(world.out)), R.RESET)
     world.step()
     assert [m.id for _, ms in world.out.values() for m in ms] == [number]
-    (call, _), = world.out.values()
+    ((call, _),) = world.out.values()
     assert world.core.may_send(call.host, [number], first + 2999 * MS)
     assert world.core.may_send(call.host, [number], first + 3000 * MS) is goes
 
 
 def test_a_key_rests_over_a_restart_and_keeps_its_order(tmp_path):
-    world = wire(tmp_path, categories=[category("rerunnable", abandon=60000, ordered=True)], settle=2 * SECOND)
+    world = wire(
+        tmp_path,
+        categories=[category("rerunnable", abandon=60000, ordered=True)],
+        settle=2 * SECOND,
+    )
     numbers = [world.take(key="k") for _ in range(3)]
     world.end(next(iter(world.out)), R.RESET)
     world.kill()
@@ -381,7 +547,9 @@
 
 
 def test_what_the_relay_itself_keeps_back_uses_up_no_launch(tmp_path):
-    world = wire(tmp_path, categories=[category("rerunnable", abandon=60000)], max_launches=2, slots=1)
+    world = wire(
+        tmp_path, categories=[category("rerunnable", abandon=60000)], max_launches=2, slots=1
+    )
     number = world.take()
     for _ in range(5):
         (call,) = world.out
@@ -389,7 +557,7 @@
         world.step()
     assert world.out and not world.notices and world.core.held[number].launches == 1
     world.end(next(iter(world.out)), R.NOT_SENT, unsent=True)
-    for _ in range(2):                     # out when the process ends: that may have been a launch
+    for _ in range(2):  # out when the process ends: that may have been a launch
         world.step()
         assert world.out
         world.kill()
@@ -404,8 +572,12 @@
 
 
 @pytest.mark.parametrize("rewritten", [False, True])
-def test_a_host_that_was_away_before_a_restart_is_tried_and_fed_as_one_that_returns(tmp_path, rewritten):
-    world = wire(tmp_path, hosts=HOSTS[:1], categories=[category("rerunnable", abandon=120_000)], slots=20)
+def test_a_host_that_was_away_before_a_restart_is_tried_and_fed_as_one_that_returns(
+    tmp_path, rewritten
+):
+    world = wire(
+        tmp_path, hosts=HOSTS[:1], categories=[category("rerunnable", abandon=120_000)], slots=20
+    )
     for _ in range(12):
         world.take()
         for number in list(world.out):
@@ -420,6 +592,7 @@
         world.kill()
         for _ in range(8):
             world.take()
+
     restart()
     assert len(world.out) == 1, "one trial at a time"
     world.end(next(iter(world.out)), R.DELIVERED)
@@ -451,8 +624,11 @@
         core, now = bare_core(), 1001 * SECOND
         effects_of(core, now, ev.Arrived("c", fresh()), ev.Arrived("d", fresh("b")), ev.Step())
         call = effects_of(core, now, ev.Heard("a", "c"))[0]
-        effects_of(core, now, ev.Listed(it.Scope.UPDATE, [
-            ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, listed, 1.0)]))
+        effects_of(
+            core,
+            now,
+            ev.Listed(it.Scope.UPDATE, [ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, listed, 1.0)]),
+        )
         if wait:
             effects_of(core, now, ev.Ended(call.number, 5, [ev.End("a", R.FULL, wait)]))
         assert not core.may_send("h1", [], now)
@@ -463,22 +639,31 @@
 
 def test_a_call_of_several_ends_for_all_of_them_with_the_first_whose_time_is_up(tmp_path):
     """Danger: waited for, its answer comes too late for the one and is no delivery for the others either."""
-    world = wire(tmp_path, categories=[category("ticketed", ordered=True, abandon=20000)], slots=1, settle=100 * MS)
+    world = wire(
+        tmp_path,
+        categories=[category("ticketed", ordered=True, abandon=20000)],
+        slots=1,
+        settle=100 * MS,
+    )
     world.take(destination=2)
     first = world.take(destination=2, key="k", span=700 * MS, step=False)
     other = world.take(destination=2, key="other", step=False)
     world.end(next(iter(world.out)), R.DELIVERED)
     world.step()
-    (_, (_, members)), = world.out.items()
+    ((_, (_, members)),) = world.out.items()
     assert [m.id for m in members] == [first, other]
-    assert members[0].until < world.rows[first][2], "it is given up before its client's time is up, which began sooner"
+    assert (
+        members[0].until < world.rows[first][2]
+    ), "it is given up before its client's time is up, which began sooner"
     later = world.take(destination=2, key="k")
     world.advance(700 * MS)
     assert not world.out and list(world.notices) == [first] and not world.notices[first].denied
     world.answer_notices()
     assert list(world.core.held) == [other, later]
     world.advance(101 * MS)
-    assert {other, later} <= {m.id for _, members in world.out.values() for m in members}, "both go on once their keys have rested"
+    assert {other, later} <= {
+        m.id for _, members in world.out.values() for m in members
+    }, "both go on once their keys have rested"
 
 
 def test_callbacks_of_one_call_each_have_their_own_end(tmp_path):
@@ -488,12 +673,15 @@
         world.take(destination=2, step=False)
     world.end(next(iter(world.out)), R.DELIVERED)
     world.step()
-    (number, (call, members)), = world.out.items()
+    ((number, (call, members)),) = world.out.items()
     assert call.bundle and len(members) == 4
     for result, member in zip((R.DELIVERED, R.ERROR, R.FULL, R.NOT_SENT), list(members)):
         world.end(number, result, ids=[member.id], spent=result is R.NOT_SENT)
     world.step()
-    assert set(world.notices) == {members[1].id, members[3].id}, "may have run; has had all its launches"
+    assert set(world.notices) == {
+        members[1].id,
+        members[3].id,
+    }, "may have run; has had all its launches"
     assert not world.notices[members[1].id].denied and world.notices[members[3].id].denied
     world.advance(9 * SECOND)
     assert [m.id for _, ms in world.out.values() for m in ms] == [members[2].id]
@@ -506,7 +694,9 @@
     assert [e.status for e in effects if type(e) is ev.Answer] == [503]
     assert not any(type(e) is ev.Call for e in effects) and not core.held
     effects_of(core, now, ev.Arrived("c", fresh("b")), ev.Step())
-    assert not effects_of(core, now, ev.Heard("b", "c")), "danger: each launch that can't be logged opens a connection for nothing"
+    assert not effects_of(
+        core, now, ev.Heard("b", "c")
+    ), "danger: each launch that can't be logged opens a connection for nothing"
     (call,) = effects_of(core, now, ev.LogWorks())
     (logged,) = effects_of(core, now, ev.Begun(call.number))
     effects = effects_of(core, now, ev.Unlogged([logged.record]))
@@ -516,6 +706,7 @@
 
 def breaking(at):
     """A module that breaks once, at that step."""
+
     class Breaking(Relay):
         steps = 0
 
@@ -524,28 +715,40 @@
             if Breaking.steps == at:
                 raise ZeroDivisionError("a fault of the module")
             return super().step(now, events)
+
     return Breaking
 
 
 @pytest.mark.parametrize("at", [2, 3, 4])
 def test_a_fault_of_the_module_loses_nothing(tmp_path, monkeypatch, at):
-    monkeypatch.setattr("molehill.core.reducer.holds", lambda condition, name, **facts: bool(condition))
-    world = Wire(tmp_path, settings(kinds=KINDS, categories=[category("ticketed", abandon=20000, window=9000)]),
-                 HOSTS, breaking(at))
+    monkeypatch.setattr(
+        "molehill.core.reducer.holds", lambda condition, name, **facts: bool(condition)
+    )
+    world = Wire(
+        tmp_path,
+        settings(kinds=KINDS, categories=[category("ticketed", abandon=20000, window=9000)]),
+        HOSTS,
+        breaking(at),
+    )
     numbers = [world.take() for _ in range(3)]
     for _ in range(20):
         world.advance(SECOND)
         for number in list(world.out):
             world.end(number, R.DELIVERED)
         world.answer_notices()
-    assert [world.ended.get(number) for number in numbers] == ["fulfilled"] * 3 and not world.core.held
+    assert [world.ended.get(number) for number in numbers] == [
+        "fulfilled"
+    ] * 3 and not world.core.held
 
 
 def test_a_callback_that_the_module_forgets_is_ended_by_the_core(tmp_path, monkeypatch):
     class Forgetful(Relay):
         def _taken(self, new):
             pass
-    monkeypatch.setattr("molehill.core.reducer.holds", lambda condition, name, **facts: bool(condition))
+
+    monkeypatch.setattr(
+        "molehill.core.reducer.holds", lambda condition, name, **facts: bool(condition)
+    )
     world = Wire(tmp_path, settings(kinds=KINDS), HOSTS, Forgetful)
     number = world.take()
     world.advance(5149 * MS)
@@ -558,20 +761,40 @@
     core, now = bare_core(), 1000 * SECOND
     for number in range(30):
         now += 5 * SECOND
-        for name, condition in ((f"n{number - 1}", it.Condition.GONE), (f"n{number}", it.Condition.UP)):
+        for name, condition in (
+            (f"n{number - 1}", it.Condition.GONE),
+            (f"n{number}", it.Condition.UP),
+        ):
             core.waits[name], core.away[name] = now + 1, now + SECOND
-            core.reduce(now, ev.Listed(it.Scope.UPDATE, [ev.Host(name, ("127.0.0.1", 1), 0, 0, 2, condition, 1.0)]))
+            core.reduce(
+                now,
+                ev.Listed(
+                    it.Scope.UPDATE, [ev.Host(name, ("127.0.0.1", 1), 0, 0, 2, condition, 1.0)]
+                ),
+            )
         core.away["never listed"] = None
-    assert len(core.hosts) <= 16 and len(core.left) <= 16 and len(core.away) <= 3 and len(core.waits) <= 3
+    assert (
+        len(core.hosts) <= 16
+        and len(core.left) <= 16
+        and len(core.away) <= 3
+        and len(core.waits) <= 3
+    )
     assert "h1" in core.hosts
-    effects_of(core, now, ev.Arrived("c", fresh(due=now + 900 * SECOND)), ev.Step(), ev.Heard("a", "c"))
+    effects_of(
+        core, now, ev.Arrived("c", fresh(due=now + 900 * SECOND)), ev.Step(), ev.Heard("a", "c")
+    )
     gone = ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, it.Condition.GONE, 1.0)
     for later in (0, 100 * SECOND):
         core.reduce(now + later, ev.Listed(it.Scope.UPDATE, [gone]))
     assert "h1" in core.hosts
     (number,) = core.calls
-    effects_of(core, now + 101 * SECOND, ev.Ended(number, 1, [ev.End("a", R.DELIVERED, closed=True)]),
-               ev.Listed(it.Scope.UPDATE, []), ev.Step())
+    effects_of(
+        core,
+        now + 101 * SECOND,
+        ev.Ended(number, 1, [ev.End("a", R.DELIVERED, closed=True)]),
+        ev.Listed(it.Scope.UPDATE, []),
+        ev.Step(),
+    )
     core.reduce(now + 162 * SECOND, ev.Listed(it.Scope.UPDATE, []))
     assert "h1" not in core.hosts and "never listed" not in core.away
 
@@ -587,9 +810,20 @@
 
 def test_an_id_that_was_withdrawn_and_comes_again_is_not_ended_at_its_first_time():
     core, now = bare_core(), 1001 * SECOND
-    effects_of(core, now, ev.Arrived("c", fresh(due=now + SECOND)), ev.Step(), ev.Unheard("a", "c"), ev.Step())
-    effects_of(core, now, ev.Arrived("d", fresh(due=now + 9 * SECOND)), ev.Step(), ev.Heard("a", "d"))
-    effects = effects_of(core, now + 1200 * MS, ev.Step()) + effects_of(core, now + 1400 * MS, ev.Step())
+    effects_of(
+        core,
+        now,
+        ev.Arrived("c", fresh(due=now + SECOND)),
+        ev.Step(),
+        ev.Unheard("a", "c"),
+        ev.Step(),
+    )
+    effects_of(
+        core, now, ev.Arrived("d", fresh(due=now + 9 * SECOND)), ev.Step(), ev.Heard("a", "d")
+    )
+    effects = effects_of(core, now + 1200 * MS, ev.Step()) + effects_of(
+        core, now + 1400 * MS, ev.Step()
+    )
     assert core.held["a"].state == "held" and not [e for e in effects if type(e) is ev.Notify]
 
 
@@ -599,7 +833,9 @@
     call = effects_of(core, now, ev.Heard("a", "c"))[0]
     late = 1010 * SECOND + 160 * MS
     assert not [e for e in effects_of(core, late, ev.Step()) if type(e) is ev.Notify]
-    effects = effects_of(core, late, ev.Ended(call.number, 9 * SECOND, [ev.End("a", R.TIMEOUT)]), ev.Step())
+    effects = effects_of(
+        core, late, ev.Ended(call.number, 9 * SECOND, [ev.End("a", R.TIMEOUT)]), ev.Step()
+    )
     assert [(e.id, e.denied) for e in effects if type(e) is ev.Notify] == [("a", False)]
 
 
@@ -625,25 +861,51 @@
 class Lives(RuleBasedStateMachine):
     """Random days over many restarts: the wire checks the rules at every effect."""
 
-    @initialize(slots=st.integers(1, 6), held=st.sampled_from([None, 5]), most=st.sampled_from([60_000, 400_000]))
+    @initialize(
+        slots=st.integers(1, 6),
+        held=st.sampled_from([None, 5]),
+        most=st.sampled_from([60_000, 400_000]),
+    )
     def begin(self, slots, held, most):
         self.folder = tempfile.TemporaryDirectory()
-        given = settings(categories=[category("rerunnable", ordered=True), category("ticketed", ordered=True),
-                                     category("exclusive", abandon=8000)],
-                         kinds=KINDS, slots=slots, max_held=held, connection_idle=SECOND)
+        given = settings(
+            categories=[
+                category("rerunnable", ordered=True),
+                category("ticketed", ordered=True),
+                category("exclusive", abandon=8000),
+            ],
+            kinds=KINDS,
+            slots=slots,
+            max_held=held,
+            connection_idle=SECOND,
+        )
         self.world = Wire(self.folder.name, given, HOSTS, most=most)
 
-    @rule(cat=st.integers(0, 2), dest=st.integers(1, 3), key=st.sampled_from([None, "a", "b"]),
-          gone=st.sampled_from([False, False, False, True]), size=st.sampled_from([0, 20, 9000]), step=st.booleans())
+    @rule(
+        cat=st.integers(0, 2),
+        dest=st.integers(1, 3),
+        key=st.sampled_from([None, "a", "b"]),
+        gone=st.sampled_from([False, False, False, True]),
+        size=st.sampled_from([0, 20, 9000]),
+        step=st.booleans(),
+    )
     def take(self, cat, dest, key, gone, size, step):
         self.world.take(cat, dest, key, gone=gone, body=b"b" * size, step=step)
 
     @precondition(lambda self: self.world.out)
-    @rule(pick=st.integers(0, 9), result=st.sampled_from([R.DELIVERED] * 3 + [
-        R.ERROR, R.FULL, R.NO_CONNECT, R.RESET, R.NOT_SENT]), wait=st.sampled_from([0, 0, 700]), spent=st.booleans())
+    @rule(
+        pick=st.integers(0, 9),
+        result=st.sampled_from(
+            [R.DELIVERED] * 3 + [R.ERROR, R.FULL, R.NO_CONNECT, R.RESET, R.NOT_SENT]
+        ),
+        wait=st.sampled_from([0, 0, 700]),
+        spent=st.booleans(),
+    )
     def answer(self, pick, result, wait, spent):
         number = sorted(self.world.out)[pick % len(self.world.out)]
-        self.world.end(number, result, wait * MS * (result is R.FULL), spent=spent and result is R.NOT_SENT)
+        self.world.end(
+            number, result, wait * MS * (result is R.FULL), spent=spent and result is R.NOT_SENT
+        )
 
     @rule(span=st.sampled_from([1, 30, 400, 2500]))
     def wait(self, span):
@@ -673,8 +935,9 @@
     @rule(host=st.sampled_from(["h1", "h2", "h3"]), condition=st.sampled_from(list(it.Condition)))
     def relist(self, host, condition):
         entry = self.world.hosts[host]
-        self.world.hosts[host] = ev.Host(host, entry.address, entry.zone, entry.kind, entry.destination,
-                                         condition, 1.0)
+        self.world.hosts[host] = ev.Host(
+            host, entry.address, entry.zone, entry.kind, entry.destination, condition, 1.0
+        )
         self.world.post(ev.Listed(it.Scope.UPDATE, [self.world.hosts[host]]))
 
     def teardown(self):
@@ -685,13 +948,21 @@
         for _ in range(24):
             world.advance(SECOND)
             world.answer_notices()
-        assert not set(world.owed) - set(world.ended), "rule 1: taken on, and neither delivered nor ended"
+        assert not set(world.owed) - set(
+            world.ended
+        ), "rule 1: taken on, and neither delivered nor ended"
         assert not world.core.held and not world.core.module.held and not world.core.owed_keys
-        assert world.core.used == 0 and world.core.open == 0 and not world.core.calls and not world.core.parked
+        assert (
+            world.core.used == 0
+            and world.core.open == 0
+            and not world.core.calls
+            and not world.core.parked
+        )
         world.store.close()
         self.folder.cleanup()
 
 
-Lives.TestCase.settings = profile(derandomize=True, deadline=None, max_examples=120, stateful_step_count=40,
-                                  database=None)
+Lives.TestCase.settings = profile(
+    derandomize=True, deadline=None, max_examples=120, stateful_step_count=40, database=None
+)
 TestLives = Lives.TestCase
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,4 +1,5 @@
 """Two sides that meet at a chosen instant, on loopback sockets: each is brought there by construction, none by waiting."""
+
 import json
 import socket
 import struct
@@ -14,7 +15,7 @@
 from tests.ledger import MS, SECOND, drain
 from tests.place import ASK
 
-PLAIN = ASK.replace(b"notice", b"plain")       # at most once, where a notice is deduplicated
+PLAIN = ASK.replace(b"notice", b"plain")  # at most once, where a notice is deduplicated
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -46,6 +47,7 @@
             done.append(1)
             act(self)
         return result
+
     monkeypatch.setattr(cls, name, crossed)
     return done
 
@@ -54,9 +56,15 @@
     """SIGKILL and a new start: all that the old process had open is closed, and nothing of it runs on."""
     old = place.relay
     old.store.close()
-    streams = [line.stream for line in (old.discovery.line, old.notices.line) if line.stream is not None]
-    streams += [conn.stream for conn in old.clients.conns] + [s for idle in old.hosts.idle.values() for s in idle]
-    for sock in [stream.sock for stream in (*streams, *old.hosts.streams.values())] + [old.clients.listener]:
+    streams = [
+        line.stream for line in (old.discovery.line, old.notices.line) if line.stream is not None
+    ]
+    streams += [conn.stream for conn in old.clients.conns] + [
+        s for idle in old.hosts.idle.values() for s in idle
+    ]
+    for sock in [stream.sock for stream in (*streams, *old.hosts.streams.values())] + [
+        old.clients.listener
+    ]:
         sock.close() if sock is not None else None
     place.start()
 
@@ -82,12 +90,18 @@
 
 @pytest.mark.parametrize("more", [ASK % b"id2", b"\r\n", b"half a li", b"x" * 100_000])
 @pytest.mark.parametrize("read", [True, False])
-def test_a_202_that_ends_its_connection_is_not_lost_to_what_lies_unread_behind_its_request(place, more, read):
+def test_a_202_that_ends_its_connection_is_not_lost_to_what_lies_unread_behind_its_request(
+    place, more, read
+):
     """Danger: the close is a reset, which takes the 202 with it; or what came behind is read, answered by nobody, and sent on."""
     client = place.client()
-    ask = (ASK % b"id1").replace(b"Host", b"Connection: close\r\nHost").replace(b"Req-Id", b"Connection: close\r\nReq-Id")
+    ask = (
+        (ASK % b"id1")
+        .replace(b"Host", b"Connection: close\r\nHost")
+        .replace(b"Req-Id", b"Connection: close\r\nReq-Id")
+    )
     client.send(ask + more if read else ask)
-    place.relay.engine.freeze()            # it is read; its answer comes when the rest lies there
+    place.relay.engine.freeze()  # it is read; its answer comes when the rest lies there
     place.turn()
     if not read:
         client.send(more)
@@ -105,27 +119,47 @@
     client = place.client()
     client.send((ASK % b"id1").replace(b"Req-Id", b"Connection: close\r\nReq-Id"))
     place.hear(client, b"HTTP/1.1 202")
-    assert drain(client) is None and place.relay.clients.conns, "its side of the connection has ended, and the other not yet"
+    assert (
+        drain(client) is None and place.relay.clients.conns
+    ), "its side of the connection has ended, and the other not yet"
     client.send(ASK % b"id2")
     place.advance(250 * MS)
-    assert list(place.relay.core.held) == ["id1"] and not place.relay.clients.conns and place.relay.budget.used["client"] == 0
+    assert (
+        list(place.relay.core.held) == ["id1"]
+        and not place.relay.clients.conns
+        and place.relay.budget.used["client"] == 0
+    )
 
 
 @pytest.mark.parametrize("how", ["room", "end"])
-def test_a_request_that_crosses_the_close_of_a_resting_connection_is_never_half_taken(place, monkeypatch, how):
+def test_a_request_that_crosses_the_close_of_a_resting_connection_is_never_half_taken(
+    place, monkeypatch, how
+):
     """It was not read, so its client sends it once more; read and not answered, it would be lost."""
     client = place.client()
     client.send(b"GET /health/live HTTP/1.1\r\n\r\n")
     place.hear(client, b"200 OK")
     place.clock.now += 3 * SECOND
-    crossed = once(monkeypatch, HttpStream, "quiet", lambda stream: client.send(ASK % b"id1"), lambda stream: stream.kind == "client")
+    crossed = once(
+        monkeypatch,
+        HttpStream,
+        "quiet",
+        lambda stream: client.send(ASK % b"id1"),
+        lambda stream: stream.kind == "client",
+    )
     if how == "room":
         assert place.relay.clients.close_idlest(ROOM)
     else:
         place.relay.clients.close_idle()
     place.turn()
     text, ended = end_of(client)
-    assert crossed and not text and ended == "reset" and not place.relay.core.held and not place.relay.clients.conns
+    assert (
+        crossed
+        and not text
+        and ended == "reset"
+        and not place.relay.core.held
+        and not place.relay.clients.conns
+    )
     again = place.client()
     again.send(ASK % b"id1")
     place.hear(again, b"HTTP/1.1 202")
@@ -133,21 +167,27 @@
 
 
 @pytest.mark.parametrize("lies", ["whole", "all but a byte"])
-def test_a_request_in_the_socket_as_the_last_answers_are_cut_is_taken_whole_or_not_at_all(place, lies):
+def test_a_request_in_the_socket_as_the_last_answers_are_cut_is_taken_whole_or_not_at_all(
+    place, lies
+):
     client = place.client()
     client.send(b"GET /health/live HTTP/1.1\r\n\r\n")
     place.hear(client, b"200 OK")
     place.relay.shutdown.begin()
     place.advance(3295 * MS)
-    place.relay.clients.close_idle = lambda: None          # it comes too late for that look
+    place.relay.clients.close_idle = lambda: None  # it comes too late for that look
     place.advance(10 * MS)
     place.clock.now = place.relay.shutdown.told + 3499 * MS
-    client.send((ASK % b"id1")[:None if lies == "whole" else -1])
-    place.clock.now += 2 * MS                              # both in one turn: the bytes, and the time of the cut
+    client.send((ASK % b"id1")[: None if lies == "whole" else -1])
+    # both in one turn: the bytes, and the time of the cut
+    place.clock.now += 2 * MS
     place.advance(100 * MS)
     text, how = end_of(client)
     assert place.relay.scheduler.stopped
-    assert (list(place.relay.core.held), text.startswith(b"HTTP/1.1 202")) in ((["id1"], True), ([], False))
+    assert (list(place.relay.core.held), text.startswith(b"HTTP/1.1 202")) in (
+        (["id1"], True),
+        ([], False),
+    )
     assert lies == "whole" or not text
 
 
@@ -167,7 +207,9 @@
 
 
 @pytest.mark.parametrize("span,left", [(b"900", "owed"), (b"9000", None)])
-def test_a_202_that_is_written_in_part_when_its_client_takes_no_more_is_no_word_of_its_being_taken_on(place, span, left):
+def test_a_202_that_is_written_in_part_when_its_client_takes_no_more_is_no_word_of_its_being_taken_on(
+    place, span, left
+):
     """Danger: half a 202 at the end of the callback's time, taken for heard, leaves it to nobody."""
     client = place.client()
     client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
@@ -178,7 +220,8 @@
     place.relay.engine.freeze()
     place.turn()
     try:
-        while True:                                        # what stands before it in both buffers is never read
+        # what stands before it in both buffers is never read
+        while True:
             conn.stream.sock.send(b"x" * 4096)
     except BlockingIOError:
         pass
@@ -187,7 +230,9 @@
     assert place.relay.core.held["id1"].state == "taken"
     place.advance(1100 * MS)
     assert not place.relay.hosts.out and not place.relay.clients.conns
-    assert [c.state for c in place.relay.core.held.values()] == [left] * bool(left), "ended at its time, or the client's again"
+    assert [c.state for c in place.relay.core.held.values()] == [left] * bool(
+        left
+    ), "ended at its time, or the client's again"
 
 
 # Hosts
@@ -202,7 +247,9 @@
 
 @pytest.mark.parametrize("close,proven", [(reset, True), (socket.socket.close, False)])
 @pytest.mark.parametrize("ask", [ASK, PLAIN])
-def test_an_idle_host_connection_that_the_host_closes_as_a_call_is_written(place, monkeypatch, ask, close, proven):
+def test_an_idle_host_connection_that_the_host_closes_as_a_call_is_written(
+    place, monkeypatch, ask, close, proven
+):
     """Refused by the system before the last byte went, the call never ran and goes at once on a new connection. Taken by it, nothing
     proves that the host did not run it: what may be repeated is, what must not ends by a notice."""
     held_out(place, ask, b"id0")
@@ -215,22 +262,33 @@
     def closes(stream):
         close(host)
         place.open.remove(host)
+
     crossed = once(monkeypatch, HttpStream, "quiet", closes, lambda stream: stream.kind == "host")
     held_out(place, ask)
     if proven or ask is ASK:
         again = place.accept(place.host)
         assert crossed and b"Req-Id: id1" in place.hear(again, b"\r\n\r\nab")
-        assert place.relay.core.held["id1"].launches == 2 - proven and (place.relay.core.held["id1"].ran_at is None) == proven
+        assert (
+            place.relay.core.held["id1"].launches == 2 - proven
+            and (place.relay.core.held["id1"].ran_at is None) == proven
+        )
     else:
         place.advance(500 * MS)
-        assert crossed and place.relay.core.held["id1"].state == "owed" and not place.relay.core.held["id1"].denied
+        assert (
+            crossed
+            and place.relay.core.held["id1"].state == "owed"
+            and not place.relay.core.held["id1"].denied
+        )
         assert list(place.relay.notices.waiting) == ["id1"]
 
 
 @pytest.mark.parametrize("meanwhile", ["time up", "draining", "removed", "told to wait"])
-def test_a_connection_that_comes_up_after_its_call_may_go_no_more_carries_not_a_byte(place, monkeypatch, meanwhile):
+def test_a_connection_that_comes_up_after_its_call_may_go_no_more_carries_not_a_byte(
+    place, monkeypatch, meanwhile
+):
     """Danger: rules 1, 3 and 6 at the first byte, however long the connection took."""
     from molehill import interface as it
+
     core = place.relay.core
 
     def happens(stream):
@@ -239,8 +297,13 @@
         elif meanwhile == "told to wait":
             core.waits[core._route(core.hosts["h1"])] = place.clock.now + 3 * SECOND
         else:
-            hosts = [] if meanwhile == "removed" else [ev.Host("h1", core.hosts["h1"].address, 0, 0, 3, it.Condition.DRAINING, 1.0)]
+            hosts = (
+                []
+                if meanwhile == "removed"
+                else [ev.Host("h1", core.hosts["h1"].address, 0, 0, 3, it.Condition.DRAINING, 1.0)]
+            )
             place.relay.engine.post(ev.Listed(it.Scope.WHOLE, hosts))
+
     up = once(monkeypatch, Stream, "connect", happens, lambda stream: stream.kind == "host")
     held_out(place, PLAIN)
     host = place.accept(place.host)
@@ -251,10 +314,18 @@
     assert (callback.state == "owed") == (meanwhile == "time up")
 
 
-def test_a_kill_while_the_connection_comes_up_leaves_the_callback_untried_and_it_is_tried(place, monkeypatch):
+def test_a_kill_while_the_connection_comes_up_leaves_the_callback_untried_and_it_is_tried(
+    place, monkeypatch
+):
     """Danger: the log has it as out, and one that must not run twice is given up though no host has seen a byte of it."""
     hung = []
-    once(monkeypatch, Stream, "connect", lambda stream: (hung.append(stream), stream.scheduler.wait()), lambda stream: stream.kind == "host")
+    once(
+        monkeypatch,
+        Stream,
+        "connect",
+        lambda stream: (hung.append(stream), stream.scheduler.wait()),
+        lambda stream: stream.kind == "host",
+    )
     held_out(place, PLAIN)
     place.advance(20 * MS)
     assert hung and place.relay.core.calls
@@ -262,19 +333,32 @@
     place.turn, turn = lambda rounds=0: None, place.turn
     kill(place)
     place.turn = turn
-    kill(place)                                            # and once more, before a turn of the one that took it up
+    # and once more, before a turn of the one that took it up
+    kill(place)
     _, text = comes(place, place.host, b"\r\n\r\nab")
-    assert not drain(silent) and b"Req-Id: id1" in text and place.relay.core.held["id1"].launches == 1
+    assert (
+        not drain(silent) and b"Req-Id: id1" in text and place.relay.core.held["id1"].launches == 1
+    )
 
 
 def test_a_kill_right_after_the_first_byte_leaves_it_as_one_that_may_have_run(place, monkeypatch):
-    once(monkeypatch, HttpStream, "send", lambda stream: stream.scheduler.wait(), lambda stream: stream.kind == "host")
+    once(
+        monkeypatch,
+        HttpStream,
+        "send",
+        lambda stream: stream.scheduler.wait(),
+        lambda stream: stream.kind == "host",
+    )
     held_out(place, PLAIN)
     host = place.accept(place.host)
     place.hear(host, b"\r\n\r\nab")
     kill(place)
     place.advance(200 * MS)
-    assert place.relay.core.held["id1"].state == "owed" and not place.relay.core.held["id1"].denied and not place.relay.hosts.out
+    assert (
+        place.relay.core.held["id1"].state == "owed"
+        and not place.relay.core.held["id1"].denied
+        and not place.relay.hosts.out
+    )
 
 
 # Discovery and notices
@@ -284,8 +368,12 @@
     return place.hear(sock, b"\r\n\r\n").split(b" HTTP")[0]
 
 
-@pytest.mark.parametrize("begun", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"index\": 5,"])
-def test_a_sighup_that_moves_discovery_under_a_silent_watch_has_the_new_one_asked_at_once(place, begun):
+@pytest.mark.parametrize(
+    "begun", [b"", b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"index": 5,']
+)
+def test_a_sighup_that_moves_discovery_under_a_silent_watch_has_the_new_one_asked_at_once(
+    place, begun
+):
     """Danger: waited out, or what still comes of the old one taken for the new one's list."""
     old = place.accept(place.platform)
     asks(place, old)
@@ -293,16 +381,20 @@
     place.advance(8 * SECOND, step=50 * MS)
     moved = place.listener()
     place.relay.config.discovery = moved.getsockname()
-    old.send(b"x" * (99 - 12)) if begun else None          # lies there in the very turn of the move
+    old.send(b"x" * (99 - 12)) if begun else None  # lies there in the very turn of the move
     place.relay.discovery.move()
     new = place.accept(moved)
     assert asks(place, new) == b"GET /registry/instances" and place.relay.discovery.version is None
-    assert place.clock.now - place.relay.scheduler.clock() == 0 and list(place.relay.core.hosts) == ["h1"]
+    assert place.clock.now - place.relay.scheduler.clock() == 0 and list(
+        place.relay.core.hosts
+    ) == ["h1"]
     place.advance(4900 * MS, step=50 * MS)
     with pytest.raises(BlockingIOError):
         moved.accept()
     place.advance(200 * MS)
-    assert asks(place, place.accept(moved)) == b"GET /registry/instances", "silent too, it is asked anew within 6 s"
+    assert (
+        asks(place, place.accept(moved)) == b"GET /registry/instances"
+    ), "silent too, it is asked anew within 6 s"
 
 
 def test_a_watch_that_is_silent_as_the_relay_ends_holds_nothing_up(place):
@@ -313,7 +405,9 @@
     assert place.relay.scheduler.stopped
 
 
-def test_a_notice_without_an_answer_at_the_end_is_the_next_process_s_and_so_on_until_it_has_one(place):
+def test_a_notice_without_an_answer_at_the_end_is_the_next_process_s_and_so_on_until_it_has_one(
+    place,
+):
     held_out(place, (PLAIN).replace(b"Req-Id", b"Req-Deadline-Ms: 300\r\nReq-Id"))
     place.hear(place.accept(place.host), b"\r\n\r\nab")
     place.advance(400 * MS)
@@ -321,23 +415,28 @@
     for lives in range(3):
         sock, text = comes(place, place.platform, b"}\n")
         texts.append(text)
-        if lives < 2:                      # read, and not answered
+        if lives < 2:  # read, and not answered
             place.relay.shutdown.begin()
             place.advance(3600 * MS)
             assert place.relay.scheduler.stopped and list(place.relay.core.held) == ["id1"]
             kill(place)
     sock.send(b"HTTP/1.1 204 No Content\r\n\r\n")
     place.advance(50 * MS)
-    assert all(b'"ref":"id1","result":"dead"' in text for text in texts) and not place.relay.core.held
+    assert (
+        all(b'"ref":"id1","result":"dead"' in text for text in texts) and not place.relay.core.held
+    )
     kill(place)
     assert not place.relay.core.held
 
 
 @pytest.mark.parametrize("ask", [ASK, PLAIN])
-def test_what_is_untried_waits_for_a_list_where_the_file_of_the_next_start_knows_no_host(place, ask):
+def test_what_is_untried_waits_for_a_list_where_the_file_of_the_next_start_knows_no_host(
+    place, ask
+):
     """Danger: discovery is down at the restart, and what was taken on is turned away for a destination not heard of yet."""
-    place.relay.hosts.call = lambda call: place.relay.engine.post(ev.Ended(call.number, 0, [
-        ev.End(m.id, Result.NOT_SENT, unsent=True) for m in call.members]))
+    place.relay.hosts.call = lambda call: place.relay.engine.post(
+        ev.Ended(call.number, 0, [ev.End(m.id, Result.NOT_SENT, unsent=True) for m in call.members])
+    )
     held_out(place, ask.replace(b"Req-Id", b"Req-Deadline-Ms: 12000\r\nReq-Id"))
     full = place.config()
     place.config = lambda **given: replace(full, known={})
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,4 +1,5 @@
 """Whole relays on the virtual clock: fixed seeds, the same twice, kills at chosen steps, scenarios that once failed, the command."""
+
 import json
 from pathlib import Path
 
@@ -7,12 +8,13 @@
 from click.testing import CliRunner
 
 from molehill.cli.__main__ import main
+from molehill.config import MS
 from molehill.core.reducer import Core
-from molehill.emulator import generator, scenario as scenarios, sweep
+from molehill.emulator import generator, sweep
+from molehill.emulator import scenario as scenarios
 from molehill.emulator.days import calm, upgraded
 from molehill.emulator.parties.endpoint import slow_start_budget
 from molehill.emulator.run import Run
-from molehill.config import MS
 from molehill.emulator.scenario import EndpointPlan, Fault, ProgramPlan, ScenarioError
 from molehill.emulator.show import timeline
 from molehill.emulator.world import START
@@ -30,12 +32,16 @@
     assert verdict["service"] == 1.0 and verdict["delivered"] == verdict["wanted"] > 50
 
 
-@pytest.mark.parametrize("calls, budget", [(25, 25 + 15 + 3), (16, 16 + 12 + 3), (29.99, 49.42), (30, 42.95), (100, 122)])
+@pytest.mark.parametrize(
+    "calls, budget", [(25, 25 + 15 + 3), (16, 16 + 12 + 3), (29.99, 49.42), (30, 42.95), (100, 122)]
+)
 def test_a_returning_host_bears_what_the_page_says_and_the_greatest_share_is_told(calls, budget):
     assert round(slow_start_budget(calls), 2) == budget
     results = sweep.Results()
     for seed, share in enumerate([0.0, 0.5, 1.2]):
-        results.add({"seed": seed, "ok": True, "virtual_s": 1, "service": 1.0, "slow_start_share": share})
+        results.add(
+            {"seed": seed, "ok": True, "virtual_s": 1, "service": 1.0, "slow_start_share": share}
+        )
     assert results.summary()["slow_start_worst"] == {"2": 1.2, "1": 0.5}
 
 
@@ -47,7 +53,11 @@
 @pytest.mark.parametrize("seed", [3, 11, 39])
 def test_rough_days_of_fleets_and_upgrades_keep_the_rules(seed):
     """Kinds that are drawn only where they are asked for; 39 once waited a second for a process that hung."""
-    kept(sweep.play_one(generator.make(seed, {kind: 2 for kind in generator.ASKED_FOR}, span_ms=5000)))
+    kept(
+        sweep.play_one(
+            generator.make(seed, {kind: 2 for kind in generator.ASKED_FOR}, span_ms=5000)
+        )
+    )
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -59,9 +69,16 @@
 def test_each_seed_draws_another_customer_and_the_faults_of_a_seed_are_the_same_without():
     drawn = [generator.make(seed, customers=True) for seed in range(100)]
     effects = {frozenset(c.effect for c in day.categories) for day in drawn}
-    assert len({scenarios.dump(msgspec.structs.replace(day, seed=0)) for day in drawn}) == 100 and len(effects) == 7, "each mixture of effects"
-    assert {day.per_call for day in drawn} == {1, 2, 4, 10} and all(scenarios.load(scenarios.dump(day)) == day for day in drawn)
-    assert drawn[5].endpoints == generator.make(5).endpoints and generator.make(5) == generator.make(5, customers=False)
+    assert (
+        len({scenarios.dump(msgspec.structs.replace(day, seed=0)) for day in drawn}) == 100
+        and len(effects) == 7
+    ), "each mixture of effects"
+    assert {day.per_call for day in drawn} == {1, 2, 4, 10} and all(
+        scenarios.load(scenarios.dump(day)) == day for day in drawn
+    )
+    assert drawn[5].endpoints == generator.make(5).endpoints and generator.make(
+        5
+    ) == generator.make(5, customers=False)
 
 
 @pytest.mark.parametrize("path", ONCE_FAILED, ids=lambda path: path.stem)
@@ -72,17 +89,32 @@
 @pytest.mark.parametrize("step", range(1, 90, 6))
 def test_a_kill_at_any_step_and_another_in_the_recovery_lose_nothing(step):
     """Danger: log, answer, launch and end are apart; whatever was heard or sent before the kill has to hold after it."""
-    faults = [Fault("kill_step", 700, "relay0", worth=float(step)), Fault("kill_again", 1600, "relay0", worth=float(step % 17 + 1))]
+    faults = [
+        Fault("kill_step", 700, "relay0", worth=float(step)),
+        Fault("kill_again", 1600, "relay0", worth=float(step % 17 + 1)),
+    ]
     verdict = kept(sweep.play_one(calm(faults=faults)))
     assert verdict["starts"] == 4 and verdict["delivered"] > 0
 
 
-STRIDE = 9                             # of the steps that `benchmarks/emulator.py upgrades` plays one after another
-
-
-@pytest.mark.parametrize("kind,span", [("new_dies", 0), ("old_dies", 0), ("new_hangs", 700), ("new_hangs", 4000),
-                                       ("old_hangs", 700), ("old_hangs", 4000)])
-def test_an_upgrade_in_which_either_process_dies_or_hangs_at_a_step_is_one_relay_from_outside(kind, span):
+# of the steps that `benchmarks/emulator.py upgrades` plays one after another
+STRIDE = 9
+
+
+@pytest.mark.parametrize(
+    "kind,span",
+    [
+        ("new_dies", 0),
+        ("old_dies", 0),
+        ("new_hangs", 700),
+        ("new_hangs", 4000),
+        ("old_hangs", 700),
+        ("old_hangs", 4000),
+    ],
+)
+def test_an_upgrade_in_which_either_process_dies_or_hangs_at_a_step_is_one_relay_from_outside(
+    kind, span
+):
     """Danger: two owners, or none; calls of both; what was delivered and not read runs again."""
     for step in range(1, 130, STRIDE if "dies" in kind else 3 * STRIDE):
         verdict = kept(sweep.play_one(upgraded(kind, step, span)))
@@ -90,21 +122,37 @@
 
 
 def test_upgrades_pass_all_over_and_their_figures_begin_anew():
-    run = Run(calm(span_ms=4000, faults=[Fault("upgrade", at, "relay0") for at in (700, 1500, 2600)]))
+    run = Run(
+        calm(span_ms=4000, faults=[Fault("upgrade", at, "relay0") for at in (700, 1500, 2600)])
+    )
     verdict, relay = kept(run.play()), run.nodes["relay0"]
     assert verdict["starts"] == 1 and relay.life == 4 and len(relay.lives) == 1
     assert verdict["service"] == 1.0 and verdict["delivered"] >= verdict["calls"]
 
 
 def reloads(*more):
-    return calm(span_ms=3000, faults=[*(Fault("retune", at, "relay0", worth=float(w)) for at, w in ((400, 5), (900, 0), (1500, 2), (2600, 0))),
-                                      Fault("erring", 600, "h1-0", 900), Fault("refusing", 1200, "h2-0", 500), *more])
+    return calm(
+        span_ms=3000,
+        faults=[
+            *(
+                Fault("retune", at, "relay0", worth=float(w))
+                for at, w in ((400, 5), (900, 0), (1500, 2), (2600, 0))
+            ),
+            Fault("erring", 600, "h1-0", 900),
+            Fault("refusing", 1200, "h2-0", 500),
+            *more,
+        ],
+    )
 
 
 @pytest.mark.parametrize("step", [None, *range(1, 90, 11)])
 def test_figures_stand_up_to_a_recount_over_new_settings_and_kills(step):
     """The referee recounts each relay's figures from the wires on every emulated day; here with files that change."""
-    kept(sweep.play_one(reloads(*([Fault("kill_step", 1000, "relay0", worth=float(step))] if step else []))))
+    kept(
+        sweep.play_one(
+            reloads(*([Fault("kill_step", 1000, "relay0", worth=float(step))] if step else []))
+        )
+    )
 
 
 @pytest.mark.parametrize("end", ["fulfilled", "throttled", "faulted"])
@@ -115,8 +163,11 @@
         count(self, callback, how)
         if how == end:
             count(self, callback, how)
+
     monkeypatch.setattr(Core, "_count", twice)
-    verdict = sweep.play_one(reloads(Fault("shut", 100, "h2-0", 2500), Fault("shut", 100, "h2-1", 2500)))
+    verdict = sweep.play_one(
+        reloads(Fault("shut", 100, "h2-0", 2500), Fault("shut", 100, "h2-1", 2500))
+    )
     assert not verdict["ok"] and end in str(verdict["failure"]["facts"])
 
 
@@ -142,14 +193,26 @@
     assert failure["text"] == "programs crowded out of their own connections"
 
 
-@pytest.mark.parametrize("change,key", [
-    ("relays = 0", "$.relays"), ("span_ms = -1", "$.span_ms"), ("seed = 'x'", "$.seed"), ("no_such = 1", "no_such"),
-    ("[[faults]]\nkind = 'monsoon'\nat_ms = 1\nwho = 'relay0'", "$.faults[0].kind"),
-    ("[[faults]]\nkind = 'kill'\nat_ms = 1\nwho = 'h1-0'", "$.faults[0].who"),
-    ("[[faults]]\nkind = 'kill'\nat_ms = -1\nwho = 'relay0'", "$.faults[0].at_ms"), ("= 3", "not TOML")])
+@pytest.mark.parametrize(
+    "change,key",
+    [
+        ("relays = 0", "$.relays"),
+        ("span_ms = -1", "$.span_ms"),
+        ("seed = 'x'", "$.seed"),
+        ("no_such = 1", "no_such"),
+        ("[[faults]]\nkind = 'monsoon'\nat_ms = 1\nwho = 'relay0'", "$.faults[0].kind"),
+        ("[[faults]]\nkind = 'kill'\nat_ms = 1\nwho = 'h1-0'", "$.faults[0].who"),
+        ("[[faults]]\nkind = 'kill'\nat_ms = -1\nwho = 'relay0'", "$.faults[0].at_ms"),
+        ("= 3", "not TOML"),
+    ],
+)
 def test_a_faulty_scenario_is_named_by_its_key(tmp_path, change, key):
     name = change.split(" =")[0]
-    lines = [line for line in scenarios.dump(calm()).splitlines() if not line.startswith(f"{name} =") or change[0] == "["]
+    lines = [
+        line
+        for line in scenarios.dump(calm()).splitlines()
+        if not line.startswith(f"{name} =") or change[0] == "["
+    ]
     text = "\n".join([*lines, change] if change[0] == "[" else [change, *lines])
     with pytest.raises(ScenarioError) as caught:
         scenarios.load(text)
@@ -177,11 +240,14 @@
     assert done.exit_code == 1 and "rule 5" in done.output
     rows = out.read_text().splitlines(keepends=True)
     assert len(rows) == 4
-    out.write_text("".join(rows[:2]) + rows[2][:20])       # stopped in the middle of a line
+    out.write_text("".join(rows[:2]) + rows[2][:20])  # stopped in the middle of a line
     played = sweep.Results(out)
     assert len(played.rows) == 2 and out.read_text() == "".join(rows[:2])
     again = runner.invoke(main, [*BROKEN, "--out", str(out)])
-    assert sorted(out.read_text().splitlines()) == sorted(line.strip() for line in rows) and again.exit_code == 1
+    assert (
+        sorted(out.read_text().splitlines()) == sorted(line.strip() for line in rows)
+        and again.exit_code == 1
+    )
     out.write_text("no results\n")
     assert runner.invoke(main, [*BROKEN, "--out", str(out)]).exit_code == 2
     path = tmp_path / "calm.toml"
@@ -189,37 +255,70 @@
     assert runner.invoke(main, ["emulate", "run", str(path)]).exit_code == 0
     shown = runner.invoke(main, ["emulate", "show", str(path), "--about", "relay0", "--last", "5"])
     assert shown.exit_code == 0 and shown.output.splitlines()[-1] == "all rules kept"
-    assert runner.invoke(main, ["emulate", "shrink", str(path)]).exit_code == 2, "nothing fails there"
-    for bad in (["run"], ["run", str(path), "--seed", "1"], ["run", "--seed", "1", "--weight", "monsoon=1"], ["sweep", "--seeds", "4"]):
+    assert (
+        runner.invoke(main, ["emulate", "shrink", str(path)]).exit_code == 2
+    ), "nothing fails there"
+    for bad in (
+        ["run"],
+        ["run", str(path), "--seed", "1"],
+        ["run", "--seed", "1", "--weight", "monsoon=1"],
+        ["sweep", "--seeds", "4"],
+    ):
         assert runner.invoke(main, ["emulate", *bad]).exit_code == 2
 
 
 def test_shrinking_keeps_the_failure_and_drops_what_it_does_not_need():
-    rough = calm(faults=[Fault("silent", 300, "h1-0", 400), Fault("hup", 500, "relay0"), Fault("drain", 200, "h2-1", 1500)],
-                 relays=2, programs=[ProgramPlan(40.0, [1, 2], keys=1), ProgramPlan(10.0, [2])])
+    rough = calm(
+        faults=[
+            Fault("silent", 300, "h1-0", 400),
+            Fault("hup", 500, "relay0"),
+            Fault("drain", 200, "h2-1", 1500),
+        ],
+        relays=2,
+        programs=[ProgramPlan(40.0, [1, 2], keys=1), ProgramPlan(10.0, [2])],
+    )
     small, verdict, played = sweep.shrink(rough, 40, "order of keys not kept")
     assert verdict["failure"]["rule"] == 5 and played <= 40
     assert len(small.faults) < 3 and len(small.programs) == 1 and small.span_ms < rough.span_ms
-    assert sweep.same_way(sweep.play_one(small, "order of keys not kept")["failure"], verdict["failure"])
+    assert sweep.same_way(
+        sweep.play_one(small, "order of keys not kept")["failure"], verdict["failure"]
+    )
     kept(sweep.play_one(small))
 
 
 def test_a_timeline_names_the_breach_and_the_relays_own_words():
     verdict, lines = timeline(calm(span_ms=300), last=10_000)
-    assert verdict["ok"] and any("says 'ready'" in line for line in lines) and any(" asked " in line for line in lines)
+    assert (
+        verdict["ok"]
+        and any("says 'ready'" in line for line in lines)
+        and any(" asked " in line for line in lines)
+    )
     assert msgspec.json.decode(json.dumps(verdict))["ok"]
 
 
-@pytest.mark.parametrize("kind,worth,look", [
-    ("lower", 0.5, lambda run: [h.plan.rate for h in run.hosts.values()]), ("silent", 0.0, lambda run: run.hosts["h1-0"].mode),
-    ("few_descriptors", 0.5, lambda run: run.nodes["relay0"].owner.most_fds()), ("disk_full", 0.0, lambda run: run.nodes["relay0"].disk.most),
-    ("outage", 0.0, lambda run: run.platform.down), ("drain", 0.0, lambda run: run.hosts["h1-0"].draining)])
+@pytest.mark.parametrize(
+    "kind,worth,look",
+    [
+        ("lower", 0.5, lambda run: [h.plan.rate for h in run.hosts.values()]),
+        ("silent", 0.0, lambda run: run.hosts["h1-0"].mode),
+        ("few_descriptors", 0.5, lambda run: run.nodes["relay0"].owner.most_fds()),
+        ("disk_full", 0.0, lambda run: run.nodes["relay0"].disk.most),
+        ("outage", 0.0, lambda run: run.platform.down),
+        ("drain", 0.0, lambda run: run.hosts["h1-0"].draining),
+    ],
+)
 def test_of_two_faults_that_overlap_each_ends_only_itself(kind, worth, look):
     """Danger: the end of the shorter put back what it had found, and ended the longer, or kept it for ever."""
     who = {"relay": "relay0", "host": "h1-0", "platform": "platform"}[scenarios.FAULTS[kind]]
-    for spans in (((200, 3000), (2000, 700)), ((200, 2400), (1900, 2500))):      # one inside the other; one behind the other
-        run = Run(calm(endpoints=[EndpointPlan(1, rate=30)], programs=[ProgramPlan(1.0, [1])],
-                       faults=[Fault(kind, at, who, span, worth) for at, span in spans]))
+    # one inside the other; one behind the other
+    for spans in (((200, 3000), (2000, 700)), ((200, 2400), (1900, 2500))):
+        run = Run(
+            calm(
+                endpoints=[EndpointPlan(1, rate=30)],
+                programs=[ProgramPlan(1.0, [1])],
+                faults=[Fault(kind, at, who, span, worth) for at, span in spans],
+            )
+        )
         seen = []
         for ms in (100, 1950, 2800, 4600):
             run.world.run(START + ms * MS)
--- a/tests/test_emulator_machine.py
+++ b/tests/test_emulator_machine.py
@@ -1,4 +1,5 @@
 """The virtual machine beside the kernel: the same small socket and disk tests on both, and what only a fault brings."""
+
 import errno
 import select
 import socket
@@ -8,8 +9,8 @@
 
 from molehill.config import MS, SECOND
 from molehill.emulator.disk import Disk as VirtualDisk
-from molehill.emulator.network import BUFFER, Machine, Network
 from molehill.emulator.life import Descriptor, Life, TaskSock
+from molehill.emulator.network import BUFFER, Machine, Network
 from molehill.emulator.world import World
 from molehill.runtime.kernel import Disk, Kernel
 
@@ -87,7 +88,9 @@
     ours = net.tcp()
     assert ours.connect_ex(address) == errno.EINPROGRESS
     net.settle()
-    assert net.mask(ours) & select.POLLOUT and not ours.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    assert net.mask(ours) & select.POLLOUT and not ours.getsockopt(
+        socket.SOL_SOCKET, socket.SO_ERROR
+    )
     theirs, _ = listener.accept()
     theirs.setblocking(False)
     if isinstance(net, OnKernel):
@@ -115,7 +118,7 @@
     ours, theirs = pair(net)
     text, sent = bytes(range(256)) * 40, 0
     while sent < len(text):
-        sent += ours.send(text[sent:sent + 3000])
+        sent += ours.send(text[sent : sent + 3000])
     assert read(net, theirs, len(text)) == text
     assert not net.mask(theirs) & select.POLLIN
     with pytest.raises(BlockingIOError):
@@ -128,7 +131,11 @@
     ours.shutdown(socket.SHUT_WR)
     net.settle()
     assert theirs.recv(1, socket.MSG_PEEK) == b"x" and net.mask(theirs) & select.POLLIN
-    assert theirs.recv(10) == b"x" and theirs.recv(10) == b"" and theirs.recv(10, socket.MSG_PEEK) == b""
+    assert (
+        theirs.recv(10) == b"x"
+        and theirs.recv(10) == b""
+        and theirs.recv(10, socket.MSG_PEEK) == b""
+    )
     theirs.send(b"half open")
     net.settle()
     assert read(net, ours)[:1] == b"h", "only one direction has ended"
@@ -163,7 +170,7 @@
     ours, theirs = pair(net)
     ours.send(b"unread")
     net.settle()
-    theirs.close()                         # with bytes unread: a reset, not an end
+    theirs.close()  # with bytes unread: a reset, not an end
     net.settle()
     with pytest.raises(ConnectionResetError):
         ours.recv(1)
@@ -217,7 +224,11 @@
     ours, theirs = pair(net)
     far = Machine(net.world, "far")
     answers = []
-    net.network.serve(far, ("10.0.0.9", 1), lambda sock: sock.listen_to(lambda s, data, at: (answers.append(data), s.put(b"!"))))
+    net.network.serve(
+        far,
+        ("10.0.0.9", 1),
+        lambda sock: sock.listen_to(lambda s, data, at: (answers.append(data), s.put(b"!"))),
+    )
     talking, late = net.tcp(), net.tcp()
     talking.connect_ex(("10.0.0.9", 1))
     net.settle()
@@ -225,7 +236,9 @@
     talking.send(b"into the void")
     late.connect_ex(("10.0.0.9", 1))
     net.settle(2 * SECOND)
-    assert not answers and late.mask() == 0 and talking.mask() == select.POLLOUT, "nobody says anything"
+    assert (
+        not answers and late.mask() == 0 and talking.mask() == select.POLLOUT
+    ), "nobody says anything"
     far.back()
     talking.send(b"are you there")
     net.settle()
@@ -236,7 +249,9 @@
     net.most = len(net.fds)
     listener = next(d for d in net.fds.values() if d.listening)
     listener.file.backlog = 1
-    first, second = [net.network.connect(Machine(net.world, "m"), ("10.0.0.1", 1)) for _ in range(2)]
+    first, second = [
+        net.network.connect(Machine(net.world, "m"), ("10.0.0.1", 1)) for _ in range(2)
+    ]
     net.settle()
     assert {first.state, second.state} == {"open", "dialling"}
     with pytest.raises(OSError) as caught:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,4 +1,5 @@
 """Calls that fail as Linux documents, a disk that fails for a while, and a wall clock that is stepped: one whole relay each time."""
+
 import errno
 import json
 import signal
@@ -33,8 +34,10 @@
     def __getattribute__(self, name):
         failing = object.__getattribute__(self, "__dict__").get("failing") or {}
         if name in failing:
+
             def fail(*_, **__):
                 raise OSError(failing[name], name)
+
             return fail
         return object.__getattribute__(self, name)
 
@@ -43,7 +46,7 @@
             return Disk.write(fd, data)
         if not self.left:
             raise OSError(errno.EIO, "write")
-        count = Disk.write(fd, bytes(data)[:self.left])
+        count = Disk.write(fd, bytes(data)[: self.left])
         self.left -= count
         return count
 
@@ -57,6 +60,7 @@
         made = Kernel(clock)
         made.disk = disk
         return made
+
     place = Place(tmp_path, machine)
     place.disk = disk
     yield place
@@ -109,14 +113,16 @@
     kill(stepped)
     assert not stepped.relay.notices.waiting
     comes(stepped, stepped.host, b"Req-Id: id1")
-    stepped.clock.now += 15 * SECOND       # it stands still until it is killed
+    stepped.clock.now += 15 * SECOND  # it stands still until it is killed
     stepped.wall[0] += step
     kill(stepped)
     stepped.advance(100 * MS)
     assert list(stepped.relay.notices.waiting) == ["id1"]
 
 
-@pytest.mark.parametrize("code", [errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.EOPNOTSUPP])
+@pytest.mark.parametrize(
+    "code", [errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.EOPNOTSUPP]
+)
 def test_while_accept_fails_all_other_connections_are_served(place, code):
     """Danger: a loop that meets an error and goes on without a wait stops the whole relay."""
     client, calls, listener = place.client(), [0], place.relay.clients.listener
@@ -131,13 +137,16 @@
             if calls[0] < 10_000:
                 raise OSError(code, "accept")
             return listener.accept()
+
     place.relay.clients.listener = Failing()
     other = socket.create_connection(place.address)
     place.open.append(other)
     before = calls[0]
     hand_in(place, client, b"id1")
     place.advance(SECOND)
-    assert drain(client) == b"" and calls[0] - before < 300, "it neither stops the others nor takes the core"
+    assert (
+        drain(client) == b"" and calls[0] - before < 300
+    ), "it neither stops the others nor takes the core"
 
 
 def test_the_end_takes_the_connections_behind_one_that_is_gone(place):
@@ -153,6 +162,7 @@
             if codes:
                 raise OSError(codes.pop(), "accept")
             return listener.accept()
+
     client = place.client()
     client.send(ASK % b"id1")
     place.relay.clients.listener = Failing()
@@ -181,7 +191,17 @@
         side.close()
 
 
-@pytest.mark.parametrize("calls", [("write", "truncate"), ("seek", "truncate"), ("open",), ("read",), ("lock",), ("makedirs", "unlink")])
+@pytest.mark.parametrize(
+    "calls",
+    [
+        ("write", "truncate"),
+        ("seek", "truncate"),
+        ("open",),
+        ("read",),
+        ("lock",),
+        ("makedirs", "unlink"),
+    ],
+)
 def test_a_start_waits_until_the_disk_lets_it(tmp_path, signals, calls, capfd):
     """Danger: a restart into a second of failing disk is a relay that will not start."""
     store = Store(str(tmp_path), 100_000, Disk())
@@ -220,14 +240,16 @@
     asked for anew at once, each time with a connection of its own."""
     client, disk = failing.client(), failing.disk
     hand_in(failing, client, b"id1")
-    hand_in(failing, client, b"id2")                # waits for its turn
+    hand_in(failing, client, b"id2")  # waits for its turn
     host = failing.accept(failing.host)
     failing.hear(host, b"\r\n\r\nab")
     disk.left, disk.failing = 0, {"open": errno.ENOSPC}
     host.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
     before = failing.relay.hosts.counts["connected"]
     failing.advance(600 * MS)
-    assert failing.relay.hosts.counts["connected"] - before <= 1 and list(failing.relay.core.held) == ["id2"]
+    assert failing.relay.hosts.counts["connected"] - before <= 1 and list(
+        failing.relay.core.held
+    ) == ["id2"]
     disk.left, disk.failing = None, {}
     failing.advance(200 * MS)
     assert b"Req-Id: id2" in failing.hear(host, b"\r\n\r\nab")
@@ -235,14 +257,33 @@
     assert list(failing.relay.core.held) == ["id2"] and "id1" in failing.relay.core.done
 
 
-@pytest.mark.parametrize("spoilt, untried", [(b'"k":"launch"', []), (b'"zone"', ["b"]), (b'"k":"health"', ["a", "b"])])
+@pytest.mark.parametrize(
+    "spoilt, untried", [(b'"k":"launch"', []), (b'"zone"', ["b"]), (b'"k":"health"', ["a", "b"])]
+)
 def test_a_launch_that_can_t_be_read_is_not_taken_for_none(place, spoilt, untried):
     """Danger: with the record of its launch, one that must not run twice looks untried."""
     core = place.relay.core
     for ident in "ab":
-        core.load({"k": "taken", "id": ident, "category": 1, "tenant": 0, "key": None, "destination": 3, "due": place.clock.now + SECOND,
-                   "mark": None}, b"x")
-    core.load_spoilt(b'\x00\x00\x00\x40\x01\x02\x03\x04{' + spoilt + b':[' + (b'"a"' if spoilt == b'"zone"' else b"") + b"]")
+        core.load(
+            {
+                "k": "taken",
+                "id": ident,
+                "category": 1,
+                "tenant": 0,
+                "key": None,
+                "destination": 3,
+                "due": place.clock.now + SECOND,
+                "mark": None,
+            },
+            b"x",
+        )
+    core.load_spoilt(
+        b"\x00\x00\x00\x40\x01\x02\x03\x04{"
+        + spoilt
+        + b":["
+        + (b'"a"' if spoilt == b'"zone"' else b"")
+        + b"]"
+    )
     assert [c.id for c in core.held.values() if c.sent is None] == untried
 
 
@@ -254,21 +295,30 @@
 
 
 def clock_line(**changed):
-    return json.dumps({"k": "clock", "boot": "this", "epoch": 7, "at": 7 + NOW - SECOND, **changed}, separators=(",", ":")).encode()
-
-
-@pytest.mark.parametrize("lines, base, epoch", [
-    ([], Base.FIRST, WALL - NOW),
-    ([clock_line()], Base.SAME_BOOT, 7),
-    ([clock_line(), b'{"k":"end","ends":[],"at":%d}' % (7 + NOW)], Base.SAME_BOOT, 7),
-    ([clock_line(boot="other")], Base.REBOOTED, WALL - NOW),
-    ([clock_line(boot="other", at=WALL + HOUR)], Base.REBOOTED, WALL + HOUR - NOW),     # the wall clock was set back meanwhile
-    ([b'{"k":"launch","ids":[],"at":%d}' % (WALL - SECOND)], Base.UNKNOWN, WALL - NOW),   # of a version without clock records
-    ([clock_line(epoch=None)], Base.UNKNOWN, WALL - NOW),
-    ([clock_line(epoch=True)], Base.UNKNOWN, WALL - NOW),
-    ([clock_line(boot="")], Base.UNKNOWN, WALL - NOW),
-    ([clock_line(at=7 + NOW + HOUR)], Base.UNKNOWN, WALL - NOW),                          # ahead of a clock that can't run back
-])
+    return json.dumps(
+        {"k": "clock", "boot": "this", "epoch": 7, "at": 7 + NOW - SECOND, **changed},
+        separators=(",", ":"),
+    ).encode()
+
+
+@pytest.mark.parametrize(
+    "lines, base, epoch",
+    [
+        ([], Base.FIRST, WALL - NOW),
+        ([clock_line()], Base.SAME_BOOT, 7),
+        ([clock_line(), b'{"k":"end","ends":[],"at":%d}' % (7 + NOW)], Base.SAME_BOOT, 7),
+        ([clock_line(boot="other")], Base.REBOOTED, WALL - NOW),
+        # the wall clock was set back meanwhile
+        ([clock_line(boot="other", at=WALL + HOUR)], Base.REBOOTED, WALL + HOUR - NOW),
+        # of a version without clock records
+        ([b'{"k":"launch","ids":[],"at":%d}' % (WALL - SECOND)], Base.UNKNOWN, WALL - NOW),
+        ([clock_line(epoch=None)], Base.UNKNOWN, WALL - NOW),
+        ([clock_line(epoch=True)], Base.UNKNOWN, WALL - NOW),
+        ([clock_line(boot="")], Base.UNKNOWN, WALL - NOW),
+        # ahead of a clock that can't run back
+        ([clock_line(at=7 + NOW + HOUR)], Base.UNKNOWN, WALL - NOW),
+    ],
+)
 def test_the_log_s_clock_goes_on_or_is_found_anew_by_the_wall_clock(lines, base, epoch):
     assert log_clock.find(lines, Machine) == log_clock.LogClock(epoch, base)
 
@@ -283,11 +333,25 @@
     for record, _ in place.relay.core.snapshot():
         moved = clock.to_log(record)
         assert clock.from_log(moved) == record
-        times = [key for key, value in record.items() if isinstance(value, int) and abs(value - place.clock.now) < 60 * SECOND]
+        times = [
+            key
+            for key, value in record.items()
+            if isinstance(value, int) and abs(value - place.clock.now) < 60 * SECOND
+        ]
         assert all(moved[key] == record[key] + 7 for key in times)
 
 
-@pytest.mark.parametrize("code", [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EAGAIN, errno.EPERM, errno.ENOMEM])
+@pytest.mark.parametrize(
+    "code",
+    [
+        errno.EADDRNOTAVAIL,
+        errno.ENETUNREACH,
+        errno.ENOBUFS,
+        errno.EAGAIN,
+        errno.EPERM,
+        errno.ENOMEM,
+    ],
+)
 def test_an_error_of_this_machine_at_connect_says_nothing_of_the_host(place, monkeypatch, code):
     """Danger: hosts that are well are ejected, and callbacks lose their launches, for what this machine lacks."""
     tries, connect = [], Stream.connect
@@ -295,14 +359,27 @@
     def failing_connect(self, address, until):
         if address == place.host.getsockname() and len(tries) < 40:
             tries.append(place.clock.now)
-            self.sock = type("Sock", (), {"connect_ex": lambda _, __: code, "fileno": self.sock.fileno, "close": self.sock.close})()
+            self.sock = type(
+                "Sock",
+                (),
+                {
+                    "connect_ex": lambda _, __: code,
+                    "fileno": self.sock.fileno,
+                    "close": self.sock.close,
+                },
+            )()
         return connect(self, address, until)
+
     monkeypatch.setattr(Stream, "connect", failing_connect)
     client = place.client()
     hand_in(place, client, b"id1")
     place.advance(500 * MS)
     held, module = place.relay.core.held["id1"], place.relay.core.module
-    assert held.launches == (held.sent is not None) and module.h_state == ["open"] and module.h_bad == [0.0]
+    assert (
+        held.launches == (held.sent is not None)
+        and module.h_state == ["open"]
+        and module.h_bad == [0.0]
+    )
     assert 2 <= len(tries) <= 30, "tried again, and not as fast as it fails"
     place.advance(500 * MS)
     place.hear(place.accept(place.host), b"Req-Id: id1")
@@ -314,9 +391,16 @@
 
     def interrupted(self, address, until):
         sock = self.sock
-        self.sock = type("Sock", (), {"connect_ex": lambda _, where: sock.connect_ex(where) and code,
-                                      "__getattr__": lambda _, name: getattr(sock, name)})()
+        self.sock = type(
+            "Sock",
+            (),
+            {
+                "connect_ex": lambda _, where: sock.connect_ex(where) and code,
+                "__getattr__": lambda _, name: getattr(sock, name),
+            },
+        )()
         return connect(self, address, until)
+
     monkeypatch.setattr(Stream, "connect", interrupted)
     client = place.client()
     hand_in(place, client, b"id1")
@@ -327,7 +411,9 @@
     """Danger: the folder takes no file, and the relay ends over what only an upgrade needs."""
     machine, meet, failing = Kernel(), Kernel.meet, [True]
     machine.meet = lambda folder: fail(errno.ENOSPC) if failing else meet(machine, folder)
-    config = replace(net_config(state=str(tmp_path)), listen=("127.0.0.1", 0), admin=("127.0.0.1", 0))
+    config = replace(
+        net_config(state=str(tmp_path)), listen=("127.0.0.1", 0), admin=("127.0.0.1", 0)
+    )
     process = Process(config, machine, Sink(), lambda old: old)
     process.clients.listen()
     process.begin(signals[0])
@@ -337,8 +423,13 @@
     turn_until(process, lambda: (tmp_path / Kernel.MEETING).exists())
 
 
-@pytest.mark.parametrize("call, code", [("tcp_socket", errno.ENFILE), ("tcp_socket", errno.ENOBUFS), ("bind", errno.ENOMEM)])
-def test_a_listener_that_can_t_be_opened_for_a_moment_is_opened_later(tmp_path, signals, call, code):
+@pytest.mark.parametrize(
+    "call, code",
+    [("tcp_socket", errno.ENFILE), ("tcp_socket", errno.ENOBUFS), ("bind", errno.ENOMEM)],
+)
+def test_a_listener_that_can_t_be_opened_for_a_moment_is_opened_later(
+    tmp_path, signals, call, code
+):
     """Danger: a restart in a moment in which the machine lacks something is a relay that will not start."""
     machine, failing, make = Kernel(), [True], Kernel.tcp_socket
 
@@ -346,10 +437,22 @@
         if call == "tcp_socket" and failing:
             fail(code)
         sock = make(address)
-        return type("Sock", (), {"bind": lambda _, where: fail(code) if failing else sock.bind(where),
-                                 "__getattr__": lambda _, name: getattr(sock, name)})()
+        return type(
+            "Sock",
+            (),
+            {
+                "bind": lambda _, where: fail(code) if failing else sock.bind(where),
+                "__getattr__": lambda _, name: getattr(sock, name),
+            },
+        )()
+
     machine.tcp_socket = tcp_socket
-    process = Process(replace(net_config(state=str(tmp_path)), listen=("127.0.0.1", 0)), machine, Sink(), lambda old: old)
+    process = Process(
+        replace(net_config(state=str(tmp_path)), listen=("127.0.0.1", 0)),
+        machine,
+        Sink(),
+        lambda old: old,
+    )
     process.clients.listen()
     process.begin(signals[0])
     assert not process.can_serve()
@@ -359,7 +462,9 @@
 
 
 @pytest.mark.parametrize("call", ["getsockopt", "close", "socket"])
-def test_calls_on_a_host_s_socket_that_fail_leave_no_descriptor_counted_and_no_launch_in_doubt(place, monkeypatch, call):
+def test_calls_on_a_host_s_socket_that_fail_leave_no_descriptor_counted_and_no_launch_in_doubt(
+    place, monkeypatch, call
+):
     """Danger: an error that nobody foresaw counts as a call that may have run, or its descriptor is counted for ever."""
     failing, make = [True], place.relay.scheduler.machine.tcp_socket
 
@@ -372,14 +477,21 @@
             sock.close()
             if failing:
                 fail(errno.EIO)
-        changes = {"close": close, "connect_ex": lambda _, where: sock.connect_ex(where) and (failing and call == "close" and errno.ECONNREFUSED
-                                                                                              or errno.EINPROGRESS)}
+
+        changes = {
+            "close": close,
+            "connect_ex": lambda _, where: sock.connect_ex(where)
+            and (failing and call == "close" and errno.ECONNREFUSED or errno.EINPROGRESS),
+        }
         if call == "getsockopt":
-            changes["getsockopt"] = lambda _, *what: fail(errno.ENOBUFS) if failing else sock.getsockopt(*what)
+            changes["getsockopt"] = (
+                lambda _, *what: fail(errno.ENOBUFS) if failing else sock.getsockopt(*what)
+            )
         return type("Sock", (), {**changes, "__getattr__": lambda _, name: getattr(sock, name)})()
+
     place.relay.scheduler.machine.tcp_socket = tcp_socket
     client = place.client()
-    client.send(ASK.replace(b"notice", b"plain") % b"id1")     # runs at most once
+    client.send(ASK.replace(b"notice", b"plain") % b"id1")  # runs at most once
     place.hear(client, b"HTTP/1.1 202")
     place.advance(200 * MS)
     failing.clear()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,5 @@
 """Members of a fleet: what each believes under cuts by direction, pauses, losses, kills and false names; their bytes; their place in a relay."""
+
 import json
 import os
 from itertools import permutations, product
@@ -14,8 +15,23 @@
 from molehill.emulator.run import Run
 from molehill.emulator.scenario import Fault, FleetPlan
 from molehill.emulator.world import START
-from molehill.membership.member import (ALIVE, ALONE, CONNECTED, JOINING, LEFT, LOST, MS, SUPERSEDED, SUSPECT, THINNED, Member, Message, Rumour,
-                                        Settings, Who)
+from molehill.membership.member import (
+    ALIVE,
+    ALONE,
+    CONNECTED,
+    JOINING,
+    LEFT,
+    LOST,
+    MS,
+    SUPERSEDED,
+    SUSPECT,
+    THINNED,
+    Member,
+    Message,
+    Rumour,
+    Settings,
+    Who,
+)
 from molehill.membership.wire import HEAD, KINDS, MOST, STANDINGS, STATES, Unread, Wire
 from tests.ledger import net_given
 from tests.members import Fleet, agreed, rough
@@ -34,7 +50,9 @@
     """Milliseconds until `done()`, or an assertion."""
     began = fleet.now
     while not done():
-        assert fleet.now - began < span, ({n: (m.standing, fleet.view(n)) for n, m in fleet.m.items()})
+        assert fleet.now - began < span, {
+            n: (m.standing, fleet.view(n)) for n, m in fleet.m.items()
+        }
         fleet.run(50 * MS)
     return (fleet.now - began) // MS
 
@@ -57,7 +75,11 @@
     fleet.kill("r1")
     fleet.kill("r2")
     fleet.run(60 * SECOND)
-    assert fleet.m["r0"].standing == ALONE and set(fleet.view("r0").values()) <= {SUSPECT, ALIVE, LOST}
+    assert fleet.m["r0"].standing == ALONE and set(fleet.view("r0").values()) <= {
+        SUSPECT,
+        ALIVE,
+        LOST,
+    }
 
 
 @pytest.mark.parametrize("size", [3, 5, 16, 40])
@@ -73,10 +95,14 @@
 
 def trip(cuts, names, x, y):
     """Whether a probe by x reaches y and an answer comes back, at most one helper between, as the note's table has it."""
-    ok = lambda a, b: (a, b) not in cuts   # noqa: E731
+    ok = lambda a, b: (a, b) not in cuts  # noqa: E731
     others = [h for h in names if h not in (x, y)]
     back = ok(y, x) or any(ok(y, h) and ok(h, x) for h in others)
-    return ok(x, y) and back or any(ok(x, h) and ok(h, y) and (ok(y, x) or ok(y, h) and ok(h, x)) for h in others)
+    return (
+        ok(x, y)
+        and back
+        or any(ok(x, h) and ok(h, y) and (ok(y, x) or ok(y, h) and ok(h, x)) for h in others)
+    )
 
 
 PAIRS = list(permutations(("r0", "r1", "r2"), 2))
@@ -87,14 +113,25 @@
     seen = set()
     for bits in product((0, 1), repeat=len(PAIRS)):
         cuts = frozenset(pair for pair, bit in zip(PAIRS, bits) if bit)
-        same = min(tuple(sorted((dict(zip(("r0", "r1", "r2"), turn))[a], dict(zip(("r0", "r1", "r2"), turn))[b]) for a, b in cuts))
-                   for turn in permutations(("r0", "r1", "r2")))
+        same = min(
+            tuple(
+                sorted(
+                    (dict(zip(("r0", "r1", "r2"), turn))[a], dict(zip(("r0", "r1", "r2"), turn))[b])
+                    for a, b in cuts
+                )
+            )
+            for turn in permutations(("r0", "r1", "r2"))
+        )
         if same not in seen:
             seen.add(same)
             yield cuts
 
 
-@pytest.mark.parametrize("cuts", list(classes()), ids=lambda cuts: ",".join(f"{a[1]}>{b[1]}" for a, b in sorted(cuts)) or "none")
+@pytest.mark.parametrize(
+    "cuts",
+    list(classes()),
+    ids=lambda cuts: ",".join(f"{a[1]}>{b[1]}" for a, b in sorted(cuts)) or "none",
+)
 def test_the_table_of_one_way_cuts_among_three(cuts):
     """What each is to believe for every pattern: the table in docs/design/membership.md."""
     fleet = settled(3, seed=5)
@@ -123,7 +160,11 @@
     within(fleet, t2(fleet), lambda: fleet.states_of("r2") == {LOST})
     assert all(state in (ALIVE, SUSPECT) for state in fleet.view("r2").values())
     assert all(fleet.m[name].standing == CONNECTED for name in others)
-    assert not [row for row in fleet.news if row[0] > began and row[2] == "member" and row[3]["by"] == "r2" and row[3]["now"] != ALIVE]
+    assert not [
+        row
+        for row in fleet.news
+        if row[0] > began and row[2] == "member" and row[3]["by"] == "r2" and row[3]["now"] != ALIVE
+    ]
     fleet.heal()
     within(fleet, T4, fleet.all_alive)
 
@@ -133,7 +174,7 @@
     fleet = settled(size)
     cut, at = [], 0
     for count in parts:
-        cut.append(fleet.names[at:at + count])
+        cut.append(fleet.names[at : at + count])
         at += count
     for one in cut:
         fleet.cut(one, [name for name in fleet.names if name not in one])
@@ -154,10 +195,18 @@
     fleet.news.clear()
     fleet.pause("r3", span_ms * MS)
     fleet.run(span_ms * MS + 100 * MS)
-    assert not [row for row in fleet.news if row[1] == "r3" and row[2] == "member" and row[3]["now"] in (SUSPECT, LOST)]
+    assert not [
+        row
+        for row in fleet.news
+        if row[1] == "r3" and row[2] == "member" and row[3]["now"] in (SUSPECT, LOST)
+    ]
     within(fleet, T4, fleet.all_alive)
     assert fleet.m["r3"].me.number == 1 and (fleet.m["r3"].me.turn > 0 or span_ms < 3000)
-    assert not [row for row in fleet.news if row[2] == "member" and row[3]["name"] != "r3" and row[3]["now"] == LOST]
+    assert not [
+        row
+        for row in fleet.news
+        if row[2] == "member" and row[3]["name"] != "r3" and row[3]["now"] == LOST
+    ]
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -180,17 +229,23 @@
     old = fleet.m["r1"]
     fleet.names.append("twin")
     twin = Member(fleet.set, "r1", ("twin", 7000), 2, {"r0": ("r0", 7000)}, Random(9), fleet.now)
-    fleet.m["twin"] = twin                 # at another address, under the name r1
+    fleet.m["twin"] = twin  # at another address, under the name r1
     fleet.wake("twin", 0)
     within(fleet, T4, lambda: old.standing == SUPERSEDED)
-    within(fleet, T4, lambda: {m.peers["r1"].who.number for n, m in fleet.m.items() if n not in ("twin", "r1")} == {2})
+    within(
+        fleet,
+        T4,
+        lambda: {m.peers["r1"].who.number for n, m in fleet.m.items() if n not in ("twin", "r1")}
+        == {2},
+    )
     within(fleet, T4, lambda: twin.standing == CONNECTED)
     assert ("superseded", {"number": 2, "address": "twin:7000"}) in [row[2:] for row in fleet.news]
-    fleet.run(20 * SECOND)                 # whatever it is told by a stream: it once took a number above the other's, and both gave up
+    # whatever it is told by a stream: it once took a number above the other's, and both gave up
+    fleet.run(20 * SECOND)
     assert old.me.number == 1 and twin.standing == CONNECTED
     before = len(old.out)
     old.tick(fleet.now + SECOND)
-    assert len(old.out) == before          # it says nothing under a name that is another's
+    assert len(old.out) == before  # it says nothing under a name that is another's
 
 
 def test_a_folder_that_was_lost_over_a_clock_set_back_takes_a_higher_number():
@@ -224,7 +279,11 @@
     fleet.kill("r4")
     within(fleet, 5 * SECOND, lambda: fleet.states_of("r4") == {LEFT})
     fleet.run(t2(fleet))
-    assert not [row for row in fleet.news if row[2] == "member" and row[3]["name"] == "r4" and row[3]["now"] in (SUSPECT, LOST)]
+    assert not [
+        row
+        for row in fleet.news
+        if row[2] == "member" and row[3]["name"] == "r4" and row[3]["now"] in (SUSPECT, LOST)
+    ]
     assert all(m.expected() == 4 for m in fleet.m.values())
 
 
@@ -234,7 +293,11 @@
     member = fleet.m["r0"]
     for _ in range(60):
         fleet.run(50 * MS)
-        member.hear(fleet.now, Message("ack", fleet.m["r1"].me, ("r1", 7000), CONNECTED, seq=10_000, target="r1"), ("r1", 7000))
+        member.hear(
+            fleet.now,
+            Message("ack", fleet.m["r1"].me, ("r1", 7000), CONNECTED, seq=10_000, target="r1"),
+            ("r1", 7000),
+        )
         member.out.clear()
     assert member.standing == ALONE
 
@@ -243,12 +306,24 @@
 
 WIRE = Wire("north", [b"k" * 32])
 NAMES = st.text("abcz09-", min_size=1, max_size=64)
-NUMBERS = st.integers(0, 2 ** 63 - 1)
+NUMBERS = st.integers(0, 2**63 - 1)
 WHO = st.builds(Who, NAMES, NUMBERS, NUMBERS, NUMBERS)
-PLACES = st.tuples(st.sampled_from(["10.0.0.1", "relay-1.north".replace("-", ""), "fe80::1"]), st.integers(1, 65535))
+PLACES = st.tuples(
+    st.sampled_from(["10.0.0.1", "relay-1.north".replace("-", ""), "fe80::1"]),
+    st.integers(1, 65535),
+)
 RUMOURS = st.builds(Rumour, WHO, st.sampled_from(STATES), PLACES, NAMES)
-MESSAGES = st.builds(Message, st.sampled_from(KINDS), WHO, PLACES, st.sampled_from(STANDINGS), NUMBERS, st.one_of(st.just(""), NAMES),
-                     st.one_of(st.none(), st.tuples(NAMES, NUMBERS)), st.lists(RUMOURS, max_size=9).map(tuple))
+MESSAGES = st.builds(
+    Message,
+    st.sampled_from(KINDS),
+    WHO,
+    PLACES,
+    st.sampled_from(STANDINGS),
+    NUMBERS,
+    st.one_of(st.just(""), NAMES),
+    st.one_of(st.none(), st.tuples(NAMES, NUMBERS)),
+    st.lists(RUMOURS, max_size=9).map(tuple),
+)
 
 
 @settings(derandomize=True, deadline=None, max_examples=150)
@@ -256,7 +331,9 @@
 def test_what_was_written_is_read_and_fits(message):
     data = WIRE.write(message)
     again = WIRE.read(data)
-    assert len(data) <= MOST and again == message._replace(rumours=message.rumours[:len(again.rumours)])
+    assert len(data) <= MOST and again == message._replace(
+        rumours=message.rumours[: len(again.rumours)]
+    )
 
 
 @settings(derandomize=True, deadline=None, max_examples=300)
@@ -264,7 +341,13 @@
 def test_spoilt_cut_and_foreign_bytes_are_refused(message, place, by, noise):
     data = bytearray(WIRE.write(message))
     data[place % len(data)] ^= by
-    for bad in (bytes(data), bytes(data[:-1]), noise, WIRE.write(message) + b"x", Wire("south", [b"k" * 32]).write(message)):
+    for bad in (
+        bytes(data),
+        bytes(data[:-1]),
+        noise,
+        WIRE.write(message) + b"x",
+        Wire("south", [b"k" * 32]).write(message),
+    ):
         with pytest.raises(Unread):
             WIRE.read(bad)
     # Signed as it should be and still no message: what a broken or older program would say.
@@ -289,13 +372,32 @@
 
 
 def fleet_given(**rows):
-    return {**net_given(), "fleet": {"listen": "127.0.0.1:7000", "seeds": {"b": "127.0.0.1:7001"}, "keys": ["00" * 16], **rows}}
-
-
-@pytest.mark.parametrize("rows,key", [
-    (dict(listen="nowhere"), "fleet.listen"), (dict(seeds={"b": "x"}), "fleet.seeds.b"), (dict(keys=["zz"]), "fleet.keys"),
-    (dict(keys=["00"] * 2), "fleet.keys"), (dict(roundMs=0), "fleet.roundMs"), (dict(roundMs="soon"), "fleet.roundMs"), (dict(gossip=1), "fleet.gossip"),
-    (dict(bytesPerS=-1), "fleet.bytesPerS"), (dict(roundMs=1500), "fleet.aloneAfterMs"), (dict(keyFile="/nowhere"), "fleet.keyFile")])
+    return {
+        **net_given(),
+        "fleet": {
+            "listen": "127.0.0.1:7000",
+            "seeds": {"b": "127.0.0.1:7001"},
+            "keys": ["00" * 16],
+            **rows,
+        },
+    }
+
+
+@pytest.mark.parametrize(
+    "rows,key",
+    [
+        (dict(listen="nowhere"), "fleet.listen"),
+        (dict(seeds={"b": "x"}), "fleet.seeds.b"),
+        (dict(keys=["zz"]), "fleet.keys"),
+        (dict(keys=["00"] * 2), "fleet.keys"),
+        (dict(roundMs=0), "fleet.roundMs"),
+        (dict(roundMs="soon"), "fleet.roundMs"),
+        (dict(gossip=1), "fleet.gossip"),
+        (dict(bytesPerS=-1), "fleet.bytesPerS"),
+        (dict(roundMs=1500), "fleet.aloneAfterMs"),
+        (dict(keyFile="/nowhere"), "fleet.keyFile"),
+    ],
+)
 def test_a_faulty_key_of_the_fleet_is_named(rows, key):
     with pytest.raises(configuration.ConfigError, match=key.replace(".", r"\.")):
         configuration.check(fleet_given(**rows), {"ROUTER_STATE": "x"})
@@ -311,9 +413,15 @@
         configuration.check(rows, {"ROUTER_STATE": "x"})
     os.chmod(path, 0o600)
     made = configuration.check(rows, {"ROUTER_STATE": "x"})
-    assert made.fleet.keys == [b"\xaa" * 16, b"\xbb" * 16] and made.sockets == configuration.check(net_given(), {"ROUTER_STATE": "x"}).sockets - 6
+    assert (
+        made.fleet.keys == [b"\xaa" * 16, b"\xbb" * 16]
+        and made.sockets == configuration.check(net_given(), {"ROUTER_STATE": "x"}).sockets - 6
+    )
     assert configuration.check(net_given(), {"ROUTER_STATE": "x"}).fleet is None
-    assert (configuration.ROUND, configuration.ALONE_AFTER) == (Settings().round, Settings().alone_after)
+    assert (configuration.ROUND, configuration.ALONE_AFTER) == (
+        Settings().round,
+        Settings().alone_after,
+    )
 
 
 def test_seeds_may_go_at_a_reload_and_a_fleet_that_begins_waits_for_a_start(tmp_path):
@@ -323,6 +431,7 @@
     def load(given, again=None):
         path.write_text(json.dumps(given))
         return configuration.load(environ, again)
+
     before = load(fleet_given(seeds={"b": "127.0.0.1:7001", "c": "127.0.0.1:7002"}))
     assert load(fleet_given(), before).fleet.seeds == {"b": ("127.0.0.1", 7001)}
     assert "fleet" in configuration.waiting(load(net_given()), before)
@@ -331,40 +440,81 @@
 # In relays
 
 
-@pytest.mark.parametrize("kind,span", [("new_dies", 0), ("old_dies", 0), ("new_hangs", 700), ("old_hangs", 700)])
+@pytest.mark.parametrize(
+    "kind,span", [("new_dies", 0), ("old_dies", 0), ("new_hangs", 700), ("old_hangs", 700)]
+)
 def test_an_upgrade_that_breaks_off_leaves_one_member(kind, span):
     """Danger: it takes part no more, or twice, after the next process has died with what passed."""
     for step in range(5, 140, 27):
-        run = Run(replace(upgraded(kind, step, span), relays=3, fleet=FleetPlan({"roundMs": 250, "aloneAfterMs": 1000})))
+        run = Run(
+            replace(
+                upgraded(kind, step, span),
+                relays=3,
+                fleet=FleetPlan({"roundMs": 250, "aloneAfterMs": 1000}),
+            )
+        )
         verdict = run.play()
         assert verdict["ok"], (step, verdict["failure"])
-        assert all(row["reached"] == 3 and row["standing"] == CONNECTED for row in views(run).values()) and len(views(run)) == 3
+        assert (
+            all(row["reached"] == 3 and row["standing"] == CONNECTED for row in views(run).values())
+            and len(views(run)) == 3
+        )
 
 
 def views(run):
-    return {name: json.loads(node.process.membership.view()) for name, node in run.nodes.items() if node.up}
+    return {
+        name: json.loads(node.process.membership.view())
+        for name, node in run.nodes.items()
+        if node.up
+    }
 
 
 def test_relays_of_a_fleet_find_each_other_lose_one_and_find_it_again():
-    faults = [Fault("cut", 2000, "relays>relay3", 6000), Fault("freeze", 2500, "relay1", 900), Fault("kill", 3000, "relay2"), Fault("upgrade", 3500, "relay0")]
-    run = Run(calm(relays=4, span_ms=9000, fleet=FleetPlan({"roundMs": 250, "aloneAfterMs": 1000}, seeds=2), faults=faults))
+    faults = [
+        Fault("cut", 2000, "relays>relay3", 6000),
+        Fault("freeze", 2500, "relay1", 900),
+        Fault("kill", 3000, "relay2"),
+        Fault("upgrade", 3500, "relay0"),
+    ]
+    run = Run(
+        calm(
+            relays=4,
+            span_ms=9000,
+            fleet=FleetPlan({"roundMs": 250, "aloneAfterMs": 1000}, seeds=2),
+            faults=faults,
+        )
+    )
     run.world.run(START + 7900 * MS)
     seen = views(run)
-    assert seen["relay3"]["standing"] == ALONE and all(seen[name]["standing"] == CONNECTED for name in ("relay0", "relay1", "relay2"))
-    assert all({m["name"]: m["state"] for m in seen[name]["members"]}["relay3"] == LOST for name in ("relay0", "relay1", "relay2"))
+    assert seen["relay3"]["standing"] == ALONE and all(
+        seen[name]["standing"] == CONNECTED for name in ("relay0", "relay1", "relay2")
+    )
+    assert all(
+        {m["name"]: m["state"] for m in seen[name]["members"]}["relay3"] == LOST
+        for name in ("relay0", "relay1", "relay2")
+    )
     verdict = run.play()
     assert verdict["ok"], verdict["failure"]
     seen = views(run)
-    assert len(seen) == 4 and all(row["reached"] == 4 and row["standing"] == CONNECTED for row in seen.values())
+    assert len(seen) == 4 and all(
+        row["reached"] == 4 and row["standing"] == CONNECTED for row in seen.values()
+    )
     # The next process of an upgrade is the same member: nobody suspected it, nobody saw another number.
     lines = [line for node in run.nodes.values() for _, line in node.lines]
-    assert not [line for line in lines if "name='relay0'" in line and ("now='suspect'" in line or "another process" in line)]
-    assert run.nodes["relay0"].life == 2 and [line for line in lines if "another process" in line and "name='relay2'" in line]
+    assert not [
+        line
+        for line in lines
+        if "name='relay0'" in line and ("now='suspect'" in line or "another process" in line)
+    ]
+    assert run.nodes["relay0"].life == 2 and [
+        line for line in lines if "another process" in line and "name='relay2'" in line
+    ]
 
 
 def test_with_fleet_off_nothing_of_it_is_imported():
     import subprocess
     import sys
+
     code = "import sys, molehill.__main__; print([m for m in sys.modules if 'membership' in m or 'msgspec' in m or 'molehill.fleet' in m])"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
@@ -376,4 +526,8 @@
     member.told(Rumour(gone, SUSPECT, ("z", 1), "b"), 0)
     assert not member.peers and member.standing == ALONE
     member.told(Rumour(gone, JOINING, ("z", 1), "b"), 0)
-    assert member.peers["z"].state == JOINING and member.expected() == 1 and THINNED not in (member.standing,)
+    assert (
+        member.peers["z"].state == JOINING
+        and member.expected() == 1
+        and THINNED not in (member.standing,)
+    )
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,4 +1,5 @@
 """The network side over socket pairs: taking on, outcomes, connections, the list, notices, the budget."""
+
 import json
 import socket
 
@@ -9,13 +10,15 @@
 from molehill.core.figures import Figures
 from molehill.http import discovery, hosts, notices
 from molehill.http.clients import ROOM, Clients
-from molehill.runtime.scheduler import CUT, LATE, READ, READY
 from molehill.runtime import stream as stream_module
+from molehill.runtime.scheduler import CUT, LATE, READ, READY
 from molehill.runtime.stream import Broken
 from tests.ledger import MS, SECOND, Net, R, drain, net_config
 
-ASK = (b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nCookie: subject=k1\r\nX-Consignee: dest=7\r\n"
-       b"Req-Deadline-Ms: 480\r\nIdempotency-Key: m\r\nContent-Length: 3\r\n\r\nabc")
+ASK = (
+    b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nCookie: subject=k1\r\nX-Consignee: dest=7\r\n"
+    b"Req-Deadline-Ms: 480\r\nIdempotency-Key: m\r\nContent-Length: 3\r\n\r\nabc"
+)
 
 
 # The scheduler and the budget
@@ -29,6 +32,7 @@
         for _ in range(3):
             came.append(net.scheduler.wait(ours.fileno(), READ, net.clock() + SECOND))
             ours.recv(10) if came[-1] == READY else None
+
     net.scheduler.spawn(reader)
     net.settle()
     theirs.send(b"x")
@@ -43,13 +47,16 @@
 
 def test_a_task_that_fails_ends_alone_and_returns_to_the_loop(monkeypatch):
     net, done = Net(), []
-    monkeypatch.setattr("molehill.runtime.scheduler.holds",
-                        lambda condition, name, **facts: done.append(name) if not condition else True)
+    monkeypatch.setattr(
+        "molehill.runtime.scheduler.holds",
+        lambda condition, name, **facts: done.append(name) if not condition else True,
+    )
 
     def parent():
         net.scheduler.spawn(lambda: 1 // 0)
         net.scheduler.sleep(net.clock() + SECOND)
         done.append("parent")
+
     net.scheduler.spawn(parent)
     net.settle()
     assert done == ["task"]
@@ -59,12 +66,15 @@
 
 def test_a_fault_of_the_loop_itself_does_not_end_it(monkeypatch):
     net, broken = Net(), []
-    monkeypatch.setattr("molehill.runtime.scheduler.holds",
-                        lambda condition, name, **facts: broken.append(name) if not condition else True)
+    monkeypatch.setattr(
+        "molehill.runtime.scheduler.holds",
+        lambda condition, name, **facts: broken.append(name) if not condition else True,
+    )
 
     def turn():
         net.scheduler.stopped = len(broken) == 2
         raise OSError("a fault")
+
     net.scheduler.turn = turn
     net.scheduler.run()
     assert broken == ["loop"] * 3
@@ -72,13 +82,16 @@
 
 def test_work_that_has_to_go_on_is_begun_anew(monkeypatch):
     net, tries, broken = Net(), [], []
-    monkeypatch.setattr("molehill.runtime.scheduler.holds",
-                        lambda condition, name, **facts: broken.append(name) if not condition else True)
+    monkeypatch.setattr(
+        "molehill.runtime.scheduler.holds",
+        lambda condition, name, **facts: broken.append(name) if not condition else True,
+    )
 
     def work():
         tries.append(net.clock())
         if len(tries) < 3:
             raise ValueError("a fault")
+
     net.scheduler.spawn_kept(work)
     net.advance(SECOND)
     assert len(tries) == 3 and broken == ["kept_task"] * 2
@@ -101,13 +114,17 @@
                 net.budget.give(kind)
                 return True
             return False
+
         return close
+
     net.budget.idlers.update(client=idler("client"), host=idler("host"))
     assert net.budget.take("client") and net.budget.take("host") and net.budget.take("notices")
     assert net.budget.take("client") and closed == ["host"]
     assert net.budget.take("host") and closed == ["host", "client"] and net.budget.total() == 3
     net.budget.quotas["client"] = 1
-    assert net.budget.take("client") and closed[2:] == ["client"], "beyond its quota: one of its own"
+    assert net.budget.take("client") and closed[2:] == [
+        "client"
+    ], "beyond its quota: one of its own"
     net.budget.idlers.clear()
     assert not net.budget.take("discovery") and net.budget.total() == 3
 
@@ -118,7 +135,9 @@
 class Door:
     def __init__(self, **given):
         self.net = Net()
-        self.clients = Clients(self.net.scheduler, net_config(**given), self.net.budget, self.net.post)
+        self.clients = Clients(
+            self.net.scheduler, net_config(**given), self.net.budget, self.net.post
+        )
         self.clients.ready = True
 
     def connect(self):
@@ -142,15 +161,27 @@
     door = Door()
     sock = door.connect()
     ask = ASK % b"id1"
-    assert door.say(sock, ask[:50]) == b"" and door.say(sock, ask[50:-1]) == b"" and not door.net.events
+    assert (
+        door.say(sock, ask[:50]) == b""
+        and door.say(sock, ask[50:-1]) == b""
+        and not door.net.events
+    )
     assert door.say(sock, ask[-1:]) == b""
     (arrived,) = door.net.events
     fresh = arrived.fresh
-    assert (fresh.id, fresh.category, fresh.key, fresh.destination, fresh.mark, fresh.body) == \
-        ("id1", 0, "k1", 7, "m", b"abc")
+    assert (fresh.id, fresh.category, fresh.key, fresh.destination, fresh.mark, fresh.body) == (
+        "id1",
+        0,
+        "k1",
+        7,
+        "m",
+        b"abc",
+    )
     assert fresh.due == door.net.clock() + 480 * MS
     door.answer(arrived)
-    assert drain(sock).startswith(b"HTTP/1.1 202 ") and door.net.events[1:] == [ev.Heard("id1", arrived.client)]
+    assert drain(sock).startswith(b"HTTP/1.1 202 ") and door.net.events[1:] == [
+        ev.Heard("id1", arrived.client)
+    ]
     door.say(sock, ASK % b"id2")
     door.answer(door.net.events[-1], 503, 1234 * MS)
     text = drain(sock)
@@ -163,18 +194,32 @@
     door = Door()
     sock = door.connect()
     door.say(sock, ASK % b"id1")
-    leave(sock)                            # the second as TCP shows it: its end has come, yet bytes still go
+    # the second as TCP shows it: its end has come, yet bytes still go
+    leave(sock)
     door.answer(door.net.events[0])
     assert type(door.net.events[1]) is ev.Unheard and not door.clients.conns
     assert door.net.budget.total() == 0
 
 
-@pytest.mark.parametrize("before,after,status", [
-    (b"Req-Id: id1", b"No-Id: x", 400), (b"Req-Id: id1", b"Req-Id: " + b"i" * 2000, 400),
-    (b"Req-Id: id1", b"Req-Id: i\xe9", 400), (b"Req-Kind: notice", b"Req-Kind: other", 400),
-    (b"dest=7", b"dest=x", 400), (b"dest=7", b"else=7", 400), (b"480", b"4.5", 400), (b"480", b"-1", 400),
-    (b"subject=k1", b"subject=" + b"k" * 2000, 400), (b"-Key: m", b"-Key: m 1", 400), (b"Content-Length: 3", b"Content-Length: 70000", 413),
-    (b"POST /api", b"GET /api", 405), (b"/api", b"/other", 404), (b" HTTP/1.1", b"", 400)])
+@pytest.mark.parametrize(
+    "before,after,status",
+    [
+        (b"Req-Id: id1", b"No-Id: x", 400),
+        (b"Req-Id: id1", b"Req-Id: " + b"i" * 2000, 400),
+        (b"Req-Id: id1", b"Req-Id: i\xe9", 400),
+        (b"Req-Kind: notice", b"Req-Kind: other", 400),
+        (b"dest=7", b"dest=x", 400),
+        (b"dest=7", b"else=7", 400),
+        (b"480", b"4.5", 400),
+        (b"480", b"-1", 400),
+        (b"subject=k1", b"subject=" + b"k" * 2000, 400),
+        (b"-Key: m", b"-Key: m 1", 400),
+        (b"Content-Length: 3", b"Content-Length: 70000", 413),
+        (b"POST /api", b"GET /api", 405),
+        (b"/api", b"/other", 404),
+        (b" HTTP/1.1", b"", 400),
+    ],
+)
 def test_what_can_t_be_taken_on_is_answered_and_never_handed_over(before, after, status):
     door = Door()
     sock = door.connect()
@@ -202,7 +247,7 @@
     door.say(sock, ASK % b"id1")
     door.say(partly, (ASK % b"id2")[:-1])
     door.clients.closing = True
-    idle.send(ASK % b"id3")                # lies there unread
+    idle.send(ASK % b"id3")  # lies there unread
     door.clients.close_idle()
     door.net.settle()
     assert drain(silent) is None and len(door.clients.conns) == 3
@@ -210,12 +255,16 @@
         door.answer(event)
     for asked in (sock, idle):
         assert b"Connection: close" in drain(asked) and drain(asked) is None
-    assert len(door.clients.conns) == 3 and not door.clients.calm(), "till they are gone too, what they still send is read away"
+    assert (
+        len(door.clients.conns) == 3 and not door.clients.calm()
+    ), "till they are gone too, what they still send is read away"
     sock.close(), idle.close()
     partly.send(b"b")
     door.clients.close_unfinished()
     door.net.settle()
-    assert not door.clients.conns and [e.fresh.id for e in door.net.events if type(e) is ev.Arrived] == ["id1", "id3"]
+    assert not door.clients.conns and [
+        e.fresh.id for e in door.net.events if type(e) is ev.Arrived
+    ] == ["id1", "id3"]
 
 
 def test_a_request_that_never_gets_whole_is_given_up():
@@ -248,7 +297,8 @@
     door = Door()
     door.clients.begin()
     sock = door.connect()
-    for since, counted in ((0, 400 * MS), (900 * MS, 400 * MS), (200 * MS, 0)):    # later ones of a connection too
+    # later ones of a connection too
+    for since, counted in ((0, 400 * MS), (900 * MS, 400 * MS), (200 * MS, 0)):
         door.net.advance(since)
         door.say(sock, ASK % b"id%d" % since)
         assert door.net.events[-1].fresh.due == door.net.clock() - counted + 480 * MS
@@ -261,9 +311,9 @@
     door.clients.config.listen = ("127.0.0.1", 0)
     door.clients.listen()
     door.net.settle()
-    door.net.clock.now += 5 * SECOND       # nobody came: that is no wait
+    door.net.clock.now += 5 * SECOND  # nobody came: that is no wait
     door.net.settle()
-    door.net.budget.most = 1               # no descriptor is to spare
+    door.net.budget.most = 1  # no descriptor is to spare
     late = socket.create_connection(door.clients.listener.getsockname())
     late.setblocking(False)
     late.send(ASK % b"late")
@@ -278,7 +328,9 @@
     door.net.settle()
     drain(late)
     door.say(late, ASK % b"next")
-    assert door.net.events[-1].fresh.due == door.net.clock() + 480 * MS, "only its first request waited"
+    assert (
+        door.net.events[-1].fresh.due == door.net.clock() + 480 * MS
+    ), "only its first request waited"
     late.close()
     door.clients.listener.close()
 
@@ -289,7 +341,9 @@
     door.say(sock, ASK % b"id1")
     door.net.advance(1100 * MS)
     assert type(door.net.events[1]) is ev.Unheard
-    assert drain(sock).startswith(b"HTTP/1.1 503 "), "withdrawn, it has surely not run; closed unanswered, it is lost"
+    assert drain(sock).startswith(
+        b"HTTP/1.1 503 "
+    ), "withdrawn, it has surely not run; closed unanswered, it is lost"
 
 
 def test_the_connection_idle_longest_makes_room_and_one_that_may_carry_a_request_never_does():
@@ -302,7 +356,7 @@
     door.net.clock.now += SECOND
     fresh = door.connect()
     door.say(busy, ASK % b"id1")
-    crossed.send(ASK % b"id2")             # came, and not read yet
+    crossed.send(ASK % b"id2")  # came, and not read yet
     assert door.clients.close_idlest(ROOM) and drain(second) is None and drain(first) == b""
     assert door.clients.close_idlest(ROOM) and drain(first) is None
     assert not door.clients.close_idlest(ROOM)
@@ -320,12 +374,15 @@
 def test_a_crowd_that_asks_once_and_stays_never_fills_the_clients_allowance(sockets):
     door = Door(limits={"sockets": sockets})
     bound = door.clients.config.client_idle
-    assert 16 <= bound <= sockets // 3 // 2, "at least half of what clients may hold is for what is under way"
+    assert (
+        16 <= bound <= sockets // 3 // 2
+    ), "at least half of what clients may hold is for what is under way"
     door.net.budget.most = sockets
     pool, crowd = [door.connect() for _ in range(8)], []
     for sock in pool + pool:
         door.say(sock, LIVE)
-    for n in range(4 * bound):             # 200 a second: each asks once, and keeps its connection for good
+    # 200 a second: each asks once, and keeps its connection for good
+    for n in range(4 * bound):
         for sock in [door.connect()] + ([pool[n // 4 % 8]] if n % 4 == 0 else []):
             text = door.say(sock, LIVE)
             assert text.startswith(b"HTTP/1.1 200 ")
@@ -335,11 +392,16 @@
                 crowd.append(sock)
         door.net.clock.now += 5 * MS
         assert len(door.clients.conns) <= bound
-    assert all(drain(sock) == b"" for sock in pool) and door.clients.counts["closed: idle, room for others"] > bound
+    assert (
+        all(drain(sock) == b"" for sock in pool)
+        and door.clients.counts["closed: idle, room for others"] > bound
+    )
     for sock in (*crowd, *pool):
         sock.close()
     door.net.settle()
-    assert not door.clients.conns and not any(door.clients.idle.values()), "every map drops its rows"
+    assert not door.clients.conns and not any(
+        door.clients.idle.values()
+    ), "every map drops its rows"
 
 
 def test_where_none_can_go_a_first_answer_ends_its_connection_and_none_is_cut_that_is_in_use():
@@ -351,7 +413,7 @@
         assert b"close" not in door.say(sock, LIVE)
     late = door.connect()
     assert b"Connection: close" in door.say(late, LIVE) and drain(late) is None
-    door.net.clock.now += SECOND           # all may go now, but for the one that has a request open
+    door.net.clock.now += SECOND  # all may go now, but for the one that has a request open
     door.say(pool[0], ASK % b"id1")
     assert b"close" not in door.say(pool[1], LIVE)
     fresh = [door.connect(), door.connect()]
@@ -374,10 +436,17 @@
     hosts_closed.clear()
     assert door.net.budget.take("client") and drain(silent[0]) is None and not hosts_closed
     door.net.budget.quotas["client"] = 4
-    assert door.net.budget.take("client") and drain(silent[1]) is None and drain(served) == b"" and not hosts_closed
+    assert (
+        door.net.budget.take("client")
+        and drain(silent[1]) is None
+        and drain(served) == b""
+        and not hosts_closed
+    )
     door.net.advance(2 * SECOND)
     assert drain(silent[2]) is None, "owed an end within three seconds of connecting, crowd or not"
-    assert drain(served) == b"" and door.net.budget.take("client") and door.net.budget.take("client")
+    assert (
+        drain(served) == b"" and door.net.budget.take("client") and door.net.budget.take("client")
+    )
     assert drain(served) is None, "two seconds idle: nobody needs it"
 
 
@@ -395,7 +464,9 @@
         except OSError:
             break
         door.net.scheduler.turn(block=False)
-    assert turns < 200 and not door.net.events and not door.clients.conns, "an error or a close, and not at the end"
+    assert (
+        turns < 200 and not door.net.events and not door.clients.conns
+    ), "an error or a close, and not at the end"
     sock, other = door.connect(), door.connect()
     sock.send(b"GET /nothing HTTP/1.1\r\n\r\n" * 100)
     other.send(b"GET /health/live HTTP/1.1\r\n\r\n")
@@ -408,8 +479,13 @@
     door = Door()
     sock = door.connect()
     hidden = b"0\r\n\r\n" + ASK % b"hidden"
-    text = door.say(sock, (ASK % b"id1").replace(b"Content-Length: 3", b"Content-Length: 5\r\nTransfer-Encoding: chunked")[:-3]
-                    + hidden)
+    text = door.say(
+        sock,
+        (ASK % b"id1").replace(
+            b"Content-Length: 3", b"Content-Length: 5\r\nTransfer-Encoding: chunked"
+        )[:-3]
+        + hidden,
+    )
     assert text.startswith(b"HTTP/1.1 400 ")
     door.net.advance(300 * MS)
     assert not door.net.events and not door.clients.conns
@@ -433,8 +509,14 @@
     def __init__(self, monkeypatch):
         self.net, self.allowed = Net(), True
         self.made, self.refusals = self.net.catch(monkeypatch)
-        self.hosts = hosts.Hosts(self.net.scheduler, net_config(), self.net.budget, self.post,
-                                 lambda *_: self.allowed, Figures(()))
+        self.hosts = hosts.Hosts(
+            self.net.scheduler,
+            net_config(),
+            self.net.budget,
+            self.post,
+            lambda *_: self.allowed,
+            Figures(()),
+        )
         self.serial, self.on_begun = 0, lambda call: None
 
     def post(self, event):
@@ -443,8 +525,15 @@
     def call(self, *ids, bundle=False, span=2 * SECOND, host="h1"):
         self.serial += 1
         until = self.net.clock() + span
-        self.hosts.call(ev.Call(self.serial, host, ("127.0.0.1", 9), bundle,
-                                [ev.Member(i, f"m-{i}", i.encode() * 2, until) for i in ids or ["a"]]))
+        self.hosts.call(
+            ev.Call(
+                self.serial,
+                host,
+                ("127.0.0.1", 9),
+                bundle,
+                [ev.Member(i, f"m-{i}", i.encode() * 2, until) for i in ids or ["a"]],
+            )
+        )
         self.net.settle()
 
     def reply(self, data, sock=None, close=False):
@@ -457,7 +546,12 @@
 
 
 def answered(status, *headers, body=b""):
-    return b"\r\n".join([b"HTTP/1.1 %d X" % status, *headers, b"Content-Length: %d" % len(body), b"", b""]) + body
+    return (
+        b"\r\n".join(
+            [b"HTTP/1.1 %d X" % status, *headers, b"Content-Length: %d" % len(body), b"", b""]
+        )
+        + body
+    )
 
 
 def test_a_call_carries_id_key_body_and_how_long_it_waits(monkeypatch):
@@ -465,18 +559,22 @@
     calls.call("a")
     assert drain(calls.made[0]) == (
         b"POST /events HTTP/1.1\r\nHost: 127.0.0.1:9\r\nReq-Id: a\r\nReq-Deadline-Ms: 2000\r\n"
-        b"Idempotency-Key: m-a\r\nContent-Length: 2\r\n\r\naa")
+        b"Idempotency-Key: m-a\r\nContent-Length: 2\r\n\r\naa"
+    )
 
 
 @pytest.mark.parametrize("logged", [True, False])
-def test_a_call_is_logged_once_its_connection_is_up_and_before_its_first_byte_which_else_does_not_go(monkeypatch, logged):
+def test_a_call_is_logged_once_its_connection_is_up_and_before_its_first_byte_which_else_does_not_go(
+    monkeypatch, logged
+):
     """Danger: logged before, what still connects as the process is killed counts as run; logged after, what ran counts as untried."""
     calls, seen = Calls(monkeypatch), []
 
     def begun(call):
         seen.append((call, len(calls.made), drain(calls.made[-1])))
         if not logged:
-            calls.hosts.abort(call)        # as the core has it where the log takes nothing
+            calls.hosts.abort(call)  # as the core has it where the log takes nothing
+
     calls.on_begun = begun
     calls.refusals.append(Broken("refused"))
     calls.call()
@@ -495,56 +593,87 @@
         made = opened(*given, **more)
         calls.net.clock.now += 2 * SECOND
         return made
+
     monkeypatch.setattr("molehill.runtime.stream.opened", late)
     calls.call(span=2 * SECOND)
     assert [(e.ends[0].result, e.ends[0].unsent) for e in calls.net.events] == [(R.NOT_SENT, True)]
     assert drain(calls.made[0]) is None and calls.net.budget.total() == 0
 
 
-@pytest.mark.parametrize("reply,expected", [
-    (answered(200, b"Srv-Load: x0=0.4,x1=25"), (R.DELIVERED, 0, True, False, 25.0, 0.4)),
-    (answered(500), (R.ERROR, 0, False, False, 0.0)),
-    (answered(429, b"Retry-After: 1.25"), (R.FULL, 1250 * MS, False, False, 0.0)),
-    (answered(503, b"Retry-After: 2"), (R.FULL, 2 * SECOND, False, False, 0.0)),
-    (answered(503, b"Retry-After: soon"), (R.FULL, 0, False, False, 0.0)),
-    (answered(503, b"X-Line-Busy: 1"), (R.NOT_SENT, 0, False, False, 0.0)),
-    (answered(504), (R.NOT_SENT, 0, False, True, 0.0)), (answered(410), (R.NOT_SENT, 0, True, False, 0.0)),
-    (answered(413), (R.FULL, 0, False, False, 0.0)), (answered(302), (R.ERROR, 0, False, False, 0.0)),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + answered(200), (R.DELIVERED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\nA: b\r\n\r\n", (R.DELIVERED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", (R.DELIVERED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
-    (b"HTTP/1.1 429 No\r\nContent-Length: 5\r\nContent-Length: 0\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
-    (b"HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
-    (b"HTTP/1.1 100 Go\r\n\r\n" * 17 + answered(503), (R.RESET, 0, False, False, 0.0)),
-    (b"ICY 200 OK\r\nContent-Length: 0\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
-    (answered(200, b"Srv-Load: x0=??,x1=25"), (R.DELIVERED, 0, True, False, 0.0)),
-    (answered(200, b"Srv-Load: x0=0.5,x1=2_5"), (R.DELIVERED, 0, True, False, 0.0)),
-    (answered(200, b"Srv-Load: x1=-25"), (R.DELIVERED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", (R.DELIVERED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 200 OK\r\nno header\r\n\r\n", (R.DELIVERED, 0, True, False, 0.0)),
-    (b"HTTP/1.1 503 No\r\nno header\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
-    (b"gibberish\r\n\r\n", (R.RESET, 0, False, False, 0.0))])
+@pytest.mark.parametrize(
+    "reply,expected",
+    [
+        (answered(200, b"Srv-Load: x0=0.4,x1=25"), (R.DELIVERED, 0, True, False, 25.0, 0.4)),
+        (answered(500), (R.ERROR, 0, False, False, 0.0)),
+        (answered(429, b"Retry-After: 1.25"), (R.FULL, 1250 * MS, False, False, 0.0)),
+        (answered(503, b"Retry-After: 2"), (R.FULL, 2 * SECOND, False, False, 0.0)),
+        (answered(503, b"Retry-After: soon"), (R.FULL, 0, False, False, 0.0)),
+        (answered(503, b"X-Line-Busy: 1"), (R.NOT_SENT, 0, False, False, 0.0)),
+        (answered(504), (R.NOT_SENT, 0, False, True, 0.0)),
+        (answered(410), (R.NOT_SENT, 0, True, False, 0.0)),
+        (answered(413), (R.FULL, 0, False, False, 0.0)),
+        (answered(302), (R.ERROR, 0, False, False, 0.0)),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + answered(200), (R.DELIVERED, 0, True, False, 0.0)),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n0\r\nA: b\r\n\r\n",
+            (R.DELIVERED, 0, True, False, 0.0),
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            (R.DELIVERED, 0, True, False, 0.0),
+        ),
+        (
+            b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+            (R.RESET, 0, False, False, 0.0),
+        ),
+        (
+            b"HTTP/1.1 429 No\r\nContent-Length: 5\r\nContent-Length: 0\r\n\r\n",
+            (R.RESET, 0, False, False, 0.0),
+        ),
+        (
+            b"HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\n",
+            (R.RESET, 0, False, False, 0.0),
+        ),
+        (b"HTTP/1.1 100 Go\r\n\r\n" * 17 + answered(503), (R.RESET, 0, False, False, 0.0)),
+        (b"ICY 200 OK\r\nContent-Length: 0\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
+        (answered(200, b"Srv-Load: x0=??,x1=25"), (R.DELIVERED, 0, True, False, 0.0)),
+        (answered(200, b"Srv-Load: x0=0.5,x1=2_5"), (R.DELIVERED, 0, True, False, 0.0)),
+        (answered(200, b"Srv-Load: x1=-25"), (R.DELIVERED, 0, True, False, 0.0)),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", (R.DELIVERED, 0, True, False, 0.0)),
+        (b"HTTP/1.1 200 OK\r\nno header\r\n\r\n", (R.DELIVERED, 0, True, False, 0.0)),
+        (b"HTTP/1.1 503 No\r\nno header\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
+        (b"gibberish\r\n\r\n", (R.RESET, 0, False, False, 0.0)),
+    ],
+)
 def test_each_answer_is_the_outcome_that_the_protocol_names(monkeypatch, reply, expected):
     calls = Calls(monkeypatch)
     calls.call()
     event = calls.reply(reply)
     (end,) = event.ends
-    assert (end.result, end.wait, end.closed, end.spent, event.told_rate, event.told_left) == (*expected, None)[:6]
+    assert (end.result, end.wait, end.closed, end.spent, event.told_rate, event.told_left) == (
+        *expected,
+        None,
+    )[:6]
     calls.net.advance(1100 * MS)
     assert len(calls.net.events) == 1 and calls.hosts.out == 0
 
 
-@pytest.mark.parametrize("status,result", [(200, R.DELIVERED), (500, R.ERROR), (503, R.RESET), (410, R.RESET), (504, R.RESET)])
+@pytest.mark.parametrize(
+    "status,result",
+    [(200, R.DELIVERED), (500, R.ERROR), (503, R.RESET), (410, R.RESET), (504, R.RESET)],
+)
 @pytest.mark.parametrize("cut", [True, False])
-def test_half_an_answer_proves_nothing_but_a_200_and_the_launch_is_out_till_its_end(monkeypatch, status, result, cut):
+def test_half_an_answer_proves_nothing_but_a_200_and_the_launch_is_out_till_its_end(
+    monkeypatch, status, result, cut
+):
     calls = Calls(monkeypatch)
     calls.call()
     assert calls.reply(answered(status, body=b"whole")[:-1]) is None, "the host still holds it"
     if cut:
         calls.made[0].close()
         calls.net.settle()
-    else:                              # a wait that ends: at once where that changes nothing, else with the call's time
+    # a wait that ends: at once where that changes nothing, else with the call's time
+    else:
         calls.net.advance(300 * MS)
         assert bool(calls.net.events) == (status in (200, 500))
         calls.net.advance(1800 * MS)
@@ -553,7 +682,9 @@
     assert not calls.hosts.idle and calls.net.budget.total() == 0
 
 
-def test_a_connection_with_more_than_its_answer_is_not_used_again_however_late_it_comes(monkeypatch):
+def test_a_connection_with_more_than_its_answer_is_not_used_again_however_late_it_comes(
+    monkeypatch,
+):
     calls = Calls(monkeypatch)
     calls.call("a")
     calls.reply(answered(200) + b"noise")
@@ -567,21 +698,34 @@
     (stream,) = calls.hosts.idle["h1"]
     send = stream.send
     stream.send = lambda data, until: (send(data, until), calls.made[2].send(answered(200)))
-    calls.call("d")                    # a copy that crosses the next request is no answer to it
+    calls.call("d")  # a copy that crosses the next request is no answer to it
     assert [e.ends[0].result for e in calls.net.events[3:]] == [R.RESET] and not stream.open
 
 
 @pytest.mark.parametrize("span", [SECOND, 2 * SECOND])
-def test_a_connection_that_never_comes_up_is_the_host_s_failure_also_within_a_short_time_out(monkeypatch, span):
+def test_a_connection_that_never_comes_up_is_the_host_s_failure_also_within_a_short_time_out(
+    monkeypatch, span
+):
     calls = Calls(monkeypatch)
     calls.refusals.append(hosts.Late())
     calls.call(span=span)
-    assert [(e.ends[0].result, e.ends[0].unsent) for e in calls.net.events] == [(R.NO_CONNECT, False)]
-
-
-@pytest.mark.parametrize("sent,result", [(b"", R.RESET), (b"HTTP/1.1 20", R.RESET), (b"HTTP/1.1 200 OK\r\n", R.DELIVERED),
-                                         (b"HTTP/1.1 500 X\r\n", R.RESET)])
-def test_a_connection_that_breaks_after_the_last_byte_is_a_reset_unless_200_was_written(monkeypatch, sent, result):
+    assert [(e.ends[0].result, e.ends[0].unsent) for e in calls.net.events] == [
+        (R.NO_CONNECT, False)
+    ]
+
+
+@pytest.mark.parametrize(
+    "sent,result",
+    [
+        (b"", R.RESET),
+        (b"HTTP/1.1 20", R.RESET),
+        (b"HTTP/1.1 200 OK\r\n", R.DELIVERED),
+        (b"HTTP/1.1 500 X\r\n", R.RESET),
+    ],
+)
+def test_a_connection_that_breaks_after_the_last_byte_is_a_reset_unless_200_was_written(
+    monkeypatch, sent, result
+):
     calls = Calls(monkeypatch)
     calls.call()
     event = calls.reply(sent, close=True)
@@ -599,14 +743,16 @@
 
 @pytest.mark.parametrize("bundle", [False, True])
 @pytest.mark.parametrize("stood,result", [(900 * MS, R.DELIVERED), (1100 * MS, R.CANCELLED)])
-def test_an_answer_that_is_read_after_the_time_that_was_told_is_no_delivery(monkeypatch, bundle, stood, result):
+def test_an_answer_that_is_read_after_the_time_that_was_told_is_no_delivery(
+    monkeypatch, bundle, stood, result
+):
     """Danger: while this relay stood still the host gave the call up, and what it wrote then stands for nothing: taken for a
     delivery, the callback never gets its end. It tells nothing of the host either: no time-out of its."""
     calls = Calls(monkeypatch)
     calls.call("a", "b", bundle=True, span=SECOND) if bundle else calls.call(span=SECOND)
     assert b"Req-Deadline-Ms: 1000\r\n" in drain(calls.made[0])
     calls.made[0].send(answered(200, body=b"a delivered\r\nb delivered\r\n"))
-    calls.net.clock.now += stood           # no round between the answer and the end of the wait
+    calls.net.clock.now += stood  # no round between the answer and the end of the wait
     calls.net.settle()
     (event,) = calls.net.events
     assert {end.result for end in event.ends} == {result}
@@ -615,15 +761,19 @@
 
 def stands_after(calls, send):
     """This relay stands still right after a call's last byte, and finds its answer there when it goes on."""
+
     def sends(data, until):
         send(data, until)
         calls.made[0].send(answered(200))
         calls.net.clock.now += 700 * MS
+
     return sends
 
 
 @pytest.mark.parametrize("span,result", [(SECOND // 2, R.CANCELLED), (SECOND, R.DELIVERED)])
-def test_an_answer_that_came_while_the_relay_stood_still_right_after_its_call_counts(monkeypatch, span, result):
+def test_an_answer_that_came_while_the_relay_stood_still_right_after_its_call_counts(
+    monkeypatch, span, result
+):
     """Danger: taken for more than the last answer, a callback that was delivered is called again; unless its time is up."""
     calls = Calls(monkeypatch)
     calls.call()
@@ -632,12 +782,22 @@
     stream.send = stands_after(calls, stream.send)
     calls.call(span=span)
     calls.net.settle()
-    assert [event.ends[0].result for event in calls.net.events] == [R.DELIVERED, result] and len(calls.made) == 1
-
-
-@pytest.mark.parametrize("refusal,result", [
-    (Broken("ECONNREFUSED"), R.NO_CONNECT), (hosts.Late(), R.NO_CONNECT), (hosts.Short("EMFILE"), R.NOT_SENT)])
-def test_no_connection_is_no_connect_unless_it_is_this_relay_that_is_short(monkeypatch, refusal, result):
+    assert [event.ends[0].result for event in calls.net.events] == [R.DELIVERED, result] and len(
+        calls.made
+    ) == 1
+
+
+@pytest.mark.parametrize(
+    "refusal,result",
+    [
+        (Broken("ECONNREFUSED"), R.NO_CONNECT),
+        (hosts.Late(), R.NO_CONNECT),
+        (hosts.Short("EMFILE"), R.NOT_SENT),
+    ],
+)
+def test_no_connection_is_no_connect_unless_it_is_this_relay_that_is_short(
+    monkeypatch, refusal, result
+):
     calls = Calls(monkeypatch)
     calls.refusals.append(refusal)
     calls.call()
@@ -665,12 +825,15 @@
 
     def breaks(data, until):
         raise Broken("ECONNRESET")
+
     stream.send = breaks
     calls.call()
     assert len(calls.made) == 2 and calls.reply(answered(200)).ends[0].result is R.DELIVERED
     (kept,) = calls.hosts.idle["h1"]
     calls.net.clock.now += 9001 * MS
-    assert calls.hosts.kept(ev.Call(9, "h1", (), False, [])) is None and not kept.open, "too long idle"
+    assert (
+        calls.hosts.kept(ev.Call(9, "h1", (), False, [])) is None and not kept.open
+    ), "too long idle"
 
 
 def test_idle_connections_are_closed_before_the_host_would_and_when_asked(monkeypatch):
@@ -698,8 +861,9 @@
     assert calls.net.events[1].ends[0].result is R.NOT_SENT and len(calls.hosts.idle["h1"]) == 1
 
     def told_while_connecting():
-        calls.allowed = not calls.made         # the connection is up, and the wait came before it
+        calls.allowed = not calls.made  # the connection is up, and the wait came before it
         return calls.allowed
+
     calls.made.clear()
     calls.hosts.close_idle("h1")
     calls.hosts.may_send = lambda *_: told_while_connecting()
@@ -719,28 +883,45 @@
 def test_a_call_of_several_has_an_end_for_each(monkeypatch):
     calls = Calls(monkeypatch)
     calls.call("a", "b", "c", "d", "e", "f", bundle=True)
-    assert drain(calls.made[0]).endswith(b"\r\n\r\na m-a 2\r\naa\r\nb m-b 2\r\nbb\r\nc m-c 2\r\ncc\r\n"
-                                         b"d m-d 2\r\ndd\r\ne m-e 2\r\nee\r\nf m-f 2\r\nff\r\n")
+    assert drain(calls.made[0]).endswith(
+        b"\r\n\r\na m-a 2\r\naa\r\nb m-b 2\r\nbb\r\nc m-c 2\r\ncc\r\n"
+        b"d m-d 2\r\ndd\r\ne m-e 2\r\nee\r\nf m-f 2\r\nff\r\n"
+    )
     body = b"a delivered\r\nb failed\r\nc refused\r\nd over\r\ne spent\r\n"
     event = calls.reply(answered(200, b"Retry-After: 0.5", body=body))
     assert [(e.id, e.result, e.wait, e.closed, e.spent) for e in event.ends] == [
-        ("a", R.DELIVERED, 0, True, False), ("b", R.ERROR, 0, False, False),
-        ("c", R.FULL, 500 * MS, False, False), ("d", R.NOT_SENT, 0, True, False),
-        ("e", R.NOT_SENT, 0, False, True), ("f", R.RESET, 0, False, False)]
+        ("a", R.DELIVERED, 0, True, False),
+        ("b", R.ERROR, 0, False, False),
+        ("c", R.FULL, 500 * MS, False, False),
+        ("d", R.NOT_SENT, 0, True, False),
+        ("e", R.NOT_SENT, 0, False, True),
+        ("f", R.RESET, 0, False, False),
+    ]
 
 
 def test_a_host_with_no_room_for_another_connection_is_told_from_one_that_is_full(monkeypatch):
     """Danger: taken for a used-up limit, relays that hold idle connections go on holding them, and others find no room."""
     calls = Calls(monkeypatch)
-    for headers, result in ((b"Connection: close", R.NO_CONNECT), (b"X: y", R.FULL), (b"Connection: close", R.FULL)):
-        calls.call()                       # the third goes on the second's connection, which has been let in
+    for headers, result in (
+        (b"Connection: close", R.NO_CONNECT),
+        (b"X: y", R.FULL),
+        (b"Connection: close", R.FULL),
+    ):
+        # the third goes on the second's connection, which has been let in
+        calls.call()
         assert [end.result for end in calls.reply(answered(503, headers)).ends] == [result]
     assert len(calls.made) == 2
 
 
-@pytest.mark.parametrize("sent,result", [
-    (answered(429, b"Retry-After: 1"), R.FULL), (answered(413), R.FULL), (answered(500), R.ERROR),
-    (answered(200, body=b"a delivered\r\n")[:-4], R.RESET)])
+@pytest.mark.parametrize(
+    "sent,result",
+    [
+        (answered(429, b"Retry-After: 1"), R.FULL),
+        (answered(413), R.FULL),
+        (answered(500), R.ERROR),
+        (answered(200, body=b"a delivered\r\n")[:-4], R.RESET),
+    ],
+)
 def test_a_call_of_several_that_fares_alike_or_whose_answer_is_not_whole(monkeypatch, sent, result):
     calls = Calls(monkeypatch)
     calls.call("a", "b", bundle=True)
@@ -751,31 +932,52 @@
     """Danger: what the host writes from then on is no delivery for the others either, however whole it is."""
     calls = Calls(monkeypatch)
     now = calls.net.clock()
-    calls.hosts.call(ev.Call(1, "h1", ("127.0.0.1", 9), True, [
-        ev.Member("a", None, b"", now + 3 * SECOND), ev.Member("b", None, b"", now + SECOND)]))
+    calls.hosts.call(
+        ev.Call(
+            1,
+            "h1",
+            ("127.0.0.1", 9),
+            True,
+            [ev.Member("a", None, b"", now + 3 * SECOND), ev.Member("b", None, b"", now + SECOND)],
+        )
+    )
     calls.net.settle()
     assert b"Req-Deadline-Ms: 1000\r\n" in drain(calls.made[0]), "the host hears when that is"
     calls.made[0].send(answered(200, body=b"a delivered\r\nb delivered\r\n")[:-4])
     calls.net.advance(1100 * MS)
     (event,) = calls.net.events
-    assert [(e.id, e.result) for e in event.ends] == [(i, R.TIMEOUT) for i in "ab"] and event.took >= SECOND
-    assert calls.hosts.out == 0 and drain(calls.made[0]) is None, "closed, so that the host knows too"
+    assert [(e.id, e.result) for e in event.ends] == [
+        (i, R.TIMEOUT) for i in "ab"
+    ] and event.took >= SECOND
+    assert (
+        calls.hosts.out == 0 and drain(calls.made[0]) is None
+    ), "closed, so that the host knows too"
 
 
 # Discovery and notices
 
 
 def entry(name="h1", **given):
-    return {"name": name, "address": "10.1.0.18:8081", "zone": "a", "type": "m", "group": 3, "status": "active",
-            "weight": 1.0, "since_ms": 0, **given}
+    return {
+        "name": name,
+        "address": "10.1.0.18:8081",
+        "zone": "a",
+        "type": "m",
+        "group": 3,
+        "status": "active",
+        "weight": 1.0,
+        "since_ms": 0,
+        **given,
+    }
 
 
 class Watch:
     def __init__(self, monkeypatch, known=None):
         self.net = Net()
         self.made, self.refusals = self.net.catch(monkeypatch)
-        self.discovery = discovery.Discovery(self.net.scheduler, net_config(known=known or {}), self.net.budget,
-                                             self.net.post)
+        self.discovery = discovery.Discovery(
+            self.net.scheduler, net_config(known=known or {}), self.net.budget, self.net.post
+        )
         self.discovery.begin()
 
     def watch(self):
@@ -792,11 +994,16 @@
 def test_the_list_starts_as_known_and_each_watch_follows_the_last_at_once(monkeypatch):
     watch = Watch(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
     assert watch.net.events[0].scope is it.Scope.RESTORED
-    assert watch.net.events[0].hosts == [ev.Host("h1", ("10.1.0.18", 8081), 0, 0, 3, it.Condition.UP, 1.0)]
+    assert watch.net.events[0].hosts == [
+        ev.Host("h1", ("10.1.0.18", 8081), 0, 0, 3, it.Condition.UP, 1.0)
+    ]
     assert watch.watch().startswith(b"GET /registry/instances?from=41&hold_ms=10000 HTTP/1.1\r\n")
     watch.discovery.watch()
     watch.tell(43, entry(status="leaving"), entry("h2", status="left"))
-    assert drain(watch.made[0]).startswith(b"GET /registry/instances?from=43&") and len(watch.made) == 1
+    assert (
+        drain(watch.made[0]).startswith(b"GET /registry/instances?from=43&")
+        and len(watch.made) == 1
+    )
     event = watch.net.events[1]
     assert event.scope is it.Scope.UPDATE
     assert [h.condition for h in event.hosts] == [it.Condition.DRAINING, it.Condition.GONE]
@@ -811,12 +1018,23 @@
     watch = Watch(monkeypatch)
     watch.watch()
     for turn, status in enumerate(("active", "leaving", "active")):
-        rows = [entry(f"s-{n:08x}", address=f"10.1.{n >> 8}.{n & 255}:8081", status=status, group=n % 40) for n in range(1024)]
-        data = json.dumps({"index": turn + 1, "snapshot": not turn, "endpoints": rows}, indent=indent).encode()
+        rows = [
+            entry(
+                f"s-{n:08x}", address=f"10.1.{n >> 8}.{n & 255}:8081", status=status, group=n % 40
+            )
+            for n in range(1024)
+        ]
+        data = json.dumps(
+            {"index": turn + 1, "snapshot": not turn, "endpoints": rows}, indent=indent
+        ).encode()
         assert len(data) > 2 * 64 * 1024
         if chunked:
             head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            data = head + b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in cut(data, 60000)) + b"0\r\n\r\n"
+            data = (
+                head
+                + b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in cut(data, 60000))
+                + b"0\r\n\r\n"
+            )
         else:
             data = answered(200, body=data)
         for part in cut(data, 30000):
@@ -828,7 +1046,7 @@
 
 
 def cut(data, size):
-    return [data[at:at + size] for at in range(0, len(data), size)]
+    return [data[at : at + size] for at in range(0, len(data), size)]
 
 
 def test_an_entry_that_can_t_be_read_does_not_take_the_others_with_it(monkeypatch):
@@ -836,14 +1054,28 @@
     monkeypatch.setattr(discovery, "holds", lambda condition, name, **facts: odd.append(name))
     watch = Watch(monkeypatch)
     watch.watch()
-    watch.tell(1, entry(address="nowhere"), {"name": "h9"}, "text", entry("h2", status="odd", type="new", zone="z"))
+    watch.tell(
+        1,
+        entry(address="nowhere"),
+        {"name": "h9"},
+        "text",
+        entry("h2", status="odd", type="new", zone="z"),
+    )
     (host,) = watch.net.events[-1].hosts
     assert (host.id, host.condition, host.kind, host.zone) == ("h2", it.Condition.DRAINING, 1, 1)
     assert len(odd) == 3
 
 
-@pytest.mark.parametrize("reply", [answered(503), answered(200, body=b"{"), answered(200, body=b"[" * 30000),
-                                   answered(200, body=b'{"index": 1e999}'), b"\r\n\r\n"])
+@pytest.mark.parametrize(
+    "reply",
+    [
+        answered(503),
+        answered(200, body=b"{"),
+        answered(200, body=b"[" * 30000),
+        answered(200, body=b'{"index": 1e999}'),
+        b"\r\n\r\n",
+    ],
+)
 def test_a_failed_watch_is_told_once_and_may_begin_again(monkeypatch, reply):
     watch = Watch(monkeypatch)
     watch.watch()
@@ -854,7 +1086,9 @@
 
 
 @pytest.mark.parametrize("begun", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"])
-def test_a_watch_that_went_silent_is_begun_anew_at_once_and_so_is_the_one_in_its_place(monkeypatch, begun):
+def test_a_watch_that_went_silent_is_begun_anew_at_once_and_so_is_the_one_in_its_place(
+    monkeypatch, begun
+):
     """Danger: the second rested, as after a failure, while what it missed counted as told."""
     watch = Watch(monkeypatch)
     for turn in range(1, 5):
@@ -863,9 +1097,11 @@
         watch.net.advance(11_400 * MS)
         assert len(watch.made) == turn
         watch.net.advance(100 * MS)
-        assert len(watch.made) == turn + 1 and drain(watch.made[-1]).startswith(b"GET /registry/instances?from=0&hold_ms=10000 ")
+        assert len(watch.made) == turn + 1 and drain(watch.made[-1]).startswith(
+            b"GET /registry/instances?from=0&hold_ms=10000 "
+        )
     assert len(watch.net.events) == 1, "no failure that the module would rest after"
-    watch.refusals += [hosts.Late()] * 2   # the next two never come up
+    watch.refusals += [hosts.Late()] * 2  # the next two never come up
     watch.net.advance(11_600 * MS)
     assert watch.net.events[-1].scope is it.Scope.FAILED
 
@@ -883,7 +1119,9 @@
         watch.net.advance(100 * MS)
         assert len(watch.made) == turn + 1
     watch.tell(7, entry(), whole=True)
-    assert [h.id for h in watch.net.events[-1].hosts] == ["h1"] and b"GET /registry/instances?from=7&" in drain(watch.made[-1])
+    assert [h.id for h in watch.net.events[-1].hosts] == [
+        "h1"
+    ] and b"GET /registry/instances?from=7&" in drain(watch.made[-1])
 
 
 def test_a_discovery_that_counts_anew_is_asked_for_its_whole_list(monkeypatch):
@@ -910,7 +1148,9 @@
     def __init__(self, monkeypatch):
         self.net = Net()
         self.made, self.refusals = self.net.catch(monkeypatch)
-        self.notices = notices.Notices(self.net.scheduler, net_config(), self.net.budget, self.net.post)
+        self.notices = notices.Notices(
+            self.net.scheduler, net_config(), self.net.budget, self.net.post
+        )
 
     def notify(self, *ids, denied=False, wait=0):
         for i in ids:
@@ -929,8 +1169,10 @@
     post.notify("b", "c", denied=True, wait=1500001)
     assert drain(post.made[0]) == b"" and not post.net.events
     post.reply(204)
-    assert drain(post.made[0]).endswith(b'{"ref":"b","result":"bounced","wait_ms":2}\n'
-                                        b'{"ref":"c","result":"bounced","wait_ms":2}\n')
+    assert drain(post.made[0]).endswith(
+        b'{"ref":"b","result":"bounced","wait_ms":2}\n'
+        b'{"ref":"c","result":"bounced","wait_ms":2}\n'
+    )
     post.reply(204)
     assert [e.ids for e in post.net.events] == [["a"], ["b", "c"]] and not post.notices.waiting
 
@@ -959,7 +1201,7 @@
 def test_a_new_notice_does_not_wait_for_the_rest_that_others_failures_brought(monkeypatch):
     post = Post(monkeypatch)
     post.notices.notify(ev.Notify("a", False, 0))
-    for _ in range(8):                     # the platform takes each and loses its answer
+    for _ in range(8):  # the platform takes each and loses its answer
         post.net.settle()
         post.made[-1].close()
         post.net.advance(700 * MS, step=5 * MS)
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -1,4 +1,5 @@
 """What may be sent, begun and closed: the one place that answers it, case by case."""
+
 from types import SimpleNamespace
 
 import pytest
@@ -10,9 +11,12 @@
 from tests.ledger import SECOND, category
 from tests.place import ASK
 
-
 NOW = 100 * SECOND
-WAYS = {it.Effect.IDEMPOTENT: None, it.Effect.DEDUPLICATED: Refusal.WINDOW_OVER, it.Effect.AT_MOST_ONCE: Refusal.MAY_HAVE_RUN}
+WAYS = {
+    it.Effect.IDEMPOTENT: None,
+    it.Effect.DEDUPLICATED: Refusal.WINDOW_OVER,
+    it.Effect.AT_MOST_ONCE: Refusal.MAY_HAVE_RUN,
+}
 
 
 @pytest.mark.parametrize("effect", it.Effect)
@@ -24,12 +28,26 @@
     assert refusal is (None if ran_ago is None or within else WAYS[effect])
 
 
-@pytest.mark.parametrize("wrong, refusal", [
-    ({}, None), ({"call": 1}, Refusal.CALL_IS_OUT), ({"heard": False}, Refusal.CLIENT_NOT_TOLD), ({"due": NOW}, Refusal.TIME_UP),
-    ({"first": False}, Refusal.KEY_BUSY), ({"stop_at": NOW}, Refusal.RELAY_ENDS), ({"stop_at": NOW + 1}, None)])
+@pytest.mark.parametrize(
+    "wrong, refusal",
+    [
+        ({}, None),
+        ({"call": 1}, Refusal.CALL_IS_OUT),
+        ({"heard": False}, Refusal.CLIENT_NOT_TOLD),
+        ({"due": NOW}, Refusal.TIME_UP),
+        ({"first": False}, Refusal.KEY_BUSY),
+        ({"stop_at": NOW}, Refusal.RELAY_ENDS),
+        ({"stop_at": NOW + 1}, None),
+    ],
+)
 def test_a_call_is_begun_only_where_nothing_stands_against_it(wrong, refusal):
     callback = SimpleNamespace(call=wrong.get("call"), due=wrong.get("due", NOW + 1))
-    assert permission.of_begin(callback, wrong.get("heard", True), wrong.get("first", True), wrong.get("stop_at"), NOW) is refusal
+    assert (
+        permission.of_begin(
+            callback, wrong.get("heard", True), wrong.get("first", True), wrong.get("stop_at"), NOW
+        )
+        is refusal
+    )
 
 
 def test_a_module_that_launches_what_is_out_or_out_of_turn_is_stopped_and_counted(place):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,10 +1,11 @@
 """Plain cases: what each rule and each defence is there for, on the module alone."""
+
 from random import Random
 
 import pytest
 
 from molehill import interface as it
-from tests.ledger import MS, R, SECOND, World, category, settings
+from tests.ledger import MS, SECOND, R, World, category, settings
 
 
 def feed(world, every, span, result=R.DELIVERED, took=50, **callback):
@@ -13,7 +14,9 @@
     for _ in range(span // every):
         world.take(**callback)
         world.advance(min(took, every) * MS)
-        for number in sorted(n for n, (_, sent, _) in world.out.items() if sent + took * MS <= world.now):
+        for number in sorted(
+            n for n, (_, sent, _) in world.out.items() if sent + took * MS <= world.now
+        ):
             if number in world.out:
                 world.answer(number, result)
         world.advance(max(0, every - took) * MS)
@@ -27,7 +30,8 @@
     assert len(world.out) == 2
     for _ in range(6):
         world.answer(min(world.out))
-    assert len(world.out) == 8                 # one more for each good answer until the first slowdown
+    # one more for each good answer until the first slowdown
+    assert len(world.out) == 8
     world.answer(min(world.out), R.FULL, 500 * MS)
     sent = len(world.sent)
     world.advance(499 * MS)
@@ -57,15 +61,23 @@
     assert number in world.out
 
 
-@pytest.mark.parametrize("effect,result,again", [
-    ("rerunnable", R.TIMEOUT, True), ("ticketed", R.ERROR, True), ("exclusive", R.NO_CONNECT, True),
-    ("exclusive", R.FULL, True), ("exclusive", R.ERROR, False), ("exclusive", R.RESET, False)])
+@pytest.mark.parametrize(
+    "effect,result,again",
+    [
+        ("rerunnable", R.TIMEOUT, True),
+        ("ticketed", R.ERROR, True),
+        ("exclusive", R.NO_CONNECT, True),
+        ("exclusive", R.FULL, True),
+        ("exclusive", R.ERROR, False),
+        ("exclusive", R.RESET, False),
+    ],
+)
 def test_a_repeat_only_where_the_category_allows(effect, result, again):
     world = World(settings(categories=[category(effect, abandon=9000, window=9000)]))
     number = world.take()
     world.answer(number, result)
     world.advance(100 * MS)
-    while again and not world.out and number in world.open:    # a refusal asks for a rest
+    while again and not world.out and number in world.open:  # a refusal asks for a rest
         world.advance(100 * MS)
     assert (number in world.out) == again and (number in world.open) == again
 
@@ -94,7 +106,9 @@
 
 def test_a_callback_bound_to_a_zone_does_not_block_the_others():
     rows = [category("ticketed", window=4000, same_zone=True)]
-    world = World(settings(categories=rows, kinds=[it.Kind(True, 1)]), hosts=((1, 0, 0, 1), (2, 1, 0, 1)))
+    world = World(
+        settings(categories=rows, kinds=[it.Kind(True, 1)]), hosts=((1, 0, 0, 1), (2, 1, 0, 1))
+    )
     bound = world.take()
     zone_host = world.out[bound][0]
     drains = it.HostEntry(zone_host, zone_host - 1, 0, 1, it.Condition.DRAINING, 1.0)
@@ -114,12 +128,18 @@
     for start in launches:
         cold = min(1.0, 0.2 + 0.8 * max(0, start + 1500 * MS - back) / (10 * SECOND))
         in_span = sum(1 for when in launches if start <= when < start + 1500 * MS)
-        assert cold == 1.0 or in_span <= 2.0 * cold * 17 * 1.5 + 1    # it can do more than is asked
-    assert len(launches) > 60                  # and it is fed again
+        assert cold == 1.0 or in_span <= 2.0 * cold * 17 * 1.5 + 1  # it can do more than is asked
+    assert len(launches) > 60  # and it is fed again
 
 
 def drained(world, host):
-    world.step([world.news(it.Scope.UPDATE, [it.HostEntry(*world.table[host], it.Condition.DRAINING, 1.0)])])
+    world.step(
+        [
+            world.news(
+                it.Scope.UPDATE, [it.HostEntry(*world.table[host], it.Condition.DRAINING, 1.0)]
+            )
+        ]
+    )
 
 
 @pytest.mark.parametrize("together", [True, False])
@@ -130,16 +150,21 @@
     feed(world, 50, 6000, result=R.NO_CONNECT)
     if not together:
         drained(world, 2)
-    back, able = world.now, 1.7 * 20 / 2       # of each host: what is asked of both, with room
+    back, able = world.now, 1.7 * 20 / 2  # of each host: what is asked of both, with room
     launches = [when for when, host in feed(world, 50, 8000) if host == 1]
     assert len(launches) > 20
     for start in launches:
         cold = 0.2 + 0.8 * min(1.0, max(0, start + 1500 * MS - back) / (10 * SECOND))
         calls = 2.0 * cold * able * 1.5
-        assert sum(start <= when < start + 1500 * MS for when in launches) <= calls + 3 * calls ** 0.5 + 3
+        assert (
+            sum(start <= when < start + 1500 * MS for when in launches)
+            <= calls + 3 * calls**0.5 + 3
+        )
 
 
-@pytest.mark.parametrize("failures, pause, returns", [(2, 2500, True), (2, 300, False), (1, 900, False)])
+@pytest.mark.parametrize(
+    "failures, pause, returns", [(2, 2500, True), (2, 300, False), (1, 900, False)]
+)
 def test_few_failures_over_a_long_time_are_an_outage_too(failures, pause, returns):
     """Danger: a relay with few slots sees two calls fail in five seconds, and feeds the host by the window alone as it returns."""
     world = World(settings(slots=2, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
@@ -161,7 +186,7 @@
             world.answer(number)
     able = 1.7 * 10
     calls = 2.0 * 0.2 * able * 1.5
-    assert (len(world.sent) - sent <= calls + 3 * calls ** 0.5 + 3) == returns
+    assert (len(world.sent) - sent <= calls + 3 * calls**0.5 + 3) == returns
 
 
 def test_what_waits_goes_when_the_rest_after_failures_is_over_though_nothing_new_comes():
@@ -172,7 +197,7 @@
     world.advance(20 * MS)
     assert not world.out
     before = len(world.sent)
-    world.advance(20 * SECOND)                 # longer than the longest rest
+    world.advance(20 * SECOND)  # longer than the longest rest
     assert len(world.sent) > before
 
 
@@ -205,10 +230,13 @@
 def test_refusals_teach_a_pace_below_the_allowance():
     world = World(settings(slots=40, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
     allowance, refused, served = [], 0, 0
-    for _ in range(1500):                      # thirty seconds at a destination that takes five a second
+    # thirty seconds at a destination that takes five a second
+    for _ in range(1500):
         world.take()
         world.advance(20 * MS)
-        for number in sorted(n for n, (_, sent, _) in world.out.items() if sent + 20 * MS <= world.now):
+        for number in sorted(
+            n for n, (_, sent, _) in world.out.items() if sent + 20 * MS <= world.now
+        ):
             allowance = [t for t in allowance if t > world.now - SECOND]
             if len(allowance) < 5:
                 allowance.append(world.now)
@@ -225,7 +253,14 @@
 
     def __init__(self, rate, depth, every):
         self.rate, self.depth, self.every = rate, depth, every
-        self.left, self.at, self.shown, self.shown_at, self.served, self.refused = depth, 0, 1.0, 0, 0, 0
+        self.left, self.at, self.shown, self.shown_at, self.served, self.refused = (
+            depth,
+            0,
+            1.0,
+            0,
+            0,
+            0,
+        )
 
     def call(self, now):
         self.left, self.at = min(self.depth, self.left + self.rate * (now - self.at) / SECOND), now
@@ -239,18 +274,26 @@
 @pytest.mark.parametrize("asked", [0.8, 1.3])
 def test_many_relays_at_one_told_limit_use_it_without_running_into_it(asked):
     relays, rate = 20, 20.0
-    given = settings(relays=relays, slots=5, max_held=90, tells_limit=True, categories=[category(goal=3000, abandon=12000)])
+    given = settings(
+        relays=relays,
+        slots=5,
+        max_held=90,
+        tells_limit=True,
+        categories=[category(goal=3000, abandon=12000)],
+    )
     worlds = [World(given, hosts=((1, 0, 0, 1),), seed=seed) for seed in range(relays)]
     limit, chance = Allowance(rate, rate / 2, 500 * MS), Random(5)
-    for turn in range(1200):                   # half a minute in steps of 25 ms
+    for turn in range(1200):  # half a minute in steps of 25 ms
         for world in worlds:
             if turn % 40 == 0 and chance.random() < 0.1:
-                for _ in range(4):             # some come in clumps
+                for _ in range(4):  # some come in clumps
                     world.take()
             if chance.random() < (asked - 0.4) * rate / relays / 40:
                 world.take()
             world.advance(25 * MS)
-            for number in [n for n, (_, sent, _) in world.out.items() if sent + 25 * MS <= world.now]:
+            for number in [
+                n for n, (_, sent, _) in world.out.items() if sent + 25 * MS <= world.now
+            ]:
                 result, told = limit.call(world.now)
                 world.answer(number, result, told=told)
     came = sum(world.serial for world in worlds)
@@ -260,9 +303,18 @@
 def test_a_call_that_is_not_full_waits_longer_at_a_told_limit_unless_much_of_it_is_left():
     spans = []
     for waiting, size, left in ((10, 10, 0.5), (1, 1, 0.5), (1, 10, 0.5), (1, 10, 0.95)):
-        world = World(settings(relays=40, slots=8, tells_limit=True, kinds=[it.Kind(False, size)],
-                               categories=[category(abandon=12000)]), hosts=((1, 0, 0, 1),))
-        world.answer(world.take(), told=(40.0, left))    # half of it is left: an even part, a call a second
+        world = World(
+            settings(
+                relays=40,
+                slots=8,
+                tells_limit=True,
+                kinds=[it.Kind(False, size)],
+                categories=[category(abandon=12000)],
+            ),
+            hosts=((1, 0, 0, 1),),
+        )
+        # half of it is left: an even part, a call a second
+        world.answer(world.take(), told=(40.0, left))
         before, since = len(world.sent), world.now
         for _ in range(waiting):
             world.take()
@@ -280,7 +332,7 @@
     number = world.take()
     world.advance(50 * MS)
     drains = world.out[number][0]
-    world.answer(number, R.FULL)               # before the list tells
+    world.answer(number, R.FULL)  # before the list tells
     world.advance(100 * MS)
     assert world.out[number][0] != drains and world.relay.dests[1].limiter.paused <= world.now
 
@@ -300,13 +352,15 @@
     assert world.relay.dests[1].limiter.paused == told_until
 
 
-@pytest.mark.parametrize("tells,told,paced", [(True, 0.0, False), (True, 30.0, True), (False, 0.0, True)])
+@pytest.mark.parametrize(
+    "tells,told,paced", [(True, 0.0, False), (True, 30.0, True), (False, 0.0, True)]
+)
 def test_a_refusal_teaches_no_pace_where_allowances_are_told_and_none_was(tells, told, paced):
     world = World(settings(tells_limit=tells), hosts=((1, 0, 0, 1),))
     feed(world, 100, 1000)
     world.relay.h_route[0].told = told
     world.take()
-    world.answer(next(iter(world.out)), R.FULL)    # as of a host that drains
+    world.answer(next(iter(world.out)), R.FULL)  # as of a host that drains
     assert bool(world.relay.h_route[0].pace) == paced
 
 
@@ -326,7 +380,7 @@
 def test_a_full_relay_gives_way_for_callbacks_of_healthy_destinations():
     world = World(settings(max_held=40, slots=20), hosts=((1, 0, 0, 1), (2, 0, 0, 2)))
     for _ in range(60):
-        world.take(destination=1)              # nothing answers there
+        world.take(destination=1)  # nothing answers there
     number = world.take(destination=2)
     assert len(world.open) <= 40 and number in world.out
 
@@ -350,19 +404,34 @@
 
 
 def test_hosts_that_come_and_go_leave_nothing_behind_and_one_that_is_back_soon_is_known():
-    world = World(settings(categories=[category("exclusive", goal=90_000, abandon=100_000)]), hosts=((0, 0, 0, 1),))
+    world = World(
+        settings(categories=[category("exclusive", goal=90_000, abandon=100_000)]),
+        hosts=((0, 0, 0, 1),),
+    )
     relay = world.relay
 
     def tell(*rows):
         world.table.update({host: (host, 0, 0, destination) for host, destination, _ in rows})
-        world.step([world.news(it.Scope.UPDATE, [it.HostEntry(*world.table[host], condition, 1.0)
-                                                 for host, _, condition in rows])])
+        world.step(
+            [
+                world.news(
+                    it.Scope.UPDATE,
+                    [
+                        it.HostEntry(*world.table[host], condition, 1.0)
+                        for host, _, condition in rows
+                    ],
+                )
+            ]
+        )
+
     for number in range(1, 40):
         tell((number - 1, max(1, number - 1), it.Condition.GONE), (number, number, it.Condition.UP))
         world.take(destination=number)
         world.answer(next(iter(world.out)))
         world.advance(4 * SECOND)
-    assert len(relay.h_id) == len(relay.rows[-1]) <= 12 and len(relay.dests) <= 12, "half a minute's worth"
+    assert (
+        len(relay.h_id) == len(relay.rows[-1]) <= 12 and len(relay.dests) <= 12
+    ), "half a minute's worth"
     world.take(destination=39)
     tell((39, 39, it.Condition.GONE))
     world.advance(31 * SECOND)
@@ -381,7 +450,12 @@
 def test_a_destination_that_no_list_ever_named_is_denied_at_once_and_leaves_no_row():
     world = World(settings())
     number = world.take(destination=77)
-    assert number in world.final and not world.sent and 77 not in world.relay.dests and not world.relay.held
+    assert (
+        number in world.final
+        and not world.sent
+        and 77 not in world.relay.dests
+        and not world.relay.held
+    )
 
 
 def test_callbacks_fill_a_call_of_a_kind_that_takes_several():
@@ -397,34 +471,44 @@
     world.answer(world.take())
     assert not world.closed
     world.answer(world.take(destination=2), R.NO_CONNECT)
-    for _ in range(40):                # one host that goes is no shortage: a busy relay keeps its connections
+    # one host that goes is no shortage: a busy relay keeps its connections
+    for _ in range(40):
         world.answer(world.take())
     assert world.closed[-1] == 1 and len(world.closed) < 35
 
 
 @pytest.mark.parametrize("kept", [True, False])
 def test_a_reset_of_a_kept_connection_is_not_held_against_the_host(kept):
-    world = World(settings(connection_idle=10 * SECOND, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
+    world = World(
+        settings(connection_idle=10 * SECOND, categories=[category(abandon=60000)]),
+        hosts=((1, 0, 0, 1),),
+    )
     feed(world, 100, 2000)
     limiter = world.relay.h_route[0]
     before = limiter.limit
     world.relay.h_free[0] = world.now - 50 * MS if kept else -60 * SECOND
     world.answer(world.take(), R.RESET)
-    assert (limiter.limit == before) == (limiter.rounds == 0) == (world.relay.h_bad[0] == 0.0) == kept
+    assert (
+        (limiter.limit == before) == (limiter.rounds == 0) == (world.relay.h_bad[0] == 0.0) == kept
+    )
 
 
-@pytest.mark.parametrize("result,wait", [(R.FULL, 0), (R.FULL, 700), (R.TIMEOUT, 0), (R.NO_CONNECT, 0)])
+@pytest.mark.parametrize(
+    "result,wait", [(R.FULL, 0), (R.FULL, 700), (R.TIMEOUT, 0), (R.NO_CONNECT, 0)]
+)
 def test_many_relays_with_one_callback_each_do_not_return_together(result, wait):
-    again = []                                 # thirty relays, the same trouble at the same moment
+    again = []  # thirty relays, the same trouble at the same moment
     for seed in range(30):
-        world = World(settings(relays=30, categories=[category(abandon=20000)]), ((1, 0, 0, 1),), seed)
+        world = World(
+            settings(relays=30, categories=[category(abandon=20000)]), ((1, 0, 0, 1),), seed
+        )
         number, start = world.take(), world.now
         while number in world.open and world.now < start + 18 * SECOND:
             if number in world.out:
                 world.answer(number, result, wait * MS)
             world.advance(50 * MS)
         again += [when - start for when, _ in world.sent]
-    for at in (4, 6, 8, 10, 12):               # seconds; all thirty came every two seconds
+    for at in (4, 6, 8, 10, 12):  # seconds; all thirty came every two seconds
         assert sum(at * SECOND <= when < (at + 2) * SECOND for when in again) <= 20
 
 
@@ -437,7 +521,8 @@
             number = world.take(destination=destination)
             kept = destination not in world.closed[-1:]
             used_before = [host for when, host in world.sent[:-1] if host == destination]
-            dropped = bool(used_before) and kept    # every connection idle for over two seconds is gone
+            # every connection idle for over two seconds is gone
+            dropped = bool(used_before) and kept
             lost += dropped
             world.answer(number, R.RESET if dropped else R.DELIVERED)
             for other in sorted(world.out):
@@ -449,10 +534,12 @@
 def test_what_can_lose_no_more_by_waiting_goes_after_what_can():
     rows = [category(goal=1000, abandon=20000)]
     world = World(settings(categories=rows, halving=True, slots=1), hosts=((1, 0, 0, 1),))
-    world.step([world.news(it.Scope.UPDATE, [it.HostEntry(1, 0, 0, 1, it.Condition.DRAINING, 1.0)])])
+    world.step(
+        [world.news(it.Scope.UPDATE, [it.HostEntry(1, 0, 0, 1, it.Condition.DRAINING, 1.0)])]
+    )
     for _ in range(2):
         world.take()
-    world.advance(2100 * MS)                   # the goal time, and the time to half the payoff
+    world.advance(2100 * MS)  # the goal time, and the time to half the payoff
     fresh = world.take()
     world.step([world.news(it.Scope.UPDATE, [it.HostEntry(1, 0, 0, 1, it.Condition.UP, 1.0)])])
     assert set(world.out) == {fresh}
@@ -470,7 +557,9 @@
 
 
 def test_a_kind_that_takes_few_connections_costs_the_others_none():
-    world = World(settings(kinds=[it.Kind(False, 1), it.Kind(False, 1)]), hosts=((1, 0, 0, 1), (2, 0, 1, 2)))
+    world = World(
+        settings(kinds=[it.Kind(False, 1), it.Kind(False, 1)]), hosts=((1, 0, 0, 1), (2, 0, 1, 2))
+    )
     number = world.take(destination=2)
     world.answer(number, R.NO_CONNECT)
     world.answer(world.take(destination=1))
@@ -483,7 +572,10 @@
 
 def test_exclusive_ones_at_a_host_that_hangs_give_their_slots_back_but_not_before_their_goal_time():
     """Danger: held to the end, those out at hosts that hang take all slots from the others."""
-    world = World(settings(categories=[category("exclusive", goal=2000, abandon=20_000)]), hosts=((1, 0, 0, 1),))
+    world = World(
+        settings(categories=[category("exclusive", goal=2000, abandon=20_000)]),
+        hosts=((1, 0, 0, 1),),
+    )
     feed(world, 20, 20)
     number = world.take()
     world.advance(1900 * MS)
@@ -494,8 +586,16 @@
 
 def test_where_refusals_use_a_told_limit_up_tries_grow_seldom_till_one_is_taken():
     """Danger: where an even part is a call in a quarter of a minute, tries each few seconds leave nothing for anyone."""
-    world = World(settings(tells_limit=True, relays=200, ramp_time=SECOND, max_launches=12, categories=[category(abandon=400_000)]),
-                  hosts=((1, 0, 0, 1),))
+    world = World(
+        settings(
+            tells_limit=True,
+            relays=200,
+            ramp_time=SECOND,
+            max_launches=12,
+            categories=[category(abandon=400_000)],
+        ),
+        hosts=((1, 0, 0, 1),),
+    )
     number, at = world.take(), []
     for _ in range(6000):
         if number in world.out:
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -1,4 +1,5 @@
 """The referee alone: each rule broken by hand, in events as the stand-ins tell them, beside the same day kept."""
+
 import pytest
 
 from molehill.config import MS, SECOND
@@ -6,8 +7,12 @@
 from molehill.emulator.scenario import Category, EndpointPlan, ProgramPlan, Scenario
 from molehill.emulator.world import START, World
 
-CATEGORIES = [Category("status", "deduplicated", 5000, ordered=True, window_ms=2000), Category("rate", "idempotent", 3000),
-              Category("refund", "at_most_once", 4000, ordered=True), Category("near", "deduplicated", 5000, window_ms=2000, scope="zone")]
+CATEGORIES = [
+    Category("status", "deduplicated", 5000, ordered=True, window_ms=2000),
+    Category("rate", "idempotent", 3000),
+    Category("refund", "at_most_once", 4000, ordered=True),
+    Category("near", "deduplicated", 5000, window_ms=2000, scope="zone"),
+]
 
 
 class Day:
@@ -15,8 +20,15 @@
 
     def __init__(self):
         self.world = World(1)
-        self.set = Scenario(seed=1, span_ms=1000, relays=1, categories=CATEGORIES, settle_ms=500,
-                            endpoints=[EndpointPlan(1), EndpointPlan(2, kind="apart")], programs=[ProgramPlan(1.0, [1])])
+        self.set = Scenario(
+            seed=1,
+            span_ms=1000,
+            relays=1,
+            categories=CATEGORIES,
+            settle_ms=500,
+            endpoints=[EndpointPlan(1), EndpointPlan(2, kind="apart")],
+            programs=[ProgramPlan(1.0, [1])],
+        )
         self.referee, self.calls = Referee(self.world, self.set), 0
         self.tell(0, "relay0", "started", life=1)
         self.tell(0, "relay0", "ready", life=1)
@@ -25,23 +37,67 @@
         self.world.run(START + at * MS)
         self.world.tell(who, what, **facts)
 
-    def take(self, at, id, category="rate", key=None, span=3000, body=None, who="program0", destination=1, status=202):
+    def take(
+        self,
+        at,
+        id,
+        category="rate",
+        key=None,
+        span=3000,
+        body=None,
+        who="program0",
+        destination=1,
+        status=202,
+    ):
         self.tell(at, who, "wants", message=id, category=category)
-        self.tell(at, who, "asked", id=id, message=id, relay="relay0", category=category, key=key, destination=destination,
-                  due=START + (at + span) * MS, mark=None, body=body or id)
+        self.tell(
+            at,
+            who,
+            "asked",
+            id=id,
+            message=id,
+            relay="relay0",
+            category=category,
+            key=key,
+            destination=destination,
+            due=START + (at + span) * MS,
+            mark=None,
+            body=body or id,
+        )
         if status:
             self.tell(at, who, "heard", id=id, status=status, wait=0, relay="relay0")
 
     def call(self, at, *ids, host="h1-0", conn=None, zone="a", since=None, bodies=None):
         self.calls += 1
         number = f"{host}/{self.calls}"
-        self.tell(at, host, "call", call=number, relay="relay0", conn=conn or self.calls, ids=list(ids), marks=[None] * len(ids),
-                  since=START + (at if since is None else since) * MS, bodies=list(bodies or ids), host=host,
-                  destination=int(host[1]), zone=zone, patience="100")
+        self.tell(
+            at,
+            host,
+            "call",
+            call=number,
+            relay="relay0",
+            conn=conn or self.calls,
+            ids=list(ids),
+            marks=[None] * len(ids),
+            since=START + (at if since is None else since) * MS,
+            bodies=list(bodies or ids),
+            host=host,
+            destination=int(host[1]),
+            zone=zone,
+            patience="100",
+        )
         return number
 
     def answer(self, at, call, status=200, wait=0, ids=()):
-        self.tell(at, call.split("/")[0], "call answered", call=call, status=status, wait=wait * MS, ids=list(ids))
+        self.tell(
+            at,
+            call.split("/")[0],
+            "call answered",
+            call=call,
+            status=status,
+            wait=wait * MS,
+            ids=list(ids),
+        )
 
     def end(self, at):
         self.world.run(START + at * MS)
@@ -66,7 +122,7 @@
 
 
 def after_notice(day):
-    noticed(day)                           # given, though its answer never went
+    noticed(day)  # given, though its answer never went
     day.call(1000, "a")
     return 1001
 
@@ -220,16 +276,43 @@
     return 1
 
 
-@pytest.mark.parametrize("story,rule", [
-    (lost, 1), (noticed, None), (two_answers, 1), (after_notice, 1), (after_notice_on_a_disk_that_took_nothing, None),
-    (after_delivery, 1), (delivery_unknown_to_a_killed_one, None),
-    (answers_that_cross_the_hang_up, None), (two_at_once, 2), (after_a_hang_up, None), (exclusive_again, 2), (exclusive_again_after_a_refusal, None),
-    (ticketed_late, 2), (lambda day: ticketed_late(day, 2000), None), (ticketed_elsewhere, 2), (nobody_s, 2), (other_words, 2),
-    (drained, 3), (lambda day: drained(day, 1000), None), (pushed, 4), (lambda day: pushed(day, 7), None),
-    (out_of_order, 5), (lambda day: out_of_order(day, True), None),
-    (in_its_rest, 5), (lambda day: in_its_rest(day, 601), None), (rest_of_a_stranger_s_copy, None),
-    (in_a_wait, 6), (lambda day: in_a_wait(day, 110), None), (lambda day: in_a_wait(day, host="h2-1", first="h2-0"), None),
-    (lambda day: at_a_kill(day, b"nothing of it"), 1), (lambda day: at_a_kill(day, b"..one-more.."), None), (rows_left, 0)])
+@pytest.mark.parametrize(
+    "story,rule",
+    [
+        (lost, 1),
+        (noticed, None),
+        (two_answers, 1),
+        (after_notice, 1),
+        (after_notice_on_a_disk_that_took_nothing, None),
+        (after_delivery, 1),
+        (delivery_unknown_to_a_killed_one, None),
+        (answers_that_cross_the_hang_up, None),
+        (two_at_once, 2),
+        (after_a_hang_up, None),
+        (exclusive_again, 2),
+        (exclusive_again_after_a_refusal, None),
+        (ticketed_late, 2),
+        (lambda day: ticketed_late(day, 2000), None),
+        (ticketed_elsewhere, 2),
+        (nobody_s, 2),
+        (other_words, 2),
+        (drained, 3),
+        (lambda day: drained(day, 1000), None),
+        (pushed, 4),
+        (lambda day: pushed(day, 7), None),
+        (out_of_order, 5),
+        (lambda day: out_of_order(day, True), None),
+        (in_its_rest, 5),
+        (lambda day: in_its_rest(day, 601), None),
+        (rest_of_a_stranger_s_copy, None),
+        (in_a_wait, 6),
+        (lambda day: in_a_wait(day, 110), None),
+        (lambda day: in_a_wait(day, host="h2-1", first="h2-0"), None),
+        (lambda day: at_a_kill(day, b"nothing of it"), 1),
+        (lambda day: at_a_kill(day, b"..one-more.."), None),
+        (rows_left, 0),
+    ],
+)
 def test_each_rule_is_broken_by_what_breaks_it_and_by_nothing_beside_it(story, rule):
     day = Day()
     assert day.end(story(day)) == rule
@@ -252,7 +335,7 @@
 def test_an_answer_after_the_time_that_its_host_was_told_is_no_delivery(after, delivered):
     day = Day()
     day.take(0, "a")
-    day.take(0, "short", span=60)          # the call's time is the first of its callbacks'
+    day.take(0, "short", span=60)  # the call's time is the first of its callbacks'
     day.answer(10 + after, day.call(10, "a"), ids=["a"])
     day.take(300, "b")
     day.take(300, "c", span=100)
@@ -260,13 +343,25 @@
     assert day.referee.counts["delivered"] == 3 * delivered
 
 
-@pytest.mark.parametrize("ends,called,broken", [([1500, 1600, 1700], (), True), ([1500, 1600, 4600], (), True), ([1500, 4600, 4700], (), False),
-                                                ([4600, 4700, 4800], (), False), ([1500, 1600, 1700], "abc", False), ([1500, 1600, 1700], "ab", False)])
-def test_over_half_of_what_a_restart_finds_untried_given_up_with_no_call_fails_the_day(ends, called, broken):
+@pytest.mark.parametrize(
+    "ends,called,broken",
+    [
+        ([1500, 1600, 1700], (), True),
+        ([1500, 1600, 4600], (), True),
+        ([1500, 4600, 4700], (), False),
+        ([4600, 4700, 4800], (), False),
+        ([1500, 1600, 1700], "abc", False),
+        ([1500, 1600, 1700], "ab", False),
+    ],
+)
+def test_over_half_of_what_a_restart_finds_untried_given_up_with_no_call_fails_the_day(
+    ends, called, broken
+):
     day = Day()
     for ident in "abc":
         day.take(0, ident, span=5000)
-    day.take(0, "d", span=1200)            # less than half of its time is left when the relay is back: not among them
+    # less than half of its time is left when the relay is back: not among them
+    day.take(0, "d", span=1200)
     day.tell(600, "relay0", "killed", life=1)
     day.tell(1000, "relay0", "started", life=2)
     day.tell(1000, "relay0", "ready", life=2)
