--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,4 +1,5 @@
 """One relay whole, on loopback sockets and a clock moved by hand: a callback through, an end in order, a restart."""
+
 import json
 import signal
 import socket
@@ -53,7 +54,9 @@
     first, _ = place.relay, place.start()
     assert list(place.relay.core.held) == ["id1", "id2", "id3", "id4"] == list(first.core.held)
     again = place.accept(place.host)
-    assert b"Req-Id: id1" in place.hear(again, b"\r\n\r\nab"), "in the order in which they were handed in"
+    assert b"Req-Id: id1" in place.hear(
+        again, b"\r\n\r\nab"
+    ), "in the order in which they were handed in"
     assert place.relay.core.held["id1"].launches == first.core.held["id1"].launches + 1
 
 
@@ -76,12 +79,21 @@
     assert not place.relay.core.held
 
 
-def test_on_sighup_a_faulty_file_is_named_and_a_good_one_moves_watch_and_notices(place, tmp_path, monkeypatch):
+def test_on_sighup_a_faulty_file_is_named_and_a_good_one_moves_watch_and_notices(
+    place, tmp_path, monkeypatch
+):
     relay, file, said = place.relay, tmp_path / "config.json", []
-    relay.log = type("Log", (), {"error": lambda _, text, **facts: said.append(facts["error"]),
-                                 "info": lambda _, text, **facts: said.append(facts)})()
+    relay.log = type(
+        "Log",
+        (),
+        {
+            "error": lambda _, text, **facts: said.append(facts["error"]),
+            "info": lambda _, text, **facts: said.append(facts),
+        },
+    )()
     monkeypatch.setenv("ROUTER_CONFIG", str(file))
-    monkeypatch.setenv("ROUTER_DISCOVERY", "%s:%d" % place.platform.getsockname())    # as it was at the start
+    # as it was at the start
+    monkeypatch.setenv("ROUTER_DISCOVERY", "%s:%d" % place.platform.getsockname())
     relay.signals, other = socket.socketpair()
     place.open += [other, relay.signals]
     relay.signals.setblocking(False)
@@ -94,15 +106,26 @@
     place.advance(15_100 * MS, step=50 * MS)
     old.append(place.accept(place.platform))
     assert list(relay.notices.waiting) == ["id1"], "posted, and not answered"
-    for text in ("{", json.dumps(net_given(discovery="nowhere", known={})),
-                 json.dumps(net_given(settings={}, known={}))):
+    for text in (
+        "{",
+        json.dumps(net_given(discovery="nowhere", known={})),
+        json.dumps(net_given(settings={}, known={})),
+    ):
         file.write_text(text)
         other.send(bytes([signal.SIGHUP]))
         place.turn()
-    assert [text.split(":")[0] for text in said] == ["ROUTER_CONFIG", "discovery", "settings.allowed"]
+    assert [text.split(":")[0] for text in said] == [
+        "ROUTER_CONFIG",
+        "discovery",
+        "settings.allowed",
+    ]
     assert relay.config.discovery == place.platform.getsockname()
     moved = place.listener()
-    file.write_text(json.dumps(net_given(discovery="%s:%d" % moved.getsockname(), limits={"disk_mb": 1}, known={})))
+    file.write_text(
+        json.dumps(
+            net_given(discovery="%s:%d" % moved.getsockname(), limits={"disk_mb": 1}, known={})
+        )
+    )
     other.send(bytes([signal.SIGHUP]))
     place.turn()
     texts = []
@@ -111,23 +134,31 @@
         if b"finals" in texts[-1]:
             sock.send(b"HTTP/1.1 204 No Content\r\n\r\n")
     place.advance(50 * MS)
-    assert sorted(text.split(b" HTTP")[0] for text in texts) == [b"GET /registry/instances", b"POST /v2/finals"]
+    assert sorted(text.split(b" HTTP")[0] for text in texts) == [
+        b"GET /registry/instances",
+        b"POST /v2/finals",
+    ]
     assert said[-1]["at_next_start"] == ["listen", "state", "disk"] and not relay.core.held
     other.send(bytes([signal.SIGTERM, signal.SIGHUP, signal.SIGTERM]))
     place.advance(3600 * MS, step=50 * MS)
     assert relay.scheduler.stopped and client.send(b"x")
 
 
-def test_a_relay_that_was_told_to_end_goes_from_state_to_state_and_reads_nothing_that_it_can_t_answer(place):
+def test_a_relay_that_was_told_to_end_goes_from_state_to_state_and_reads_nothing_that_it_can_t_answer(
+    place,
+):
     """Danger: a request that gets whole in the very turn in which the relay ends is read, never answered, and lost."""
     relay, client = place.relay, place.client()
     client.send(ASK % b"id1")
-    place.hear(client, b"HTTP/1.1 202")    # its call is out at a host that hangs
+    place.hear(client, b"HTTP/1.1 202")  # its call is out at a host that hangs
     seen, moved = [], relay.shutdown.move
-    relay.shutdown.move = lambda state: (seen.append((state, (place.clock.now - began) // (100 * MS))), moved(state))
+    relay.shutdown.move = lambda state: (
+        seen.append((state, (place.clock.now - began) // (100 * MS))),
+        moved(state),
+    )
     began = place.clock.now
     for _ in range(3):
-        relay.shutdown.begin()               # told again, it goes on with the first
+        relay.shutdown.begin()  # told again, it goes on with the first
     place.advance(2900 * MS)
     client.send(ASK % b"id2")
     assert b"Connection: close" not in place.hear(client, b"HTTP/1.1 202")
@@ -137,17 +168,31 @@
         socket.create_connection(place.address)
     other.send((ASK % b"id3")[:-1])
     place.advance(300 * MS)
-    assert drain(client) is None and not relay.scheduler.stopped, "idle ones are closed, one with a request begun is waited for"
+    assert (
+        drain(client) is None and not relay.scheduler.stopped
+    ), "idle ones are closed, one with a request begun is waited for"
     place.advance(began + 3499 * MS - place.clock.now)
     place.clock.now = began + 3510 * MS
     place.turn(1)
-    other.send(b"b")                       # between two looks at what has come
+    other.send(b"b")  # between two looks at what has come
     place.turn(3)
-    assert relay.scheduler.stopped and "id3" not in relay.core.held and set(relay.core.held) == {"id1", "id2"}
-    assert seen == [("stopping", 0), ("letting go", 30), ("last answers", 33), ("cutting", 35), ("ended", 35)]
-
-
-def test_a_log_with_a_torn_tail_and_a_record_that_can_t_be_read_is_read_and_the_relay_says_so(place, capfd):
+    assert (
+        relay.scheduler.stopped
+        and "id3" not in relay.core.held
+        and set(relay.core.held) == {"id1", "id2"}
+    )
+    assert seen == [
+        ("stopping", 0),
+        ("letting go", 30),
+        ("last answers", 33),
+        ("cutting", 35),
+        ("ended", 35),
+    ]
+
+
+def test_a_log_with_a_torn_tail_and_a_record_that_can_t_be_read_is_read_and_the_relay_says_so(
+    place, capfd
+):
     """Danger: one odd record keeps the relay from its start, or what was cut off is told to nobody."""
     client = place.client()
     client.send(ASK % b"id1")
@@ -159,7 +204,9 @@
     capfd.readouterr()
     place.start()
     said = capfd.readouterr().err
-    assert "level='warning' event='log read' cut=4 held=1 odd=1" in said and list(place.relay.core.held) == ["id1"]
+    assert "level='warning' event='log read' cut=4 held=1 odd=1" in said and list(
+        place.relay.core.held
+    ) == ["id1"]
 
 
 def test_the_log_s_files_leave_room_on_the_disk_and_in_memory():
@@ -170,8 +217,15 @@
 
 def test_a_failed_write_has_the_log_written_anew_and_nobody_is_refused_for_it(place, monkeypatch):
     store, errors, failing = place.relay.store, [], []
-    monkeypatch.setattr(place.relay.engine, "log", type("Log", (), {
-        "info": lambda *_, **__: None, "error": lambda _, text, **__: errors.append(text)})())
+    monkeypatch.setattr(
+        place.relay.engine,
+        "log",
+        type(
+            "Log",
+            (),
+            {"info": lambda *_, **__: None, "error": lambda _, text, **__: errors.append(text)},
+        )(),
+    )
     write = store._write
     store._write = lambda fd, data: False if failing and failing.pop() else write(fd, data)
     client, host = place.client(), None
@@ -184,7 +238,11 @@
         place.hear(host, b"\r\n\r\nab")
         host.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         place.advance(20 * MS)
-    assert not errors and not place.relay.core.held and list(place.relay.core.done) == [f"id{n}" for n in range(6)]
+    assert (
+        not errors
+        and not place.relay.core.held
+        and list(place.relay.core.done) == [f"id{n}" for n in range(6)]
+    )
     store.close()
     place.start()
     assert not place.relay.core.held and place.relay.core.used == 0
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -1,4 +1,5 @@
 """The deployments in deploy/sites, read with the relay's own reader of settings: each row means what its file says."""
+
 import tomllib
 from pathlib import Path
 
@@ -16,24 +17,67 @@
     """As an instance of that deployment is told them, where the file leaves a range: its lower end."""
     tier, fam, allow = site["tier"][0], site["fam"], site["allow"]
     return {
-        "grades": [{"name": c["name"], "semantics": EFFECTS[c["effect"]], "aimMs": c["aim_ms"], "deadlineMs": c["deadline_ms"],
-                    "worth": c["worth"], "lateShare": c["late_worth"], "dedupScope": c.get("group"), "dedupWindowMs": c.get("window_ms"),
-                    "serialByKey": c.get("in_order", False)} for c in site["class"]],
-        "parties": [{"name": t["name"], "share": t["share"], "quotaPerS": 10 * t["share"]} for t in site.get("tenant", [])],
-        "machineTypes": [kind["name"] for kind in tier["kind"]], "azs": site["net"]["zones"],
-        "extra": {"perCall": [kind.get("batch", 1) for kind in fam["kind"]], "maxCalls": fam["least_slots"], "fades": {"halves": "halving"}.get(fam["late"], "linear")},
-        "allowed": {"maxAttempts": allow["max_attempts"], "retryAfter": allow["retry_after"], "maxRetryAfterMs": site["clients"]["max_retry_after_ms"],
-                    "connIdleMs": 1000 * tier["conn"]["idle_s"], "connectTimeoutMs": tier["conn"]["connect_timeout_ms"], "maxOpen": fam["least_open"]},
-        "guarantees": {"fallMs": site["rules"]["fall_ms"], "tipMultiple": site["rules"]["fall_multiple"], "settleAfterDoubtMs": site["rules"].get("order_settle_ms", 0)},
-        "discovery": {"ask": "on_request"}.get(site["discovery"]["mode"], "pushed"), "weightSource": tier["weights"],
-        "telemetry": {"how": {"answers": "piggyback"}.get(tier["report"]["how"], "silent"), "fields": tier["report"].get("fields", [])}}
+        "grades": [
+            {
+                "name": c["name"],
+                "semantics": EFFECTS[c["effect"]],
+                "aimMs": c["aim_ms"],
+                "deadlineMs": c["deadline_ms"],
+                "worth": c["worth"],
+                "lateShare": c["late_worth"],
+                "dedupScope": c.get("group"),
+                "dedupWindowMs": c.get("window_ms"),
+                "serialByKey": c.get("in_order", False),
+            }
+            for c in site["class"]
+        ],
+        "parties": [
+            {"name": t["name"], "share": t["share"], "quotaPerS": 10 * t["share"]}
+            for t in site.get("tenant", [])
+        ],
+        "machineTypes": [kind["name"] for kind in tier["kind"]],
+        "azs": site["net"]["zones"],
+        "extra": {
+            "perCall": [kind.get("batch", 1) for kind in fam["kind"]],
+            "maxCalls": fam["least_slots"],
+            "fades": {"halves": "halving"}.get(fam["late"], "linear"),
+        },
+        "allowed": {
+            "maxAttempts": allow["max_attempts"],
+            "retryAfter": allow["retry_after"],
+            "maxRetryAfterMs": site["clients"]["max_retry_after_ms"],
+            "connIdleMs": 1000 * tier["conn"]["idle_s"],
+            "connectTimeoutMs": tier["conn"]["connect_timeout_ms"],
+            "maxOpen": fam["least_open"],
+        },
+        "guarantees": {
+            "fallMs": site["rules"]["fall_ms"],
+            "tipMultiple": site["rules"]["fall_multiple"],
+            "settleAfterDoubtMs": site["rules"].get("order_settle_ms", 0),
+        },
+        "discovery": {"ask": "on_request"}.get(site["discovery"]["mode"], "pushed"),
+        "weightSource": tier["weights"],
+        "telemetry": {
+            "how": {"answers": "piggyback"}.get(tier["report"]["how"], "silent"),
+            "fields": tier["report"].get("fields", []),
+        },
+    }
 
 
 def test_there_are_two_and_they_differ_where_the_operators_deployments_agree():
     sites = [tomllib.loads(path.read_text()) for path in SITES]
-    assert [site["name"] for site in sites] == [path.stem for path in SITES] == ["harbour-alerts", "ledger-transfer"]
-    assert {site["discovery"]["mode"] for site in sites} == {"push", "ask"} and {site["allow"]["retry_after"] for site in sites} == {True, False}
-    assert {any(kind.get("batch", 1) > 1 for kind in site["fam"]["kind"]) for site in sites} == {True, False}
+    assert (
+        [site["name"] for site in sites]
+        == [path.stem for path in SITES]
+        == ["harbour-alerts", "ledger-transfer"]
+    )
+    assert {site["discovery"]["mode"] for site in sites} == {"push", "ask"} and {
+        site["allow"]["retry_after"] for site in sites
+    } == {True, False}
+    assert {any(kind.get("batch", 1) > 1 for kind in site["fam"]["kind"]) for site in sites} == {
+        True,
+        False,
+    }
     assert {kind["tells_wait"] for site in sites for kind in site["fam"]["kind"]} == {0, 1}
 
 
@@ -43,14 +87,29 @@
     given = settings_of(site)
     made = config.check(net_given(settings=given), {})
     rows = made.settings.categories
-    assert list(made.categories) == [c["name"] for c in site["class"]] and list(made.tenants) == [t["name"] for t in site["tenant"]]
+    assert list(made.categories) == [c["name"] for c in site["class"]] and list(made.tenants) == [
+        t["name"] for t in site["tenant"]
+    ]
     for row, c in zip(rows, site["class"]):
-        assert (row.abandon, row.goal, row.window) == (c["deadline_ms"] * MS, c["aim_ms"] * MS, c.get("window_ms", 0) * MS)
-        assert row.effect is config.EFFECTS[EFFECTS[c["effect"]]] and row.ordered is c.get("in_order", False)
+        assert (row.abandon, row.goal, row.window) == (
+            c["deadline_ms"] * MS,
+            c["aim_ms"] * MS,
+            c.get("window_ms", 0) * MS,
+        )
+        assert row.effect is config.EFFECTS[EFFECTS[c["effect"]]] and row.ordered is c.get(
+            "in_order", False
+        )
         assert row.all_hosts is (row.effect is it.Effect.DEDUPLICATED)
     assert len(set(row.effect for row in rows)) == 3, "each effect is there"
-    assert [kind.per_call for kind in made.settings.kinds] == [kind.get("batch", 1) for kind in site["fam"]["kind"]]
-    assert made.settings.halving is (site["fam"]["late"] == "halves") and made.settings.tells_limit is ("fields" in site["tier"][0]["report"])
-    broken = {**given, "grades": [*given["grades"][:-1], {**given["grades"][-1], "semantics": "perhaps"}]}
+    assert [kind.per_call for kind in made.settings.kinds] == [
+        kind.get("batch", 1) for kind in site["fam"]["kind"]
+    ]
+    assert made.settings.halving is (
+        site["fam"]["late"] == "halves"
+    ) and made.settings.tells_limit is ("fields" in site["tier"][0]["report"])
+    broken = {
+        **given,
+        "grades": [*given["grades"][:-1], {**given["grades"][-1], "semantics": "perhaps"}],
+    }
     with pytest.raises(config.ConfigError, match=rf"settings\.grades\.{len(rows) - 1}\.semantics"):
         config.check(net_given(settings=broken), {})
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,11 +1,12 @@
 """Storage: what a spoilt byte, a torn tail or a payload made to look like a record can cost."""
+
 from random import Random
 
 import pytest
 
 from molehill.storage import codec, records, space
 from molehill.storage.drive import Disk
-from molehill.storage.records import Gap, HEAD, MARK, Record, pack, scan
+from molehill.storage.records import HEAD, MARK, Gap, Record, pack, scan
 
 SALT = b"saltsalt"
 
@@ -22,12 +23,18 @@
     chance = Random(4)
     payloads = [b"", MARK, b"x" * 40, MARK * 3, chance.randbytes(30), b"last"]
     data = segment(payloads)
-    ends = [at for at in range(len(data) + 1) if len(whole(data[:at])) != len(whole(data[:max(0, at - 1)]))]
+    ends = [
+        at
+        for at in range(len(data) + 1)
+        if len(whole(data[:at])) != len(whole(data[: max(0, at - 1)]))
+    ]
     for at in range(len(data)):
         for value in {0, 255, data[at] ^ 1, MARK[0]} - {data[at]}:
-            spoilt = data[:at] + bytes([value]) + data[at + 1:]
+            spoilt = data[:at] + bytes([value]) + data[at + 1 :]
             hit = sum(end <= at for end in ends)
-            assert whole(spoilt) == [row for n, row in enumerate(enumerate(payloads, 1)) if n != hit]
+            assert whole(spoilt) == [
+                row for n, row in enumerate(enumerate(payloads, 1)) if n != hit
+            ]
             gaps = [r for r in scan(spoilt, SALT) if type(r) is Gap]
             assert gaps == [Gap(([0] + ends)[hit], HEAD.size + len(payloads[hit]))]
 
@@ -38,7 +45,9 @@
         found = list(scan(data[:at], SALT))
         kept = sum(HEAD.size + len(r.payload) for r in found if type(r) is Record)
         assert kept + sum(r.length for r in found if type(r) is Gap) == at
-        assert [r.payload for r in found if type(r) is Record] == [b"one", b"", b"three" * 9][:sum(type(r) is Record for r in found)]
+        assert [r.payload for r in found if type(r) is Record] == [b"one", b"", b"three" * 9][
+            : sum(type(r) is Record for r in found)
+        ]
 
 
 def test_a_payload_made_to_look_like_a_record_is_never_one_though_its_own_head_is_spoilt():
@@ -58,7 +67,11 @@
     body = HEAD.pack(MARK, 5000, 7, 0, 0) * 400
     data = bytearray(segment([body, b"next"]))
     data[0] ^= 1
-    monkeypatch.setattr(records.google_crc32c, "extend", lambda check, chunk: read.append(len(chunk)) or extend(check, chunk))
+    monkeypatch.setattr(
+        records.google_crc32c,
+        "extend",
+        lambda check, chunk: read.append(len(chunk)) or extend(check, chunk),
+    )
     assert whole(bytes(data)) == [(2, b"next")] and sum(read) == 4
 
 
@@ -72,7 +85,15 @@
     assert whole(data) == [(1, b"a")]
 
 
-FIELDS = {"k": "taken", "id": "\u00e9\n\x00'\"", "due": 1_800_000_024_123_456_789, "key": None, "share": 0.1, "ids": ["a", ""], "on": True}
+FIELDS = {
+    "k": "taken",
+    "id": "\u00e9\n\x00'\"",
+    "due": 1_800_000_024_123_456_789,
+    "key": None,
+    "share": 0.1,
+    "ids": ["a", ""],
+    "on": True,
+}
 
 
 @pytest.mark.parametrize("version", sorted(codec.VERSIONS))
@@ -80,10 +101,19 @@
     for body in (b"", b"two\nlines\n", bytes(range(256))):
         payload = codec.encode(version, FIELDS, body)
         assert codec.decode(version, payload) == (FIELDS, body)
-    for bad in (b"", b"\n", b"[1]\n", b"\xc1", b"\x92\x01\x02", b"\x91\x80", b"{" * 100_000 + b"\n", payload[:5]):
+    for bad in (
+        b"",
+        b"\n",
+        b"[1]\n",
+        b"\xc1",
+        b"\x92\x01\x02",
+        b"\x91\x80",
+        b"{" * 100_000 + b"\n",
+        payload[:5],
+    ):
         with pytest.raises(codec.CodecError, match=f"version {version}"):
             codec.decode(version, bad)
-    with pytest.raises(codec.CodecError, match="version 99"):      # a later release's
+    with pytest.raises(codec.CodecError, match="version 99"):  # a later release's
         codec.decode(99, payload)
 
 
@@ -118,5 +148,5 @@
     disk.append(100, "a", 50)
     disk.space.over("never there")
     assert disk.space.empty() == [] and disk.space.owed == 100
-    disk.append(2000, "b", 50)                 # longer than a segment: one of its own
+    disk.append(2000, "b", 50)  # longer than a segment: one of its own
     assert len(disk.space.segments) == 2 and disk.space.used == 512 + 2048
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,5 @@
 """The log: torn tails, odd records, rewrites, and files that take no more."""
+
 import errno
 import os
 
@@ -12,7 +13,9 @@
 
 def read(folder, most=100_000, disk=None):
     store, found = Store(str(folder), most, disk or Disk()), []
-    store.replay(lambda record, body: found.append((record, body)) if record["k"] != FILLER else None)
+    store.replay(
+        lambda record, body: found.append((record, body)) if record["k"] != FILLER else None
+    )
     return store, found
 
 
@@ -34,7 +37,7 @@
     for cut in range(len(whole)):
         (tmp_path / "log").write_bytes(whole[:cut])
         store, found = read(tmp_path)
-        assert found == ([] if together else ROWS[:sum(end <= cut for end in ends)])
+        assert found == ([] if together else ROWS[: sum(end <= cut for end in ends)])
         assert store.append(ROWS[:1])
         store.close()
         assert read(tmp_path)[1] == found + ROWS[:1]
@@ -52,9 +55,15 @@
         in_head = at - (ends[spoilt - 1] if spoilt else 0) < HEAD.size
         if spoilt == len(ROWS) - 1 and in_head:
             # its length may be what is spoilt, and then it can't be told from an append that was cut off
-            assert found in (ROWS[:-1], [] if together else ROWS[:-1]) and (store.spoilt, store.cut > 0) in ((1, False), (0, True))
+            assert found in (ROWS[:-1], [] if together else ROWS[:-1]) and (
+                store.spoilt,
+                store.cut > 0,
+            ) in ((1, False), (0, True))
         else:
-            assert found == [row for n, row in enumerate(ROWS) if n != spoilt] and (store.spoilt, store.cut) == (1, 0)
+            assert found == [row for n, row in enumerate(ROWS) if n != spoilt] and (
+                store.spoilt,
+                store.cut,
+            ) == (1, 0)
         assert store.append(ROWS[4:])
         store.close()
         assert read(tmp_path)[1] == found + ROWS[4:]
@@ -82,17 +91,22 @@
             if on[0]:
                 raise OSError(calls[name], name)
             return getattr(Disk, name)(*given, **named) if name != "write" else os.write(*given)
+
         return made
+
     return type("Failing", (Disk,), {name: call(name) for name in calls})(), on
 
 
-@pytest.mark.parametrize("calls", [("truncate",), ("truncate", "open"), ("truncate", "rename"), ("truncate", "write")])
+@pytest.mark.parametrize(
+    "calls", [("truncate",), ("truncate", "open"), ("truncate", "rename"), ("truncate", "write")]
+)
 def test_nothing_is_written_behind_an_end_that_is_not_whole(tmp_path, calls):
     disk, on = failing_disk(**dict.fromkeys(calls, errno.EIO))
     on[0] = False
     store, _ = read(tmp_path, disk=disk)
     assert store.append(ROWS[:1])
-    write, store._write = store._write, lambda fd, data: write(fd, data[:-1]) and False     # all but its last byte
+    # all but its last byte
+    write, store._write = store._write, lambda fd, data: write(fd, data[:-1]) and False
     on[0] = True
     assert not store.append(ROWS[1:3])
     store._write = write
@@ -120,6 +134,7 @@
                     os.rename(old, new)
                 raise OSError(errno.EIO, "rename")
             os.rename(old, new)
+
     store.disk = Failing()
     assert store.rewrite(ROWS[3:]) is (call != "is_file")
     store.disk = Disk()
@@ -127,7 +142,9 @@
     assert read(tmp_path)[1] == (ROWS if call == "is_file" else ROWS[3:]) + ROWS[:1]
 
 
-@pytest.mark.parametrize("error", [KeyError, IndexError, OverflowError, RecursionError, ZeroDivisionError])
+@pytest.mark.parametrize(
+    "error", [KeyError, IndexError, OverflowError, RecursionError, ZeroDivisionError]
+)
 def test_a_record_of_no_use_does_not_take_the_later_ones_with_it(tmp_path, error):
     store, _ = read(tmp_path)
     store.append(ROWS)
@@ -137,6 +154,7 @@
         if record["id"] == "c1":
             raise error("destination")
         found.append(record["id"])
+
     store = Store(str(tmp_path), 100_000, Disk())
     assert store.replay(load) == 4 and store.odd == 1 and found == ["c0", "c2", "c3", "c4"]
 
@@ -152,6 +170,7 @@
     class Fixed(Disk):
         def rename(self, *_):
             raise OSError("no room")
+
     store.disk = Fixed()
     assert not store.rewrite([])
     assert store.append(ROWS[1:2]) and read(tmp_path)[1] == ROWS[3:] + ROWS[:2]
@@ -165,9 +184,10 @@
         def write(self, fd, data):
             if self.left == 0:
                 raise OSError("disk full")
-            count = os.write(fd, bytes(data)[:self.left])
+            count = os.write(fd, bytes(data)[: self.left])
             self.left = self.left and self.left - count
             return count
+
     disk = Full()
     store, _ = read(tmp_path, disk=disk)
     store.append(ROWS[:2])
@@ -186,8 +206,9 @@
             nonlocal highest
             highest = max(highest, os.path.getsize(a) + os.path.getsize(b))
             os.rename(a, b)
+
     most, store = 20_000, read(tmp_path, 20_000, Watched())[0]
-    kept = [({"k": "taken", "id": n}, b"x" * 650) for n in range(10)]     # 7/20 of the room
+    kept = [({"k": "taken", "id": n}, b"x" * 650) for n in range(10)]  # 7/20 of the room
     for row in kept:
         assert store.append([row])
     for n in range(2000):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,4 +1,5 @@
 """One relay's two processes on loopback sockets and one clock moved by hand: what passes, and a kill of either at each step."""
+
 import os
 import signal
 import socket
@@ -21,15 +22,21 @@
 
 class Two(Place):
     def __init__(self, folder):
-        self.live, self.file = [], {}                  # schedulers that run; what the file says otherwise by now
+        # schedulers that run; what the file says otherwise by now
+        self.live, self.file = [], {}
         super().__init__(folder)
         self.address = self.old.clients.listener.getsockname()
         self.turn()
 
     def config(self):
         made = super().config(admin="127.0.0.1:1")
-        rows = [made.settings.categories[0], replace(made.settings.categories[1], effect=it.Effect.IDEMPOTENT, abandon=30 * SECOND)]
-        return replace(made, admin=("127.0.0.1", 0), settings=replace(made.settings, slots=4, categories=rows))
+        rows = [
+            made.settings.categories[0],
+            replace(made.settings.categories[1], effect=it.Effect.IDEMPOTENT, abandon=30 * SECOND),
+        ]
+        return replace(
+            made, admin=("127.0.0.1", 0), settings=replace(made.settings, slots=4, categories=rows)
+        )
 
     def start(self):
         """A process that has begun, or, while another has the folder, one that looks for the lock."""
@@ -48,7 +55,13 @@
         return self.old
 
     def run(self, start, config, signals):
-        process = Process(config, start.scheduler.machine, Sink(), lambda _: replace(self.config(), **self.file), start)
+        process = Process(
+            config,
+            start.scheduler.machine,
+            Sink(),
+            lambda _: replace(self.config(), **self.file),
+            start,
+        )
         process.clients.listen(start.estate and start.estate.listener)
         process.begin(signals)
         return process
@@ -104,21 +117,37 @@
     hosts = two.calls()
     texts = [drain(sock) for sock in hosts]
     ids = [text.split(b"Req-Id: ")[1][:3] for text in texts]
-    assert len(ids) == 2 and b"id0" in ids and b"id1" not in ids, "a key's next waits, the window is two"
+    assert (
+        len(ids) == 2 and b"id0" in ids and b"id1" not in ids
+    ), "a key's next waits, the window is two"
     hosts[0].send(DONE[:20])
-    hosts[1].send(DONE[:-1])                           # half an answer, in its head and in its body
-    half, whole, silent = two.client((ASK % (b"id5", b"plain"))[:30]), two.client((ASK % (b"id4", b"plain"))[:-1]), two.client()
+    hosts[1].send(DONE[:-1])  # half an answer, in its head and in its body
+    half, whole, silent = (
+        two.client((ASK % (b"id5", b"plain"))[:30]),
+        two.client((ASK % (b"id4", b"plain"))[:-1]),
+        two.client(),
+    )
     limiter = two.old.core.module.h_route[0]
     limiter.limit = 2.5
     new = two.succeed(two.start())
-    assert two.old.given and not two.old.can_serve() and new.can_serve() and new.core.module.h_route[0].limit == 2.5
+    assert (
+        two.old.given
+        and not two.old.can_serve()
+        and new.can_serve()
+        and new.core.module.h_route[0].limit == 2.5
+    )
     assert new.core.module.out == 2 and sorted(new.core.held) == ["id0", "id1", "id2", "id3"]
     for sock, rest in ((hosts[0], DONE[20:]), (hosts[1], DONE[-1:])):
         assert drain(sock) == b"", "no connection is closed and nothing is written again"
         sock.send(rest)
     two.advance(50 * MS)
-    assert new.core.figures.ends["notice"]["fulfilled"] + new.core.figures.ends["plain"]["fulfilled"] == 2
-    assert all(b"Req-Id" in drain(sock) for sock in hosts), "kept connections go on, in order of the key"
+    assert (
+        new.core.figures.ends["notice"]["fulfilled"] + new.core.figures.ends["plain"]["fulfilled"]
+        == 2
+    )
+    assert all(
+        b"Req-Id" in drain(sock) for sock in hosts
+    ), "kept connections go on, in order of the key"
     half.send((ASK % (b"id5", b"plain"))[30:])
     whole.send(b"b")
     silent.send(ASK % (b"id6", b"plain"))
@@ -129,14 +158,16 @@
     two.old.on_signal(15)
     two.turn()
     assert two.old.scheduler.stopped and len(new.hosts.running) == 3
-    third = two.succeed(two.start())                   # and once more
+    third = two.succeed(two.start())  # and once more
     assert third.can_serve() and set(third.core.held) == set(new.core.held)
 
 
-def test_a_call_that_is_not_written_whole_is_launched_again_and_one_over_in_a_call_rests_its_key(two):
+def test_a_call_that_is_not_written_whole_is_launched_again_and_one_over_in_a_call_rests_its_key(
+    two,
+):
     two.client(ASK % (b"id0", b"notice"))
     running = two.old.hosts.running[1]
-    running.written = False                            # as while its connection comes up
+    running.written = False  # as while its connection comes up
     new = two.succeed(two.start())
     assert new.core.held["id0"].launches <= 1 and len(two.calls()) >= 1
     assert new.core.figures.relayed <= 1 and not new.core.held["id0"].ran_at
@@ -151,7 +182,8 @@
     """Danger: two owners, or none. Whoever is left serves, holds all that was taken on, and writes the log alone."""
     for n in range(3):
         assert b"202" in drain(two.client(ASK % (b"id%d" % n, b"plain")))
-    owed = two.old.core.held["id2"]                    # and one has ended by a notice that is not answered
+    # and one has ended by a notice that is not answered
+    owed = two.old.core.held["id2"]
     two.old.core.effects = []
     two.old.core._end_callback(owed, True, 0)
     two.old.core.inbox.append(it.Withdrawn("id2"))
@@ -162,18 +194,23 @@
         more = take(self, estate, message, body, fd)
         seen.append(message["k"])
         if len(seen) == step + 1:
-            raise Broken("killed")                     # closes what the kernel would
+            raise Broken("killed")  # closes what the kernel would
         return more
 
     def old_dies(self, message, until, body=b"", fd=None):
         seen.append(message["k"])
-        if len(seen) != step + 2:                      # its own first word is the hello
+        if len(seen) != step + 2:  # its own first word is the hello
             return send(self, message, until, body, fd)
         two.live.remove(two.old.scheduler)
-        for sock in [s.sock for s in two.old.hosts.streams.values()] + [two.old.clients.listener, two.old.handover_server.listener, self.sock]:
+        for sock in [s.sock for s in two.old.hosts.streams.values()] + [
+            two.old.clients.listener,
+            two.old.handover_server.listener,
+            self.sock,
+        ]:
             sock.close()
         os.close(two.old.lock)
         two.old.scheduler.hub.switch()
+
     send = upgrade.Line.send
     if who == "new":
         monkeypatch.setattr(upgrade.Successor, "take", new_dies)
@@ -202,17 +239,27 @@
             if drain(sock):
                 sock.send(DONE)
         two.advance(500 * MS)
-    assert list(left.core.held) == ["id2"] == list(left.notices.waiting) and left.core.figures.ends["plain"]["fulfilled"] == 3
+    assert (
+        list(left.core.held) == ["id2"] == list(left.notices.waiting)
+        and left.core.figures.ends["plain"]["fulfilled"] == 3
+    )
 
 
 def test_a_file_that_only_the_old_process_was_told_of_counts_in_the_new_one(two):
-    start, made = two.start(), two.config()            # it has read the file by now
-    two.file = {"settings": replace(made.settings, max_launches=2, categories=made.settings.categories[:1]),
-                "categories": {"notice": 0}}
+    start, made = two.start(), two.config()  # it has read the file by now
+    two.file = {
+        "settings": replace(made.settings, max_launches=2, categories=made.settings.categories[:1]),
+        "categories": {"notice": 0},
+    }
     two.old.on_signal(1)
     new = two.succeed(start)
-    assert new.core.set.max_launches == 2 == new.core.module.set.max_launches and new.config.categories == {"notice": 0}
-    assert b"400" in drain(two.client(ASK % (b"id0", b"plain"))) and b"202" in drain(two.client(ASK % (b"id1", b"notice")))
+    assert (
+        new.core.set.max_launches == 2 == new.core.module.set.max_launches
+        and new.config.categories == {"notice": 0}
+    )
+    assert b"400" in drain(two.client(ASK % (b"id0", b"plain"))) and b"202" in drain(
+        two.client(ASK % (b"id1", b"notice"))
+    )
 
 
 @pytest.mark.parametrize("step", [0, 5, ROWS - 1])
@@ -227,15 +274,17 @@
         if len(seen) == step + 1:
             two.live.remove(start.scheduler)
             waking.append(start.scheduler)
-            start.scheduler.sleep(two.clock.now)       # its next turn comes when it wakes
+            start.scheduler.sleep(two.clock.now)  # its next turn comes when it wakes
         return take(self, estate, message, body, fd)
+
     monkeypatch.setattr(upgrade.Successor, "take", hangs)
     start = two.start()
     two.advance(3 * SECOND)
     assert waking and two.old.can_serve() and not two.old.given and not two.old.engine.busy
     assert b"202" in drain(two.client(ASK % (b"id3", b"plain")))
     two.live += waking
-    new = two.succeed(start)                           # asked again, the old one hands over after all
+    # asked again, the old one hands over after all
+    new = two.succeed(start)
     assert two.old.given and set(new.core.held) | set(new.core.done) >= {"id0", "id1", "id2", "id3"}
 
 
@@ -243,7 +292,11 @@
     for n in range(3):
         two.client(ASK % (b"id%d" % n, b"plain"))
     send, take, got = upgrade.Line.send, upgrade.Successor.take, []
-    monkeypatch.setattr(upgrade.Successor, "take", lambda self, estate, *row: (got.append(estate), take(self, estate, *row))[1])
+    monkeypatch.setattr(
+        upgrade.Successor,
+        "take",
+        lambda self, estate, *row: (got.append(estate), take(self, estate, *row))[1],
+    )
 
     def last(self, message, *rest, **more):
         send(self, message, *rest, **more)
@@ -251,20 +304,26 @@
             two.live.remove(start.scheduler)
             self.sock.close()
             start.scheduler.hub.switch()
+
     monkeypatch.setattr(upgrade.Line, "send", last)
     start = two.start()
     two.advance(100 * MS)
     assert two.old.given and not two.old.can_serve()
     monkeypatch.undo()
-    got[-1].close(Kernel())                                    # what the kernel closes with a process
+    # what the kernel closes with a process
+    got[-1].close(Kernel())
     third = two.start()
     two.advance(20 * MS)
     assert third.can_serve() and set(third.core.held) == {"id0", "id1", "id2"}
 
 
-@pytest.mark.parametrize("reply", [None, b'{"k":"no","why":"version 9"}\n', b"noise", b'{"k":"odd"}\n', b'[]\n'])
-def test_a_process_that_says_nothing_or_another_language_is_waited_for_and_the_lock_decides(two, reply, monkeypatch):
-    two.live.remove(two.old.scheduler)                 # it hangs
+@pytest.mark.parametrize(
+    "reply", [None, b'{"k":"no","why":"version 9"}\n', b"noise", b'{"k":"odd"}\n', b"[]\n"]
+)
+def test_a_process_that_says_nothing_or_another_language_is_waited_for_and_the_lock_decides(
+    two, reply, monkeypatch
+):
+    two.live.remove(two.old.scheduler)  # it hangs
     start = two.start()
     for _ in range(60):
         two.advance(50 * MS)
@@ -299,6 +358,7 @@
         two.file = {"discovery": moved, "discovery_in_file": "%s:%d" % moved}
         old.on_signal(signal.SIGHUP)
         return rows
+
     old.give = crossed
     made = two.succeed(two.start())
     assert made.config.discovery == moved and made.discovery.moves == 1
@@ -320,6 +380,7 @@
         send(self, message, *given, **named)
         if message["k"] == moment:
             other.send(bytes([signal.SIGTERM]))
+
     monkeypatch.setattr(upgrade.Successor, "take", told_then_takes)
     monkeypatch.setattr(upgrade.Line, "send", sends_then_told)
     two.advance(100 * MS)
