The operators' door is opened again after a moment's lack, too; cables stand at each address of a platform that moves

Door: the same mistake as in the clients' listener; the test of listeners now has both, and failed without this (the process ended). Ruled out: the relay (moved=True, one notice waiting, sent again and again).

--- a/molehill/fleet/cable.py
+++ b/molehill/fleet/cable.py
@@ -239,7 +239,9 @@
                 self.words(relays[relay], relays[party], relay, party)
             else:
                 door, port = at(bases[party], relays[relay])
-                self.line(relay, party, (door, port + CABLE), (door, port))
+                moves = sum(fault.kind == "move" for fault in scenario.faults)
+                for port_now in range(port, port + 1 + (moves if party == "platform" else 0)):
+                    self.line(relay, party, (door, port_now + CABLE), (door, port_now))
 
     def way(self, a: str, b: str) -> Way:
         return self.ways.setdefault((a, b), Way(self.world))
--- a/molehill/http/admin.py
+++ b/molehill/http/admin.py
@@ -10,7 +10,7 @@
 from molehill.http import parser as http
 from molehill.http.stream import HttpStream
 from molehill.runtime.scheduler import READ
-from molehill.runtime.stream import Broken, Budget, Late, finish, listening
+from molehill.runtime.stream import PASSING, Broken, Budget, Late, finish, listening
 
 # for a whole call: twice what an answer may take, so a slow but honest one is served
 WITHIN = 2 * SECOND
@@ -29,8 +29,23 @@
         }
         # reading: streams without a whole head, the oldest first
         self.seats, self.reading = Budget(ADMIN_SEATS), {}
-        self.listener = listening(scheduler.machine, address)
-        scheduler.spawn_kept(self.accept)
+        self.address, self.listener, self.closed = address, None, False
+        self.listen()
+        scheduler.spawn_kept(self.serve_listener)
+
+    def listen(self) -> None:
+        """Raises OSError where waiting does not help."""
+        try:
+            self.listener = listening(self.scheduler.machine, self.address)
+        except OSError as error:
+            if error.errno not in PASSING:
+                raise
+
+    def serve_listener(self) -> None:
+        while self.listener is None and not self.closed:
+            self.scheduler.sleep(self.clock() + PAUSE)
+            self.listen()
+        self.accept()
 
     def accept(self) -> None:
         while self.listener is not None:
@@ -85,7 +100,7 @@
         return page() if method == "GET" else (405, b"only GET is served here\n")
 
     def close(self) -> None:
-        listener, self.listener = self.listener, None
+        listener, self.listener, self.closed = self.listener, None, True
         if listener is not None:
             self.scheduler.cut(listener.fileno())
             listener.close()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -447,18 +447,16 @@
         )()
 
     machine.tcp_socket = tcp_socket
-    process = Process(
-        replace(net_config(state=str(tmp_path)), listen=("127.0.0.1", 0)),
-        machine,
-        Sink(),
-        lambda old: old,
-    )
+    given = net_config(state=str(tmp_path))
+    config = replace(given, listen=("127.0.0.1", 0), admin=("127.0.0.1", 0))
+    process = Process(config, machine, Sink(), lambda old: old)
     process.clients.listen()
     process.begin(signals[0])
     assert not process.can_serve()
     failing.clear()
-    turn_until(process, process.can_serve)
-    socket.create_connection(process.clients.listener.getsockname()).close()
+    turn_until(process, lambda: process.can_serve() and process.start.admin.listener is not None)
+    for listener in (process.clients.listener, process.start.admin.listener):
+        socket.create_connection(listener.getsockname()).close()
 
 
 @pytest.mark.parametrize("call", ["getsockopt", "close", "socket"])
