--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -6,7 +6,6 @@
 key ended by a notice that the platform has not answered.
 """
 
-import re
 from collections import Counter, OrderedDict
 from dataclasses import replace
 from heapq import heappop, heappush
@@ -14,106 +13,19 @@
 from molehill import interface as it
 from molehill.config import MS, SECOND
 from molehill.core import events as ev
-from molehill.core import permission
+from molehill.core import permission, recovery
+from molehill.core.callback import ARRIVED, HELD, NEXT, OVER, OWED, TAKEN, Callback, PendingCall
 from molehill.core.classes import Classes
 from molehill.core.figures import DELIVERED, FAULTED, THROTTLED, Figures
 from molehill.holds import holds
 from molehill.interface import Result
 
-# A callback. ARRIVED: read, the module has not seen it; TAKEN: in the log, 202 asked for; HELD: the client has
-# heard; OWED: ended, its notice not answered yet; OVER: nothing is owed.
-ARRIVED, TAKEN, HELD, OWED, OVER = "arrived", "taken", "held", "owed", "over"
-NEXT = {
-    None: (ARRIVED, HELD),
-    ARRIVED: (TAKEN, OVER),
-    TAKEN: (HELD, OWED, OVER),
-    HELD: (OWED, OVER),
-    OWED: (OVER,),
-    OVER: (),
-}
 TAKEN_ON, DENIED, FAILED = 202, 503, 500  # answers to clients
-RECORD_KIND = re.compile(rb'"k":"([a-z]+)"')
-RECORDS_BUT_LAUNCH = (
-    b"taken",
-    b"end",
-    b"owed",
-    b"over",
-    b"done",
-    b"class",
-    b"rest",
-    b"health",
-    b"clock",
-    b"filler",
-)
-LONG_AGO = 0  # of a launch at an unknown time: before any window that is still open
-# bytes of the log for a callback beside its own text: fixed fields, launches, its end
-RECORD_ROOM = 600
-
-
-class Callback:
-    __slots__ = (
-        "id",
-        "category",
-        "tenant",
-        "key",
-        "destination",
-        "due",
-        "mark",
-        "body",
-        "state",
-        "clients",
-        "launches",
-        "ran_at",
-        "ran_zone",
-        "call",
-        "sent",
-        "denied",
-        "wait",
-        "room",
-        "contents",
-    )
-
-    def __init__(self, fresh, contents):
-        # by which a copy is known; None: unknown, an older log's
-        self.contents = contents
-        self.id, self.category, self.tenant, self.key = (
-            fresh.id,
-            fresh.category,
-            fresh.tenant,
-            fresh.key,
-        )
-        self.destination, self.due, self.mark, self.body = (
-            fresh.destination,
-            fresh.due,
-            fresh.mark,
-            fresh.body,
-        )
-        self.state, self.clients, self.call = None, [], None
-        self.launches, self.ran_at, self.ran_zone = 0, None, None
-        # sent: when the launch that is out went
-        self.sent, self.denied, self.wait = None, False, 0
-        self.room = (
-            RECORD_ROOM
-            + 2 * (len(self.id) + len(self.key or "") + len(self.mark or ""))
-            + len(self.body)
-        )
-
-
-class Out:
-    """A call that is parked or out; `begun`: the log has it, as its bytes may have gone."""
-
-    __slots__ = ("number", "host", "spans", "ids", "since", "begun")
-
-    def __init__(self, number, host, spans, now, begun=False):
-        self.number, self.host, self.spans, self.since, self.begun = number, host, spans, now, begun
-        self.ids = [number for number, _ in spans]
 
 
 class Core:
     # ids lately over, by which a request sent again is known: minutes of traffic
     DONE_KEPT = 4096
-    # of the room for what is owed, in a log written anew for the latest of them: seconds to minutes
-    DONE_PART = 8
 
     def __init__(self, settings, seed, make_module, log_room, names=None):
         """`names`: those of the settings' categories, by which figures and the log know them; else their numbers."""
@@ -122,6 +34,7 @@
         self.classes, self.figures = Classes(names, settings.categories), Figures(names)
         # one list: the module reads the same rows
         self.set = replace(settings, categories=self.classes.rows)
+        self.recovery = recovery.Recovery(self)
         self.module, self.inbox, self.now, self.effects = make_module(self.set, seed), [], 0, []
         self.held: dict[str, Callback] = {}  # in the order in which they were handed in
         self.used, self.open = 0, 0  # log bytes taken up; callbacks the module has
@@ -192,81 +105,17 @@
 
     def load(self, record, body):
         """One record of the log, as it is read again at a start; later ones override."""
-        kind = record["k"]
-        if kind == "taken" and record["id"] not in self.held:
-            fresh = ev.Fresh(
-                record["id"],
-                self.classes.read_number(record["category"]),
-                record["tenant"],
-                record["key"],
-                record["destination"],
-                record["due"],
-                record["mark"],
-                body,
-            )
-            told = record.get("contents")
-            callback = self.held[fresh.id] = Callback(
-                fresh, bytes.fromhex(told) if told else fresh.contents() if body else None
-            )
-            callback.launches, callback.ran_at = record.get("launches", 0), record.get("ran_at")
-            callback.ran_zone = record.get("ran_zone")
-            self.figures.name([self.classes.names[callback.category]])
-            self._move(callback, HELD)
-        elif kind == "launch":
-            for callback in self._known(record["ids"]):
-                # Danger: a process ended under the launch before, and the next one only knew so in memory. Its window and
-                # zone count from that first launch, not from this one.
-                if callback.sent is not None:
-                    self._settle_launch(callback, Result.RESET, callback.sent[0])
-                callback.launches += 1
-                callback.sent = record["at"], record["zone"]
-        elif kind == "end":
-            for number, result, over, unsent in record["ends"]:
-                for callback in self._known([number]):
-                    self._settle_launch(callback, Result(result), record["at"], unsent)
-                    if over:
-                        self._move(callback, OVER)
-        elif kind == "owed":
-            for callback in self._known([record["id"]]):
-                callback.denied, callback.wait = record["denied"], record["wait"]
-                if callback.state is HELD:
-                    self._move(callback, OWED)
-        elif kind == "over":
-            for callback in self._known(record["ids"]):
-                # over, while its call was out with others
-                if callback.sent is not None and callback.key is not None:
-                    self.unsettled[callback.key] = True
-                self._move(callback, OVER)
-        elif kind == "done":
-            self.done.update(
-                {number: bytes.fromhex(told) if told else None for number, told in record["ids"]}
-            )
-        elif kind == "class":
-            self.classes.read(record)
-        elif kind == "rest":
-            self.rests[record["key"]] = record["until"]
-        elif kind == "health":
-            self._well(record["host"], record["away"], record["at"])
+        self.recovery.load(record, body)
 
     def load_spoilt(self, data):
-        """Bytes of the log that can't be read. Danger: they may be a launch, whose callback would run twice. So those that it may
-        have launched, all that look untried if it names none, count as launched, unless a repeat is harmless."""
-        kind = RECORD_KIND.search(data)
-        if kind is not None and kind[1] in RECORDS_BUT_LAUNCH:
-            return
-        untried = [
-            c
-            for c in self.held.values()
-            if c.sent is None
-            and c.ran_at is None
-            and self.set.categories[c.category].effect is not it.Effect.IDEMPOTENT
-        ]
-        named = [c for c in untried if b'"%s"' % c.id.encode() in data]
-        for callback in named or untried:
-            callback.launches += 1
-            callback.sent = LONG_AGO, None
+        """Bytes of the log that can't be read."""
+        self.recovery.load_spoilt(data)
+
+    def snapshot(self):
+        """The records that say all that is owed now; a log of just these replaces a longer one."""
+        return recovery.snapshot(self)
 
-    def _well(self, host, away, at):
+    def set_health(self, host, away, at):
         """Rule 4 over restarts: a host is away from its closing until it has answered for the whole ramp."""
         self.away[host] = None if away else at + (self.set.ramp_time or 0)
         self._show(host)
@@ -284,68 +133,15 @@
         if not listed:
             del self.shown[number]
 
-    def _is_away(self, host):
+    def is_away(self, host):
         return host in self.away and (self.away[host] is None or self.now < self.away[host])
 
-    def _known(self, ids):
+    def known(self, ids):
         return [self.held[number] for number in ids if number in self.held]
 
-    @staticmethod
-    def _as_handed_in(c):
-        row = {
-            "id": c.id,
-            "category": c.category,
-            "tenant": c.tenant,
-            "key": c.key,
-            "destination": c.destination,
-            "due": c.due,
-            "mark": c.mark,
-        }
-        if not c.body and c.contents:  # nothing to work them out from, or no longer
-            row["contents"] = c.contents.hex()
-        return row
-
-    def snapshot(self):
-        """The records that say all that is owed now; a log of just these replaces a longer one."""
-        for record in self.classes.records():
-            yield record, b""
-        for key, until in self.rests.items():
-            yield {"k": "rest", "key": key, "until": until}, b""
-        for host, until in self.away.items():
-            if self._is_away(host):
-                at = until and until - (self.set.ramp_time or 0)
-                yield {"k": "health", "host": host, "away": until is None, "at": at}, b""
-        # Danger: forgotten with the log that told of them, a request that its client sends once more after a restart is taken on anew.
-        lately, room = [], self.log_room // self.DONE_PART
-        for number, contents in reversed(self.done.items()):
-            room -= len(number) + 48  # contents in hex, quotes and commas
-            if room < 0:
-                break
-            lately.append([number, contents and contents.hex()])
-        if lately:
-            yield {"k": "done", "ids": lately[::-1]}, b""
-        for c in self.held.values():
-            if c.state is ARRIVED:
-                continue
-            out = c.sent is not None
-            yield (
-                {
-                    "k": "taken",
-                    **self._as_handed_in(c),
-                    "launches": c.launches - out,
-                    "ran_at": c.ran_at,
-                    "ran_zone": c.ran_zone,
-                },
-                c.body,
-            )
-            if out and (c.call not in self.calls or self.calls[c.call].begun):
-                yield {"k": "launch", "ids": [c.id], "at": c.sent[0], "zone": c.sent[1]}, b""
-            if c.state is OWED:
-                yield {"k": "owed", "id": c.id, "denied": c.denied, "wait": c.wait}, b""
-
     # Callbacks
 
-    def _move(self, callback, state):
+    def move(self, callback, state):
         """Every change of a callback's state."""
         before = callback.state
         holds(state in NEXT[before], "callback_state", id=callback.id, before=before, after=state)
@@ -413,7 +209,7 @@
                 return
             self.held[fresh.id] = callback
             callback.clients.append(event.client)
-            self._move(callback, ARRIVED)
+            self.move(callback, ARRIVED)
             self._hand_over(callback)
 
     def _answer(self, callback, status, wait=0):
@@ -457,7 +253,7 @@
         callback = self.held.get(event.id)
         if callback is not None and callback.state is TAKEN and event.client in callback.clients:
             callback.clients.clear()
-            self._move(callback, HELD)
+            self.move(callback, HELD)
             self._release()
 
     def _unheard(self, event):
@@ -476,7 +272,7 @@
         """Nobody was told that it is taken on: it is the client's again."""
         self.inbox.append(it.Withdrawn(callback.id))
         self._log("over", ids=[callback.id])
-        self._move(callback, OVER)
+        self.move(callback, OVER)
         for out in list(self.parked.values()):
             if callback.id in out.ids:
                 self._unpark(out, [callback.id])
@@ -518,11 +314,11 @@
         self._count(callback, THROTTLED if denied else FAULTED)
         if callback.state is ARRIVED:
             self._answer(callback, DENIED if denied else FAILED, wait)
-            self._move(callback, OVER)
+            self.move(callback, OVER)
             return
         callback.denied, callback.wait = denied, wait
         self._log("owed", id=callback.id, denied=denied, wait=wait)
-        self._move(callback, OWED)
+        self.move(callback, OWED)
         self.effects.append(ev.Notify(callback.id, denied, wait))
 
     def _step(self, _):
@@ -536,8 +332,8 @@
         for event in batch:
             callback = self.held.get(event.callback) if type(event) is it.NewCallback else None
             if callback is not None and callback.state is ARRIVED and callback.id not in ended:
-                self._log("taken", callback.body, **self._as_handed_in(callback))
-                self._move(callback, TAKEN)
+                self._log("taken", callback.body, **recovery.as_handed_in(callback))
+                self.move(callback, TAKEN)
                 self._answer(callback, TAKEN_ON)
         groups = {}
         for action in actions:
@@ -550,7 +346,7 @@
             elif type(action) is it.CloseIdle:
                 self.effects.append(ev.CloseIdle(action.host))
             elif type(action) is it.Health:
-                self._well(action.host, action.away, now)
+                self.set_health(action.host, action.away, now)
                 self._log("health", host=action.host, away=action.away, at=now)
                 self.effects.append(ev.Say(action.text))
             elif action.callback in self.held:
@@ -563,7 +359,9 @@
             size = self._kind(self.hosts[host]).per_call
             for at in range(0, len(launches), size):
                 self.serial += 1
-                self.parked[self.serial] = Out(self.serial, host, launches[at : at + size], now)
+                self.parked[self.serial] = PendingCall(
+                    self.serial, host, launches[at : at + size], now
+                )
         self._release()
         self._guard()
 
@@ -599,7 +397,7 @@
     PARKED = 1000 * MS  # while notices go unanswered: then others may have the slot
 
     def _parked_until(self, out):
-        return min([out.since + self.PARKED, *(callback.due for callback in self._known(out.ids))])
+        return min([out.since + self.PARKED, *(callback.due for callback in self.known(out.ids))])
 
     def _blocked(self, callback):
         return callback.state is TAKEN or callback.key in self.owed_keys
@@ -609,12 +407,12 @@
         if self.held_back or self.log_fails:
             return
         for out in list(self.parked.values()):
-            if not any(self._blocked(callback) for callback in self._known(out.ids)):
+            if not any(self._blocked(callback) for callback in self.known(out.ids)):
                 self._go(out)
 
     def _go(self, out):
         host = self.hosts[out.host]
-        ready = [c.id for c in self._known(out.ids) if self._may_begin(c, host)]
+        ready = [c.id for c in self.known(out.ids) if self._may_begin(c, host)]
         self._unpark(out, [number for number in out.ids if number not in ready])
         if not out.ids:
             return
@@ -634,13 +432,13 @@
         have run after a kill, and one that must not run twice is given up untried."""
         out = self.calls.get(event.call)
         if out is not None and not out.begun:
-            for callback in self._known(out.ids):
+            for callback in self.known(out.ids):
                 if callback.call == out.number:
                     callback.sent = self.now, callback.sent[1]
             self._log_launch(out)
 
     def _log_launch(self, out):
-        ours = [c for c in self._known(out.ids) if c.call == out.number]
+        ours = [c for c in self.known(out.ids) if c.call == out.number]
         out.begun = True
         if ours:
             self._log(
@@ -682,7 +480,7 @@
                 permission.of_repeat(callback, self.set.categories[callback.category], now),
                 callback.id,
             )
-            for callback in self._known(ids)
+            for callback in self.known(ids)
         )
 
     def _unpark(self, out, ids):
@@ -695,7 +493,7 @@
         if not out.ids:
             self.parked.pop(out.number, None)
 
-    def _settle_launch(self, callback, result, at, unsent=False):
+    def settle_launch(self, callback, result, at, unsent=False):
         """What a launch's outcome leaves behind for later ones and for other callbacks of the key."""
         sent, callback.sent, callback.call = callback.sent, None, None
         callback.launches -= unsent
@@ -724,13 +522,13 @@
             callback, closed = self.held.get(end.id), end.closed
             if callback is not None and callback.call == out.number:
                 launches = callback.launches
-                self._settle_launch(callback, end.result, self.now, end.unsent)
+                self.settle_launch(callback, end.result, self.now, end.unsent)
                 ended.append(
                     [end.id, end.result.value, closed and callback.state is not OWED, end.unsent]
                 )
                 if closed and callback.state is not OWED:
                     self._count(callback, DELIVERED if end.result is Result.DELIVERED else FAULTED)
-                    self._move(callback, OVER)
+                    self.move(callback, OVER)
             else:
                 closed, launches = True, 1
             self.inbox.append(
@@ -755,9 +553,9 @@
             self.rests = {key: until for key, until in self.rests.items() if until > self.now}
 
     def _noticed(self, event):
-        ids = [c.id for c in self._known(event.ids) if c.state is OWED]
+        ids = [c.id for c in self.known(event.ids) if c.state is OWED]
         for number in ids:
-            self._move(self.held[number], OVER)
+            self.move(self.held[number], OVER)
         if ids:
             self._log("over", ids=ids)
             self._release()
@@ -788,7 +586,7 @@
                         h.destination,
                         h.condition,
                         h.units,
-                        self._is_away(h.id),
+                        self.is_away(h.id),
                     )
                     for h in event.hosts
                 ],
@@ -809,7 +607,7 @@
                 for rows in (self.hosts, self.away, self.left):
                     rows.pop(host, None)
         self.waits = {route: until for route, until in self.waits.items() if until > self.now}
-        self.away = {host: until for host, until in self.away.items() if self._is_away(host)}
+        self.away = {host: until for host, until in self.away.items() if self.is_away(host)}
 
     def _retuned(self, event):
         """New settings. What is held keeps its category, also over a restart; the module hears of it with the next step."""
@@ -830,7 +628,7 @@
             if callback.sent is not None and callback.call is None
         ]
         for callback in out:
-            self._settle_launch(callback, Result.RESET, self.now)
+            self.settle_launch(callback, Result.RESET, self.now)
         for key in self.unsettled:
             self.rests[key] = max(self.rests.get(key, 0), self.now + self.set.settle)
         self.unsettled = {}
@@ -859,10 +657,10 @@
     def _inherited(self, event):
         """Danger: a call that goes on with the next process, taken for ended, has its callback run twice."""
         for number, host, ids, start, until in event.calls:
-            self.calls[number] = Out(number, host, [(i, 0) for i in ids], start, begun=True)
+            self.calls[number] = PendingCall(number, host, [(i, 0) for i in ids], start, begun=True)
             self.under[number] = it.Underway(number, host, start, until - start)
             self.serial = max(self.serial, number)
-            for callback in self._known(ids):
+            for callback in self.known(ids):
                 callback.call = number
         unsent = [
             c
@@ -871,7 +669,7 @@
         ]
         # the earlier process had not written these calls whole, and does not any more
         for callback in unsent:
-            self._settle_launch(callback, Result.NOT_SENT, self.now, True)
+            self.settle_launch(callback, Result.NOT_SENT, self.now, True)
         if unsent:
             self._log(
                 "end",
@@ -888,7 +686,7 @@
         ends = [c for c in self.held.values() if c.call is not None]
         for callback in ends:
             begun = self.calls[callback.call].begun if callback.call in self.calls else True
-            self._settle_launch(
+            self.settle_launch(
                 callback, Result.RESET if begun else Result.NOT_SENT, self.now, not begun
             )
             if begun:
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -6,8 +6,8 @@
 
 from molehill import interface as it
 from molehill.core import permission
+from molehill.core.callback import PendingCall
 from molehill.core.permission import Refusal
-from molehill.core.reducer import Out
 from tests.ledger import SECOND, category
 from tests.place import ASK
 
@@ -59,7 +59,7 @@
     place.hear(place.accept(place.host), b"\r\n\r\nab")
     core = place.relay.core
     for ident, why in (("id1", "another call"), ("id2", "an earlier one")):
-        out = Out(99, "h1", [(ident, SECOND)], place.clock.now)
+        out = PendingCall(99, "h1", [(ident, SECOND)], place.clock.now)
         core.parked[99] = out
         with pytest.raises(AssertionError, match=f"may_be_sent.*{why}"):
             core._go(out)
