--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 test: .venv/dev
 	.venv/bin/ruff format -q --check molehill tests benchmarks
 	.venv/bin/ruff check -q molehill tests benchmarks
+	.venv/bin/mypy
 	.venv/bin/python -m pytest -q
 
 demo: .venv/dev
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -437,7 +437,7 @@
 def check_class(row: dict, at: str) -> None:
     """Raises for a class of message that lacks what its effect needs. Danger: a default in its place is a promise that nobody made,
     and the relay would serve by it for a day before anybody asks."""
-    needed = ("name", "semantics", "deadlineMs")
+    needed: tuple[str, ...] = ("name", "semantics", "deadlineMs")
     if row.get("semantics") == "deduplicated":
         needed += DEDUPLICATED_ONLY
         if row.get("dedupScope", "all") not in SCOPES:
@@ -468,11 +468,11 @@
     state = environ.get("ROUTER_STATE") or given.get("state")
     if not state:
         raise ConfigError("ROUTER_STATE: not set; it names the folder that lasts")
-    seed = str(given.get("seed", "0"))
+    seed_text = str(given.get("seed", "0"))
     try:
-        seed = int(seed, 16)
+        seed = int(seed_text, 16)
     except ValueError:
-        raise ConfigError(f"seed: '{seed}' is not a hex number") from None
+        raise ConfigError(f"seed: '{seed_text}' is not a hex number") from None
     sockets = limit.get("sockets", whole, SOCKETS)
     if sockets < LEAST_SOCKETS:
         raise ConfigError(
--- a/molehill/core/classes.py
+++ b/molehill/core/classes.py
@@ -52,7 +52,8 @@
     def read_number(self, n: int) -> int:
         """What a number of the log means; an older log has no such records, and its numbers are the settings' own."""
         if n in self.logged:
-            return self.number(*self.logged[n], range(len(self.rows)))
+            name, row = self.logged[n]
+            return self.number(name, row, range(len(self.rows)))
         if not 0 <= n < len(self.rows):
             raise KeyError(f"category {n}")  # the record is of no use
         return n
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -65,7 +65,7 @@
         self.clock, self.figures = scheduler.clock, figures
         # host -> its idle connections, the one used last at the end
         self.idle: dict[str, list] = {}
-        self.streams: dict[int, object] = {}  # call -> its connection
+        self.streams: dict[int, HttpStream] = {}  # call -> its connection
         self.running: dict[int, Running] = {}  # calls out, by number
         self.aborted: set[int] = set()
         # to the next process: nothing is begun any more; calls that may come back
@@ -333,9 +333,8 @@
         # Danger: an answer that comes once the call's time is up is no delivery, whatever it says: the host has given the call up
         # by then, as this relay told it to. What is read too late, since this relay stood still, may be such a one, and it
         # tells nothing of the host.
-        if (end is None or end.result is not Result.TIMEOUT) and (
-            came if settled else self.clock()
-        ) > until:
+        known_at = came if settled and came is not None else self.clock()
+        if (end is None or end.result is not Result.TIMEOUT) and known_at > until:
             end = ev.End("", Result.CANCELLED)
         if end is not None:
             return self._useless(
--- a/molehill/http/parser.py
+++ b/molehill/http/parser.py
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class Head:
-    first: tuple[str, str, str]  # method, target, version; or version, status, reason
+    first: tuple[str, ...]  # method, target, version; or version, status, reason
     headers: dict[str, str]
     keep: bool  # the connection may carry another message
     length: Optional[int]  # of the body; None where no header tells it
@@ -76,7 +76,8 @@
 
     def chunked(self) -> Optional[bytes]:
         """A body in chunks once it is whole, else None; nothing is taken from the buffer before. Raises Malformed."""
-        data, at, parts, ended = self.buffer.peek(len(self.buffer)), 0, [], False
+        data, at, ended = self.buffer.peek(len(self.buffer)), 0, False
+        parts: list[bytes] = []
         while (end := data.find(b"\r\n", at)) >= 0:
             line, at = data[at:end], end + 2
             if ended:  # the lines of a trailer, and an empty one
--- a/molehill/membership/member.py
+++ b/molehill/membership/member.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 from math import ceil, log, log2
-from typing import NamedTuple, Optional
+from typing import Any, NamedTuple, Optional
 
 MS = 1_000_000
 JOINING, ALIVE, SUSPECT, LOST, LEFT = "joining", "alive", "suspect", "lost", "left"
@@ -127,13 +127,19 @@
         self.me = Who(name, number, chance.getrandbits(32), 0)
         self.peers: dict[str, Peer] = {}
         self.graves: dict[str, Who] = {}
-        self.ring, self.probes, self.helped, self.seq = [], {}, {}, 0
+        self.ring: list[str] = []
+        self.probes: dict[int, Any] = {}
+        self.helped: dict[int, Any] = {}
+        self.seq = 0
         self.rumours: dict[str, list] = {}  # name -> [rumour, times told]
         self.slow, self.trip, self.trip_dev = 0, settings.floor / ROUND_TRIPS, 0.0
         self.looked, self.next_round, self.next_sync, self.rounds = now, now, now, 0
-        self.answered = None  # when any probe was answered last
-        self.leaving, self.superseded, self.asked_self = False, False, {}
-        self.out, self.syncs, self.news = [], [], []
+        self.answered: Optional[int] = None  # when any probe was answered last
+        self.leaving, self.superseded = False, False
+        self.asked_self: dict[Any, Any] = {}
+        self.out: list[Any] = []
+        self.syncs: list[str] = []
+        self.news: list[Any] = []
         self.counts = dict.fromkeys(("refuted", "false_suspicions", "lost", "stood", "old"), 0)
         self.standing = ALONE
         self.since = now
@@ -326,7 +332,8 @@
             self.slow = min(SLOW_MOST, self.slow + 1)
         self.look_at_self(now)
         # Danger: one that has just gone deaf accuses whom it probes until it knows. So it accuses only on a word from anybody since.
-        if peer is None or not self.may_accuse() or self.answered < probe.began:
+        answered = self.answered or 0
+        if peer is None or not self.may_accuse() or answered < probe.began:
             return
         if peer.state == JOINING:
             self.forget(probe.target)
--- a/molehill/membership/wire.py
+++ b/molehill/membership/wire.py
@@ -77,12 +77,12 @@
 
     def write(self, message: Message) -> bytes:
         """Leaves out rumours that do not fit; they have been counted as told, and are told again by others."""
-        rumours = list(message.rumours)
+        rumours, sender = list(message.rumours), message.sender
         while True:
             body = encode(
                 Packet(
                     KINDS.index(message.kind),
-                    tuple(message.sender),
+                    (sender.name, sender.number, sender.token, sender.turn),
                     message.address[0],
                     message.address[1],
                     STANDINGS.index(message.standing),
--- a/molehill/runtime/kernel.py
+++ b/molehill/runtime/kernel.py
@@ -29,13 +29,38 @@
 class Disk:
     """The few calls that the log makes; each raises OSError as the kernel's own."""
 
-    makedirs = staticmethod(lambda folder: os.makedirs(folder, exist_ok=True))
-    exists, unlink, rename, close = map(
-        staticmethod, (os.path.exists, os.unlink, os.rename, os.close)
-    )
-    write, truncate, seek = map(
-        staticmethod, (os.write, os.ftruncate, lambda fd, at: os.lseek(fd, at, os.SEEK_SET))
-    )
+    @staticmethod
+    def makedirs(folder: str) -> None:
+        os.makedirs(folder, exist_ok=True)
+
+    @staticmethod
+    def exists(path: str) -> bool:
+        return os.path.exists(path)
+
+    @staticmethod
+    def unlink(path: str) -> None:
+        os.unlink(path)
+
+    @staticmethod
+    def rename(old: str, new: str) -> None:
+        os.rename(old, new)
+
+    @staticmethod
+    def close(fd: int) -> None:
+        os.close(fd)
+
+    @staticmethod
+    def write(fd: int, data) -> int:
+        """How many bytes went in, which may be fewer than there are."""
+        return os.write(fd, data)
+
+    @staticmethod
+    def truncate(fd: int, size: int) -> None:
+        os.ftruncate(fd, size)
+
+    @staticmethod
+    def seek(fd: int, at: int) -> None:
+        os.lseek(fd, at, os.SEEK_SET)
 
     @staticmethod
     def open(path: str, anew: bool = False) -> int:
--- a/molehill/runtime/log.py
+++ b/molehill/runtime/log.py
@@ -16,7 +16,8 @@
     """What structlog's logger writes to."""
 
     def __init__(self, fd: int = 2):
-        self.fd, self.lines, self.part, self.dropped = fd, deque(), b"", 0
+        self.fd, self.part, self.dropped = fd, b"", 0
+        self.lines: deque[bytes] = deque()
         self.poll = select.poll()
         self.poll.register(fd, select.POLLOUT)
 
--- a/molehill/runtime/stream.py
+++ b/molehill/runtime/stream.py
@@ -6,6 +6,7 @@
 import contextlib
 import errno
 import socket
+from typing import Callable
 
 from molehill.runtime.buffer import Buffer
 from molehill.runtime.scheduler import CUT, READ, READY, WRITE
@@ -52,9 +53,10 @@
     """Counts the descriptors of each kind, within one figure for all and one for kinds that have their own."""
 
     def __init__(self, most: int, quotas=None):
-        self.most, self.used, self.quotas = most, {}, quotas or {}
+        self.most, self.quotas = most, quotas or {}
+        self.used: dict[str, int] = {}
         # name in ORDER -> closes one idle connection and tells whether it did
-        self.idlers = {}
+        self.idlers: dict[str, Callable[[], bool]] = {}
 
     def total(self) -> int:
         return sum(self.used.values())
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -13,6 +13,7 @@
 
 import signal
 from dataclasses import dataclass, field
+from typing import Any
 
 from molehill.config import MS, SECOND, ConfigError
 from molehill.core import events as ev
@@ -39,7 +40,7 @@
     """What the new process got."""
 
     lock: int = -1
-    listener: object = None
+    listener: Any = None
     state: dict = field(default_factory=dict)
     hosts: list = field(default_factory=list)
     learnt: list = field(default_factory=list)
