Failing tests: refused callbacks leave records while the log fails; zeros read as empty records

Eight bytes of 0, as a hole in a file has, are a length and a checksum that fit: 512 records of no use in 4 KiB.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -508,3 +508,13 @@
     while not done():
         assert time.monotonic() < until
         process.scheduler.turn()
+
+
+def test_what_is_refused_while_the_log_fails_leaves_nothing_to_be_written(failing):
+    """Danger: an outage of the disk for an hour is an hour of rows kept for later."""
+    client, disk = failing.client(), failing.disk
+    hand_in(failing, client, b"id0")
+    disk.left, disk.failing = 0, {"open": errno.ENOSPC}
+    for number in range(1, 20):
+        hand_in(failing, client, b"id%d" % number, b"HTTP/1.1 503")
+    assert len(failing.relay.engine.unwritten) <= 1
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -43,6 +43,19 @@
         assert read(tmp_path)[1] == found + ROWS[:1]
 
 
+@pytest.mark.parametrize("size", [8, 9, 4096])
+def test_a_tail_of_zeros_is_no_row_of_empty_records(tmp_path, size):
+    """Danger: a length and a checksum of 0 fit each other, and a hole in the file reads as records of no use."""
+    store, _ = read(tmp_path)
+    assert store.append(ROWS)
+    store.close()
+    with open(tmp_path / "log", "ab") as log:
+        log.write(bytes(size))
+    store, found = read(tmp_path)
+    assert found == ROWS and store.odd == 0
+    assert store.append(ROWS[:1]) and read(tmp_path)[1] == ROWS + ROWS[:1]
+
+
 @pytest.mark.parametrize("together", [False, True])
 def test_a_spoilt_byte_costs_the_record_that_it_stands_in_alone(tmp_path, together):
     whole, ends = whole_rows(tmp_path, together)
