Refused callbacks leave no record for later; a hole of zeros in the log is no record

Causes: a refusal by the log went the way of a client's withdrawal, which logs that it is over, though no record tells that it began; a payload of no bytes fits its checksum of 0. Also, a request answered late is counted once, not twice.

--- a/molehill/core/recovery.py
+++ b/molehill/core/recovery.py
@@ -110,6 +110,8 @@
         Danger: they may be a launch, whose callback would run twice. So those that it may have launched, all that look
         untried if it names none, count as launched, unless a repeat is harmless.
         """
+        if not data.strip(b"\0"):  # a hole in the file
+            return
         kind = RECORD_KIND.search(data)
         if kind is not None and kind[1] in OTHER_KINDS:
             return
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -268,10 +268,11 @@
         if not callback.clients:
             self._withdraw(callback)
 
-    def _withdraw(self, callback):
+    def _withdraw(self, callback, logged=True):
         """Nobody was told that it is taken on: it is the client's again."""
         self.inbox.append(it.Withdrawn(callback.id))
-        self._log("over", ids=[callback.id])
+        if logged:
+            self._log("over", ids=[callback.id])
         self.move(callback, OVER)
         for out in list(self.parked.values()):
             if callback.id in out.ids:
@@ -289,7 +290,7 @@
                 callback = self.held[record["id"]]
                 self._count(callback, THROTTLED)
                 self._answer(callback, DENIED)
-                self._withdraw(callback)
+                self._withdraw(callback, logged=False)
             elif record["k"] == "launch":
                 out = self.calls.get(record["call"])
                 if out is not None:
--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -331,7 +331,6 @@
         while conn.reply is None:
             if self.scheduler.wait(until=until) == LATE:
                 # Withdrawn, it has surely not run. Danger: closed without an answer, it is lost to its client.
-                self.counts["not answered"] += 1
                 self.post(ev.Unheard(fresh.id, conn))
                 conn.reply = conn.reply or (503, 0, "not answered")
         status, wait, why = conn.reply
--- a/molehill/store.py
+++ b/molehill/store.py
@@ -73,7 +73,9 @@
         return None
     length, check = HEAD.unpack_from(data, at)
     payload = data[at + HEAD.size : at + HEAD.size + length]
-    return payload if len(payload) == length and zlib.crc32(payload) == check else None
+    # Danger: a length and a checksum of 0 fit each other, as in a hole of the file
+    whole = 0 < length == len(payload) and zlib.crc32(payload) == check
+    return payload if whole else None
 
 
 def next_record(data: bytes, start: int) -> int:
@@ -86,6 +88,14 @@
     return len(data)
 
 
+def is_spoilt(data: bytes, at: int, end: int) -> bool:
+    """Whether what lies there is a record of just that length that does not fit its checksum: written whole, spoilt later."""
+    if end - at < HEAD.size:
+        return False
+    length, _ = HEAD.unpack_from(data, at)
+    return 0 < length == end - at - HEAD.size
+
+
 def scan(data: bytes) -> Iterator[Piece]:
     """The log's bytes in order, piece by piece."""
     at = 0
@@ -96,11 +106,7 @@
             yield Piece(at, end, payload)
         else:
             end = next_record(data, at)
-            whole = (
-                len(data) - at >= HEAD.size
-                and at + HEAD.size + HEAD.unpack_from(data, at)[0] == end
-            )
-            yield Piece(at, end, None, torn=end == len(data) and not whole)
+            yield Piece(at, end, None, torn=end == len(data) and not is_spoilt(data, at, end))
         at = end
 
 
