--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -502,18 +502,12 @@
                 self._returns(h)
             self.h_fails[h] = 0
             return
-        if event.result is Result.TIMEOUT:
-            # cut short by a callback's time it counts too, if an answer would have come by then
-            failed = event.took >= min(
-                call[4], lim.smooth + self.DEVIATIONS * lim.dev if lim.smooth else self.PAUSE
-            )
-        else:
-            failed = (
-                event.result in (Result.ERROR, Result.NO_CONNECT)
-                or event.result is Result.RESET
-                and not call[5]
-            )
-        if failed:
+        if event.result is not Result.TIMEOUT:
+            # Danger: no connection may be had for want of room at the host, and errors be single calls': no outage either.
+            return
+        # cut short by a callback's time it counts too, if an answer would have come by then
+        wanted = lim.smooth + self.DEVIATIONS * lim.dev if lim.smooth else self.PAUSE
+        if event.took >= min(call[4], wanted):
             self.h_failing[h] = self.h_failing[h] if self.h_fails[h] else call[2]
             self.h_fails[h] += 1
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -163,9 +163,15 @@
 
 
 @pytest.mark.parametrize(
-    "failures, pause, returns", [(2, 2500, True), (2, 300, False), (1, 900, False)]
+    "failures, pause, result, returns",
+    [
+        (2, 2500, R.TIMEOUT, True),
+        (2, 300, R.TIMEOUT, False),
+        (1, 900, R.TIMEOUT, False),
+        (2, 900, R.NO_CONNECT, False),  # scarce connections are no outage
+    ],
 )
-def test_few_failures_over_a_long_time_are_an_outage_too(failures, pause, returns):
+def test_few_failures_over_a_long_time_are_an_outage_too(failures, pause, result, returns):
     """Danger: a relay with few slots sees two calls fail in five seconds, and feeds the host by the window alone as it returns."""
     world = World(settings(slots=2, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
     feed(world, 100, 8000)
@@ -174,7 +180,7 @@
         while not world.out:
             world.advance(20 * MS)
         world.advance(pause * MS)
-        world.answer(min(world.out), R.TIMEOUT)
+        world.answer(min(world.out), result)
     for _ in range(60):
         world.take()
     while not world.out:
