--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -5,6 +5,7 @@
 from typing import Optional
 
 from molehill import interface as it
+from molehill.core.permission import Refusal
 
 
 @dataclass(slots=True)
@@ -47,6 +48,7 @@
     closed: bool = False
     spent: bool = False
     unsent: bool = False  # kept back by this relay: no launch
+    why: Optional[Refusal] = None  # why it was not sent, where that is known
 
 
 # Events
@@ -189,6 +191,13 @@
     wait: int
 
 
+@dataclass(slots=True)
+class NotSent:  # a log line: a callback that was chosen for that host did not go there
+    id: str
+    host: str
+    why: Refusal
+
+
 @dataclass(slots=True)
 class Watch:
     pass
--- a/molehill/core/figures.py
+++ b/molehill/core/figures.py
@@ -3,6 +3,10 @@
 Counts run from the start of the process. Gauges are kept as changes happen, never by a walk over all that is held.
 """
 
+from collections import Counter
+
+from molehill.core.permission import Refusal
+
 DELIVERED, THROTTLED, FAULTED = "fulfilled", "throttled", "faulted"
 ENDS = (DELIVERED, THROTTLED, FAULTED)
 COUNTS, GAUGES = (
@@ -19,6 +23,7 @@
         self.ends: dict[str, dict[str, int]] = {}
         self.relayed = self.cfg_accepted = self.cfg_invalid = 0
         self.open_requests = self.registry_entries = self.out_of_rotation = 0
+        self.not_sent: Counter[Refusal] = Counter()  # callbacks that were chosen and did not go
         self.name(classes)
 
     def name(self, classes) -> None:
@@ -30,6 +35,7 @@
         rows = [
             (f"{end}.{one}", counts[end], "c") for one, counts in self.ends.items() for end in ENDS
         ]
+        rows += [(f"not_sent.{why.name.lower()}", n, "c") for why, n in self.not_sent.items()]
         rows += [(name, getattr(self, name), "c") for name in COUNTS] + [
             (name, getattr(self, name), "g") for name in GAUGES
         ]
--- a/molehill/core/permission.py
+++ b/molehill/core/permission.py
@@ -23,6 +23,15 @@
     MAY_HAVE_RUN = "it may have run, and runs at most once"
     CALL_IS_OUT = "another call of it is out"
     KEY_BUSY = "an earlier one of its key is not over"
+    KEY_BLOCKED = "an earlier notice of its key went unanswered for too long"
+    HAND_OVER = "the next process takes over"
+    CALLED_OFF = "the call was called off"
+    NO_DESCRIPTOR = "no descriptor to spare"
+    LOCAL_ERROR = "this machine lacked a port, a route or a buffer"
+    LINE_BUSY = "all slots of this relay at the host are taken"
+    HOST_SAYS_OVER = "the host says that it is over (410)"
+    HOST_SAYS_SPENT = "the host says that it had all its attempts (504)"
+    NOT_LOGGED = "the log did not take its launch"
 
     @property
     def is_fault(self) -> bool:
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -9,6 +9,7 @@
 from collections import Counter, OrderedDict
 from dataclasses import replace
 from heapq import heappop, heappush
+from typing import Optional
 
 from molehill import interface as it
 from molehill.config import MS, SECOND
@@ -17,6 +18,7 @@
 from molehill.core.callback import ARRIVED, HELD, NEXT, OVER, OWED, TAKEN, Callback, PendingCall
 from molehill.core.classes import Classes
 from molehill.core.figures import DELIVERED, FAULTED, THROTTLED, Figures
+from molehill.core.permission import Refusal
 from molehill.holds import holds
 from molehill.interface import Result
 
@@ -44,7 +46,7 @@
         # those that go in turn and are not over, in the order of hand-in
         self.by_key: dict[str, dict[str, Callback]] = {}
         # why callbacks were not sent, since the last line of counts
-        self.refusals: Counter[permission.Refusal] = Counter()
+        self.refusals: Counter[Refusal] = Counter()
         self.rests: dict[str, int] = {}
         # while the log is read: keys with a launch whose end it does not tell
         self.unsettled: dict[str, bool] = {}
@@ -300,7 +302,10 @@
                         ev.Ended(
                             out.number,
                             0,
-                            [ev.End(i, Result.NOT_SENT, unsent=True) for i in out.ids],
+                            [
+                                ev.End(i, Result.NOT_SENT, unsent=True, why=Refusal.NOT_LOGGED)
+                                for i in out.ids
+                            ],
                         )
                     )
 
@@ -373,6 +378,10 @@
         """Parked calls whose time is up."""
         for out in list(self.parked.values()):
             if self._parked_until(out) <= self.now:
+                for callback in self.known(out.ids):
+                    late = self.now >= callback.due
+                    why = Refusal.TIME_UP if late else Refusal.KEY_BLOCKED
+                    self._not_sent(callback.id, out.host, why)
                 self._unpark(out, list(out.ids))
         batch += self.inbox
         self.inbox = []
@@ -456,33 +465,31 @@
     def _may_begin(self, callback, host) -> bool:
         """Whether a call of it may be begun there now."""
         first = next(iter(self.by_key.get(callback.key, {}).values()), callback) is callback
-        return self._allowed(
-            permission.of_begin(callback, callback.state is HELD, first, self.stop_at, self.now),
-            callback.id,
-        ) and self.may_send(host.id, (callback.id,), self.now)
-
-    def _allowed(self, refusal, number) -> bool:
-        if refusal is None:
-            return True
-        self.refusals[refusal] += 1
-        holds(not refusal.is_fault, "may_be_sent", id=number, why=refusal.value)
-        return False
-
-    def may_send(self, host, ids, now):
-        """Whether these may still go there: asked once more just before a call's first byte.
+        refusal = permission.of_begin(
+            callback, callback.state is HELD, first, self.stop_at, self.now
+        ) or self.refusal(host.id, (callback.id,), self.now)
+        if refusal is not None:
+            self._not_sent(callback.id, host.id, refusal)
+        return refusal is None
+
+    def _not_sent(self, number, host, why) -> None:
+        """Counts and logs why a callback that was chosen for a host did not go there."""
+        self.refusals[why] += 1
+        self.figures.not_sent[why] += 1
+        holds(not why.is_fault, "may_be_sent", id=number, why=why.value)
+        self.effects.append(ev.NotSent(number, host, why))
+
+    def refusal(self, host, ids, now) -> Optional[Refusal]:
+        """Why these may not go there any more: asked once more just before a call's first byte. None: they may.
 
         Danger: a connection takes its time to come up, and a deduplicated one that may have run outlives its window.
         """
         entry = self.hosts[host]
-        return self._allowed(
-            permission.of_route(entry, self.waits.get(self._route(entry), 0), now), ids
-        ) and all(
-            self._allowed(
-                permission.of_repeat(callback, self.set.categories[callback.category], now),
-                callback.id,
-            )
-            for callback in self.known(ids)
-        )
+        refusal = permission.of_route(entry, self.waits.get(self._route(entry), 0), now)
+        for callback in self.known(ids):
+            category = self.set.categories[callback.category]
+            refusal = refusal or permission.of_repeat(callback, category, now)
+        return refusal
 
     def _unpark(self, out, ids):
         """Launches that never left the relay."""
@@ -517,6 +524,8 @@
             del self.calls[event.call]
         host, ended = self.hosts[out.host], []
         for end in ends:
+            if end.why is not None:
+                self._not_sent(end.id, out.host, end.why)
             if end.wait:
                 route = self._route(host)
                 self.waits[route] = max(self.waits.get(route, 0), self.now + end.wait)
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -3,9 +3,11 @@
 import re
 from collections import Counter
 from dataclasses import replace
+from typing import Optional
 
 from molehill.config import MS, OUTGOING, SECOND, ConfigError, address, nanos
 from molehill.core import events as ev
+from molehill.core.permission import Refusal
 from molehill.http import parser as http
 from molehill.http.stream import HttpStream
 from molehill.interface import Result
@@ -28,8 +30,8 @@
     503: ev.End("", Result.FULL),
     400: ev.End("", Result.FULL),
     413: ev.End("", Result.FULL),
-    410: ev.End("", Result.NOT_SENT, closed=True),
-    504: ev.End("", Result.NOT_SENT, spent=True),
+    410: ev.End("", Result.NOT_SENT, closed=True, why=Refusal.HOST_SAYS_OVER),
+    504: ev.End("", Result.NOT_SENT, spent=True, why=Refusal.HOST_SAYS_SPENT),
 }
 LINES = {
     "delivered": STATUS[200],
@@ -42,7 +44,7 @@
     r"\w+=\d+(\.\d+)?([eE][+-]?\d+)?( *, *\w+=\d+(\.\d+)?([eE][+-]?\d+)?)*", re.ASCII
 )
 NO_ROOM = ev.End("", Result.NO_CONNECT)
-KEPT_BACK = ev.End("", Result.NOT_SENT, unsent=True)
+LINE_BUSY = ev.End("", Result.NOT_SENT, why=Refusal.LINE_BUSY)
 OTHER = ev.End("", Result.ERROR)  # an answer that the protocol does not know: it may have run
 
 
@@ -54,13 +56,13 @@
 
 
 class Hosts:
-    def __init__(self, scheduler, config, budget, post, may_send, figures):
-        self.scheduler, self.config, self.budget, self.post, self.may_send = (
+    def __init__(self, scheduler, config, budget, post, refusal, figures):
+        self.scheduler, self.config, self.budget, self.post, self.refusal = (
             scheduler,
             config,
             budget,
             post,
-            may_send,
+            refusal,
         )
         self.clock, self.figures = scheduler.clock, figures
         # host -> its idle connections, the one used last at the end
@@ -267,11 +269,12 @@
             except Short as error:  # this relay's own trouble: it tells nothing of the host
                 if stream is not None:
                     stream.close()
+                why = Refusal.NO_DESCRIPTOR
                 if isinstance(error, LocalError):
                     # Danger: asked for anew as fast as it fails, it takes the whole core.
-                    self.counts["local error"] += 1
+                    why = Refusal.LOCAL_ERROR
                     self.scheduler.sleep(min(until, self.clock() + LOCAL_ERROR_REST))
-                self._end(call, start, call.members, KEPT_BACK)
+                self._end(call, start, call.members, kept_back(why))
                 return None
             except (Broken, Late) as error:
                 if stream is not None:
@@ -285,15 +288,20 @@
         """Whether its time is not up, and the relay was not told meanwhile to wait, or that the host drains; else the call's end.
 
         Danger: a connection comes up in the very turn in which the call's time is up, and it is sent on after its end."""
-        if (
-            not self.given
-            and call.number not in self.aborted
-            and self.clock() < ends(call)
-            and self.may_send(call.host, [m.id for m in call.members], self.clock())
-        ):
-            return True
-        self._end(call, start, call.members, KEPT_BACK)
-        return False
+        refusal = self._refusal(call)
+        if refusal is not None:
+            self._end(call, start, call.members, kept_back(refusal))
+        return refusal is None
+
+    def _refusal(self, call) -> Optional[Refusal]:
+        now = self.clock()
+        if self.given:
+            return Refusal.HAND_OVER
+        if call.number in self.aborted:
+            return Refusal.CALLED_OFF
+        if now >= ends(call):
+            return Refusal.TIME_UP
+        return self.refusal(call.host, [m.id for m in call.members], now)
 
     def _request(self, call) -> bytes:
         now, host = self.clock(), "%s:%d" % call.address
@@ -351,8 +359,7 @@
             return
         end = STATUS.get(head.status, OTHER)
         if head.status == 503 and head.headers.get("x-line-busy") == "1":
-            end = ev.End("", Result.NOT_SENT)
-            self.counts["line busy"] += 1
+            end = LINE_BUSY
         elif head.status == 503 and not head.keep and self.running[call.number].fresh:
             # Danger: a host that holds as many connections as it takes says so by this, and only to those who have none. Taken for a
             # limit that is used up, relays that hold idle ones go on holding them, and the others wait for room that is there.
@@ -391,6 +398,11 @@
         return rate, min(left, 1.0) if left >= 0.0 else None
 
 
+def kept_back(why: Refusal) -> ev.End:
+    """The end of a callback that never left this relay."""
+    return ev.End("", Result.NOT_SENT, unsent=True, why=why)
+
+
 def ends(call) -> int:
     """When a call is given up: as soon as one of its members' time is up. It is one call, to the host as well, and has one time."""
     return min(member.until for member in call.members)
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -72,7 +72,7 @@
         )
         self.clients = engine.clients = Clients(self.scheduler, config, budget, engine.post)
         self.hosts = engine.hosts = Hosts(
-            self.scheduler, config, budget, engine.post, self.core.may_send, self.core.figures
+            self.scheduler, config, budget, engine.post, self.core.refusal, self.core.figures
         )
         self.notices = engine.notices = Notices(self.scheduler, config, budget, engine.post)
         self.clients.turned_away = self.core.turned_away
--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -4,6 +4,7 @@
 
 from molehill.config import MS
 from molehill.core import events as ev
+from molehill.core.permission import Refusal
 from molehill.holds import counts, holds
 
 
@@ -94,9 +95,20 @@
             self.hosts.abort(effect.call)
         elif kind is ev.Watch:
             self.discovery.watch()
+        elif kind is ev.NotSent:
+            self.log_not_sent(effect)
         else:
             self.log.info(effect.text)
 
+    NOT_SENT_LINES = 20  # of each reason, between two lines of counts
+
+    def log_not_sent(self, effect) -> None:
+        """A line for each of the first callbacks of a reason. That an ended callback reached a host is a fault of this relay."""
+        if self.core.refusals[effect.why] > self.NOT_SENT_LINES:
+            return
+        say = self.log.warning if effect.why is Refusal.HOST_SAYS_OVER else self.log.debug
+        say("not sent", id=effect.id, host=effect.host, why=effect.why.name.lower())
+
     # kinds of record that the core can do without: what they tell has not happened yet
     REVERSIBLE = ("taken", "launch")
 
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -5,6 +5,7 @@
 from molehill import config
 from molehill import interface as it
 from molehill.core import events as ev
+from molehill.core.permission import Refusal
 from molehill.core.reducer import Core
 from molehill.http.stream import HttpStream
 from molehill.policy import Relay
@@ -459,6 +460,9 @@
     def on_abort(self, effect):
         self.out.pop(effect.call, None)
 
+    def on_notsent(self, effect):
+        assert effect.why in Refusal
+
     def on_watch(self, _):
         self.said.append("watch")
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,6 +10,7 @@
 from molehill import holds
 from molehill import interface as it
 from molehill.core import events as ev
+from molehill.core.permission import Refusal
 from molehill.core.reducer import Core
 from molehill.policy import Relay
 from molehill.runtime.kernel import Disk
@@ -512,8 +513,9 @@
     world.step()
     assert [m.id for _, ms in world.out.values() for m in ms] == [number]
     ((call, _),) = world.out.values()
-    assert world.core.may_send(call.host, [number], first + 2999 * MS)
-    assert world.core.may_send(call.host, [number], first + 3000 * MS) is goes
+    assert world.core.refusal(call.host, [number], first + 2999 * MS) is None
+    over = None if goes else Refusal.WINDOW_OVER
+    assert world.core.refusal(call.host, [number], first + 3000 * MS) is over
 
 
 def test_a_key_rests_over_a_restart_and_keeps_its_order(tmp_path):
@@ -631,7 +633,8 @@
         )
         if wait:
             effects_of(core, now, ev.Ended(call.number, 5, [ev.End("a", R.FULL, wait)]))
-        assert not core.may_send("h1", [], now)
+        why = Refusal.TOLD_TO_WAIT if wait else Refusal.HOST_NOT_UP
+        assert core.refusal("h1", [], now) is why
         assert not [e for e in effects_of(core, now, ev.Heard("b", "d")) if type(e) is ev.Call]
         assert [e.result for e in core.inbox if type(e) is it.Outcome][-1] is R.NOT_SENT
         assert core.held["b"].launches == 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,6 +8,7 @@
 from molehill import interface as it
 from molehill.core import events as ev
 from molehill.core.figures import Figures
+from molehill.core.permission import Refusal
 from molehill.http import discovery, hosts, notices
 from molehill.http.clients import ROOM, Clients
 from molehill.runtime import stream as stream_module
@@ -507,20 +508,24 @@
 
 class Calls:
     def __init__(self, monkeypatch):
-        self.net, self.allowed = Net(), True
+        self.net, self.refused = Net(), None
         self.made, self.refusals = self.net.catch(monkeypatch)
         self.hosts = hosts.Hosts(
             self.net.scheduler,
             net_config(),
             self.net.budget,
             self.post,
-            lambda *_: self.allowed,
+            lambda *_: self.refused,
             Figures(()),
         )
         self.serial, self.on_begun = 0, lambda call: None
 
     def post(self, event):
-        self.on_begun(event.call) if type(event) is ev.Begun else self.net.post(event)
+        if type(event) is ev.Begun:
+            return self.on_begun(event.call)
+        self.net.post(event)
+        # whatever did not go tells why, and nothing else does
+        assert all((end.result is R.NOT_SENT) is (end.why is not None) for end in event.ends)
 
     def call(self, *ids, bundle=False, span=2 * SECOND, host="h1"):
         self.serial += 1
@@ -856,17 +861,18 @@
     calls = Calls(monkeypatch)
     calls.call()
     calls.reply(answered(200))
-    calls.allowed = False
+    calls.refused = Refusal.HOST_NOT_UP
     calls.call()
     assert calls.net.events[1].ends[0].result is R.NOT_SENT and len(calls.hosts.idle["h1"]) == 1
 
     def told_while_connecting():
-        calls.allowed = not calls.made  # the connection is up, and the wait came before it
-        return calls.allowed
+        # the connection is up, and the wait came before it
+        calls.refused = Refusal.TOLD_TO_WAIT if calls.made else None
+        return calls.refused
 
     calls.made.clear()
     calls.hosts.close_idle("h1")
-    calls.hosts.may_send = lambda *_: told_while_connecting()
+    calls.hosts.refusal = lambda *_: told_while_connecting()
     calls.call()
     assert calls.net.events[2].ends[0].result is R.NOT_SENT and drain(calls.made[0]) is None
     assert calls.net.budget.total() == 0
