--- a/molehill/cli/__main__.py
+++ b/molehill/cli/__main__.py
@@ -4,6 +4,7 @@
 
 from molehill.cli.emulate import emulate
 from molehill.cli.fleet import fleet
+from molehill.cli.soak import soak
 
 
 @click.group()
@@ -13,6 +14,7 @@
 
 main.add_command(emulate)
 main.add_command(fleet)
+main.add_command(soak)
 
 if __name__ == "__main__":
     main(prog_name="molehill")
--- /dev/null
+++ b/molehill/cli/soak.py
@@ -0,0 +1,61 @@
+"""`molehill soak`: one relay as a real process under drawn faults, and what broke.
+
+Exit codes: 0 kept, 1 a rule broken, 2 bad input, 3 a run could not be played.
+"""
+
+import tempfile
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+
+import click
+
+from molehill.cli.emulate import seeds_of
+from molehill.soak import plan as plans
+from molehill.soak.rig import NotPlayed, play
+
+SHOWN = 5  # findings of a run that are printed with their stories
+NOT_PLAYED = "not played"
+
+
+def play_seed(seed: int, span: float, out: Path, mutation: str) -> tuple[Counter, list[str]]:
+    """How often each rule was broken in that run, and the lines that tell of it."""
+    try:
+        findings, history = play(plans.drawn(seed, span), out / f"seed-{seed}", mutation)
+    except NotPlayed as error:
+        return Counter({NOT_PLAYED: 1}), [f"seed {seed}: not played: {error}"]
+    counts = Counter(finding.rule for finding in findings)
+    kinds = Counter(type(event).__name__ for event in history.events)
+    word = ", ".join(f"{rule}: {n}" for rule, n in counts.items()) or "kept"
+    lines = [f"seed {seed}: {word} ({kinds['HandedIn']} asked, {kinds['Call']} calls)"]
+    for finding in findings[:SHOWN]:
+        lines.append(f"  {finding.rule} at {finding.at:.3f}: {finding.id}: {finding.text}")
+        lines += [f"    {event}" for event in history.about(finding.id)]
+    return counts, lines
+
+
+@click.group()
+def soak():
+    """Soaks one relay on loopback: hosts that fail and leave, ends, pauses, a failing machine."""
+
+
+@soak.command()
+@click.option("--seeds", default="1..1", show_default=True, help="A..B: a run each.")
+@click.option("--span", default=20.0, show_default=True, help="Seconds that clients ask in a run.")
+@click.option("--jobs", default=1, show_default=True, help="Runs beside one another.")
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for the relay's logs.")
+@click.option("--mutation", default="", help="A known mistake to put into the relay.")
+def run(seeds, span, jobs, out, mutation):
+    """Plays the runs of these seeds, and prints each broken rule with the story of its request."""
+    out = out or Path(tempfile.mkdtemp(prefix="molehill-soak-"))
+    totals, broken = Counter(), 0
+    with ProcessPoolExecutor(jobs) as pool:
+        work = partial(play_seed, span=span, out=out, mutation=mutation)
+        for counts, lines in pool.map(work, seeds_of(seeds)):
+            totals.update(counts)
+            broken += bool(set(counts) - {NOT_PLAYED})
+            click.echo("\n".join(lines))
+    click.echo(f"{len(seeds_of(seeds))} runs, {broken} broken: {dict(totals)}; logs in {out}")
+    if broken or totals[NOT_PLAYED]:
+        raise SystemExit(1 if broken else 3)
--- a/molehill/fleet/shims.py
+++ b/molehill/fleet/shims.py
@@ -9,6 +9,7 @@
 | `accept` | errno that all these calls fail with |
 | `connect` | errno that half of these calls fail with |
 | `disk` | errno: a write takes half and then fails; files can't be made, cut off or renamed |
+| `slow_ms` | each write to the disk takes so long |
 | `files` | errno: plain writes go well; files can't be made, cut off or renamed |
 """
 
@@ -85,6 +86,7 @@
 
     def write(self, fd: int, data) -> int:
         """Half of it at first, as a device does that fails in the middle, then the error."""
+        time.sleep(self.control.now().get("slow_ms", 0) / 1000)
         if not self.control.now().get("disk"):
             self.half.discard(fd)
             return Disk.write(fd, data)
--- /dev/null
+++ b/molehill/soak/history.py
@@ -0,0 +1,112 @@
+"""What the stand-ins and the rig saw in one run, as typed events in the order in which they were seen.
+
+Times are seconds of the monotonic clock from the run's beginning.
+"""
+
+import time
+from dataclasses import dataclass, field
+from typing import Optional
+
+
+@dataclass(slots=True, frozen=True)
+class HandedIn:
+    """A client wrote a request, once more if a close crossed it. `span`: seconds from then in which it may be delivered."""
+
+    at: float
+    id: str
+    effect: str
+    span: float
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """A client read the relay's answer."""
+
+    at: float
+    id: str
+    status: int
+
+
+@dataclass(slots=True, frozen=True)
+class Unanswered:
+    """A client's connection ended with no answer. `first`: the request was the first on its connection."""
+
+    at: float
+    id: str
+    first: bool
+
+
+@dataclass(slots=True, frozen=True)
+class GaveUp:
+    """A client waited as long as clients wait for an answer, and closed its connection."""
+
+    at: float
+    id: str
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """A host read the last byte of a call. `first_byte`: when the first one left the relay; `patience`: seconds it was told."""
+
+    at: float
+    id: str
+    host: str
+    first_byte: float
+    patience: Optional[float]
+
+
+@dataclass(slots=True, frozen=True)
+class Replied:
+    """A host wrote its answer to a call."""
+
+    at: float
+    id: str
+    host: str
+    status: int
+
+
+@dataclass(slots=True, frozen=True)
+class Notice:
+    """The platform read the notice that ends a request."""
+
+    at: float
+    id: str
+    result: str
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    """Discovery wrote to the relay that a host has this status."""
+
+    at: float
+    host: str
+    status: str
+
+
+@dataclass(slots=True, frozen=True)
+class Process:
+    """Something happened to the relay's process: `started`, `ready`, `crashed`, or a signal's name."""
+
+    at: float
+    what: str
+
+
+@dataclass
+class History:
+    """Events in the order in which they were seen; `now()` stamps them."""
+
+    begun: float = field(default_factory=time.monotonic)
+    events: list = field(default_factory=list)
+
+    def now(self) -> float:
+        return time.monotonic() - self.begun
+
+    def tell(self, kind, *facts) -> None:
+        self.events.append(kind(self.now(), *facts))
+
+    def of(self, *kinds) -> list:
+        return [event for event in self.events if isinstance(event, kinds)]
+
+    def about(self, number: str) -> list:
+        """The story of one request."""
+        return [event for event in self.events if getattr(event, "id", None) == number]
--- /dev/null
+++ b/molehill/soak/oracle.py
@@ -0,0 +1,169 @@
+"""From a history to findings: what a client, a host or the platform saw that may not be. Knows nothing of the relay's code."""
+
+from dataclasses import dataclass
+
+from molehill.soak.history import (
+    Answered,
+    Call,
+    GaveUp,
+    HandedIn,
+    History,
+    Notice,
+    Process,
+    Replied,
+    Told,
+    Unanswered,
+)
+
+GRACE = (
+    1.0 + 0.05 + 0.15
+)  # seconds after a drain was told: the grace, the limits' slack, a held-up process
+LATE = 0.3  # seconds after a request's time in which its end may still come
+READY_SPAN = 1.5  # seconds after a start's end in which no notice is overdue
+TAKEN_ON = (200, 202)
+NEVER_RAN = (429, 503, 410, 504)
+
+
+@dataclass(slots=True, frozen=True)
+class Finding:
+    """One breach: its rule, the time, the request or host, and what was seen."""
+
+    rule: str
+    at: float
+    id: str
+    text: str
+
+
+SENT_AFTER_END, PAST_GRACE, NO_END, UNANSWERED, RAN_TWICE, CRASHED, TWO_ENDS = (
+    "sent on after its end",
+    "sent past the grace",
+    "nothing at all",
+    "read and closed unanswered",
+    "sent again though it may have run",
+    "crashed",
+    "ended in two ways",
+)
+
+
+def sent_after_end(history: History) -> list[Finding]:
+    """A call for a request that the relay had refused, failed, or ended by a notice."""
+    ended, found = {}, []
+    for event in history.events:
+        if isinstance(event, Notice):
+            ended.setdefault(event.id, (event.at, f"notice {event.result}"))
+        elif isinstance(event, Answered) and event.status not in TAKEN_ON:
+            ended.setdefault(event.id, (event.at, f"answer {event.status}"))
+        elif isinstance(event, Call) and event.id in ended:
+            at, how = ended[event.id]
+            late = 1000 * (event.at - at)
+            found.append(
+                Finding(
+                    SENT_AFTER_END,
+                    event.at,
+                    event.id,
+                    f"{how} {late:.1f} ms before, to {event.host}",
+                )
+            )
+    return found
+
+
+def past_grace(history: History) -> list[Finding]:
+    """A call to a host that was told as leaving longer ago than the grace, whichever process was told."""
+    leaving, found = {}, []
+    for event in history.events:
+        if isinstance(event, Told):
+            if event.status == "active":
+                leaving.pop(event.host, None)
+            else:
+                leaving.setdefault(event.host, event.at)
+        elif isinstance(event, Call) and event.host in leaving:
+            late = event.first_byte - leaving[event.host]
+            if late > GRACE:
+                found.append(
+                    Finding(
+                        PAST_GRACE, event.at, event.id, f"{event.host} told {late:.2f} s before"
+                    )
+                )
+    return found
+
+
+def no_end(history: History) -> list[Finding]:
+    """Taken on, and neither delivered nor ended in time. Time in which the relay was being restarted is allowed for."""
+    handed = {event.id: event for event in history.of(HandedIn)}
+    taken = {event.id for event in history.of(Answered) if event.status in TAKEN_ON}
+    given_up = {event.id for event in history.of(GaveUp, Unanswered)}
+    ends = {}
+    for event in history.of(Replied, Notice):
+        if isinstance(event, Notice) or event.status == 200:
+            ends.setdefault(event.id, event.at)
+    away, found, over = away_spans(history), [], history.events[-1].at
+    for number in taken - given_up:
+        due = handed[number].at + handed[number].span + LATE
+        due = max([due, *(end for begun, end in away if begun <= due)])
+        if due < over - LATE and ends.get(number, float("inf")) > due + LATE:
+            found.append(Finding(NO_END, due, number, f"ended at {ends.get(number)}"))
+    return found
+
+
+def away_spans(history: History) -> list[tuple[float, float]]:
+    """From the first signal of a restart until some time after the next process is ready."""
+    spans, begun = [], None
+    for event in history.of(Process):
+        if event.what in ("SIGTERM", "SIGKILL") and begun is None:
+            begun = event.at
+        elif event.what == "ready" and begun is not None:
+            spans.append((begun, event.at + READY_SPAN))
+            begun = None
+    return spans + ([(begun, float("inf"))] if begun is not None else [])
+
+
+def closed_unanswered(history: History) -> list[Finding]:
+    """The first request of a connection, closed with no answer by a process that was not killed then."""
+    kills = [event.at for event in history.of(Process) if event.what == "SIGKILL"]
+    return [
+        Finding(UNANSWERED, event.at, event.id, "its connection was closed")
+        for event in history.of(Unanswered)
+        if event.first and not any(-0.3 <= event.at - at <= 0.5 for at in kills)
+    ]
+
+
+def ran_twice(history: History) -> list[Finding]:
+    """A second call for what may run at most once, where no answer had proved that the first one never ran."""
+    once = {event.id for event in history.of(HandedIn) if event.effect == "at_most_once"}
+    open_calls, found = {}, []
+    for event in history.of(Call, Replied):
+        if event.id not in once:
+            continue
+        if isinstance(event, Replied):
+            if event.status in NEVER_RAN:
+                open_calls.pop(event.id, None)
+        elif event.id in open_calls:
+            found.append(Finding(RAN_TWICE, event.at, event.id, f"first to {open_calls[event.id]}"))
+        else:
+            open_calls[event.id] = event.host
+    return found
+
+
+def crashed(history: History) -> list[Finding]:
+    return [
+        Finding(CRASHED, event.at, "", event.what)
+        for event in history.of(Process)
+        if event.what.startswith("crashed")
+    ]
+
+
+def two_ends(history: History) -> list[Finding]:
+    """Both results, dead and bounced, told of one request."""
+    told, found = {}, []
+    for event in history.of(Notice):
+        if told.setdefault(event.id, event.result) != event.result:
+            found.append(Finding(TWO_ENDS, event.at, event.id, event.result))
+    return found
+
+
+RULES = (sent_after_end, past_grace, no_end, closed_unanswered, ran_twice, crashed, two_ends)
+
+
+def judge(history: History) -> list[Finding]:
+    """Every breach, in the order of the rules."""
+    return [finding for rule in RULES for finding in rule(history)]
--- /dev/null
+++ b/tests/test_ends.py
@@ -0,0 +1,73 @@
+"""What has its end is not sent on, and a host told to drain gets nothing new, also over a restart: on real processes and by hand."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from molehill.runtime.kernel import Disk, Kernel
+from molehill.soak import rig
+from molehill.soak.plan import HOSTS, Drain, End, Outage, Plan, drawn
+from tests.ledger import MS, SECOND, drain
+from tests.place import ASK, Place
+
+
+def broken(plan, folder):
+    """What the run broke, with the stories of its requests."""
+    findings, history = rig.play(plan, folder)
+    return [(found.rule, found.text, history.about(found.id)) for found in findings]
+
+
+# Each of them broke a rule at least once within the span, as the relay stood before issue 56
+SOAKED, SOAKED_SPAN, SOAKED_AT_ONCE = (3, 9, 10, 14, 15, 16), 9.0, 3
+
+
+def test_a_short_soak_of_real_processes_breaks_no_rule(tmp_path):
+    """Hosts that fail and leave around ends of the relay, pauses, a crowd, a failing machine: molehill/soak."""
+    with ThreadPoolExecutor(SOAKED_AT_ONCE) as pool:
+        found = pool.map(
+            lambda seed: broken(drawn(seed, SOAKED_SPAN), tmp_path / str(seed)), SOAKED
+        )
+        assert not [row for rows in found for row in rows]
+
+
+def test_a_host_that_was_told_to_drain_gets_no_call_from_the_next_process(tmp_path):
+    """The process is killed 2 s after it was told; discovery is down as the next one starts, and its file is old."""
+    plan = Plan(1, span=7.0, clients=12)
+    plan.drains = [Drain(1.0, 9.0, host) for host in HOSTS[::3]]
+    plan.ends, plan.outages = [End(3.0, "SIGKILL")], [Outage(2.9, 3.0)]
+    assert not broken(plan, tmp_path)
+
+
+class SlowDisk(Disk):
+    """Takes so long for each write that holds `what`, on a clock that is moved by hand."""
+
+    clock, span, what = None, 0, b'"k":"launch"'
+
+    def write(self, fd, data):
+        if self.what in bytes(data):
+            self.clock.now += self.span
+        return Disk.write(fd, data)
+
+
+class SlowMachine(Kernel):
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.disk = SlowDisk()
+        self.disk.clock = clock
+
+
+@pytest.mark.parametrize("left, goes", [(80 * MS, True), (40 * MS, False)])
+def test_a_call_whose_time_ran_out_while_its_launch_was_logged_is_not_written(tmp_path, left, goes):
+    place = Place(tmp_path, SlowMachine)
+    place.relay.store.disk.span = 60 * MS
+    client = place.client()
+    client.send(ASK.replace(b"Content", b"Req-Deadline-Ms: %d\r\nContent" % (left // MS)) % b"id1")
+    place.hear(client, b"HTTP/1.1 202")
+    host = place.accept(place.host)
+    place.advance(SECOND)
+    text = drain(host) or b""
+    assert (b"Req-Id: id1" in text) is goes
+    if goes:
+        told = int(text.partition(b"Req-Deadline-Ms: ")[2].split(b"\r\n")[0])
+        assert told <= (left - 60 * MS) // MS, "what is left of its time as its first byte goes"
+    place.close()
