Rule 1: a call is asked for with its whole state right before its first byte; notices follow it

Cause (followed by id in the soak): a call is written with nothing left of its time, as the process was held up or its launch's append was slow, given up at once, and its final notice goes 0.3 to 60 ms behind it on another connection; nothing orders the two, and the host reads the call after the platform has the notice. Ruled out: duplicate hand-ins and restarts (breaks without either). Change: permission.of_call answers for the whole state (held, this call's, in time, relay not at its end, route, repeats), asked once more behind the append; the told span is reckoned there; a notice behind a call given up unanswered goes 100 ms after its last byte, 150 ms behind its callback's time at the latest. A client's wait that ends in the turn of its answer withdraws nothing.

--- a/molehill/core/callback.py
+++ b/molehill/core/callback.py
@@ -38,6 +38,7 @@
         "wait",
         "room",
         "contents",
+        "notice_from",
     )
 
     def __init__(self, fresh, contents):
@@ -57,6 +58,8 @@
         )
         self.state, self.clients, self.call = None, [], None
         self.launches, self.ran_at, self.ran_zone = 0, None, None
+        # its final notice goes no sooner: a call of it may still be on its way
+        self.notice_from = 0
         # sent: when the launch that is out went
         self.sent, self.denied, self.wait = None, False, 0
         self.room = (
@@ -67,10 +70,11 @@
 
 
 class PendingCall:
-    """A call that is parked or out; `begun`: the log has it, as its bytes may have gone."""
+    """A call that is parked or out; `begun`: the log has it, as its bytes may have gone; `until`: when it is given up."""
 
-    __slots__ = ("number", "host", "spans", "ids", "since", "begun")
+    __slots__ = ("number", "host", "spans", "ids", "since", "begun", "until")
 
     def __init__(self, number, host, spans, now, begun=False):
         self.number, self.host, self.spans, self.since, self.begun = number, host, spans, now, begun
         self.ids = [number for number, _ in spans]
+        self.until = 0
--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -99,6 +99,7 @@
     ends: list[End]
     told_rate: float = 0.0
     told_left: Optional[float] = None
+    written_at: Optional[int] = None  # when its last byte went; None: it did not go
 
 
 @dataclass(slots=True)
@@ -189,6 +190,8 @@
     id: str
     denied: bool
     wait: int
+    not_before: int = 0  # the notice goes no sooner
+    due: int = 0  # when its callback's time is up: till then it waits for a log that fails
 
 
 @dataclass(slots=True)
--- a/molehill/core/permission.py
+++ b/molehill/core/permission.py
@@ -1,4 +1,6 @@
-"""Whether a callback may be sent to a host now: the one place that answers it, asked as a call is begun and once more before its first byte.
+"""Whether a callback may be sent to a host now: the one place that answers it.
+
+Asked as a call is begun, as its connection is up, and once more behind the append of its launch, right before its first byte.
 
 The decision module chooses what goes where; this is what no choice may break. Some reasons are ordinary: things change between the
 choice and the call, and the callback goes back to the module. The others (`Refusal.is_fault`) the module has to have excluded. They
@@ -24,6 +26,7 @@
     CALL_IS_OUT = "another call of it is out"
     KEY_BUSY = "an earlier one of its key is not over"
     KEY_BLOCKED = "an earlier notice of its key went unanswered for too long"
+    ENDED = "it has its end, or was withdrawn"
     HAND_OVER = "the next process takes over"
     CALLED_OFF = "the call was called off"
     NO_DESCRIPTOR = "no descriptor to spare"
@@ -58,6 +61,22 @@
     return Refusal.TOLD_TO_WAIT if now < wait_until else None
 
 
+def of_call(
+    callback, number: int, held: bool, until: int, stop_at: Optional[int], now: int
+) -> Optional[Refusal]:
+    """Why a callback of a call that is out may not be written any more. Rule 1.
+
+    `callback`: None once nothing of it is kept; `number`: the call's; `held`: it has no end yet; `until`: when its call is given up.
+    """
+    if callback is None or not held:
+        return Refusal.ENDED
+    if callback.call != number:
+        return Refusal.CALL_IS_OUT
+    if now >= until:
+        return Refusal.TIME_UP
+    return Refusal.RELAY_ENDS if stop_at is not None and now >= stop_at else None
+
+
 def of_begin(
     callback, heard: bool, first_of_key: bool, stop_at: Optional[int], now: int
 ) -> Optional[Refusal]:
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -325,7 +325,19 @@
         callback.denied, callback.wait = denied, wait
         self._log("owed", id=callback.id, denied=denied, wait=wait)
         self.move(callback, OWED)
-        self.effects.append(ev.Notify(callback.id, denied, wait))
+        self._notify(callback)
+
+    # Between a call's last byte and the notice that ends its callback. Danger: both go by connections of their own, and
+    # nothing orders these: the notice may be read first, and then the call was sent on for what had its end.
+    NOTICE_AFTER_CALL = 100 * MS
+    # behind a callback's time: the rules leave 300 ms, of which a process may be held up for 150
+    NOTICE_LATEST = 150 * MS
+
+    def _notify(self, callback):
+        not_before = min(callback.notice_from, callback.due + self.NOTICE_LATEST)
+        self.effects.append(
+            ev.Notify(callback.id, callback.denied, callback.wait, not_before, callback.due)
+        )
 
     def _step(self, _):
         now, batch, self.inbox = self.now, self.inbox, []
@@ -433,6 +445,7 @@
                 c = self.held[number]
                 c.call, c.sent, c.launches = out.number, (self.now, host.zone), c.launches + 1
                 members.append(ev.Member(c.id, c.mark, c.body, min(out.since + span, c.due)))
+        out.until = min(member.until for member in members)
         self.effects.append(
             ev.Call(out.number, host.id, host.address, self._kind(host).per_call > 1, members)
         )
@@ -467,7 +480,7 @@
         first = next(iter(self.by_key.get(callback.key, {}).values()), callback) is callback
         refusal = permission.of_begin(
             callback, callback.state is HELD, first, self.stop_at, self.now
-        ) or self.refusal(host.id, (callback.id,), self.now)
+        ) or self._of_host(callback, host, self.now)
         if refusal is not None:
             self._not_sent(callback.id, host.id, refusal)
         return refusal is None
@@ -479,17 +492,29 @@
         holds(not why.is_fault, "may_be_sent", id=number, why=why.value)
         self.effects.append(ev.NotSent(number, host, why))
 
-    def refusal(self, host, ids, now) -> Optional[Refusal]:
-        """Why these may not go there any more: asked once more just before a call's first byte. None: they may.
+    def _of_host(self, callback, host, now) -> Optional[Refusal]:
+        return permission.of_route(
+            host, self.waits.get(self._route(host), 0), now
+        ) or permission.of_repeat(callback, self.set.categories[callback.category], now)
+
+    def refusal(self, number, now) -> Optional[Refusal]:
+        """Why that call may not be written any more, or None. Changes nothing.
 
-        Danger: a connection takes its time to come up, and a deduplicated one that may have run outlives its window.
+        Danger: a connection takes its time to come up, as does the append of a launch. Meanwhile callbacks end, hosts drain, and
+        windows run out.
         """
-        entry = self.hosts[host]
-        refusal = permission.of_route(entry, self.waits.get(self._route(entry), 0), now)
-        for callback in self.known(ids):
-            category = self.set.categories[callback.category]
-            refusal = refusal or permission.of_repeat(callback, category, now)
-        return refusal
+        out = self.calls.get(number)
+        if out is None:
+            return Refusal.CALLED_OFF
+        host = self.hosts[out.host]
+        for ident in out.ids:
+            callback = self.held.get(ident)
+            held = callback is not None and callback.state is HELD
+            refusal = permission.of_call(callback, number, held, out.until, self.stop_at, now)
+            refusal = refusal or self._of_host(callback, host, now)
+            if refusal is not None:
+                return refusal
+        return None
 
     def _unpark(self, out, ids):
         """Launches that never left the relay."""
@@ -532,6 +557,8 @@
             callback, closed = self.held.get(end.id), end.closed
             if callback is not None and callback.call == out.number:
                 launches = callback.launches
+                if end.result.may_run_still and event.written_at is not None:
+                    callback.notice_from = event.written_at + self.NOTICE_AFTER_CALL
                 self.settle_launch(callback, end.result, self.now, end.unsent)
                 ended.append(
                     [end.id, end.result.value, closed and callback.state is not OWED, end.unsent]
@@ -651,7 +678,7 @@
             if callback.state is OWED:
                 # its end is this process's to bring about
                 self._count(callback, THROTTLED if callback.denied else FAULTED)
-                self.effects.append(ev.Notify(callback.id, callback.denied, callback.wait))
+                self._notify(callback)
             else:
                 self._hand_over(callback)
         self.under = {}
@@ -667,7 +694,8 @@
     def _inherited(self, event):
         """Danger: a call that goes on with the next process, taken for ended, has its callback run twice."""
         for number, host, ids, start, until in event.calls:
-            self.calls[number] = PendingCall(number, host, [(i, 0) for i in ids], start, begun=True)
+            out = PendingCall(number, host, [(i, 0) for i in ids], start, begun=True)
+            out.until, self.calls[number] = until, out
             self.under[number] = it.Underway(number, host, start, until - start)
             self.serial = max(self.serial, number)
             for callback in self.known(ids):
--- a/molehill/emulator/life.py
+++ b/molehill/emulator/life.py
@@ -497,7 +497,7 @@
             "open": core.open,
             "module held": len(core.module.held),
             "streams": len(http.hosts.streams),
-            "notices": len(http.notices.waiting),
+            "notices": http.notices.owed,
             "aborted": len(http.hosts.aborted),
             "descriptors not counted": len(self.fds) - counted,
             "idle clients not open": sum(
--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -329,7 +329,8 @@
         self.post(ev.Arrived(conn, fresh))
         until = self.clock() + ANSWER_WITHIN
         while conn.reply is None:
-            if self.scheduler.wait(until=until) == LATE:
+            # danger: the answer may have come in the same turn, and what it took on must not be withdrawn
+            if self.scheduler.wait(until=until) == LATE and conn.reply is None:
                 # Withdrawn, it has surely not run. Danger: closed without an answer, it is lost to its client.
                 self.post(ev.Unheard(fresh.id, conn))
                 conn.reply = conn.reply or (503, 0, "not answered")
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -49,10 +49,11 @@
 
 
 class Running:
-    """A call that is out; `written`: its last byte has gone on its connection; `fresh`: the first one on that."""
+    """A call that is out; `written`: its last byte has gone on its connection; `fresh`: it is the first one on that."""
 
     def __init__(self, call, start):
         self.call, self.start, self.written, self.fresh = call, start, False, False
+        self.written_at = None  # when its last byte went
 
 
 class Hosts:
@@ -180,10 +181,9 @@
             self.idle.setdefault(message["host"], []).append(stream)
             return True
         self.out += 1
-        self.running[call.number], self.streams[call.number] = (
-            Running(call, message["start"]),
-            stream,
-        )
+        running = Running(call, message["start"])
+        running.written_at = self.clock()  # by the earlier process, at the latest now
+        self.running[call.number], self.streams[call.number] = running, stream
         self.scheduler.spawn(self._call, call, stream)
         return True
 
@@ -228,11 +228,14 @@
         self.counts.update(end.result.value for end in ends)
         call.members = [m for m in call.members if m.id not in ended]
         if ends and call.number not in self.aborted:
-            self.post(ev.Ended(call.number, (came or self.clock()) - start, ends, *told))
+            took = (came or self.clock()) - start
+            written_at = self.running[call.number].written_at
+            rate, left = told
+            self.post(ev.Ended(call.number, took, ends, rate, left, written_at))
 
     def _written(self, call, start):
         """A connection with the whole request written on it, or None once the call's end is reported."""
-        until = ends(call)
+        until, running = ends(call), self.running[call.number]
         if not self._may_go(call, start):
             return None
         for stream in (self.kept(call), None):
@@ -251,14 +254,19 @@
                     )
                     self.counts["connected"] += 1
                 self.streams[call.number], stream.idle_since, stream.parser.line = stream, 0, b""
-                self.running[call.number].fresh = fresh
+                running.fresh = fresh
                 if not self._may_go(call, start):
                     stream.close()
                     return None
-                request, begun = self._request(call), self.clock()
                 # in the log before its first byte; where that fails, the call is aborted
                 self.post(ev.Begun(call.number))
-                stream.send(request, until)
+                # Danger: the log was written anew or its disk was slow, and the call's time is up.
+                if not self._may_go(call, start):
+                    stream.close()
+                    return None
+                begun = self.clock()
+                stream.send(self._request(call), until)
+                running.written_at = self.clock()
                 self.figures.relayed += len(call.members)
                 # More than the last answer, if no answer to this can have come. Danger: after a standstill in between, one can.
                 if not fresh and stream.unread() and self.clock() < begun + SOONEST:
@@ -301,7 +309,7 @@
             return Refusal.CALLED_OFF
         if now >= ends(call):
             return Refusal.TIME_UP
-        return self.refusal(call.host, [m.id for m in call.members], now)
+        return self.refusal(call.number, now)
 
     def _request(self, call) -> bytes:
         now, host = self.clock(), "%s:%d" % call.address
--- a/molehill/http/notices.py
+++ b/molehill/http/notices.py
@@ -27,10 +27,22 @@
     def __init__(self, scheduler, config, budget, post):
         self.scheduler, self.config, self.post, self.answered = scheduler, config, post, 0
         self.clock, self.waiting, self.task = scheduler.clock, {}, None
+        self.later = {}  # those that may not go yet
         self.resting, self.failed, self.given = False, 0, {}
         self.line = Single(scheduler, lambda: config.discovery, "notices", budget, HttpStream)
 
     def notify(self, effect) -> None:
+        if effect.not_before > self.clock():
+            self.later[effect.id] = effect
+            self.scheduler.at(effect.not_before, self._now, effect)
+        else:
+            self._send(effect)
+
+    def _now(self, effect) -> None:
+        if self.later.pop(effect.id, None) is not None:
+            self._send(effect)
+
+    def _send(self, effect) -> None:
         self.waiting[effect.id] = effect
         if self.task is None:
             self.task = self.scheduler.spawn_kept(self._send_all)
@@ -43,11 +55,16 @@
             self.scheduler.resume(self.task)
 
     def calm(self) -> bool:
-        return not self.waiting
+        return not self.owed
+
+    @property
+    def owed(self) -> int:
+        """Notices that are not answered yet."""
+        return len(self.waiting) + len(self.later)
 
     def give(self) -> None:
         """What is not answered is the next process's to send; there it is owed by the log."""
-        self.given, self.waiting = self.waiting, {}
+        self.given, self.waiting, self.later = {**self.waiting, **self.later}, {}, {}
         self.line.close()
 
     def go_on(self) -> None:
--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -190,7 +190,7 @@
                 out=self.hosts.out,
                 outcomes=done,
                 not_sent=kept_back,
-                notices=len(self.notices.waiting),
+                notices=self.notices.owed,
                 log_bytes=self.store.size,
                 broken=sum(counts.values()),
             )
--- a/molehill/shutdown.py
+++ b/molehill/shutdown.py
@@ -72,7 +72,7 @@
         """Whether somebody may still get what it waits for."""
         process = self.process
         if self.state is LAST_ANSWERS:
-            return bool(process.clients.conns or process.notices.waiting or process.hosts.out)
+            return bool(process.clients.conns or process.notices.owed or process.hosts.out)
         return self.state is CUTTING and not process.clients.calm()
 
     def move(self, state) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -513,9 +513,11 @@
     world.step()
     assert [m.id for _, ms in world.out.values() for m in ms] == [number]
     ((call, _),) = world.out.values()
-    assert world.core.refusal(call.host, [number], first + 2999 * MS) is None
+    # the window alone, not the call's own time, is what runs out
+    world.core.calls[call.number].until = first + 60 * SECOND
+    assert world.core.refusal(call.number, first + 2999 * MS) is None
     over = None if goes else Refusal.WINDOW_OVER
-    assert world.core.refusal(call.host, [number], first + 3000 * MS) is over
+    assert world.core.refusal(call.number, first + 3000 * MS) is over
 
 
 def test_a_key_rests_over_a_restart_and_keeps_its_order(tmp_path):
@@ -634,8 +636,11 @@
         if wait:
             effects_of(core, now, ev.Ended(call.number, 5, [ev.End("a", R.FULL, wait)]))
         why = Refusal.TOLD_TO_WAIT if wait else Refusal.HOST_NOT_UP
-        assert core.refusal("h1", [], now) is why
-        assert not [e for e in effects_of(core, now, ev.Heard("b", "d")) if type(e) is ev.Call]
+        # the one that was out: told to wait, it is over; at the host that drains, it may not be written
+        assert core.refusal(call.number, now) is (Refusal.CALLED_OFF if wait else why)
+        effects = effects_of(core, now, ev.Heard("b", "d"))
+        assert not [e for e in effects if type(e) is ev.Call]
+        assert [e.why for e in effects if type(e) is ev.NotSent] == [why]
         assert [e.result for e in core.inbox if type(e) is it.Outcome][-1] is R.NOT_SENT
         assert core.held["b"].launches == 0
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from molehill.core import events as ev
 from molehill.runtime.kernel import Disk, Kernel
 from molehill.soak import rig
 from molehill.soak.plan import HOSTS, Drain, End, Outage, Plan, drawn
@@ -71,3 +72,37 @@
         told = int(text.partition(b"Req-Deadline-Ms: ")[2].split(b"\r\n")[0])
         assert told <= (left - 60 * MS) // MS, "what is left of its time as its first byte goes"
     place.close()
+
+
+def test_a_notice_goes_well_behind_the_call_that_was_given_up_before_it_and_in_time(place):
+    """Danger: they go by connections of their own, and nothing but time orders the two."""
+    client = place.client()
+    client.send(ASK.replace(b"Content", b"Req-Deadline-Ms: 30\r\nContent") % b"id1")
+    place.hear(client, b"HTTP/1.1 202")
+    place.hear(place.accept(place.host), b"\r\n\r\nab")
+    called, heard, platforms = place.clock.now, b"", []
+    while b'{"ref":"id1"' not in heard and place.clock.now < called + SECOND:
+        place.advance(5 * MS)
+        try:
+            platforms.append(place.platform.accept()[0])
+            platforms[-1].setblocking(False)
+        except BlockingIOError:
+            pass
+        heard += b"".join(drain(sock) or b"" for sock in platforms)
+    place.open += platforms
+    assert 95 * MS <= place.clock.now - called <= 250 * MS
+
+
+def test_an_answer_that_comes_as_its_client_s_wait_is_over_takes_nothing_back(place):
+    """Danger: told 202 and withdrawn, a callback is lost."""
+    clients, posted = place.relay.clients, []
+    clients.post = posted.append
+    client = place.client()
+    client.send(ASK % b"id1")
+    place.turn()
+    ((conn, _),) = clients.conns.items()
+    # in the turn in which the wait is over, behind it
+    place.relay.scheduler.at(place.clock.now + SECOND, clients.answer, ev.Answer(conn, "id1", 202))
+    place.advance(2 * SECOND)
+    assert b"HTTP/1.1 202" in drain(client)
+    assert [type(event) for event in posted] == [ev.Arrived, ev.Heard]
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -65,3 +65,20 @@
             core._go(out)
         assert 99 not in core.calls
         del core.parked[99]
+
+
+@pytest.mark.parametrize(
+    "wrong, refusal",
+    [
+        ({}, None),
+        ({"gone": True}, Refusal.ENDED),
+        ({"held": False}, Refusal.ENDED),
+        ({"call": 2}, Refusal.CALL_IS_OUT),
+        ({"until": NOW}, Refusal.TIME_UP),
+        ({"stop_at": NOW}, Refusal.RELAY_ENDS),
+    ],
+)
+def test_a_call_is_written_only_while_all_in_it_are_held_its_own_and_in_time(wrong, refusal):
+    callback = None if "gone" in wrong else SimpleNamespace(call=wrong.get("call", 1))
+    held, until = wrong.get("held", True), wrong.get("until", NOW + 1)
+    assert permission.of_call(callback, 1, held, until, wrong.get("stop_at"), NOW) is refusal
