Drains outlast the process: the list as last told stands in the log

Ruled out: the grace within one process (no break without an end of it). Change: a 'list' record with the rows that changed, written before anything of them is acted on, whole in each rewrite, its room taken from what may be held; a start goes by the log's list where its version is as high and discovery has the same address, else host by host by the word further from active, and asks for the whole list. A bad record costs itself; a bad known goes on with the log's.

--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -36,6 +36,8 @@
     destination: int
     condition: it.Condition
     units: float
+    zone_name: str = ""
+    kind_name: str = ""
 
 
 @dataclass(slots=True)
@@ -111,6 +113,10 @@
 class Listed:
     scope: it.Scope
     hosts: list[Host] = field(default_factory=list)
+    version: Optional[int] = (
+        None  # of the list that was told; None: not told by discovery or a list of its form
+    )
+    source: str = ""  # discovery's address
 
 
 @dataclass(slots=True)
--- a/molehill/core/recovery.py
+++ b/molehill/core/recovery.py
@@ -10,7 +10,7 @@
 
 RECORD_KIND = re.compile(rb'"k":"([a-z]+)"')
 # kinds of record that are surely no launch
-OTHER_KINDS = b"taken end owed over done class rest health clock filler".split()
+OTHER_KINDS = b"taken end owed over done class rest health list clock filler".split()
 LONG_AGO = 0  # of a launch at an unknown time: before any window that is still open
 # of the room for what is owed, in a snapshot for the latest ids over: seconds to minutes of traffic
 DONE_PART = 8
@@ -31,6 +31,7 @@
             "class": core.classes.read,
             "rest": self._load_rest,
             "health": self._load_health,
+            "list": core.told.load,
         }
 
     def load(self, record: dict, body: bytes) -> None:
@@ -156,6 +157,8 @@
         if core.is_away(host):
             at = until and until - (core.set.ramp_time or 0)
             yield {"k": "health", "host": host, "away": until is None, "at": at}, b""
+    if core.told.version is not None:
+        yield {"k": "list", **core.told.record(core.told.rows.values())}, b""
     lately = _lately_over(core)
     if lately:
         yield {"k": "done", "ids": lately}, b""
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -18,6 +18,7 @@
 from molehill.core.callback import ARRIVED, HELD, NEXT, OVER, OWED, TAKEN, Callback, PendingCall
 from molehill.core.classes import Classes
 from molehill.core.figures import DELIVERED, FAULTED, THROTTLED, Figures
+from molehill.core.host_list import ToldList
 from molehill.core.permission import Refusal
 from molehill.holds import holds
 from molehill.interface import Result
@@ -36,6 +37,7 @@
         self.classes, self.figures = Classes(names, settings.categories), Figures(names)
         # one list: the module reads the same rows
         self.set = replace(settings, categories=self.classes.rows)
+        self.told = ToldList()  # the list of hosts as the log has it
         self.recovery = recovery.Recovery(self)
         self.module, self.inbox, self.now, self.effects = make_module(self.set, seed), [], 0, []
         self.held: dict[str, Callback] = {}  # in the order in which they were handed in
@@ -204,7 +206,7 @@
             if (
                 self.set.max_held is not None
                 and self.open >= self.set.max_held
-                or self.used + callback.room > self.log_room
+                or self.used + self.told.room + callback.room > self.log_room
             ):
                 self._count(callback, THROTTLED)
                 self.effects.append(ev.Answer(event.client, fresh.id, DENIED))
@@ -601,6 +603,11 @@
 
     def _listed(self, event):
         if event.scope is not it.Scope.FAILED:
+            whole = event.scope is not it.Scope.UPDATE
+            changed = self.told.take(event.hosts, whole, event.version, event.source)
+            # before anything of it is acted on; danger: the next process knows only what is written
+            if changed:
+                self._log("list", **self.told.record(changed))
             if event.scope is not it.Scope.UPDATE:
                 named = {host.id for host in event.hosts}
                 for host in [host for host in self.hosts.values() if host.id not in named]:
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -2,10 +2,12 @@
 
 import json
 from functools import partial
+from typing import Optional
 
 from molehill import interface as it
 from molehill.config import MS, SECOND, ConfigError, address
 from molehill.core import events as ev
+from molehill.core.host_list import restored
 from molehill.holds import holds
 from molehill.http import parser as http
 from molehill.http.stream import HttpStream
@@ -61,7 +63,8 @@
             CONDITIONS.get(row["status"], it.Condition.DRAINING),
             float(row.get("weight") or 0.0),
         )
-        host.zone = config.zones.setdefault(str(row.get("zone")), len(config.zones))
+        host.zone_name, host.kind_name = str(row.get("zone")), str(row.get("type"))
+        host.zone = config.zones.setdefault(host.zone_name, len(config.zones))
         return host
     except (AttributeError, KeyError, TypeError, ValueError, OverflowError, ConfigError):
         holds(False, "entry_of_the_list", row=repr(row)[:200])
@@ -91,9 +94,11 @@
 
 
 class Discovery:
-    def __init__(self, scheduler, config, budget, post):
-        self.scheduler, self.config, self.post = scheduler, config, post
-        self.clock, self.version, self.watching = scheduler.clock, 0, False
+    def __init__(self, scheduler, config, budget, post, told=None):
+        """`told`: the list as the log has it, of molehill/core/host_list.py."""
+        self.scheduler, self.config, self.post, self.told = scheduler, config, post, told
+        self.clock, self.watching = scheduler.clock, False
+        self.version: Optional[int] = 0  # to watch from; None: the whole list is asked for
         kind = partial(HttpStream, most=max(LIST_LEAST, config.memory // LIST_PART))
         self.line, self.moves = (
             Single(scheduler, lambda: config.discovery, "discovery", budget, kind),
@@ -101,14 +106,22 @@
         )
 
     def begin(self, known=None) -> None:
-        """The list as this relay last had it, `known` by the process before it or by the file; none at all rather than no
-        start."""
-        hosts = []
+        """The list as this relay last had it: `known` by the process before it, else by the log and the file; none at all rather
+        than no start."""
+        hosts: list[ev.Host] = []
+        version: Optional[int] = 0
         try:
-            self.version, _, hosts = read_list(known or self.config.known, self.config)
+            if known is None:
+                entries, version = restored(self.told, self.config.known, self.source())
+                known = {"endpoints": entries, "index": version or 0}
+            listed_version, _, hosts = read_list(known, self.config)
+            self.version = listed_version if version is not None else None
         except ValueError as error:
             holds(False, "list_at_the_start", error=str(error))
-        self.post(ev.Listed(it.Scope.RESTORED, hosts))
+        self.post(ev.Listed(it.Scope.RESTORED, hosts, self.version, self.source()))
+
+    def source(self) -> str:
+        return "%s:%d" % self.config.discovery
 
     def watch(self) -> None:
         if not self.watching:
@@ -139,6 +152,7 @@
 
     def _follow(self) -> None:
         began, before, patience, again = self.clock(), self.version, WHOLE_WITHIN, True
+        source = self.source()
         while True:
             try:
                 version, whole, hosts = self._ask(patience)
@@ -156,7 +170,8 @@
         # Danger: a discovery that counts anew would keep its news until it has caught up.
         self.version = version if whole or version >= (before or 0) else None
         if whole or hosts:
-            self.post(ev.Listed(it.Scope.WHOLE if whole else it.Scope.UPDATE, hosts))
+            scope = it.Scope.WHOLE if whole else it.Scope.UPDATE
+            self.post(ev.Listed(scope, hosts, version, source))
         if version == before and self.clock() - began < PAUSE:
             self.scheduler.sleep(began + PAUSE)
 
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -211,12 +211,12 @@
         finally:
             self.out -= 1
             self.streams.pop(call.number, None)
-            del self.running[call.number]
             if stream is not None and not stream.idle_since:
                 stream.close()
             # a fault of this code: nothing is known, so each may have run
             if call.members:
                 self._end(call, start, call.members, ev.End("", Result.RESET))
+            del self.running[call.number]
             self.aborted.discard(call.number)
 
     def _end(self, call, start, members, end, told=(0.0, None), wait=0, came=None) -> None:
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -76,7 +76,9 @@
         )
         self.notices = engine.notices = Notices(self.scheduler, config, budget, engine.post)
         self.clients.turned_away = self.core.turned_away
-        self.discovery = engine.discovery = Discovery(self.scheduler, config, budget, engine.post)
+        self.discovery = engine.discovery = Discovery(
+            self.scheduler, config, budget, engine.post, self.core.told
+        )
         self.membership = None
         if config.fleet is not None:
             try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,9 @@
 from molehill.http.clients import ROOM
 from molehill.http.stream import HttpStream
 from molehill.interface import Result
+from molehill.runtime.kernel import Disk
 from molehill.runtime.stream import Stream
+from molehill.store import Store
 from tests.ledger import MS, SECOND, drain
 from tests.place import ASK
 
@@ -429,6 +431,15 @@
     assert not place.relay.core.held
 
 
+def forget_list(place):
+    """Has the log say nothing of hosts, as one of the version before it had them in it."""
+    rows, store = [], Store(str(place.folder), place.relay.store.most, Disk())
+    store.read()
+    store.replay(lambda record, body: rows.append((record, body)))
+    assert store.rewrite([row for row in rows if row[0]["k"] != "list"])
+    store.close()
+
+
 @pytest.mark.parametrize("ask", [ASK, PLAIN])
 def test_what_is_untried_waits_for_a_list_where_the_file_of_the_next_start_knows_no_host(
     place, ask
@@ -440,6 +451,7 @@
     held_out(place, ask.replace(b"Req-Id", b"Req-Deadline-Ms: 12000\r\nReq-Id"))
     full = place.config()
     place.config = lambda **given: replace(full, known={})
+    forget_list(place)
     kill(place)
     place.advance(2 * SECOND)
     assert place.relay.core.held["id1"].state == "held" and not place.relay.notices.waiting
