--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -257,6 +257,33 @@
     assert list(failing.relay.core.held) == ["id2"] and "id1" in failing.relay.core.done
 
 
+@pytest.mark.parametrize("works_again", [True, False])
+def test_an_end_that_the_log_does_not_take_is_told_once_it_does_or_its_time_is_up(
+    failing, works_again
+):
+    """Danger: told before, it is forgotten by a kill, and the next process tries what had its end."""
+    client, disk, told, platforms = failing.client(), failing.disk, b"", []
+    client.send(ASK.replace(b"Content", b"Req-Deadline-Ms: 3000\r\nContent") % b"id1")
+    failing.hear(client, b"HTTP/1.1 202")
+    due = failing.clock.now + 3 * SECOND
+    host = failing.accept(failing.host)
+    failing.hear(host, b"\r\n\r\nab")
+    disk.left, disk.failing = 0, {"open": errno.ENOSPC}
+    host.send(b"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n")  # had all its attempts
+    while b'"ref":"id1"' not in told and failing.clock.now < due + SECOND:
+        if works_again and failing.clock.now > due - SECOND:
+            disk.left, disk.failing = None, {}
+        failing.advance(10 * MS)
+        try:
+            platforms.append(failing.platform.accept()[0])
+            platforms[-1].setblocking(False)
+        except BlockingIOError:
+            pass
+        told += b"".join(drain(sock) or b"" for sock in platforms)
+    failing.open += platforms
+    assert abs(failing.clock.now - (due - SECOND if works_again else due)) <= 250 * MS
+
+
 @pytest.mark.parametrize(
     "spoilt, untried", [(b'"k":"launch"', []), (b'"zone"', ["b"]), (b'"k":"health"', ["a", "b"])]
 )
