Ends that the log does not take are told once it does, or once their time is up

Change: Engine.notify withholds the notice of an end whose 'owed' record is among the unwritten rows, till these are written or the callback's time is up; behind its time nothing is tried after a restart either. Deliveries keep their launch record, which is there by then.

--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -24,6 +24,8 @@
         self.unwritten = []
         self.rewrite_at = 0  # no rewrite is tried sooner
         self.refused = 0  # records refused since the log stopped taking them
+        # notices of ends that stand in rows that are not written yet, by id
+        self.withheld: dict[str, ev.Notify] = {}
         self.clients = self.hosts = self.notices = self.discovery = None  # set when wiring
 
     def post(self, event) -> None:
@@ -65,7 +67,9 @@
                 self.log.warning("log not rewritten", size=self.store.size)
             self.rewrite_at = self.clock() + self.REWRITE_AGAIN
             return False
+        # a rewrite has all that was unwritten
         self.rewrite_at, self.unwritten = 0, []
+        self.release_all()
         return True
 
     def carry(self, effects) -> None:
@@ -88,7 +92,7 @@
         elif kind is ev.Call:
             self.hosts.call(effect)
         elif kind is ev.Notify:
-            self.notices.notify(effect)
+            self.notify(effect)
         elif kind is ev.CloseIdle:
             self.hosts.close_idle(effect.host)
         elif kind is ev.Abort:
@@ -100,6 +104,26 @@
         else:
             self.log.info(effect.text)
 
+    def notify(self, effect) -> None:
+        """Danger: an end that the log did not take is forgotten by a kill, and the next process tries what had its end. So it is told
+        once the log has it, or once its time is up, as nothing is tried behind that."""
+        if self.clock() < effect.due and any(
+            record["k"] == "owed" and record["id"] == effect.id for record, _ in self.unwritten
+        ):
+            self.withheld[effect.id] = effect
+            self.scheduler.at(effect.due, self.release, effect.id)
+        else:
+            self.notices.notify(effect)
+
+    def release(self, number: str) -> None:
+        effect = self.withheld.pop(number, None)
+        if effect is not None:
+            self.notices.notify(effect)
+
+    def release_all(self) -> None:
+        for number in list(self.withheld):
+            self.release(number)
+
     NOT_SENT_LINES = 20  # of each reason, between two lines of counts
 
     def log_not_sent(self, effect) -> None:
@@ -135,6 +159,7 @@
         if not self.store.append(rows) and not self.rewrite():
             return False
         self.unwritten = []
+        self.release_all()
         if self.refused:
             self.log.warning("log written again", refused=self.refused)
             self.refused = 0
