--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -610,3 +610,20 @@
         world.advance(50 * MS)
     gaps = [b - a for a, b in zip(at, at[1:])]
     assert len(gaps) > 4 and gaps[0] < 4 * SECOND and gaps[4] > 3 * gaps[0]
+
+
+def test_what_looks_too_late_in_one_moment_and_not_in_the_next_still_ends_with_its_time():
+    """Danger: looked at once as it came, and never again while it waits for its turn, it was ended by the core's guard alone."""
+    world = World(settings(slots=100, categories=[category(ordered=True)]), hosts=((1, 0, 0, 1),))
+    world.take(key="a")
+    other = world.take(key="c")
+    limiter = world.relay.h_route[0]
+    limiter.smooth = limiter.now_best = 200 * MS
+    world.advance(5 * MS)
+    late, due = 99, world.now + 185 * MS
+    world.open[late] = dict(row=world.set.categories[0], key="a", due=due, launches=[])
+    # in one batch: too late by the latency known so far, then an answer that comes sooner
+    world.step([it.NewCallback(late, 0, 0, "a", due, 1), world.outcome(other, R.DELIVERED)])
+    assert late in world.open
+    world.advance(190 * MS)
+    assert late in world.final
