--- a/molehill/policy.py
+++ b/molehill/policy.py
@@ -138,12 +138,14 @@
             work(ref) if work else self.dirty.setdefault(ref)  # without: a destination to look at
 
     def _time_up(self, number):
-        if (
-            (one := self.held.get(number)) is not None
-            and one.state in WAITING
-            and not self._may_launch(one)
-        ):
-            self._give_up(one)
+        callback = self.held.get(number)
+        if callback is None or callback.state not in WAITING:
+            return
+        if not self._may_launch(callback):
+            self._give_up(callback)
+        elif self.now < callback.due:
+            # Danger: too late by a latency that has fallen since, it may wait for its turn, and nothing else looks at it.
+            self._at(callback.due, self._time_up, number)
 
     def _move(self, callback, state):
         """Every change of a callback's state."""
