Log: all records of one event are one append

Change: all records of an event first, in appends of 256 KiB of bodies at most, then its other effects in order; write-ahead holds as before, a failing append is told to the core as before.

--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -72,19 +72,30 @@
         self.release_all()
         return True
 
+    TOGETHER_MOST = 256 * 1024  # bytes of bodies in one append, of several
+
     def carry(self, effects) -> None:
-        rows = []
+        """Writes all records of one event, then carries out the rest in order. Danger: with a write for each of a batch, a disk that
+        takes some ms for it stops the loop."""
+        rows: list[tuple[dict, bytes]] = []
+        size = 0
+        for effect in effects:
+            if type(effect) is not ev.Append:
+                continue
+            if rows and size + len(effect.body) > self.TOGETHER_MOST:
+                self.flush(rows)
+                rows, size = [], 0
+            rows.append((effect.record, effect.body))
+            size += len(effect.body)
+        self.flush(rows)
         for effect in effects:
             kind = type(effect)
             if kind is ev.Append:
-                rows.append((effect.record, effect.body))
                 continue
-            rows = self.flush(rows)
             try:
                 self.carry_out(effect, kind)
             except Exception as error:  # the effects that come after it still go
                 holds(False, "effect", what=kind.__name__, error=repr(error))
-        self.flush(rows)
 
     def carry_out(self, effect, kind) -> None:
         if kind is ev.Answer:
@@ -136,14 +147,14 @@
     # kinds of record that the core can do without: what they tell has not happened yet
     REVERSIBLE = ("taken", "launch")
 
-    def flush(self, rows):
+    def flush(self, rows) -> None:
         """Writes records. Of what the log does not take, not even written anew, the reversible goes back to the core, and the rest
         is written before anything else is."""
         if not rows:
-            return []
+            return
         rows = [(self.log_clock.to_log(record), body) for record, body in rows]
         if self.write(self.unwritten + rows):
-            return []
+            return
         if not self.refused:
             self.log.error("log full or failing", records=len(rows), size=self.store.size)
             self.scheduler.at(self.clock() + self.PROBE_EVERY, self.probe)
@@ -152,7 +163,6 @@
         self.queue.append(
             ev.Unlogged([record for record, _ in rows if record["k"] in self.REVERSIBLE])
         )
-        return []
 
     def write(self, rows) -> bool:
         """Whether the log has these rows now, and with them all that was unwritten."""
