Idle connections to hosts are a module of their own; three mutations for the soak

One net test asks the new class where it asked Hosts. Mutations: a notice right behind its call, a told list that dies with the process, ends told while the log fails.

--- a/molehill/emulator/mutations.py
+++ b/molehill/emulator/mutations.py
@@ -8,7 +8,7 @@
 from molehill import config, log_clock, startup, store
 from molehill import interface as it
 from molehill.core import events as ev
-from molehill.core import reducer
+from molehill.core import host_list, reducer
 from molehill.http import clients, discovery, hosts, notices
 from molehill.policy import OPEN, RAMP, Relay
 from molehill.runtime.engine import Engine
@@ -300,6 +300,16 @@
     ),
     "launch logged while its connection comes up": (Core, "_go", logged_as_asked_for),
     "what a restart finds taken for new": (Core, "_hand_over", taken_for_new),
+    "notice right behind its call": (Core, "NOTICE_AFTER_CALL", lambda before: 0),
+    "told list dies with the process": (
+        (host_list.ToldList, "load", lambda before: lambda self, record: None),
+        (Core, "LIST_WITHIN", lambda before: 0),
+    ),
+    "ends told while the log fails": (
+        Engine,
+        "notify",
+        lambda before: lambda self, effect: self.notices.notify(effect),
+    ),
     "a connection that came up late is written on": (
         hosts.Hosts,
         "_may_go",
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -9,6 +9,7 @@
 from molehill.core import events as ev
 from molehill.core.permission import Refusal
 from molehill.http import parser as http
+from molehill.http.idle_connections import IdleConnections
 from molehill.http.stream import HttpStream
 from molehill.interface import Result
 from molehill.runtime.stream import Broken, Late, LocalError, Short, connected
@@ -66,50 +67,24 @@
             refusal,
         )
         self.clock, self.figures = scheduler.clock, figures
-        # host -> its idle connections, the one used last at the end
-        self.idle: dict[str, list] = {}
+        self.idle = IdleConnections(self.clock, config.settings.connection_idle)
         self.streams: dict[int, HttpStream] = {}  # call -> its connection
         self.running: dict[int, Running] = {}  # calls out, by number
         self.aborted: set[int] = set()
         # to the next process: nothing is begun any more; calls that may come back
         self.given, self.lent = False, {}
         self.out, self.counts = 0, Counter()  # calls out; outcomes by name, for the log
-        self.keep = config.settings.connection_idle
-        budget.idlers["host"] = self.close_idlest
+        budget.idlers["host"] = self.idle.close_oldest
         scheduler.at(self.clock() + SWEEP, self.sweep)
 
     # Idle connections
 
     def sweep(self) -> None:
         self.scheduler.at(self.clock() + SWEEP, self.sweep)
-        oldest = self.clock() - self.keep
-        for host, streams in list(self.idle.items()):
-            for stream in [s for s in streams if s.idle_since <= oldest or not s.quiet()]:
-                streams.remove(stream)
-                stream.close()
-            if not streams:
-                del self.idle[host]
+        self.idle.close_useless()
 
     def close_idle(self, host) -> None:
-        for stream in self.idle.pop(host, ()):
-            stream.close()
-
-    def close_idlest(self) -> bool:
-        found = [(streams[0].idle_since, host) for host, streams in self.idle.items() if streams]
-        if not found:
-            return False
-        self.idle[min(found)[1]].pop(0).close()
-        return True
-
-    def kept(self, call):
-        """The idle connection used last, if one is still good."""
-        streams = self.idle.get(call.host, [])
-        while streams:
-            stream = streams.pop()
-            if stream.idle_since > self.clock() - self.keep and stream.quiet():
-                return stream
-            stream.close()
-        return None
+        self.idle.close_host(host)
 
     # An upgrade: the connections pass to the next process
 
@@ -144,13 +119,7 @@
             )
             # its task here has nothing more to tell of it
             self.lent[number], call.members = replace(call), []
-        for host, streams in self.idle.items():
-            for stream in [s for s in streams if s.quiet()]:
-                since = stream.idle_since
-                sock, data = stream.detach()
-                rows.append(({"k": "idle", "host": host, "since": since}, data, sock))
-        self.idle = {}
-        return rows
+        return rows + self.idle.hand_over()
 
     def go_on(self, rows) -> None:
         """Takes back what `give` gave: the next process is gone, and what it had of these connections it never used."""
@@ -177,8 +146,7 @@
         stream = HttpStream(self.scheduler, sock, "host", self.budget)
         stream.refill(data)
         if message["k"] == "idle":
-            stream.idle_since = message["since"]
-            self.idle.setdefault(message["host"], []).append(stream)
+            self.idle.put(message["host"], stream, message["since"])
             return True
         self.out += 1
         running = Running(call, message["start"])
@@ -238,7 +206,7 @@
         until, running = ends(call), self.running[call.number]
         if not self._may_go(call, start):
             return None
-        for stream in (self.kept(call), None):
+        for stream in (self.idle.take(call.host), None):
             fresh = stream is None
             try:
                 if fresh:
@@ -356,9 +324,9 @@
             return self._useless(
                 call, stream, start, end, came if end.result is not Result.TIMEOUT else None
             )
-        if head.keep and self.keep > 0 and stream.quiet():
-            stream.idle_since, stream.parser.raw = self.clock(), b""
-            self.idle.setdefault(call.host, []).append(stream)
+        if head.keep and self.idle.keep > 0 and stream.quiet():
+            stream.parser.raw = b""
+            self.idle.put(call.host, stream, self.clock())
         else:
             stream.close()
         told, wait = self._told_limit(head), retry_after(head)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -836,9 +836,7 @@
     assert len(calls.made) == 2 and calls.reply(answered(200)).ends[0].result is R.DELIVERED
     (kept,) = calls.hosts.idle["h1"]
     calls.net.clock.now += 9001 * MS
-    assert (
-        calls.hosts.kept(ev.Call(9, "h1", (), False, [])) is None and not kept.open
-    ), "too long idle"
+    assert calls.hosts.idle.take("h1") is None and not kept.open, "too long idle"
 
 
 def test_idle_connections_are_closed_before_the_host_would_and_when_asked(monkeypatch):
