--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -28,7 +28,7 @@
 LONGEST = 24 * 3600 * SECOND  # no deadline is taken as further off: keeps figures sane
 # clients wait no longer for an answer: what was sent before, nobody asks for any more
 STOOD_MOST = 400 * MS
-# from a hand-over on: what came while it went on is read by then
+# from the start: what came while it went on is read by then, and what that was followed by
 SURE_AFTER = SECOND
 TEXT_MOST = 1024  # of ids and keys; they are held and logged
 
@@ -88,7 +88,7 @@
         # no request is begun; tasks that wait for that to end
         self.held_back, self.gated = False, []
         # how long what is read right after the start may have waited
-        self.unread = 0
+        self.unread = STOOD_MOST
         # from when on what is read tells by itself how long it has waited
         self.sure = 0
         # connections between requests, the one idle longest first
@@ -96,8 +96,8 @@
         budget.idlers["left client"] = lambda: self.close_idlest(ROOM, LEFT)
         budget.idlers["client"] = lambda: self.close_idlest(ROOM)
 
-    def begin(self, unread: int = 0) -> None:
-        """Serves from here on; `unread`: how long what connections have brought may have waited for this process."""
+    def begin(self, unread: int = STOOD_MOST) -> None:
+        """Serves from here on; `unread`: how long what is read now may have waited for this process."""
         self.ready, self.sure, self.unread = (
             True,
             self.clock() + SURE_AFTER,
@@ -322,9 +322,8 @@
         fresh = self.fresh(head.headers, body)
         # Danger: what came in while this process stood still would be ended late; its time runs from when it was sent. So it
         # does for a first request while its connection waits to be accepted, be it for want of descriptors.
-        # Danger: right after a hand-over what is read may have waited for as long as that took.
-        late = self.unread if self.clock() < self.sure else 0
-        late = max(late, conn.late if conn.kind is NEW else 0)
+        # Danger: right after a start nothing tells how long what is read has waited; it may be as long as any client waits.
+        late = self.unread if self.clock() < self.sure else conn.late if conn.kind is NEW else 0
         fresh.due -= min(max(self.scheduler.stood, late), STOOD_MOST)
         conn.ask, conn.reply = fresh.id, None
         self.post(ev.Arrived(conn, fresh))
