Failing test: a name that is no text in the file's list ends the start

Found on the last read of the change: where the log has a list and the file's may be newer, restored() makes names its keys; a list in place of a name raises TypeError, which Discovery.begin does not catch. Before the told list, read_host took any name as text.

--- a/tests/test_host_list.py
+++ b/tests/test_host_list.py
@@ -112,3 +112,10 @@
         core, now, ev.Arrived("c", ev.Fresh("a", 0, 0, None, 1, now + SECOND, None, b"x" * 200))
     )
     assert [effect.status for effect in effects] == [503]
+
+
+def test_an_entry_of_the_file_with_a_name_that_is_no_text_keeps_no_relay_from_its_start():
+    odd = {**row("h3").entry(), "name": ["h3"]}
+    file = {"index": 50, "snapshot": True, "endpoints": [odd, row("h1").entry()]}
+    entries, _ = restored(told(41, row("h1", "leaving")), file, HERE)
+    assert {str(entry["name"]): entry["status"] for entry in entries}["h1"] == "leaving"
