--- a/molehill/core/host_list.py
+++ b/molehill/core/host_list.py
@@ -124,7 +124,8 @@
     entries = entries or []
     if told.source == source and told.version >= version:
         return Restored([row.entry() for row in told.rows.values()], told.version)
-    by_name = {row["name"]: row for row in entries if isinstance(row, dict) and "name" in row}
+    # names as text, as the reader of discovery's lists takes them
+    by_name = {str(row["name"]): row for row in entries if isinstance(row, dict) and "name" in row}
     merged = [further(row, told.rows.get(name)) for name, row in by_name.items()]
     file_is_newer = told.source == source and bool(known.get("snapshot"))
     if not file_is_newer:
