--- a/tests/place.py
+++ b/tests/place.py
@@ -91,6 +91,18 @@
             return sock
         raise AssertionError("nobody came")
 
+    def platform_hears(self, connections) -> bytes:
+        """What has come to the platform since the last look, on these connections and one more that is taken into them."""
+        try:
+            sock, _ = self.platform.accept()
+        except BlockingIOError:
+            pass
+        else:
+            sock.setblocking(False)
+            self.open.append(sock)
+            connections.append(sock)
+        return b"".join(drain(sock) or b"" for sock in connections)
+
     def client(self):
         sock = socket.create_connection(self.address)
         sock.setblocking(False)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -470,18 +470,12 @@
     began, watches, called = place.clock.now, [], None
     while called is None and place.clock.now < began + SECOND:
         place.advance(10 * MS)
-        try:
-            watches.append(place.platform.accept()[0])
-            watches[-1].setblocking(False)
-        except BlockingIOError:
-            pass
-        asked = b"".join(drain(watch) or b"" for watch in watches)
+        asked = place.platform_hears(watches)
         if answers and b"hold_ms=1 " in asked:
             leaving = dict(place.config().known["endpoints"][0], status="leaving")
             text = json.dumps({"index": 2, "endpoints": [leaving]}).encode()
             watches[-1].send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
         called = next((call for call in place.relay.core.calls.values()), None)
-    place.open += watches
     if answers:
         assert called is None, "the host was told to drain before"
     else:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -84,13 +84,7 @@
     called, heard, platforms = place.clock.now, b"", []
     while b'{"ref":"id1"' not in heard and place.clock.now < called + SECOND:
         place.advance(5 * MS)
-        try:
-            platforms.append(place.platform.accept()[0])
-            platforms[-1].setblocking(False)
-        except BlockingIOError:
-            pass
-        heard += b"".join(drain(sock) or b"" for sock in platforms)
-    place.open += platforms
+        heard += place.platform_hears(platforms)
     assert 95 * MS <= place.clock.now - called <= 250 * MS
 
 
@@ -124,13 +118,6 @@
     assert len(heard) == 30 and place.clock.now - began <= 400 * MS
     while place.clock.now < began + 800 * MS:
         place.advance(5 * MS)
-        try:
-            platforms.append(place.platform.accept()[0])
-            platforms[-1].setblocking(False)
-        except BlockingIOError:
-            pass
-        for sock in platforms:
-            told += drain(sock) or b""
-    place.open += platforms
+        told += place.platform_hears(platforms)
     assert all(b'"ref":"id%02d"' % n in told for n in range(30))
     place.close()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -274,13 +274,7 @@
         if works_again and failing.clock.now > due - SECOND:
             disk.left, disk.failing = None, {}
         failing.advance(10 * MS)
-        try:
-            platforms.append(failing.platform.accept()[0])
-            platforms[-1].setblocking(False)
-        except BlockingIOError:
-            pass
-        told += b"".join(drain(sock) or b"" for sock in platforms)
-    failing.open += platforms
+        told += failing.platform_hears(platforms)
     assert abs(failing.clock.now - (due - SECOND if works_again else due)) <= 250 * MS
 
 
