Trace of each callback by id, and a 410 says whether this relay had ended it

Seen: the report's logs have 410 answers by the hundred with no reason, and no story of a call, its end and its notice, so no candidate cause could be told from another. Change: a trace file (off by default, bounded, kept through a kill) with each step of a callback, call and client connection; molehill trace show and behind; host_says_over is debug and a count, called_after_end an error, a count and a broken invariant. Warning as level for host_says_over is gone, as it told of no fault. No decision changed.

--- a/molehill/cli/__main__.py
+++ b/molehill/cli/__main__.py
@@ -5,6 +5,7 @@
 from molehill.cli.emulate import emulate
 from molehill.cli.fleet import fleet
 from molehill.cli.soak import soak
+from molehill.cli.trace import trace
 
 
 @click.group()
@@ -15,6 +16,7 @@
 main.add_command(emulate)
 main.add_command(fleet)
 main.add_command(soak)
+main.add_command(trace)
 
 if __name__ == "__main__":
     main(prog_name="molehill")
--- a/molehill/config.py
+++ b/molehill/config.py
@@ -230,6 +230,17 @@
 KEY_LEAST, KEY_MOST = 16, 64  # bytes
 
 
+@dataclass(slots=True)
+class TraceFile:
+    """Where the steps of each callback are written; `room`: bytes of it and the one before it together."""
+
+    path: str
+    room: int
+
+
+TRACE_MB = 64  # a day's traffic of a busy relay takes some hundred
+
+
 @dataclass(slots=True)
 class Config:
     name: str
@@ -253,6 +264,7 @@
     memory: int
     admin: Optional[tuple[str, int]] = None  # the operators' door; None: none is opened
     fleet: Optional[Fleet] = None  # None: nothing of membership is imported
+    trace: Optional[TraceFile] = None  # None: no steps are written
     # as the file that was read last has it, whatever a variable says
     discovery_in_file: Optional[str] = None
     # keys that the file's settings name: a later file without one of them is broken
@@ -431,6 +443,21 @@
     )
 
 
+def trace_file(given: dict) -> Optional[TraceFile]:
+    """`trace` of the file: off without it."""
+    rows = part(given, "trace")
+    if not rows:
+        return None
+    for key in rows:
+        if key not in ("file", "mb"):
+            raise ConfigError(f"trace.{key}: unknown; one of file, mb")
+    if not isinstance(rows.get("file"), str) or not rows["file"]:
+        raise ConfigError("trace.file: missing; it names the file that the steps are written to")
+    positive(rows.get("mb"), "trace.mb")
+    room = Reader(flat(rows), "trace.").get("mb", real, TRACE_MB)
+    return TraceFile(rows["file"], int(room * 1_000_000))
+
+
 SCOPES = ("all", "zone", "cell")
 
 
@@ -480,10 +507,14 @@
         )
     admin = environ.get("ROUTER_ADMIN") or given.get("admin")
     name = environ.get("ROUTER_NAME") or str(given.get("name", "relay"))
-    members = fleet(given, name)
+    members, traced = fleet(given, name), trace_file(given)
     # Set aside, with an upgrade's two: neither side starves the other.
     most = (
-        sockets - STANDING - (ADMIN_SEATS + 3 if admin else 0) - (FLEET_SOCKETS if members else 0)
+        sockets
+        - STANDING
+        - (ADMIN_SEATS + 3 if admin else 0)
+        - (FLEET_SOCKETS if members else 0)
+        - (1 if traced else 0)
     )
     # Half is for calls and idle connections to hosts, and a slot's worth at least; a quarter at least for clients.
     outgoing = min(max(made.slots + OUTGOING, most // 2), most * 3 // 4)
@@ -526,6 +557,7 @@
         if admin
         else None,
         fleet=members,
+        trace=traced,
         required=tuple(keys_of(given)),
         discovery_in_file=str(given["discovery"]) if "discovery" in given else None,
     )
--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -205,6 +205,9 @@
     id: str
     host: str
     why: Refusal
+    state: str = ""  # of the callback; empty: nothing of it is kept
+    left: int = 0  # nanoseconds until its time is up
+    launches: int = 0
 
 
 @dataclass(slots=True)
--- a/molehill/core/permission.py
+++ b/molehill/core/permission.py
@@ -32,7 +32,8 @@
     NO_DESCRIPTOR = "no descriptor to spare"
     LOCAL_ERROR = "this machine lacked a port, a route or a buffer"
     LINE_BUSY = "all slots of this relay at the host are taken"
-    HOST_SAYS_OVER = "the host says that it is over (410)"
+    HOST_SAYS_OVER = "the host says that it is over (410), and this relay has not ended it"
+    CALLED_AFTER_END = "the host says that it is over (410), as this relay had ended it"
     HOST_SAYS_SPENT = "the host says that it had all its attempts (504)"
     NOT_LOGGED = "the log did not take its launch"
 
@@ -42,7 +43,12 @@
         return self in FAULTS
 
 
-FAULTS = (Refusal.MAY_HAVE_RUN, Refusal.CALL_IS_OUT, Refusal.KEY_BUSY)
+FAULTS = (
+    Refusal.MAY_HAVE_RUN,
+    Refusal.CALL_IS_OUT,
+    Refusal.KEY_BUSY,
+    Refusal.CALLED_AFTER_END,
+)
 
 
 def of_repeat(callback, category: it.Category, now: int) -> Optional[Refusal]:
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -502,7 +502,19 @@
         self.refusals[why] += 1
         self.figures.not_sent[why] += 1
         holds(not why.is_fault, "may_be_sent", id=number, why=why.value)
-        self.effects.append(ev.NotSent(number, host, why))
+        callback = self.held.get(number)
+        told = ev.NotSent(number, host, why)
+        if callback is not None:
+            told.state, told.left = callback.state, callback.due - self.now
+            told.launches = callback.launches
+        self.effects.append(told)
+
+    def _reason(self, end) -> Refusal:
+        """Why it was not sent; a host that says "over" may mean an end by this relay, or one that it was never told of."""
+        callback = self.held.get(end.id)
+        if end.why is Refusal.HOST_SAYS_OVER and (callback is None or callback.state is not HELD):
+            return Refusal.CALLED_AFTER_END
+        return end.why
 
     def _of_host(self, callback, host, now) -> Optional[Refusal]:
         return permission.of_route(
@@ -562,7 +574,7 @@
         host, ended = self.hosts[out.host], []
         for end in ends:
             if end.why is not None:
-                self._not_sent(end.id, out.host, end.why)
+                self._not_sent(end.id, out.host, self._reason(end))
             if end.wait:
                 route = self._route(host)
                 self.waits[route] = max(self.waits.get(route, 0), self.now + end.wait)
--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -11,6 +11,7 @@
 from molehill.http.stream import HttpStream
 from molehill.runtime.scheduler import LATE, READ
 from molehill.runtime.stream import PASSING, Broken, Late, finish, listening
+from molehill.runtime.trace import NO_TRACE, Step
 
 # A client that sends no whole request is owed an end within three seconds of connecting. Both fit in, and half a
 # second of the relay's own lateness; true clients connect to send at once, and wait 0.4 s for the answer.
@@ -67,9 +68,10 @@
 
 
 class Conn:
-    """A client's connection; `ask` is the id of the request that waits for its answer."""
+    """A client's connection; `ask` is the id of the request that waits for its answer; `number`: as the trace knows it."""
 
-    def __init__(self, stream):
+    def __init__(self, stream, number: int):
+        self.number = number
         self.stream, self.task, self.ask, self.reply, self.kind = stream, None, None, None, NEW
         self.busy = False  # its request is whole, and the answer not written yet
         self.reason = None  # why it ends
@@ -82,6 +84,7 @@
         self.scheduler, self.config, self.budget, self.post = scheduler, config, budget, post
         self.clock, self.conns, self.ready, self.closing = scheduler.clock, {}, False, False
         self.listener, self.counts, self.short = None, Counter(), False
+        self.trace, self.serial = NO_TRACE, 0
         self.first_waits = self.clock()  # since when some may have waited to be accepted
         # told of each request that never reaches the core; set when wiring
         self.turned_away = lambda kind: None
@@ -166,7 +169,9 @@
 
     def open(self, sock, data=b"", kind=NEW) -> Conn:
         """Serves a connection whose place in the budget is taken; `data`: what was read of it before."""
-        conn = Conn(HttpStream(self.scheduler, sock, "client", self.budget, answers=False))
+        self.serial += 1
+        stream = HttpStream(self.scheduler, sock, "client", self.budget, answers=False)
+        conn = Conn(stream, self.serial)
         conn.kind = kind
         conn.stream.refill(data)
         self.conns[conn] = True
@@ -237,6 +242,9 @@
         finally:
             self.conns.pop(conn, None)
             self.close(conn, reason)
+            self.trace.record(
+                Step.CONNECTION_CLOSED, conn.ask, connection=conn.number, reason=conn.reason.value
+            )
 
     def exchange(self, conn) -> bool:
         """One request and its answer; whether the connection goes on."""
@@ -326,6 +334,9 @@
         late = self.unread if self.clock() < self.sure else conn.late if conn.kind is NEW else 0
         fresh.due -= min(max(self.scheduler.stood, late), STOOD_MOST)
         conn.ask, conn.reply = fresh.id, None
+        self.trace.record(
+            Step.HANDED_IN, fresh.id, connection=conn.number, left=fresh.due - self.clock()
+        )
         self.post(ev.Arrived(conn, fresh))
         until = self.clock() + ANSWER_WITHIN
         while conn.reply is None:
@@ -354,8 +365,10 @@
         except (Broken, Late):
             if told:
                 self.counts["gone"] += 1
+                self.trace.record(Step.WITHDRAWN, ask, connection=conn.number)
                 self.post(ev.Unheard(ask, conn))
             raise
+        self.trace.record(Step.ANSWER_WRITTEN, ask, connection=conn.number, status=conn.reply[0])
         if told:
             self.post(ev.Heard(ask, conn))
 
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -13,6 +13,7 @@
 from molehill.http.stream import HttpStream
 from molehill.interface import Result
 from molehill.runtime.stream import Broken, Late, LocalError, Short, connected
+from molehill.runtime.trace import NO_TRACE, Step
 
 SECOND_DIGITS = 9
 # looks at idle connections: an ended one gives its descriptor back soon
@@ -66,7 +67,7 @@
             post,
             refusal,
         )
-        self.clock, self.figures = scheduler.clock, figures
+        self.clock, self.figures, self.trace = scheduler.clock, figures, NO_TRACE
         self.idle = IdleConnections(self.clock, config.settings.connection_idle)
         self.streams: dict[int, HttpStream] = {}  # call -> its connection
         self.running: dict[int, Running] = {}  # calls out, by number
@@ -193,6 +194,16 @@
     def _report(self, call, start, ends, told=(0.0, None), came=None) -> None:
         """What became of these; `came`: when the answer's head did, which is what its latency goes by."""
         ended = {end.id for end in ends}
+        for end in ends:
+            why = end.why.name.lower() if end.why is not None else None
+            self.trace.record(
+                Step.CALL_ENDED,
+                end.id,
+                call=call.number,
+                host=call.host,
+                result=end.result.value,
+                why=why,
+            )
         self.counts.update(end.result.value for end in ends)
         call.members = [m for m in call.members if m.id not in ended]
         if ends and call.number not in self.aborted:
@@ -236,6 +247,7 @@
                 stream.send(self._request(call), until)
                 running.written_at = self.clock()
                 self.figures.relayed += len(call.members)
+                self._trace_written(call, fresh, until)
                 # More than the last answer, if no answer to this can have come. Danger: after a standstill in between, one can.
                 if not fresh and stream.unread() and self.clock() < begun + SOONEST:
                     stream.close()
@@ -260,6 +272,18 @@
         self._end(call, start, call.members, ev.End("", Result.NO_CONNECT))
         return None
 
+    def _trace_written(self, call, fresh: bool, until: int) -> None:
+        left = until - self.clock()
+        for member in call.members:
+            self.trace.record(
+                Step.CALL_WRITTEN,
+                member.id,
+                call=call.number,
+                host=call.host,
+                fresh=fresh,
+                left=left,
+            )
+
     def _may_go(self, call, start) -> bool:
         """Whether its time is not up, and the relay was not told meanwhile to wait, or that the host drains; else the call's end.
 
--- a/molehill/http/notices.py
+++ b/molehill/http/notices.py
@@ -7,6 +7,7 @@
 from molehill.http import parser as http
 from molehill.http.stream import HttpStream
 from molehill.runtime.stream import Broken, Late, Single
+from molehill.runtime.trace import NO_TRACE, Step
 
 # notices in one request: under 64 KiB with the longest ids, 1,024 characters
 BATCH = 50
@@ -29,6 +30,7 @@
         self.clock, self.waiting, self.task = scheduler.clock, {}, None
         self.later = {}  # those that may not go yet
         self.resting, self.failed, self.given = False, 0, {}
+        self.trace = NO_TRACE
         self.line = Single(scheduler, lambda: config.discovery, "notices", budget, HttpStream)
 
     def notify(self, effect) -> None:
@@ -101,6 +103,7 @@
             tries, most = 0, min(2 * most, BATCH)
             for notice in batch:
                 self.waiting.pop(notice.id, None)
+                self.trace.record(Step.NOTICE_ANSWERED, notice.id)
             self.post(ev.Noticed([notice.id for notice in batch]))
         self.task = None
 
@@ -118,6 +121,8 @@
             "POST", "/v2/finals", "%s:%d" % self.config.discovery, (), "".join(rows).encode()
         )
         stream.send(data, until)
+        for notice in batch:
+            self.trace.record(Step.NOTICE_WRITTEN, notice.id, denied=notice.denied)
         head = stream.answer(until)
         if head.status != 204:
             raise Declined(f"status {head.status}")
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -19,6 +19,7 @@
 from molehill.runtime.engine import Engine
 from molehill.runtime.scheduler import READ
 from molehill.runtime.stream import Budget
+from molehill.runtime.trace import NO_TRACE, NoTrace, Trace
 from molehill.shutdown import ENDED, SERVING, Shutdown
 from molehill.startup import Start, log_room
 
@@ -76,6 +77,8 @@
         )
         self.notices = engine.notices = Notices(self.scheduler, config, budget, engine.post)
         self.clients.turned_away = self.core.turned_away
+        trace = self.open_trace()
+        engine.trace = self.clients.trace = self.hosts.trace = self.notices.trace = trace
         self.discovery = engine.discovery = Discovery(
             self.scheduler, config, budget, engine.post, self.core.told
         )
@@ -126,6 +129,17 @@
             discovery="%s:%d" % self.config.discovery,
         )
 
+    def open_trace(self) -> Trace | NoTrace:
+        """The file of each callback's steps, where one is configured and can be opened."""
+        wanted = self.config.trace
+        if wanted is None:
+            return NO_TRACE
+        try:
+            return Trace(self.scheduler.machine, wanted.path, wanted.room)
+        except OSError as error:
+            self.log.error("no trace", file=wanted.path, error=str(error))
+            return NO_TRACE
+
     def run(self) -> None:
         """Serves until it was told to end."""
         self.scheduler.run()
--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -4,8 +4,8 @@
 
 from molehill.config import MS
 from molehill.core import events as ev
-from molehill.core.permission import Refusal
 from molehill.holds import counts, holds
+from molehill.runtime.trace import NO_TRACE, Step
 
 
 class Engine:
@@ -18,6 +18,7 @@
             period,
         )
         self.clock, self.queue, self.busy = scheduler.clock, [], False
+        self.trace = NO_TRACE  # set when wiring
         self.log_clock = log_clock  # of molehill/log_clock.py
         self.last, self.planned = 0, None
         # rows that the log would not take, and has to have before any other
@@ -99,10 +100,14 @@
 
     def carry_out(self, effect, kind) -> None:
         if kind is ev.Answer:
+            self.trace.record(Step.ANSWERED, effect.id, status=effect.status, why=effect.why)
             self.clients.answer(effect)
         elif kind is ev.Call:
             self.hosts.call(effect)
         elif kind is ev.Notify:
+            self.trace.record(
+                Step.ENDED, effect.id, denied=effect.denied, not_before=effect.not_before
+            )
             self.notify(effect)
         elif kind is ev.CloseIdle:
             self.hosts.close_idle(effect.host)
@@ -138,11 +143,19 @@
     NOT_SENT_LINES = 20  # of each reason, between two lines of counts
 
     def log_not_sent(self, effect) -> None:
-        """A line for each of the first callbacks of a reason. That an ended callback reached a host is a fault of this relay."""
+        """A line for each of the first callbacks of a reason, at error level for what a fault of this relay alone can bring about."""
         if self.core.refusals[effect.why] > self.NOT_SENT_LINES:
             return
-        say = self.log.warning if effect.why is Refusal.HOST_SAYS_OVER else self.log.debug
-        say("not sent", id=effect.id, host=effect.host, why=effect.why.name.lower())
+        say = self.log.error if effect.why.is_fault else self.log.debug
+        say(
+            "not sent",
+            id=effect.id,
+            host=effect.host,
+            why=effect.why.name.lower(),
+            state=effect.state,
+            left_ms=effect.left // MS,
+            launches=effect.launches,
+        )
 
     # kinds of record that the core can do without: what they tell has not happened yet
     REVERSIBLE = ("taken", "launch")
--- /dev/null
+++ b/molehill/runtime/trace.py
@@ -0,0 +1,73 @@
+"""What became of each callback, step by step, as lines of JSON in a file of bounded size. Off unless the configuration names a file.
+
+A line has `at` (nanoseconds of the relay's clock), `step` (`Step`), `id` and what else that step tells. Once the file holds half of
+its room it takes the place of the one before (`FILE.1`), so both together stay within the room. Each line is written as it
+happens and outlasts a kill; a file that takes no line loses it, and the relay goes on.
+"""
+
+import json
+from enum import Enum
+from typing import Any, Optional
+
+
+class Step(Enum):
+    """The steps of a callback, its calls and its connections; the values stand in the file."""
+
+    HANDED_IN = "handed in"
+    ANSWERED = "answered"
+    ANSWER_WRITTEN = "answer written"
+    WITHDRAWN = "withdrawn"
+    CALL_WRITTEN = "call written"
+    CALL_ENDED = "call ended"
+    HOST_ENDED_CONNECTION = "host ended connection"
+    ENDED = "ended"
+    NOTICE_WRITTEN = "notice written"
+    NOTICE_ANSWERED = "notice answered"
+    CONNECTION_CLOSED = "connection closed"
+
+
+class NoTrace:
+    """Keeps nothing."""
+
+    is_on = False
+
+    def record(self, step: Step, ident: Optional[str], **facts: Any) -> None:
+        """Does nothing."""
+
+
+class Trace:
+    """Writes the steps to a file. Raises OSError where it can't be opened."""
+
+    is_on = True
+
+    def __init__(self, machine, path: str, room: int):
+        """`machine` as of molehill/runtime/kernel.py; `room`: bytes of the file and the one before it together."""
+        self.machine, self.path, self.most = machine, path, room // 2
+        self.fd, self.size = -1, 0
+        self._open(anew=False)
+
+    def _open(self, anew: bool) -> None:
+        disk = self.machine.disk
+        self.fd = disk.open(self.path, anew=anew)
+        self.size = 0 if anew else len(disk.read(self.path))
+        disk.seek(self.fd, self.size)
+
+    def record(self, step: Step, ident: Optional[str], **facts: Any) -> None:
+        """One line; `ident`: the callback's, None for a step of a connection."""
+        row = {"at": self.machine.clock(), "step": step.value, "id": ident, **facts}
+        line = json.dumps(row, separators=(",", ":")).encode("ascii") + b"\n"
+        try:
+            if self.size + len(line) > self.most:
+                self._begin_anew()
+            self.size += self.machine.disk.write(self.fd, line)
+        except OSError:
+            return
+
+    def _begin_anew(self) -> None:
+        disk = self.machine.disk
+        disk.rename(self.path, self.path + ".1")
+        disk.close(self.fd)
+        self._open(anew=True)
+
+
+NO_TRACE = NoTrace()
--- a/tests/place.py
+++ b/tests/place.py
@@ -20,8 +20,9 @@
 class Place:
     """Other parties of one relay: a host, the platform (discovery and notices) and a client."""
 
-    def __init__(self, folder, machine=Kernel):
-        """`machine(clock)`: what each process of the relay is handed."""
+    def __init__(self, folder, machine=Kernel, **given):
+        """`machine(clock)`: what each process of the relay is handed; `given`: keys of its file."""
+        self.given = given
         self.folder, self.clock, self.open, self.machine = folder, Ticks(), [], machine
         self.host, self.platform = self.listener(), self.listener()
         self.start()
@@ -57,7 +58,7 @@
 
     def start(self):
         self.relay = Process(
-            self.config(),
+            self.config(**self.given),
             self.machine(self.clock),
             Sink(),
             lambda old: configuration.load(os.environ, again=old),
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -123,6 +123,9 @@
         ("discovery", "127.0.0.1:0", "discovery"),
         ("seed", "xyz", "seed"),
         ("state", "", "ROUTER_STATE"),
+        ("trace", {"mb": 1}, "trace.file"),
+        ("trace", {"file": "/x", "mb": "much"}, "trace.mb"),
+        ("trace", {"file": "/x", "size": 1}, "trace.size"),
     ],
 )
 def test_a_fault_is_told_by_its_key(path, value, key):
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -5,6 +5,7 @@
 import pytest
 
 from molehill import interface as it
+from molehill.core import events as ev
 from molehill.core import permission
 from molehill.core.callback import PendingCall
 from molehill.core.permission import Refusal
@@ -82,3 +83,24 @@
     callback = None if "gone" in wrong else SimpleNamespace(call=wrong.get("call", 1))
     held, until = wrong.get("held", True), wrong.get("until", NOW + 1)
     assert permission.of_call(callback, 1, held, until, wrong.get("stop_at"), NOW) is refusal
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_410_for_what_this_relay_ended_is_told_from_one_for_what_was_withdrawn(place, ended):
+    client = place.client()
+    client.send(ASK % b"id1")
+    place.hear(client, b"HTTP/1.1 202")
+    place.hear(place.accept(place.host), b"\r\n\r\nab")
+    core = place.relay.core
+    callback, now = core.held["id1"], place.clock.now
+    if ended:
+        core._end_callback(callback, False, 0)
+    over = ev.End("id1", it.Result.NOT_SENT, closed=True, why=Refusal.HOST_SAYS_OVER)
+    event = ev.Ended(callback.call, SECOND, [over])
+    if ended:
+        with pytest.raises(AssertionError, match="may_be_sent.*had ended it"):
+            core.on[ev.Ended](event)
+    else:
+        told = [effect for effect in core.reduce(now, event) if type(effect) is ev.NotSent]
+        assert [(row.why, row.state) for row in told] == [(Refusal.HOST_SAYS_OVER, "held")]
+        assert told[0].left == callback.due - now and told[0].launches == 1
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,76 @@
+"""The trace file tells a callback's story in order, within its room, and through calls that fail."""
+
+import errno
+import json
+
+from click.testing import CliRunner
+
+from molehill.cli.trace import calls_behind_an_end, rows_of
+from molehill.cli.trace import trace as command
+from molehill.runtime.kernel import Disk, Kernel
+from molehill.runtime.trace import Step, Trace
+from tests.ledger import MS, SECOND, Ticks
+from tests.place import ASK, Place
+
+
+def test_a_callback_s_story_is_told_in_order_by_its_id(tmp_path):
+    path = tmp_path / "trace"
+    place = Place(tmp_path / "state", trace={"file": str(path)})
+    client = place.client()
+    client.send(ASK.replace(b"Content", b"Req-Deadline-Ms: 30\r\nContent") % b"id1")
+    place.hear(client, b"HTTP/1.1 202")
+    client.close()
+    place.hear(place.accept(place.host), b"\r\n\r\nab")
+    platforms, heard = [], b""
+    while b'"ref":"id1"' not in heard:
+        place.advance(5 * MS)
+        heard += place.platform_hears(platforms)
+    place.close()
+    told = CliRunner().invoke(command, ["show", str(path), "id1"]).output
+    steps = [line.split(" ms  ")[1].split("  ")[0] for line in told.splitlines()]
+    closed = steps.pop(steps.index(Step.CONNECTION_CLOSED.value))
+    assert closed and "ended by its client" in told
+    wanted = [Step.HANDED_IN, Step.ANSWERED, Step.ANSWER_WRITTEN, Step.CALL_WRITTEN]
+    wanted += [Step.CALL_ENDED, Step.ENDED, Step.NOTICE_WRITTEN]
+    assert steps == [step.value for step in wanted]
+    assert CliRunner().invoke(command, ["show", str(path), "id2"]).exit_code == 2
+
+
+def test_a_call_written_or_unread_behind_its_end_is_listed(tmp_path):
+    def rows(*steps):
+        return [
+            {"at": n, "id": "a", **facts, "step": step} for n, (step, facts) in enumerate(steps)
+        ]
+
+    written = (Step.CALL_WRITTEN, {"call": 1})
+    given_up = (Step.CALL_ENDED, {"call": 1, "result": "timeout"})
+    read, told = (Step.HOST_ENDED_CONNECTION, {"call": 1}), (Step.NOTICE_WRITTEN, {})
+    refused = (Step.ANSWERED, {"status": 503})
+    assert not calls_behind_an_end(rows(written, given_up, read, told))
+    assert "not known to be read" in calls_behind_an_end(rows(written, given_up, told, read))["a"]
+    assert "written" in calls_behind_an_end(rows(refused, written))["a"]
+
+
+class FailingDisk(Disk):
+    failing = False
+
+    @classmethod
+    def rename(cls, old, new):
+        if cls.failing:
+            raise OSError(errno.EIO, "rename")
+        Disk.rename(old, new)
+
+
+def test_the_file_stays_within_its_room_and_a_disk_that_fails_stops_nothing(tmp_path):
+    machine, path, room = Kernel(Ticks()), tmp_path / "trace", 4000
+    machine.disk = FailingDisk()
+    trace = Trace(machine, str(path), room)
+    for n in range(300):
+        FailingDisk.failing = n > 200
+        trace.record(Step.HANDED_IN, f"id{n}", left=SECOND)
+        assert sum(file.stat().st_size for file in tmp_path.iterdir()) <= room
+    kept = [row["id"] for row in rows_of(path)]
+    assert 20 < len(kept) < 60 and kept == sorted(kept, key=lambda ident: int(ident[2:]))
+    with open(path, "ab") as file:
+        file.write(json.dumps({"at": 1, "step": "handed in", "id": "torn"}).encode()[:20])
+    assert [row["id"] for row in rows_of(path)] == kept
