Failing tests: a host that reads late reads a call behind its request's notice

The soak's hosts read a third of their new connections late, by up to 90 ms to 2.5 s, as bytes in the host's system; some read nothing for a while; processes are held up for up to 0.3 s; clients leave behind their 202, one by one and in bursts, in order and by a reset, and hosts then answer 410. The other draws are as they were.

--- a/molehill/cli/soak.py
+++ b/molehill/cli/soak.py
@@ -13,6 +13,7 @@
 
 from molehill.cli.emulate import seeds_of
 from molehill.soak import plan as plans
+from molehill.soak.oracle import tallies
 from molehill.soak.rig import NotPlayed, play
 
 SHOWN = 5  # findings of a run that are printed with their stories
@@ -29,6 +30,7 @@
     kinds = Counter(type(event).__name__ for event in history.events)
     word = ", ".join(f"{rule}: {n}" for rule, n in counts.items()) or "kept"
     lines = [f"seed {seed}: {word} ({kinds['HandedIn']} asked, {kinds['Call']} calls)"]
+    lines[0] += "; " + ", ".join(f"{count} {what}" for what, count in tallies(history).items())
     for finding in findings[:SHOWN]:
         word = " (void)" if finding.void else ""
         lines.append(f"  {finding.rule}{word} at {finding.at:.3f}: {finding.id}: {finding.text}")
--- a/molehill/soak/clients.py
+++ b/molehill/soak/clients.py
@@ -1,8 +1,11 @@
 """Stand-in clients: each keeps its connection, hands in one request at a time, and uses the connection as long as it stays open."""
 
 import asyncio
+import socket
+import struct
+from typing import Optional
 
-from molehill.soak.history import Answered, GaveUp, HandedIn, Unanswered
+from molehill.soak.history import Answered, GaveUp, HandedIn, Left, Unanswered
 from molehill.soak.plan import DESTINATIONS
 from molehill.soak.stand_ins import HEAD_END
 
@@ -10,23 +13,41 @@
 SPANS = (0.03, 0.06, 0.12, 0.3, 1.0, 2.0, 3.0)  # seconds in which a request may be delivered
 PAUSE = (0.01, 0.12)  # seconds between an answer and the next request
 AGAIN = 0.03  # seconds before another try to connect
+TAKEN_ON = (200, 202)
 CLASSES = {"status": "deduplicated", "refund": "at_most_once", "rate": "idempotent"}
 
 
 class Client:
     """One client; it ends when `over` is set."""
 
-    def __init__(self, number, port, history, chance):
+    def __init__(self, number, port, history, chance, leaving=0.0):
+        """`leaving`: the share of requests behind whose 202 it closes its connection."""
         self.number, self.port, self.history, self.chance = number, port, history, chance
+        self.leaving, self.leave_next = leaving, False
         self.serial, self.over = 0, False
         self.reader = self.writer = None
         self.used = 0  # requests on this connection
 
     async def run(self) -> None:
         while not self.over:
-            await self.ask()
+            taken_on = await self.ask()
+            if taken_on and (self.leave_next or self.leaving and self.leaves()):
+                self.leave(taken_on)
             await asyncio.sleep(self.chance.uniform(*PAUSE))
 
+    def leaves(self) -> bool:
+        return self.chance.random() < self.leaving
+
+    def leave(self, number: str) -> None:
+        """Ends the connection in order or by a reset, and with it withdraws the request."""
+        self.leave_next = False
+        self.history.left.add(number)
+        self.history.tell(Left, number)
+        if self.writer is not None and self.chance.random() < 0.5:
+            sock = self.writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.hang_up()
+
     async def connect(self) -> bool:
         while self.writer is None and not self.over:
             try:
@@ -41,7 +62,8 @@
             self.writer.close()
         self.reader = self.writer = None
 
-    async def ask(self) -> None:
+    async def ask(self) -> Optional[str]:
+        """Hands in one request; its id if it was taken on."""
         chance, kind = self.chance, self.chance.choice(list(CLASSES))
         self.serial += 1
         number, span = f"c{self.number}.{self.serial}", chance.choice(SPANS)
@@ -54,28 +76,35 @@
         # a close between requests may cross this one: once more on a new connection
         for _ in range(2):
             if not await self.connect():
-                return
+                return None
             first = self.used == 0
             self.used += 1
             try:
                 self.writer.write(data)
                 self.history.tell(HandedIn, number, CLASSES[kind], span)
-                return await asyncio.wait_for(self.answered(number), WAITS)
+                status = await asyncio.wait_for(self.answered(number), WAITS)
+                return number if status in TAKEN_ON else None
             except asyncio.TimeoutError:
                 self.history.tell(GaveUp, number)
-                return self.hang_up()
+                self.hang_up()
+                return None
             except (asyncio.IncompleteReadError, ConnectionError):
                 self.hang_up()
                 if first:
-                    return self.history.tell(Unanswered, number, first)
+                    self.history.tell(Unanswered, number, first)
+                    return None
+        return None
 
-    async def answered(self, number: str) -> None:
+    async def answered(self, number: str) -> int:
+        """Reads the answer; its status."""
         head = (await self.reader.readuntil(HEAD_END)).decode("latin-1").lower()
         length = int(head.partition("content-length:")[2].split("\r\n")[0] or 0)
         await self.reader.readexactly(length)
-        self.history.tell(Answered, number, int(head.split(" ")[1]))
+        status = int(head.split(" ")[1])
+        self.history.tell(Answered, number, status)
         if "connection: close" in head:
             self.hang_up()
+        return status
 
 
 async def silent(port: int) -> None:
--- a/molehill/soak/history.py
+++ b/molehill/soak/history.py
@@ -44,15 +44,29 @@
     id: str
 
 
+@dataclass(slots=True, frozen=True)
+class Left:
+    """A client closed its connection behind the answer that its request is taken on: the request is withdrawn."""
+
+    at: float
+    id: str
+
+
 @dataclass(slots=True, frozen=True)
 class Call:
-    """A host read the last byte of a call. `first_byte`: when the first one left the relay; `patience`: seconds it was told."""
+    """A host read the last byte of a call.
+
+    `first_byte`: when the first one left the relay, at the soonest; `patience`: seconds it was told; `accepted`: when the host's
+    system had the connection; `given_up`: the relay had ended its sending before the host read it.
+    """
 
     at: float
     id: str
     host: str
     first_byte: float
     patience: Optional[float]
+    accepted: float = 0.0
+    given_up: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,6 +119,7 @@
 
     begun: float = field(default_factory=time.monotonic)
     events: list = field(default_factory=list)
+    left: set = field(default_factory=set)  # ids of requests whose client left behind its answer
 
     def now(self) -> float:
         return time.monotonic() - self.begun
@@ -112,6 +127,13 @@
     def tell(self, kind, *facts) -> None:
         self.events.append(kind(self.now(), *facts))
 
+    def insert(self, event) -> None:
+        """An event that was seen a moment ago, at its place."""
+        at = len(self.events)
+        while at and self.events[at - 1].at > event.at:
+            at -= 1
+        self.events.insert(at, event)
+
     def of(self, *kinds) -> list:
         return [event for event in self.events if isinstance(event, kinds)]
 
--- a/molehill/soak/plan.py
+++ b/molehill/soak/plan.py
@@ -6,6 +6,7 @@
 DESTINATIONS, HOSTS_EACH = 3, 3
 HOSTS = [f"h{d}-{n}" for d in range(DESTINATIONS) for n in range(HOSTS_EACH)]
 # what a host does with a call while it is in that mode
+NOT_READING = "not reading"
 MODES = ("hang", "reset", "refuse", "wait", "down", "error", "slow")
 KILL_AFTER = 3.7  # seconds from SIGTERM to SIGKILL: the soonest that the platform's page allows
 START_AFTER = 0.6  # seconds from SIGKILL to the next process
@@ -73,7 +74,11 @@
     latency: float = 0.0
     clients: int = 40
     crowd: int = 0  # clients that connect and say nothing
-    held_up: bool = False  # the process is stopped for up to 0.15 s, several times a second
+    held_up: bool = False  # the process is stopped for up to `held_most`, several times a second
+    held_most: float = 0.15
+    read_late: float = 0.0  # a third of new connections to hosts are read late by up to so much
+    leaving: float = 0.0  # share of requests behind whose 202 the client leaves
+    bursts: list = field(default_factory=list)  # seconds at which all clients leave at once
     troubles: list = field(default_factory=list)
     drains: list = field(default_factory=list)
     outages: list = field(default_factory=list)
@@ -122,6 +127,25 @@
             else chance.uniform(1, span - 4)
         )
         plan.shims.append(Shim(max(0.5, begins), chance.uniform(0.3, 3), kind, worth))
+    draw_lateness(plan)
     for rows in (plan.troubles, plan.drains):
         rows.sort(key=lambda row: row.at)
     return plan
+
+
+READ_LATE = (0.0, 0.09, 0.25, 0.5, 1.5, 2.5)  # the last is beyond the time-out of a connect
+HELD_MOST = (0.15, 0.15, 0.3)  # the last is beyond what the platform's page allows for
+
+
+def draw_lateness(plan: Plan) -> None:
+    """Hosts that read late or not at all for a while, and clients that leave; a stream of chance of its own keeps the other draws."""
+    chance = Random(f"soak lateness {plan.seed}")
+    plan.read_late = chance.choice(READ_LATE)
+    plan.held_most = chance.choice(HELD_MOST)
+    plan.leaving = chance.choice((0.0, 0.0, 0.1))
+    if chance.random() < 0.3:
+        plan.bursts = [chance.uniform(1, plan.span - 2) for _ in range(2)]
+    if chance.random() < 0.3:
+        host = chance.choice(HOSTS)
+        at, length = chance.uniform(1, plan.span - 4), chance.uniform(0.3, 3)
+        plan.troubles.append(Trouble(at, length, host, NOT_READING))
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -121,3 +121,39 @@
         told += place.platform_hears(platforms)
     assert all(b'"ref":"id%02d"' % n in told for n in range(30))
     place.close()
+
+
+def asked_with(place, ident, span, kind=b"notice"):
+    """A client that has been told that its request, with that span of time, is taken on."""
+    client = place.client()
+    deadline = b"Req-Deadline-Ms: %d\r\nContent" % (span // MS)
+    client.send(ASK.replace(b"Content", deadline).replace(b"notice", kind) % ident)
+    place.hear(client, b"HTTP/1.1 202")
+    return client
+
+
+def advance_till_told(place, ident, until, platforms):
+    """Moves the clock until the platform hears the notice of that id, or till then; whether it did."""
+    heard = b""
+    while place.clock.now < until:
+        place.advance(5 * MS)
+        heard += place.platform_hears(platforms)
+        if b'"ref":"%s"' % ident in heard:
+            return True
+    return False
+
+
+@pytest.mark.parametrize("ends_connection", [True, False])
+def test_no_notice_overtakes_a_call_that_its_host_has_not_read(place, ends_connection):
+    """Danger: the host's system takes connection and call at once, and its process reads them later."""
+    asked_at = place.clock.now
+    asked_with(place, b"id1", 300 * MS)
+    due, platforms = asked_at + 300 * MS, []
+    assert not advance_till_told(place, b"id1", due + 150 * MS, platforms)
+    if ends_connection:
+        host, read_at = place.accept(place.host), place.clock.now
+        assert b"Req-Id: id1" in drain(host)
+        host.close()
+        assert advance_till_told(place, b"id1", read_at + 20 * MS, platforms)
+    else:
+        assert advance_till_told(place, b"id1", due + 300 * MS, platforms), "in time all the same"
