Behind a kill, no notice goes before a host can have read what the process before wrote

Cause: the log says that a call was out, the next process takes it for reset, and nothing kept its notice back. Ruled out: an end of the process before, which was in the log. Change: such a notice waits for a connect's time-out from the launch (from the call's end, where the process before had given it up), at most 1.2 s behind the start, as no notice is overdue for 1.5 s. After a hand-over, where nothing was killed, the bound stays the request's own time. The test fails without it (told at once) and passes with it.

--- a/molehill/core/callback.py
+++ b/molehill/core/callback.py
@@ -39,6 +39,7 @@
         "room",
         "contents",
         "notice_from",
+        "notice_latest",
     )
 
     def __init__(self, fresh, contents):
@@ -60,6 +61,8 @@
         self.launches, self.ran_at, self.ran_zone = 0, None, None
         # its final notice goes no sooner: a call of it may still be on its way
         self.notice_from = 0
+        # and this late at the most, where that is later than its time allows
+        self.notice_latest = 0
         # sent: when the launch that is out went
         self.sent, self.denied, self.wait = None, False, 0
         self.room = (
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -12,7 +12,7 @@
 from typing import Optional
 
 from molehill import interface as it
-from molehill.config import MS, SECOND
+from molehill.config import CONNECT_TIME_OUT, MS, SECOND
 from molehill.core import events as ev
 from molehill.core import permission, recovery
 from molehill.core.callback import ARRIVED, HELD, NEXT, OVER, OWED, TAKEN, Callback, PendingCall
@@ -30,8 +30,12 @@
     # ids lately over, by which a request sent again is known: minutes of traffic
     DONE_KEPT = 4096
 
-    def __init__(self, settings, seed, make_module, log_room, names=None):
-        """`names`: those of the settings' categories, by which figures and the log know them; else their numbers."""
+    def __init__(
+        self, settings, seed, make_module, log_room, names=None, connect_time_out=CONNECT_TIME_OUT
+    ):
+        """`names`: those of the settings' categories, by which figures and the log know them; else their numbers.
+        `connect_time_out`: nanoseconds by which a host has a call that was written, or its connection counts as never up."""
+        self.connect_time_out = connect_time_out
         self.seed, self.make_module, self.log_room = seed, make_module, log_room
         names = [str(n) for n in range(len(settings.categories))] if names is None else names
         self.classes, self.figures = Classes(names, settings.categories), Figures(names)
@@ -39,6 +43,7 @@
         self.set = replace(settings, categories=self.classes.rows)
         self.told = ToldList()  # the list of hosts as the log has it
         self.restarted = False  # the log is an earlier process's, which handed nothing over
+        self.inherited = False  # an earlier process handed over
         self.recovery = recovery.Recovery(self)
         self.module, self.inbox, self.now, self.effects = make_module(self.set, seed), [], 0, []
         self.held: dict[str, Callback] = {}  # in the order in which they were handed in
@@ -342,9 +347,12 @@
     NOTICE_AFTER_CALL = 100 * MS
     # behind a callback's time: the rules leave 300 ms, of which a process may be held up for 150
     NOTICE_LATEST = 150 * MS
+    # behind a start: the rules leave 1.5 s
+    NOTICE_LATEST_AFTER_START = 1200 * MS
 
     def _notify(self, callback):
-        not_before = min(callback.notice_from, callback.due + self.NOTICE_LATEST)
+        latest = max(callback.due + self.NOTICE_LATEST, callback.notice_latest)
+        not_before = min(callback.notice_from, latest)
         self.effects.append(
             ev.Notify(callback.id, callback.denied, callback.wait, not_before, callback.due)
         )
@@ -705,7 +713,11 @@
             if callback.sent is not None and callback.call is None
         ]
         for callback in out:
+            callback.notice_from = (callback.sent[0] or self.now) + self.connect_time_out
             self.settle_launch(callback, Result.RESET, self.now)
+        if not self.inherited:
+            for callback in self.held.values():
+                callback.notice_latest = self.now + self.NOTICE_LATEST_AFTER_START
         for key in self.unsettled:
             self.rests[key] = max(self.rests.get(key, 0), self.now + self.set.settle)
         self.unsettled = {}
@@ -733,7 +745,7 @@
 
     def _inherited(self, event):
         """Danger: a call that goes on with the next process, taken for ended, has its callback run twice."""
-        self.restarted = False
+        self.restarted, self.inherited = False, True
         for number, host, ids, start, until in event.calls:
             out = PendingCall(number, host, [(i, 0) for i in ids], start, begun=True)
             out.until, self.calls[number] = until, out
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -49,7 +49,12 @@
         self.budget = budget = Budget(config.sockets, {"client": config.client_sockets})
         self.store, log_clock = start.store, start.log_clock
         self.core = Core(
-            config.settings, config.seed, Relay, log_room(config)[1], list(config.categories)
+            config.settings,
+            config.seed,
+            Relay,
+            log_room(config)[1],
+            list(config.categories),
+            config.connect_time_out,
         )
         count = self.store.replay(
             lambda record, body: self.core.load(log_clock.from_log(record), body),
--- a/tests/place.py
+++ b/tests/place.py
@@ -122,3 +122,20 @@
     def close(self):
         for sock in self.open:
             sock.close()
+
+
+def kill(place):
+    """SIGKILL and a new start: all that the old process had open is closed, and nothing of it runs on."""
+    old = place.relay
+    old.store.close()
+    streams = [
+        line.stream for line in (old.discovery.line, old.notices.line) if line.stream is not None
+    ]
+    streams += [conn.stream for conn in old.clients.conns] + [
+        s for idle in old.hosts.idle.values() for s in idle
+    ]
+    for sock in [stream.sock for stream in (*streams, *old.hosts.streams.values())] + [
+        old.clients.listener
+    ]:
+        sock.close() if sock is not None else None
+    place.start()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,7 +15,7 @@
 from molehill.runtime.stream import Stream
 from molehill.store import Store
 from tests.ledger import MS, SECOND, drain
-from tests.place import ASK
+from tests.place import ASK, kill
 
 PLAIN = ASK.replace(b"notice", b"plain")  # at most once, where a notice is deduplicated
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -54,23 +54,6 @@
     return done
 
 
-def kill(place):
-    """SIGKILL and a new start: all that the old process had open is closed, and nothing of it runs on."""
-    old = place.relay
-    old.store.close()
-    streams = [
-        line.stream for line in (old.discovery.line, old.notices.line) if line.stream is not None
-    ]
-    streams += [conn.stream for conn in old.clients.conns] + [
-        s for idle in old.hosts.idle.values() for s in idle
-    ]
-    for sock in [stream.sock for stream in (*streams, *old.hosts.streams.values())] + [
-        old.clients.listener
-    ]:
-        sock.close() if sock is not None else None
-    place.start()
-
-
 def comes(place, listener, wanted):
     """The connection on which that comes, and what came; those of processes that have ended are passed over."""
     for _ in range(20):
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -9,7 +9,7 @@
 from molehill.soak import rig
 from molehill.soak.plan import HOSTS, Drain, End, Outage, Plan, drawn
 from tests.ledger import MS, SECOND, drain
-from tests.place import ASK, Place
+from tests.place import ASK, Place, kill
 
 
 def broken(plan, folder):
@@ -157,3 +157,14 @@
         assert advance_till_told(place, b"id1", read_at + 20 * MS, platforms)
     else:
         assert advance_till_told(place, b"id1", due + 300 * MS, platforms), "in time all the same"
+
+
+def test_no_notice_overtakes_an_unread_call_of_the_process_that_was_killed(place):
+    """Danger: only the log knows that a call was out, and the next process tells its end at once."""
+    asked_with(place, b"id1", 3000 * MS, b"plain")
+    host, platforms = place.accept(place.host), []
+    called_at = place.clock.now
+    assert b"Req-Id: id1" in drain(host)
+    kill(place)
+    assert not advance_till_told(place, b"id1", called_at + 1400 * MS, platforms)
+    assert advance_till_told(place, b"id1", called_at + 1600 * MS, platforms)
