--- a/molehill/soak/clients.py
+++ b/molehill/soak/clients.py
@@ -20,9 +20,9 @@
 class Client:
     """One client; it ends when `over` is set."""
 
-    def __init__(self, number, port, history, chance, leaving=0.0):
-        """`leaving`: the share of requests behind whose 202 it closes its connection."""
-        self.number, self.port, self.history, self.chance = number, port, history, chance
+    def __init__(self, number, relay, history, chance, leaving=0.0):
+        """`relay`: its address and port; `leaving`: the share of requests behind whose 202 it closes its connection."""
+        self.number, self.relay, self.history, self.chance = number, relay, history, chance
         self.leaving, self.leave_next = leaving, False
         self.serial, self.over = 0, False
         self.reader = self.writer = None
@@ -51,7 +51,7 @@
     async def connect(self) -> bool:
         while self.writer is None and not self.over:
             try:
-                self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+                self.reader, self.writer = await asyncio.open_connection(*self.relay)
                 self.used = 0
             except OSError:
                 await asyncio.sleep(AGAIN)
@@ -107,11 +107,11 @@
         return status
 
 
-async def silent(port: int) -> None:
+async def silent(address: str, port: int) -> None:
     """A client that connects and says nothing, again and again."""
     while True:
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(address, port)
             await reader.read()
             writer.close()
         except OSError:
--- a/molehill/soak/history.py
+++ b/molehill/soak/history.py
@@ -119,6 +119,7 @@
 
     begun: float = field(default_factory=time.monotonic)
     events: list = field(default_factory=list)
+    held: float = 0.0  # seconds for which the relay's process is held up at most
     left: set = field(default_factory=set)  # ids of requests whose client left behind its answer
 
     def now(self) -> float:
