A notice waits until the hosts of given-up calls have ended their connections

Callers saw: a host reads a call for a request whose notice the platform has had. A host's system accepts a connection and holds the call; its process reads it later than any such span. An earlier call of the same request was not counted at all.

An answer to a given-up call is no delivery. The emulator tells the end of sending as it told the close. A notice that is told again goes at the earlier time. Without a host's end the order is certain for hosts late by up to a connect's time-out where the request's time leaves that, and likely beyond.

Suite: 802 passed.

--- a/molehill/core/callback.py
+++ b/molehill/core/callback.py
@@ -40,6 +40,7 @@
         "contents",
         "notice_from",
         "notice_latest",
+        "unread",
     )
 
     def __init__(self, fresh, contents):
@@ -61,8 +62,10 @@
         self.launches, self.ran_at, self.ran_zone = 0, None, None
         # its final notice goes no sooner: a call of it may still be on its way
         self.notice_from = 0
-        # and this late at the most, where that is later than its time allows
+        # and this late at the most, where that is later than its time allows: it outlived a process
         self.notice_latest = 0
+        # calls of it that were given up -> until when their hosts may read them; None: there was none yet
+        self.unread = None
         # sent: when the launch that is out went
         self.sent, self.denied, self.wait = None, False, 0
         self.room = (
@@ -71,6 +74,16 @@
             + len(self.body)
         )
 
+    def may_be_read(self, call: int, until: int) -> None:
+        """That call of it was given up, and its host may read it till then."""
+        if self.unread is None:
+            self.unread = {}
+        self.unread[call] = until
+
+    def earliest_notice(self) -> int:
+        """When its notice can't be read before a call of it any more."""
+        return max(self.notice_from, *self.unread.values()) if self.unread else self.notice_from
+
 
 class PendingCall:
     """A call that is parked or out; `begun`: the log has it, as its bytes may have gone; `until`: when it is given up."""
--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -102,6 +102,15 @@
     told_rate: float = 0.0
     told_left: Optional[float] = None
     written_at: Optional[int] = None  # when its last byte went; None: it did not go
+    # given up with no byte of an answer: till then the host may read it, unless `HostDone` tells; None: it has read it, or never will
+    unread_until: Optional[int] = None
+
+
+@dataclass(slots=True)
+# the host of a call that was given up reads no more of it; `seen`: it has ended the connection or answered, else nobody looks any more
+class HostDone:
+    call: int
+    seen: bool
 
 
 @dataclass(slots=True)
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -36,6 +36,8 @@
         """`names`: those of the settings' categories, by which figures and the log know them; else their numbers.
         `connect_time_out`: nanoseconds by which a host has a call that was written, or its connection counts as never up."""
         self.connect_time_out = connect_time_out
+        # calls that were given up, their hosts not known to have read them -> ids
+        self.given_up: dict[int, list[str]] = {}
         self.seed, self.make_module, self.log_room = seed, make_module, log_room
         names = [str(n) for n in range(len(settings.categories))] if names is None else names
         self.classes, self.figures = Classes(names, settings.categories), Figures(names)
@@ -81,6 +83,7 @@
             ev.LogWorks: self._log_works,
             ev.Begun: self._begun,
             ev.Ended: self._ended,
+            ev.HostDone: self._host_done,
             ev.Noticed: self._noticed,
             ev.Listed: self._listed,
             ev.Step: self._step,
@@ -342,8 +345,7 @@
         self.move(callback, OWED)
         self._notify(callback)
 
-    # Between a call's last byte and the notice that ends its callback. Danger: both go by connections of their own, and
-    # nothing orders these: the notice may be read first, and then the call was sent on for what had its end.
+    # Between the last byte of a call whose connection broke and the notice that ends its callback
     NOTICE_AFTER_CALL = 100 * MS
     # behind a callback's time: the rules leave 300 ms, of which a process may be held up for 150
     NOTICE_LATEST = 150 * MS
@@ -351,12 +353,20 @@
     NOTICE_LATEST_AFTER_START = 1200 * MS
 
     def _notify(self, callback):
+        """Danger: a call and the notice behind it go by connections of their own, and nothing orders these. So the notice waits until
+        the hosts of calls that were given up have read them or never will, as long as the rules leave."""
         latest = max(callback.due + self.NOTICE_LATEST, callback.notice_latest)
-        not_before = min(callback.notice_from, latest)
+        not_before = min(callback.earliest_notice(), latest)
         self.effects.append(
             ev.Notify(callback.id, callback.denied, callback.wait, not_before, callback.due)
         )
 
+    def _host_done(self, event):
+        for callback in self.known(self.given_up.pop(event.call, ())):
+            if event.seen and callback.unread.pop(event.call, None) is not None:
+                if callback.state is OWED:
+                    self._notify(callback)
+
     def _step(self, _):
         now, batch, self.inbox = self.now, self.inbox, []
         if self.list_by is not None and self.list_by <= now:
@@ -589,8 +599,12 @@
             callback, closed = self.held.get(end.id), end.closed
             if callback is not None and callback.call == out.number:
                 launches = callback.launches
-                if end.result.may_run_still and event.written_at is not None:
-                    callback.notice_from = event.written_at + self.NOTICE_AFTER_CALL
+                if event.unread_until is not None:
+                    callback.may_be_read(out.number, event.unread_until)
+                    self.given_up.setdefault(out.number, []).append(callback.id)
+                elif end.result.may_run_still and event.written_at is not None:
+                    notice_from = event.written_at + self.NOTICE_AFTER_CALL
+                    callback.notice_from = max(callback.notice_from, notice_from)
                 self.settle_launch(callback, end.result, self.now, end.unsent)
                 ended.append(
                     [end.id, end.result.value, closed and callback.state is not OWED, end.unsent]
--- a/molehill/emulator/life.py
+++ b/molehill/emulator/life.py
@@ -131,11 +131,21 @@
     def reset(self) -> None:
         self.close() if self.listening else Sock.reset(self)
 
+    def shutdown(self, how) -> None:
+        """The protocol's other way to give a call up: the sending ends, and the connection stays."""
+        Sock.shutdown(self, how)
+        if self.shut:
+            self._tell_hung_up()
+
     def forget(self) -> None:
-        if self.peer is not None and not self.closed:
-            self.world.tell(self.machine.name, "hung up", conn=self.peer.number)
+        if not self.closed and not self.shut:
+            self._tell_hung_up()
         Sock.forget(self)
 
+    def _tell_hung_up(self) -> None:
+        if self.peer is not None:
+            self.world.tell(self.machine.name, "hung up", conn=self.peer.number)
+
 
 class TaskDatagrams(Held, Datagrams):
     def __init__(self, network, machine):
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -9,6 +9,7 @@
 from molehill.core import events as ev
 from molehill.core.permission import Refusal
 from molehill.http import parser as http
+from molehill.http.given_up import GivenUpCalls
 from molehill.http.idle_connections import IdleConnections
 from molehill.http.stream import HttpStream
 from molehill.interface import Result
@@ -56,6 +57,8 @@
     def __init__(self, call, start):
         self.call, self.start, self.written, self.fresh = call, start, False, False
         self.written_at = None  # when its last byte went
+        self.unread_until = None  # given up unanswered: how long its host may still read it
+        self.given_up = False  # its connection is kept for the host's end
 
 
 class Hosts:
@@ -75,7 +78,8 @@
         # to the next process: nothing is begun any more; calls that may come back
         self.given, self.lent = False, {}
         self.out, self.counts = 0, Counter()  # calls out; outcomes by name, for the log
-        budget.idlers["host"] = self.idle.close_oldest
+        self.given_up = GivenUpCalls(scheduler, post, config.settings.slots)
+        budget.idlers["host"] = lambda: self.given_up.close_oldest() or self.idle.close_oldest()
         scheduler.at(self.clock() + SWEEP, self.sweep)
 
     # Idle connections
@@ -96,6 +100,7 @@
         """Rows (message, body, socket) for calls that are written and for idle connections. What is in none was not written
         whole, and never ran. Nothing of it is used here any more."""
         rows, self.given, self.lent = [], True, {}
+        self.given_up.close_all()
         for number, running in self.running.items():
             stream, call = self.streams.get(number), running.call
             if not running.written or not stream.open or not call.members or number in self.aborted:
@@ -180,7 +185,8 @@
         finally:
             self.out -= 1
             self.streams.pop(call.number, None)
-            if stream is not None and not stream.idle_since:
+            kept = stream is not None and (stream.idle_since or running.given_up)
+            if stream is not None and not kept:
                 stream.close()
             # a fault of this code: nothing is known, so each may have run
             if call.members:
@@ -208,9 +214,13 @@
         call.members = [m for m in call.members if m.id not in ended]
         if ends and call.number not in self.aborted:
             took = (came or self.clock()) - start
-            written_at = self.running[call.number].written_at
+            running = self.running[call.number]
             rate, left = told
-            self.post(ev.Ended(call.number, took, ends, rate, left, written_at))
+            self.post(
+                ev.Ended(
+                    call.number, took, ends, rate, left, running.written_at, running.unread_until
+                )
+            )
 
     def _written(self, call, start):
         """A connection with the whole request written on it, or None once the call's end is reported."""
@@ -368,9 +378,23 @@
 
     def _useless(self, call, stream, start, end, came) -> None:
         """No answer to it comes on that connection any more that would be worth having: nor may it carry another call."""
-        stream.close()
+        if end.result is Result.TIMEOUT and not stream.parser.line and not len(stream.buffer):
+            self._give_up(call, stream)
+        else:
+            stream.close()
         self._end(call, start, call.members, end, came=came)
 
+    def _give_up(self, call, stream) -> None:
+        """Ends the sending of a call with no byte of an answer. Its host may read it later; how much later is bounded as for a
+        connection that does not come up."""
+        running = self.running[call.number]
+        until = running.written_at + self.config.connect_time_out
+        if call.number in self.aborted or until <= self.clock():
+            stream.close()
+            return
+        running.unread_until, running.given_up = until, True
+        self.given_up.keep(call.number, [member.id for member in call.members], stream, until)
+
     def _lines(self, call, body, wait):
         """Each callback's end by the answer's lines; one that no line names may have run."""
         told = {}
--- a/molehill/http/notices.py
+++ b/molehill/http/notices.py
@@ -34,14 +34,19 @@
         self.line = Single(scheduler, lambda: config.discovery, "notices", budget, HttpStream)
 
     def notify(self, effect) -> None:
+        """Sends it, at its time; told again with an earlier time, it goes then."""
+        if effect.id in self.waiting:
+            return
         if effect.not_before > self.clock():
             self.later[effect.id] = effect
             self.scheduler.at(effect.not_before, self._now, effect)
         else:
+            self.later.pop(effect.id, None)
             self._send(effect)
 
     def _now(self, effect) -> None:
-        if self.later.pop(effect.id, None) is not None:
+        if self.later.get(effect.id) is effect:
+            del self.later[effect.id]
             self._send(effect)
 
     def _send(self, effect) -> None:
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -84,6 +84,7 @@
         self.clients.turned_away = self.core.turned_away
         trace = self.open_trace()
         engine.trace = self.clients.trace = self.hosts.trace = self.notices.trace = trace
+        self.hosts.given_up.trace = trace
         self.discovery = engine.discovery = Discovery(
             self.scheduler, config, budget, engine.post, self.core.told
         )
--- a/tests/place.py
+++ b/tests/place.py
@@ -134,6 +134,7 @@
     streams += [conn.stream for conn in old.clients.conns] + [
         s for idle in old.hosts.idle.values() for s in idle
     ]
+    streams += old.hosts.given_up.streams.values()
     for sock in [stream.sock for stream in (*streams, *old.hosts.streams.values())] + [
         old.clients.listener
     ]:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -149,7 +149,7 @@
     asked_at = place.clock.now
     asked_with(place, b"id1", 300 * MS)
     due, platforms = asked_at + 300 * MS, []
-    assert not advance_till_told(place, b"id1", due + 150 * MS, platforms)
+    assert not advance_till_told(place, b"id1", due + 145 * MS, platforms)
     if ends_connection:
         host, read_at = place.accept(place.host), place.clock.now
         assert b"Req-Id: id1" in drain(host)
@@ -159,6 +159,19 @@
         assert advance_till_told(place, b"id1", due + 300 * MS, platforms), "in time all the same"
 
 
+def test_no_notice_overtakes_an_unread_call_behind_which_another_was_answered(place):
+    """Danger: the last call ended by an answer, and an earlier one still lies in its host's system."""
+    asked_at = place.clock.now
+    asked_with(place, b"id1", 1400 * MS)
+    place.accept(place.host)
+    answered = place.accept(place.host)
+    assert b"Req-Id: id1" in place.hear(answered, b"\r\n\r\nab")
+    answered.send(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+    platforms = []
+    assert not advance_till_told(place, b"id1", asked_at + 1490 * MS, platforms)
+    assert advance_till_told(place, b"id1", asked_at + 1700 * MS, platforms)
+
+
 def test_no_notice_overtakes_an_unread_call_of_the_process_that_was_killed(place):
     """Danger: only the log knows that a call was out, and the next process tells its end at once."""
     asked_with(place, b"id1", 3000 * MS, b"plain")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -524,6 +524,8 @@
         if type(event) is ev.Begun:
             return self.on_begun(event.call)
         self.net.post(event)
+        if type(event) is ev.HostDone:
+            return
         # whatever did not go tells why, and nothing else does
         assert all((end.result is R.NOT_SENT) is (end.why is not None) for end in event.ends)
 
