Soak: the oracle goes by each standstill of the process, not by the longest

Now the rig tells when the process was stopped, and a request counts as older only where a standstill, or the 20 ms in which the relay works through what came in it, lies between its hand-in and its answer.

--- a/molehill/soak/history.py
+++ b/molehill/soak/history.py
@@ -105,6 +105,14 @@
     what: str
 
 
+@dataclass(slots=True, frozen=True)
+class Held:
+    """The relay's process was stopped until then, for `span` seconds."""
+
+    at: float
+    span: float
+
+
 @dataclass(slots=True, frozen=True)
 class RigLate:
     """The rig itself was late by that much: what it stamped since may have happened as much sooner."""
--- a/molehill/soak/oracle.py
+++ b/molehill/soak/oracle.py
@@ -8,6 +8,7 @@
     Call,
     GaveUp,
     HandedIn,
+    Held,
     History,
     Left,
     Notice,
@@ -103,10 +104,16 @@
 def times_up(history: History) -> dict[str, float]:
     """When each request's time is up, at the soonest, as the relay may count it."""
     due, ready = {}, float("inf")  # the rig sees a little late that a process is ready
+    answered = {event.id: event.at for event in history.of(Answered)}
+    held = history.of(Held)
     for event in history.of(HandedIn, Process):
         if isinstance(event, HandedIn):
+            read_by = answered.get(event.id, event.at) + STAMPED
+            spans = [
+                row.span for row in held if row.at - row.span <= read_by and event.at <= row.at
+            ]
             behind_start = event.at - ready <= BEHIND_START + ASSUMED_AGE
-            age = ASSUMED_AGE if behind_start else min(history.held, ASSUMED_AGE)
+            age = ASSUMED_AGE if behind_start else min(ASSUMED_AGE, sum(spans))
             due[event.id] = event.at + event.span - age
         elif event.what == "started":
             ready = float("inf")
--- a/molehill/soak/rig.py
+++ b/molehill/soak/rig.py
@@ -15,7 +15,7 @@
 
 from molehill.fleet.shims import write_control
 from molehill.soak.clients import CLASSES, Client, silent
-from molehill.soak.history import History, Process, RigLate
+from molehill.soak.history import Held, History, Process, RigLate
 from molehill.soak.oracle import fails, judge, works
 from molehill.soak.plan import HOSTS, KILL_AFTER, START_AFTER, Plan
 from molehill.soak.stand_ins import Host, Platform
@@ -254,10 +254,12 @@
             await asyncio.sleep(chance.uniform(*HELD_GAP))
             child = self.child
             if child.poll() is None:
+                stopped = self.history.now()
                 child.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(chance.uniform(HELD_LEAST, self.plan.held_most))
                 if child.poll() is None:
                     child.send_signal(signal.SIGCONT)
+                self.history.tell(Held, self.history.now() - stopped)
 
     # What goes wrong around it
 
