A call that was written behind its request's time has its notice 200 ms behind that time

Cause: the bound assumed that a call is written in time. Ruled out: the check itself, which stands behind the log's append. The host's end of the connection lets it go at once, as for any call that was given up. The test, with 150 ms between check and write on a clock moved by hand, fails without the change and passes with it.

--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -349,6 +349,8 @@
     NOTICE_AFTER_CALL = 100 * MS
     # behind a callback's time: the rules leave 300 ms, of which a process may be held up for 150
     NOTICE_LATEST = 150 * MS
+    # the same where a call was written that late, as this process was held up before the write; of 350 ms
+    NOTICE_LATEST_HELD_UP = 200 * MS
     # behind a start: the rules leave 1.5 s
     NOTICE_LATEST_AFTER_START = 1200 * MS
 
@@ -599,6 +601,8 @@
             callback, closed = self.held.get(end.id), end.closed
             if callback is not None and callback.call == out.number:
                 launches = callback.launches
+                if event.written_at is not None and event.written_at >= callback.due:
+                    callback.notice_latest = callback.due + self.NOTICE_LATEST_HELD_UP
                 if event.unread_until is not None:
                     callback.may_be_read(out.number, event.unread_until)
                     self.given_up.setdefault(out.number, []).append(callback.id)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from molehill.core import events as ev
+from molehill.http.stream import HttpStream
 from molehill.runtime.kernel import Disk, Kernel
 from molehill.soak import rig
 from molehill.soak.plan import HOSTS, Drain, End, Outage, Plan, drawn
@@ -181,3 +182,22 @@
     kill(place)
     assert not advance_till_told(place, b"id1", called_at + 1400 * MS, platforms)
     assert advance_till_told(place, b"id1", called_at + 1600 * MS, platforms)
+
+
+def test_no_notice_follows_at_once_on_a_call_that_was_written_behind_its_time(place, monkeypatch):
+    """Danger: the process is held up between its last look at the clock and the write."""
+    write = HttpStream.send
+
+    def held_up(stream, data, until):
+        if stream.kind == "host":
+            place.clock.now += 150 * MS
+        write(stream, data, until)
+
+    monkeypatch.setattr(HttpStream, "send", held_up)
+    asked_at = place.clock.now
+    asked_with(place, b"id1", 30 * MS)
+    place.accept(place.host)
+    written_at, platforms = place.clock.now, []
+    assert written_at >= asked_at + 150 * MS
+    assert not advance_till_told(place, b"id1", asked_at + 225 * MS, platforms)
+    assert advance_till_told(place, b"id1", asked_at + 300 * MS, platforms)
