An end that no log had is told as failed, as the next process would tell it

Callers saw two different ends of one request. Cause: what is told unlogged has to be what a process tells that reads the log without it, and that one tells a failure, as the time is up. Ruled out: a lost or torn record (the log took none in that span). Change: as the time of such a callback is up, a refusal becomes a failure, in the figures too, and is logged so once the log works. The test fails without it in both cases (killed while the disk fails; once it works again) and passes with it.

--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -84,6 +84,11 @@
     records: list
 
 
+@dataclass(slots=True)
+class EndUnlogged:  # the time of an ended callback is up, and the log has not taken its end
+    id: str
+
+
 @dataclass(slots=True)
 class LogWorks:  # the log takes records again
     pass
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -80,6 +80,7 @@
             ev.Heard: self._heard,
             ev.Unheard: self._unheard,
             ev.Unlogged: self._unlogged,
+            ev.EndUnlogged: self._end_unlogged,
             ev.LogWorks: self._log_works,
             ev.Begun: self._begun,
             ev.Ended: self._ended,
@@ -327,6 +328,19 @@
                         )
                     )
 
+    def _end_unlogged(self, event):
+        """Danger: told as turned away and forgotten by a kill, it is told as failed by the next process, as its time is up."""
+        callback = self.held.get(event.id)
+        if callback is None or callback.state is not OWED:
+            return
+        if callback.denied:
+            ends = self.figures.ends[self.classes.names[callback.category]]
+            ends[THROTTLED] -= 1
+            ends[FAULTED] += 1
+            callback.denied, callback.wait = False, 0
+            self._log("owed", id=callback.id, denied=False, wait=0)
+        self._notify(callback)
+
     def _log_works(self, _):
         self.log_fails = False
         self._release()
--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -127,10 +127,15 @@
             record["k"] == "owed" and record["id"] == effect.id for record, _ in self.unwritten
         ):
             self.withheld[effect.id] = effect
-            self.scheduler.at(effect.due, self.release, effect.id)
+            self.scheduler.at(effect.due, self.tell_unlogged, effect.id)
         else:
             self.notices.notify(effect)
 
+    def tell_unlogged(self, number: str) -> None:
+        """The time is up of a callback whose end is withheld."""
+        if self.withheld.pop(number, None) is not None:
+            self.post(ev.EndUnlogged(number))
+
     def release(self, number: str) -> None:
         effect = self.withheld.pop(number, None)
         if effect is not None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,8 +10,10 @@
 
 import pytest
 
+from molehill import interface as it
 from molehill import log_clock
 from molehill.config import ConfigError
+from molehill.core import events as ev
 from molehill.log_clock import Base
 from molehill.relay import Process, Start
 from molehill.runtime.kernel import Disk, Kernel
@@ -19,8 +21,8 @@
 from molehill.runtime.stream import Stream
 from molehill.store import Store
 from tests.ledger import MS, SECOND, Ticks, drain, net_config
-from tests.place import ASK, Place
-from tests.test_crossings import comes, kill
+from tests.place import ASK, Place, kill
+from tests.test_crossings import comes
 
 HOUR = 3600 * SECOND
 
@@ -278,6 +280,39 @@
     assert abs(failing.clock.now - (due - SECOND if works_again else due)) <= 250 * MS
 
 
+@pytest.mark.parametrize("works_again", [False, True])
+def test_an_end_that_no_log_had_is_not_told_in_another_way_by_the_next_process(
+    failing, works_again
+):
+    """Danger: turned away by this process, failed by the next one, which finds it untried and late."""
+    client, disk, told, platforms = failing.client(), failing.disk, b"", []
+    failing.relay.engine.post(ev.Hold(True))  # untried
+    client.send(ASK.replace(b"Content", b"Req-Deadline-Ms: 900\r\nContent") % b"id1")
+    failing.hear(client, b"HTTP/1.1 202")
+    due = failing.clock.now + 900 * MS
+    disk.left, disk.failing = 0, {"open": errno.ENOSPC}
+    failing.relay.engine.carry(denied(failing.relay.core, "id1"))
+    while failing.clock.now < due + 200 * MS:
+        failing.advance(10 * MS)
+        told += failing.platform_hears(platforms)
+    disk.left, disk.failing = None, {}
+    if works_again:
+        failing.advance(200 * MS)
+    kill(failing)
+    for _ in range(200):
+        failing.advance(10 * MS)
+        told += failing.platform_hears(platforms)
+    assert told.count(b'"ref":"id1"') >= 2 and b"bounced" not in told
+
+
+def denied(core, ident):
+    """The effects of an end that turns a callback away, of which the module knows."""
+    core.effects = []
+    core.inbox.append(it.Withdrawn(ident))
+    core._end_callback(core.held[ident], True, 0)
+    return core.effects
+
+
 @pytest.mark.parametrize(
     "spoilt, untried", [(b'"k":"launch"', []), (b'"zone"', ["b"]), (b'"k":"health"', ["a", "b"])]
 )
