--- a/molehill/core/recovery.py
+++ b/molehill/core/recovery.py
@@ -78,9 +78,9 @@
     def _load_end(self, record):
         for number, result, over, unsent in record["ends"]:
             for callback in self.core.known([number]):
-                if Result(result).may_run_still:
-                    # its host may have it unread still; when it was written the log does not tell
-                    callback.notice_from = record["at"] + self.core.connect_time_out
+                if Result(result).may_run_still and callback.sent is not None:
+                    # its host may have it unread still
+                    callback.notice_from = callback.sent[0] + self.core.connect_time_out
                 self.core.settle_launch(callback, Result(result), record["at"], unsent)
                 if over:
                     self.core.move(callback, OVER)
