A new notice does not wait for an answer that earlier ones wait long for

Cause: one batch at a time, its wait doubled with each try; the rest between tries looked at new notices, the wait for an answer did not. Ruled out: the rest (it has a test). Change: a batch that has waited 120 ms as a new notice comes, or that long behind its beginning, is cut and sent again together with the new one, at most once in 120 ms. The test fails without it and passes with it.

--- a/molehill/http/notices.py
+++ b/molehill/http/notices.py
@@ -30,6 +30,8 @@
         self.clock, self.waiting, self.task = scheduler.clock, {}, None
         self.later = {}  # those that may not go yet
         self.resting, self.failed, self.given = False, 0, {}
+        # when the notices that wait for their answer were begun; `hurried`: cut short for a new one
+        self.posted, self.hurried = 0, False
         self.trace = NO_TRACE
         self.line = Single(scheduler, lambda: config.discovery, "notices", budget, HttpStream)
 
@@ -56,11 +58,19 @@
         # danger: a new one shall not be late for what became of others
         elif self.resting:
             self.scheduler.at(self.failed + PAUSE, self._wake)
+        else:
+            self.scheduler.at(self.posted + FIRST_WITHIN, self._hurry, self.posted)
 
     def _wake(self) -> None:
         if self.resting and self.clock() >= self.failed + PAUSE:
             self.scheduler.resume(self.task)
 
+    def _hurry(self, posted: int) -> None:
+        """Danger: after lost answers the others' notices wait longer for theirs than this one has time."""
+        if self.task is not None and not self.resting and self.posted == posted:
+            self.hurried = True
+            self.line.close()
+
     def calm(self) -> bool:
         return not self.owed
 
@@ -89,8 +99,9 @@
         while self.waiting:
             batch = list(self.waiting.values())[:most]
             span = min(FIRST_WITHIN << min(tries, 8), LONGEST)
+            self.posted = self.clock()
             try:
-                self._post(batch, self.clock() + span)
+                self._post(batch, self.posted + span)
             except (Broken, Late, http.Malformed) as error:
                 self.line.close()
                 tries += 1
@@ -100,7 +111,8 @@
                     if batch[0].id in self.waiting:
                         self.waiting[batch[0].id] = self.waiting.pop(batch[0].id)
                 # the first failure may be a kept connection's: at once on a new one
-                if tries > 1:
+                hurried, self.hurried = self.hurried, False
+                if tries > 1 and not hurried:
                     self.resting, self.failed = True, self.clock()
                     self.scheduler.sleep(self.failed + min(PAUSE << min(tries, 8), LONGEST) // 2)
                     self.resting = False
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1226,6 +1226,18 @@
     assert len(post.made) == tries + 1 and b'"ref":"b"' in drain(post.made[-1])
 
 
+def test_a_new_notice_does_not_wait_for_an_answer_that_others_wait_long_for(monkeypatch):
+    """Danger: after lost answers the wait for the next is longer than the rules leave the new notice."""
+    post = Post(monkeypatch)
+    post.notify("a")
+    post.net.advance(
+        130 * MS, step=5 * MS
+    )  # its first try had no answer, and the second waits for 240 ms
+    post.notify("b")
+    post.net.advance(130 * MS, step=5 * MS)
+    assert b'"ref":"b"' in drain(post.made[-1])
+
+
 def test_a_notice_that_is_declined_does_not_hold_up_the_others(monkeypatch):
     post = Post(monkeypatch)
     post.notify("bad")
