A copy of a refused request gets the refusal again

Ruled out: delivered ids and ids ended by a notice, which were remembered. Change: the last 1,024 such ids with their contents and answer; another's contents under that id are a request of their own. Forgotten by a restart. The test fails without it (202 and taken on) and passes with it.

--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -29,6 +29,8 @@
 class Core:
     # ids lately over, by which a request sent again is known: minutes of traffic
     DONE_KEPT = 4096
+    # ids lately refused or failed before they were taken on: longer than a copy is on its way
+    REFUSED_KEPT = 1024
 
     def __init__(
         self, settings, seed, make_module, log_room, names=None, connect_time_out=CONNECT_TIME_OUT
@@ -51,6 +53,8 @@
         self.held: dict[str, Callback] = {}  # in the order in which they were handed in
         self.used, self.open = 0, 0  # log bytes taken up; callbacks the module has
         self.done: OrderedDict[str, object] = OrderedDict()  # id lately over -> its contents
+        # id -> its contents and the answer that it got
+        self.refused: OrderedDict[str, tuple[object, int]] = OrderedDict()
         self.calls, self.parked, self.serial = {}, {}, 0
         self.owed_keys: dict[str, int] = {}
         # those that go in turn and are not over, in the order of hand-in
@@ -218,6 +222,10 @@
                 self.effects.append(ev.Answer(event.client, fresh.id, TAKEN_ON))
         elif known is not None or fresh.id in self.done:
             self.effects.append(ev.Answer(event.client, fresh.id, TAKEN_ON))
+        # Danger: a copy of what had its final answer is taken on, and sent on behind that.
+        elif fresh.id in self.refused and self.refused[fresh.id][0] == contents:
+            status = self.refused[fresh.id][1]
+            self.effects.append(ev.Answer(event.client, fresh.id, status, why="refused before"))
         else:
             callback = Callback(fresh, contents)
             if (
@@ -226,6 +234,7 @@
                 or self.used + self.told.room + callback.room > self.log_room
             ):
                 self._count(callback, THROTTLED)
+                self._remember_refusal(callback, DENIED)
                 self.effects.append(ev.Answer(event.client, fresh.id, DENIED))
                 return
             self.held[fresh.id] = callback
@@ -239,6 +248,11 @@
             ev.Answer(client, callback.id, status, wait) for client in callback.clients
         ]
 
+    def _remember_refusal(self, callback, status):
+        self.refused[callback.id] = callback.contents, status
+        while len(self.refused) > self.REFUSED_KEPT:
+            self.refused.popitem(last=False)
+
     def _count(self, c, end):
         """Each callback's end is counted here, once, whatever comes of it later."""
         self.figures.ends[self.classes.names[c.category]][end] += 1
@@ -311,6 +325,7 @@
                 callback = self.held[record["id"]]
                 self._count(callback, THROTTLED)
                 self._answer(callback, DENIED)
+                self._remember_refusal(callback, DENIED)
                 self._withdraw(callback, logged=False)
             elif record["k"] == "launch":
                 out = self.calls.get(record["call"])
@@ -351,7 +366,9 @@
         """A final answer that is not a delivery."""
         self._count(callback, THROTTLED if denied else FAULTED)
         if callback.state is ARRIVED:
-            self._answer(callback, DENIED if denied else FAILED, wait)
+            status = DENIED if denied else FAILED
+            self._answer(callback, status, wait)
+            self._remember_refusal(callback, status)
             self.move(callback, OVER)
             return
         callback.denied, callback.wait = denied, wait
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -74,6 +74,20 @@
     )
 
 
+def test_a_copy_of_a_refused_request_is_not_taken_on():
+    """Danger: it has its final answer, and room has come meanwhile."""
+    core, now = bare_core(room=1000), 1001 * SECOND
+
+    def handed_in(number, **given):
+        effects = effects_of(core, now, ev.Arrived("c", fresh(number, **given)), ev.Step())
+        return [effect.status for effect in effects if type(effect) is ev.Answer]
+
+    assert handed_in("a") == [202] and handed_in("b") == [503]
+    effects_of(core, now, ev.Unheard("a", "c"))
+    assert handed_in("b") == [503] and "b" not in core.held
+    assert handed_in("b", body=b"another's") == [202]
+
+
 def test_a_callback_keeps_its_category_over_new_settings_and_kills_and_the_table_stays_small(
     tmp_path,
 ):
