--- a/molehill/soak/rig.py
+++ b/molehill/soak/rig.py
@@ -27,6 +27,7 @@
 SIGNAL_GAP = 0.25  # between two signals of a series
 AFTER = 4.5  # seconds after the last request, for what is held to end
 HELD_LEAST, HELD_GAP = 0.01, (0.1, 0.5)
+TRACE_MB = 64
 SPANS_MS = {"deadlineMs": 3000, "aimMs": 800}
 
 
@@ -151,6 +152,7 @@
             "seed": f"{self.plan.seed:x}",
             "limits": {"sockets": 256, "disk_mb": 1, "memory_mb": 96},
             "known": self.known,
+            "trace": {"file": str(self.folder / "trace"), "mb": TRACE_MB},
             "settings": settings(),
         }
         new = self.folder / "config.new"
--- a/molehill/soak/stand_ins.py
+++ b/molehill/soak/stand_ins.py
@@ -53,6 +53,9 @@
         self.read_late = read_late
         self.mode, self.listener, self.port, self.writers = "well", None, 0, set()
         self.accepting, self.tasks = None, set()
+        self.process = (
+            1  # which one it is: one that goes down takes all that it had not read with it
+        )
         self.destination = int(re.search(r"\d+", name)[0])
 
     async def open(self) -> None:
@@ -71,6 +74,7 @@
 
     async def become(self, mode: str) -> None:
         if mode == "down":
+            self.process += 1
             self.accepting.cancel()
             self.listener.close()
             for writer in list(self.writers):
@@ -85,13 +89,15 @@
 
     async def serve(self, sock, accepted: float) -> None:
         """One connection; nothing of it is read before its time, so that it lies in the host's system."""
-        waits = 0.0
+        waits, process = 0.0, self.process
         if self.read_late and self.chance.random() < LATE_SHARE:
             waits = self.chance.uniform(0, self.read_late)
         late = bool(waits) or self.mode == NOT_READING  # the first call lay unread in the system
         try:
             await asyncio.sleep(waits)
             await self.may_read()
+            if process != self.process:
+                return sock.close()
             reader, writer = await asyncio.open_connection(sock=sock)
         except (OSError, asyncio.CancelledError):
             return sock.close()
@@ -110,8 +116,11 @@
             writer.close()
 
     async def called(self, reader, writer, headers, first_byte, accepted) -> None:
+        process = self.process
         if self.latency:
             await asyncio.sleep(self.latency)
+        if process != self.process:
+            raise ConnectionResetError
         history, number = self.history, headers["req-id"]
         patience, read = headers.get("req-deadline-ms"), history.now()
         await asyncio.sleep(END_SEEN)
