--- a/molehill/core/recovery.py
+++ b/molehill/core/recovery.py
@@ -79,8 +79,7 @@
         for number, result, over, unsent in record["ends"]:
             for callback in self.core.known([number]):
                 if Result(result).may_run_still and callback.sent is not None:
-                    # its host may have it unread still
-                    callback.notice_from = callback.sent[0] + self.core.connect_time_out
+                    self.core.final_notices.recovered(callback, callback.sent[0])
                 self.core.settle_launch(callback, Result(result), record["at"], unsent)
                 if over:
                     self.core.move(callback, OVER)
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -18,6 +18,7 @@
 from molehill.core.callback import ARRIVED, HELD, NEXT, OVER, OWED, TAKEN, Callback, PendingCall
 from molehill.core.classes import Classes
 from molehill.core.figures import DELIVERED, FAULTED, THROTTLED, Figures
+from molehill.core.final_notices import FinalNotices
 from molehill.core.host_list import ToldList
 from molehill.core.permission import Refusal
 from molehill.holds import holds
@@ -36,10 +37,8 @@
         self, settings, seed, make_module, log_room, names=None, connect_time_out=CONNECT_TIME_OUT
     ):
         """`names`: those of the settings' categories, by which figures and the log know them; else their numbers.
-        `connect_time_out`: nanoseconds by which a host has a call that was written, or its connection counts as never up."""
-        self.connect_time_out = connect_time_out
-        # calls that were given up, their hosts not known to have read them -> ids
-        self.given_up: dict[int, list[str]] = {}
+        `connect_time_out`: as of core/final_notices.py."""
+        self.final_notices = FinalNotices(connect_time_out)
         self.seed, self.make_module, self.log_room = seed, make_module, log_room
         names = [str(n) for n in range(len(settings.categories))] if names is None else names
         self.classes, self.figures = Classes(names, settings.categories), Figures(names)
@@ -376,29 +375,17 @@
         self.move(callback, OWED)
         self._notify(callback)
 
-    # Between the last byte of a call whose connection broke and the notice that ends its callback
-    NOTICE_AFTER_CALL = 100 * MS
-    # behind a callback's time: the rules leave 300 ms, of which a process may be held up for 150
-    NOTICE_LATEST = 150 * MS
-    # the same where a call was written that late, as this process was held up before the write; of 350 ms
-    NOTICE_LATEST_HELD_UP = 200 * MS
-    # behind a start: the rules leave 1.5 s
-    NOTICE_LATEST_AFTER_START = 1200 * MS
-
     def _notify(self, callback):
-        """Danger: a call and the notice behind it go by connections of their own, and nothing orders these. So the notice waits until
-        the hosts of calls that were given up have read them or never will, as long as the rules leave."""
-        latest = max(callback.due + self.NOTICE_LATEST, callback.notice_latest)
-        not_before = min(callback.earliest_notice(), latest)
+        not_before = self.final_notices.not_before(callback)
         self.effects.append(
             ev.Notify(callback.id, callback.denied, callback.wait, not_before, callback.due)
         )
 
     def _host_done(self, event):
-        for callback in self.known(self.given_up.pop(event.call, ())):
-            if event.seen and callback.unread.pop(event.call, None) is not None:
-                if callback.state is OWED:
-                    self._notify(callback)
+        for callback in self.known(self.final_notices.host_done(event.call)):
+            was_unread = event.seen and callback.unread.pop(event.call, None) is not None
+            if was_unread and callback.state is OWED:
+                self._notify(callback)
 
     def _step(self, _):
         now, batch, self.inbox = self.now, self.inbox, []
@@ -622,54 +609,54 @@
         out.ids = [number for number in out.ids if all(end.id != number for end in ends)]
         if not out.ids:
             del self.calls[event.call]
-        host, ended = self.hosts[out.host], []
-        for end in ends:
-            if end.why is not None:
-                self._not_sent(end.id, out.host, self._reason(end))
-            if end.wait:
-                route = self._route(host)
-                self.waits[route] = max(self.waits.get(route, 0), self.now + end.wait)
-            callback, closed = self.held.get(end.id), end.closed
-            if callback is not None and callback.call == out.number:
-                launches = callback.launches
-                if event.written_at is not None and event.written_at >= callback.due:
-                    callback.notice_latest = callback.due + self.NOTICE_LATEST_HELD_UP
-                if event.unread_until is not None:
-                    callback.may_be_read(out.number, event.unread_until)
-                    self.given_up.setdefault(out.number, []).append(callback.id)
-                elif end.result.may_run_still and event.written_at is not None:
-                    notice_from = event.written_at + self.NOTICE_AFTER_CALL
-                    callback.notice_from = max(callback.notice_from, notice_from)
-                self.settle_launch(callback, end.result, self.now, end.unsent)
-                ended.append(
-                    [end.id, end.result.value, closed and callback.state is not OWED, end.unsent]
-                )
-                if closed and callback.state is not OWED:
-                    self._count(callback, DELIVERED if end.result is Result.DELIVERED else FAULTED)
-                    self.move(callback, OVER)
-            else:
-                closed, launches = True, 1
-            self.inbox.append(
-                it.Outcome(
-                    end.id,
-                    launches - 1,
-                    out.host,
-                    end.result,
-                    event.took,
-                    end.wait,
-                    closed,
-                    event.told_rate,
-                    end.spent,
-                    end.unsent,
-                    told_left=event.told_left,
-                )
-            )
+        ended = [row for end in ends if (row := self._end_launch(out, end, event)) is not None]
         if ended and out.begun:  # else the log never had it as out
             self._log("end", ends=ended, at=self.now)
         self._release()
         if len(self.rests) > 2 * len(self.held) + 64:
             self.rests = {key: until for key, until in self.rests.items() if until > self.now}
 
+    def _end_launch(self, out, end, event) -> Optional[list]:
+        """One callback of a call that has ended; its row for the log, None if the call is not its own any more."""
+        if end.why is not None:
+            self._not_sent(end.id, out.host, self._reason(end))
+        if end.wait:
+            route = self._route(self.hosts[out.host])
+            self.waits[route] = max(self.waits.get(route, 0), self.now + end.wait)
+        callback = self.held.get(end.id)
+        if callback is None or callback.call != out.number:
+            self._tell_outcome(out, end, event, closed=True, launches=1)
+            return None
+        launches, doubt = callback.launches, end.result.may_run_still
+        self.final_notices.call_ended(
+            callback, out.number, event.written_at, event.unread_until, doubt
+        )
+        self.settle_launch(callback, end.result, self.now, end.unsent)
+        over = end.closed and callback.state is not OWED
+        if over:
+            self._count(callback, DELIVERED if end.result is Result.DELIVERED else FAULTED)
+            self.move(callback, OVER)
+        self._tell_outcome(out, end, event, end.closed, launches)
+        return [end.id, end.result.value, over, end.unsent]
+
+    def _tell_outcome(self, out, end, event, closed: bool, launches: int) -> None:
+        """The decision module is to hear of it; `launches` of the callback, with this one."""
+        self.inbox.append(
+            it.Outcome(
+                end.id,
+                launches - 1,
+                out.host,
+                end.result,
+                event.took,
+                end.wait,
+                closed,
+                event.told_rate,
+                end.spent,
+                end.unsent,
+                told_left=event.told_left,
+            )
+        )
+
     def _noticed(self, event):
         ids = [c.id for c in self.known(event.ids) if c.state is OWED]
         for number in ids:
@@ -762,11 +749,10 @@
             if callback.sent is not None and callback.call is None
         ]
         for callback in out:
-            callback.notice_from = (callback.sent[0] or self.now) + self.connect_time_out
+            self.final_notices.recovered(callback, callback.sent[0] or self.now)
             self.settle_launch(callback, Result.RESET, self.now)
         if not self.inherited:
-            for callback in self.held.values():
-                callback.notice_latest = self.now + self.NOTICE_LATEST_AFTER_START
+            self.final_notices.started(self.held.values(), self.now)
         for key in self.unsettled:
             self.rests[key] = max(self.rests.get(key, 0), self.now + self.set.settle)
         self.unsettled = {}
--- a/molehill/emulator/mutations.py
+++ b/molehill/emulator/mutations.py
@@ -9,6 +9,7 @@
 from molehill import interface as it
 from molehill.core import events as ev
 from molehill.core import host_list, reducer
+from molehill.core.final_notices import FinalNotices
 from molehill.http import clients, discovery, hosts, notices
 from molehill.policy import OPEN, RAMP, Relay
 from molehill.runtime.engine import Engine
@@ -300,7 +301,8 @@
     ),
     "launch logged while its connection comes up": (Core, "_go", logged_as_asked_for),
     "what a restart finds taken for new": (Core, "_hand_over", taken_for_new),
-    "notice right behind its call": (Core, "NOTICE_AFTER_CALL", lambda before: 0),
+    "notice right behind its call": (FinalNotices, "not_before", lambda before: lambda *_: 0),
+    "calls of a killed process forgotten": (FinalNotices, "recovered", lambda before: lambda *_: 0),
     "told list dies with the process": (
         (host_list.ToldList, "load", lambda before: lambda self, record: None),
         (Core, "LIST_WITHIN", lambda before: 0),
