--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -1,13 +1,13 @@
 """Calls to hosts: kept connections, one call at a time on each, and what came back read as an outcome."""
 
-import re
 from collections import Counter
 from dataclasses import replace
 from typing import Optional
 
-from molehill.config import MS, OUTGOING, SECOND, ConfigError, address, nanos
+from molehill.config import MS, OUTGOING, address
 from molehill.core import events as ev
 from molehill.core.permission import Refusal
+from molehill.http import answers
 from molehill.http import parser as http
 from molehill.http.given_up import GivenUpCalls
 from molehill.http.idle_connections import IdleConnections
@@ -16,7 +16,6 @@
 from molehill.runtime.stream import Broken, Late, LocalError, Short, connected
 from molehill.runtime.trace import NO_TRACE, Step
 
-SECOND_DIGITS = 9
 # looks at idle connections: an ended one gives its descriptor back soon
 SWEEP = 200 * MS
 # before a call is given back for which this machine lacked something
@@ -25,30 +24,6 @@
 REST_WITHIN = 250 * MS
 # no answer comes within it: a host has to read the call, do its work and write
 SOONEST = MS
-# status -> outcome of a call of one; 200 in a call of several is read line by line
-STATUS = {
-    200: ev.End("", Result.DELIVERED, closed=True),
-    500: ev.End("", Result.ERROR),
-    429: ev.End("", Result.FULL),
-    503: ev.End("", Result.FULL),
-    400: ev.End("", Result.FULL),
-    413: ev.End("", Result.FULL),
-    410: ev.End("", Result.NOT_SENT, closed=True, why=Refusal.HOST_SAYS_OVER),
-    504: ev.End("", Result.NOT_SENT, spent=True, why=Refusal.HOST_SAYS_SPENT),
-}
-LINES = {
-    "delivered": STATUS[200],
-    "failed": STATUS[500],
-    "refused": STATUS[503],
-    "over": STATUS[410],
-    "spent": STATUS[504],
-}
-REPORT = re.compile(
-    r"\w+=\d+(\.\d+)?([eE][+-]?\d+)?( *, *\w+=\d+(\.\d+)?([eE][+-]?\d+)?)*", re.ASCII
-)
-NO_ROOM = ev.End("", Result.NO_CONNECT)
-LINE_BUSY = ev.End("", Result.NOT_SENT, why=Refusal.LINE_BUSY)
-OTHER = ev.End("", Result.ERROR)  # an answer that the protocol does not know: it may have run
 
 
 class Running:
@@ -345,9 +320,9 @@
             if isinstance(error, Late) and not settled:
                 end = ev.End("", Result.TIMEOUT)
             elif not call.bundle and seen.startswith(b"HTTP/1.1 200 ") and b"\r\n" in seen:
-                end = STATUS[200]
+                end = answers.STATUS[200]
             else:
-                end = STATUS[500] if settled else ev.End("", Result.RESET)
+                end = answers.STATUS[500] if settled else ev.End("", Result.RESET)
         # Danger: an answer that comes once the call's time is up is no delivery, whatever it says: the host has given the call up
         # by then, as this relay told it to. What is read too late, since this relay stood still, may be such a one, and it
         # tells nothing of the host.
@@ -363,17 +338,13 @@
             self.idle.put(call.host, stream, self.clock())
         else:
             stream.close()
-        told, wait = self._told_limit(head), retry_after(head)
+        told = answers.told_limit(head, self.config.settings.tells_limit)
+        wait = answers.retry_after(head)
         if call.bundle and head.status == 200:
-            self._report(call, start, self._lines(call, body, wait), told, came)
+            ended = answers.outcomes_by_line(call.members, body, wait)
+            self._report(call, start, ended, told, came)
             return
-        end = STATUS.get(head.status, OTHER)
-        if head.status == 503 and head.headers.get("x-line-busy") == "1":
-            end = LINE_BUSY
-        elif head.status == 503 and not head.keep and self.running[call.number].fresh:
-            # Danger: a host that holds as many connections as it takes says so by this, and only to those who have none. Taken for a
-            # limit that is used up, relays that hold idle ones go on holding them, and the others wait for room that is there.
-            end = NO_ROOM
+        end = answers.outcome(head, self.running[call.number].fresh)
         self._end(call, start, call.members, end, told, wait, came)
 
     def _useless(self, call, stream, start, end, came) -> None:
@@ -395,32 +366,6 @@
         running.unread_until, running.given_up = until, True
         self.given_up.keep(call.number, [member.id for member in call.members], stream, until)
 
-    def _lines(self, call, body, wait):
-        """Each callback's end by the answer's lines; one that no line names may have run."""
-        told = {}
-        for line in body.decode("latin-1").splitlines():
-            ident, _, word = line.strip().rpartition(" ")
-            told[ident.strip()] = LINES.get(word, OTHER)
-        ends = []
-        for m in call.members:
-            end = told.get(m.id, ev.End("", Result.RESET))
-            ends.append(replace(end, id=m.id, wait=wait if end.result is Result.FULL else 0))
-        if wait and not any(end.wait for end in ends):
-            ends[0].wait = wait  # the wait binds whatever became of each
-        return ends
-
-    def _told_limit(self, head):
-        """The limit in calls a second and the share of it that is left; 0 and None where none is told or the
-        report is spoilt, be it in another field."""
-        report = head.headers.get("srv-load", "")
-        if not self.config.settings.tells_limit or not REPORT.fullmatch(report):
-            return 0.0, None
-        values = dict(part.strip().split("=") for part in report.split(","))
-        rate, left = float(values.get("x1", 0.0)), float(values.get("x0", -1.0))
-        if not 0.0 < rate < 1e9:
-            return 0.0, None
-        return rate, min(left, 1.0) if left >= 0.0 else None
-
 
 def kept_back(why: Refusal) -> ev.End:
     """The end of a callback that never left this relay."""
@@ -430,13 +375,3 @@
 def ends(call) -> int:
     """When a call is given up: as soon as one of its members' time is up. It is one call, to the host as well, and has one time."""
     return min(member.until for member in call.members)
-
-
-def retry_after(head) -> int:
-    """The told wait in nanoseconds, whole or decimal seconds; 0 where none is told."""
-    try:
-        return max(
-            0, min(nanos(head.headers.get("retry-after", "0"), SECOND_DIGITS), 3600 * SECOND)
-        )
-    except ConfigError:
-        return 0
