No notice overtakes a call that was out as the module broke

A related path of the same class, found by reading: when the decision module or the core breaks, its calls are called off and count as reset, and what must not run twice is ended at once, while a host may have the call unread. Change: such a notice waits for a connect's time-out from the launch, as behind a kill; a later recovery never shortens an earlier wait. The test fails without it (not_before 0).

--- a/molehill/core/final_notices.py
+++ b/molehill/core/final_notices.py
@@ -56,7 +56,7 @@
 
     def recovered(self, callback, launched_at: int) -> None:
         """A call of it by an earlier process ended without an answer; that process launched it then."""
-        callback.notice_from = launched_at + self.connect_time_out
+        callback.notice_from = max(callback.notice_from, launched_at + self.connect_time_out)
 
     def started(self, callbacks: Iterable, now: int) -> None:
         """These outlived a process that was ended."""
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -812,6 +812,8 @@
         ends = [c for c in self.held.values() if c.call is not None]
         for callback in ends:
             begun = self.calls[callback.call].begun if callback.call in self.calls else True
+            if begun and callback.sent is not None:
+                self.final_notices.recovered(callback, callback.sent[0])
             self.settle_launch(
                 callback, Result.RESET if begun else Result.NOT_SENT, self.now, not begun
             )
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,6 +9,7 @@
 
 from molehill import holds
 from molehill import interface as it
+from molehill.config import CONNECT_TIME_OUT
 from molehill.core import events as ev
 from molehill.core.permission import Refusal
 from molehill.core.reducer import Core
@@ -763,6 +764,22 @@
     ] * 3 and not world.core.held
 
 
+def test_no_notice_overtakes_a_call_that_was_out_as_the_module_broke(monkeypatch):
+    monkeypatch.setattr(
+        "molehill.core.reducer.holds", lambda condition, name, **facts: bool(condition)
+    )
+    core, now = Core(settings(categories=[category("exclusive")]), 1, breaking(3), 100_000), SECOND
+    hosts = [ev.Host("h1", ("127.0.0.1", 1), 0, 0, 1, it.Condition.UP, 1.0)]
+    effects_of(core, now, ev.Listed(it.Scope.RESTORED, hosts), ev.Begin(), ev.Step())
+    effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())
+    (call,) = effects_of(core, now, ev.Heard("a", "c"))
+    effects_of(core, now, ev.Begun(call.number))
+    later = now + 10 * MS
+    after = effects_of(core, later, ev.Step(), ev.Step())
+    notices = [effect for effect in after if type(effect) is ev.Notify]
+    assert [notice.not_before for notice in notices] == [now + CONNECT_TIME_OUT]
+
+
 def test_a_callback_that_the_module_forgets_is_ended_by_the_core(tmp_path, monkeypatch):
     class Forgetful(Relay):
         def _taken(self, new):
