Notices that may not go yet hold no hand-over up

Found by reading what the longer waits of notices touch: a hand-over waits, for 100 ms at most and with nothing begun meanwhile, until no notice is owed, those included that may not go for up to 1.5 s. They pass by the log, as all that is owed. Change: only notices that are out are waited for.

--- a/molehill/http/notices.py
+++ b/molehill/http/notices.py
@@ -72,7 +72,8 @@
             self.line.close()
 
     def calm(self) -> bool:
-        return not self.owed
+        """Whether none is out. Those that may not go yet pass to a next process by the log, like all that are owed."""
+        return not self.waiting
 
     @property
     def owed(self) -> int:
