--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -748,6 +748,35 @@
     assert drain(calls.made[0]) and drain(calls.made[0]) is None and not calls.hosts.idle
 
 
+def test_calls_that_hosts_leave_open_keep_no_more_connections_than_slots_and_not_for_long(
+    monkeypatch,
+):
+    calls = Calls(monkeypatch)
+    slots = calls.hosts.given_up.most
+    for _ in range(slots + 5):
+        calls.call(span=20 * MS)
+    calls.net.advance(30 * MS, step=5 * MS)
+    assert len(calls.hosts.given_up.streams) == calls.net.budget.total() == slots
+    calls.net.advance(2 * SECOND)
+    assert calls.net.budget.total() == 0
+    done = [event for event in calls.net.events if type(event) is ev.HostDone]
+    assert len(done) == slots + 5 and not any(event.seen for event in done)
+
+
+@pytest.mark.parametrize("ends", [answered(200), b""])
+def test_a_host_that_ends_a_given_up_call_is_told_and_its_late_answer_is_no_delivery(
+    monkeypatch, ends
+):
+    calls = Calls(monkeypatch)
+    calls.call(span=100 * MS)
+    calls.net.advance(150 * MS, step=10 * MS)
+    calls.reply(ends, close=not ends)
+    (given_up, done) = calls.net.events
+    assert [end.result for end in given_up.ends] == [R.TIMEOUT]
+    assert (type(done), done.call, done.seen) == (ev.HostDone, 1, True)
+    assert calls.net.budget.total() == 0 and not calls.hosts.idle
+
+
 @pytest.mark.parametrize("bundle", [False, True])
 @pytest.mark.parametrize("stood,result", [(900 * MS, R.DELIVERED), (1100 * MS, R.CANCELLED)])
 def test_an_answer_that_is_read_after_the_time_that_was_told_is_no_delivery(
@@ -1226,6 +1255,14 @@
     assert len(post.made) == tries + 1 and b'"ref":"b"' in drain(post.made[-1])
 
 
+def test_notices_that_may_not_go_yet_hold_no_hand_over_up(monkeypatch):
+    post = Post(monkeypatch)
+    post.notices.notify(ev.Notify("a", False, 0, post.net.clock() + SECOND))
+    assert post.notices.owed == 1 and post.notices.calm()
+    post.notify("b")
+    assert not post.notices.calm()
+
+
 def test_a_new_notice_does_not_wait_for_an_answer_that_others_wait_long_for(monkeypatch):
     """Danger: after lost answers the wait for the next is longer than the rules leave the new notice."""
     post = Post(monkeypatch)
