--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -7,6 +7,7 @@
 from molehill.config import MS, OUTGOING, SECOND
 from molehill.core import events as ev
 from molehill.holds import holds
+from molehill.http import hand_in
 from molehill.http import parser as http
 from molehill.http.stream import HttpStream
 from molehill.runtime.scheduler import LATE, READ
@@ -26,12 +27,10 @@
 LINGER = 200 * MS
 # up to so much: of a body that goes on and on it has to see a close
 LINGER_MOST = 4 * 64 * 1024
-LONGEST = 24 * 3600 * SECOND  # no deadline is taken as further off: keeps figures sane
 # clients wait no longer for an answer: what was sent before, nobody asks for any more
 STOOD_MOST = 400 * MS
 # from the start: what came while it went on is read by then, and what that was followed by
 SURE_AFTER = SECOND
-TEXT_MOST = 1024  # of ids and keys; they are held and logged
 
 
 # What a connection has carried tells what its idling is worth. How long one has to have stood before it is closed for
@@ -327,7 +326,7 @@
         if not self.ready:
             self.turned_away(head.headers.get("req-kind", ""))
             return 503, (), b""
-        fresh = self.fresh(head.headers, body)
+        fresh = hand_in.fresh(head.headers, body, self.config, self.clock())
         # Danger: what came in while this process stood still would be ended late; its time runs from when it was sent. So it
         # does for a first request while its connection waits to be accepted, be it for want of descriptors.
         # Danger: right after a start nothing tells how long what is read has waited; it may be as long as any client waits.
@@ -347,7 +346,7 @@
                 conn.reply = conn.reply or (503, 0, "not answered")
         status, wait, why = conn.reply
         self.counts[why or status] += 1
-        return status, ((("Retry-After", seconds(wait)),) if wait else ()), b""
+        return status, ((("Retry-After", hand_in.seconds(wait)),) if wait else ()), b""
 
     def answer(self, effect) -> None:
         """The core's answer to a request."""
@@ -372,37 +371,6 @@
         if told:
             self.post(ev.Heard(ask, conn))
 
-    def fresh(self, headers, body) -> ev.Fresh:
-        """Checks what a client hands in; raises Malformed with what is wrong."""
-        ident, kind = headers.get("req-id", ""), headers.get("req-kind", "")
-        if not ident or not plain(ident):
-            raise http.Malformed(400, "Req-Id is missing or not an id")
-        if kind not in self.config.categories:
-            raise http.Malformed(400, "Req-Kind is not a class that is served here")
-        category = self.config.categories[kind]
-        row = self.config.settings.categories[category]
-        destination = None
-        for part in headers.get("x-consignee", "").replace(";", ",").split(","):
-            name, _, value = part.strip().partition("=")
-            destination = number(value) if name == "dest" else destination
-        if destination is None:
-            raise http.Malformed(400, "X-Consignee tells no dest")
-        span = row.abandon
-        if "req-deadline-ms" in headers:
-            given = number(headers["req-deadline-ms"])
-            if given is None:
-                raise http.Malformed(400, "Req-Deadline-Ms is not a whole number")
-            span = min(given * MS, LONGEST)
-        key = http.cookie(headers, "subject") if row.ordered else None
-        mark = headers.get("idempotency-key")
-        for text in (key, mark):
-            if text is not None and not plain(text):
-                raise http.Malformed(400, "a key that is too long or not printable")
-        tenant = self.config.tenants.get(headers.get("req-owner", ""), 0)
-        return ev.Fresh(
-            ident, category, tenant, key or None, destination, self.clock() + span, mark, body
-        )
-
     # An upgrade: the connections pass to the next process
 
     def hold(self) -> None:
@@ -487,17 +455,3 @@
         """What has not got whole by now is not read any more."""
         for conn in [conn for conn in self.conns if not conn.busy]:
             self.close(conn, CloseReason.SHUTDOWN_UNFINISHED)
-
-
-def plain(text: str) -> bool:
-    return len(text) <= TEXT_MOST and text.isascii() and text.isprintable() and " " not in text
-
-
-def number(text: str):
-    return int(text) if text.isascii() and text.isdigit() and len(text) <= 15 else None
-
-
-def seconds(span: int) -> str:
-    """Nanoseconds as decimal seconds, rounded up to a millisecond."""
-    millis = -(-span // MS)
-    return f"{millis // 1000}.{millis % 1000:03d}"
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -175,16 +175,8 @@
     def _report(self, call, start, ends, told=(0.0, None), came=None) -> None:
         """What became of these; `came`: when the answer's head did, which is what its latency goes by."""
         ended = {end.id for end in ends}
-        for end in ends:
-            why = end.why.name.lower() if end.why is not None else None
-            self.trace.record(
-                Step.CALL_ENDED,
-                end.id,
-                call=call.number,
-                host=call.host,
-                result=end.result.value,
-                why=why,
-            )
+        if self.trace.is_on:
+            self._trace_ended(call, ends)
         self.counts.update(end.result.value for end in ends)
         call.members = [m for m in call.members if m.id not in ended]
         if ends and call.number not in self.aborted:
@@ -232,7 +224,8 @@
                 stream.send(self._request(call), until)
                 running.written_at = self.clock()
                 self.figures.relayed += len(call.members)
-                self._trace_written(call, fresh, until)
+                if self.trace.is_on:
+                    self._trace_written(call, fresh, until)
                 # More than the last answer, if no answer to this can have come. Danger: after a standstill in between, one can.
                 if not fresh and stream.unread() and self.clock() < begun + SOONEST:
                     stream.close()
@@ -257,6 +250,17 @@
         self._end(call, start, call.members, ev.End("", Result.NO_CONNECT))
         return None
 
+    def _trace_ended(self, call, ends) -> None:
+        for end in ends:
+            self.trace.record(
+                Step.CALL_ENDED,
+                end.id,
+                call=call.number,
+                host=call.host,
+                result=end.result.value,
+                why=end.why.name.lower() if end.why is not None else None,
+            )
+
     def _trace_written(self, call, fresh: bool, until: int) -> None:
         left = until - self.clock()
         for member in call.members:
