Shim: a fault on calls shows at the first call that it meets

Change: the first call behind a fault's begin fails, the others by the drawn half as before; the test's fault lasts 1600 ms in place of 800. Both are stricter.

--- a/molehill/fleet/shims.py
+++ b/molehill/fleet/shims.py
@@ -7,7 +7,7 @@
 | --- | --- |
 | `wall_ms` | the wall clock is off by so much |
 | `accept` | errno that all these calls fail with |
-| `connect` | errno that half of these calls fail with |
+| `connect` | errno that half of these calls fail with, the first in any case |
 | `disk` | errno: a write takes half and then fails; files can't be made, cut off or renamed |
 | `slow_ms` | each write to the disk takes so long |
 | `files` | errno: plain writes go well; files can't be made, cut off or renamed |
@@ -97,24 +97,38 @@
         return Disk.write(fd, bytes(data)[: len(data) // 2])
 
 
-class FailingSocket(socket.socket):
-    control, chance = None, None  # of the process; set by its machine
+class FailingCalls:
+    """Which calls on sockets fail now: the first after a fault has begun, then a drawn share."""
+
+    def __init__(self, control: Control, random: Random):
+        self.control = control
+        self.random = random
+        self.failing: dict[str, int] = {}  # errno of the fault that has met a call, by call
 
-    def fails(self, what: str) -> int:
-        code = self.control.now().get(what, 0)
-        if not code or self.chance.random() >= SHARES[what]:
+    def error(self, call: str) -> int:
+        """The errno that this call of `call` fails with; 0: it is made."""
+        code = self.control.now().get(call) or 0
+        first = code != self.failing.get(call, 0)
+        self.failing[call] = code
+        if not code:
+            return 0
+        if not first and self.random.random() >= SHARES[call]:
             return 0
-        self.control.say(what, code)
+        self.control.say(call, code)
         return code
 
+
+class FailingSocket(socket.socket):
+    calls: FailingCalls  # of the process; set by its machine
+
     def accept(self):
-        code = self.fails("accept")
+        code = self.calls.error("accept")
         if code:
             raise OSError(code, "accept")
         return super().accept()
 
     def connect_ex(self, address):
-        code = self.fails("connect")
+        code = self.calls.error("connect")
         if code == errno.EINTR:
             done = super().connect_ex(address)
             return code if done == errno.EINPROGRESS else done
@@ -129,7 +143,7 @@
         self.control, true_wall = Control(path), self.wall
         self.wall = lambda: true_wall() + int(self.control.now().get("wall_ms", 0) * MS)
         self.disk = FailingDisk(self.control)
-        FailingSocket.control, FailingSocket.chance = self.control, Random(path)
+        FailingSocket.calls = FailingCalls(self.control, Random(path))
 
     @staticmethod
     def tcp_socket(address) -> socket.socket:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Several real relays under faults, the cables between them, and a checker that tells kept from unknown and void."""
 
+import errno
 import os
 import signal
 import socket
@@ -8,6 +9,7 @@
 import time
 from datetime import datetime, timezone
 from pathlib import Path
+from random import Random
 
 import pytest
 from click.testing import CliRunner
@@ -24,6 +26,7 @@
 from molehill.fleet.cable import Cables
 from molehill.fleet.history import History, read, whole
 from molehill.fleet.places import Places, claim
+from molehill.fleet.shims import Control, FailingCalls, write_control
 from molehill.fleet.sockets import Network, between
 from molehill.fleet.world import World
 
@@ -217,13 +220,25 @@
     )
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_fault_that_few_calls_meet_shows_at_the_first(tmp_path, seed):
+    """Danger: a relay that opens two connections in a fault's span meets no fault at all."""
+    path = tmp_path / "wrong"
+    write_control(path, {"connect": errno.EADDRNOTAVAIL})
+    calls = FailingCalls(Control(str(path)), Random(seed))
+    met = [calls.error("connect") for _ in range(200)]
+    assert met[0] == errno.EADDRNOTAVAIL
+    assert 70 <= met.count(errno.EADDRNOTAVAIL) <= 130
+    assert calls.error("accept") == 0
+
+
 def test_faults_of_their_machines_reach_relays_that_are_processes(tmp_path):
     """Each of four, one with a kill in it: it was there, and the rules hold. A run in which the machine was late shows nothing."""
     faults = [
         Fault("accept_error", 500, "relay1", 800, 103.0),
         Fault("disk_error", 600, "relay0", 5000, 5.0),
         Fault("wall_step", 700, "relay0", 0, -3.6e6),
-        Fault("connect_error", 800, "relay2", 800, 99.0),
+        Fault("connect_error", 800, "relay2", 1600, 99.0),
         Fault("kill", 1000, "relay0"),
     ]
     for turn in range(3):
