A request's time runs from its sending also where the turn that reads it is long

What callers saw: ends of requests over 100 ms late. Followed by id (c7.27, span 0.3 s): sent at 6.857, read by the relay at 6.997, and counted as 29 ms old; its end came 629 ms behind its time. Cause: what is read counts as old as the span between the last two looks at the descriptors. The tasks of one turn run one after another, and whatever passes in the turn itself, here 70 ms of work and a standstill of 48 ms, was not counted: 140 ms where 29 were. The same for the time from a connection's accept to its first read. Change: the span runs to the moment of the reading (Scheduler.unread_for), from the accept on for a first request. Figures: the new test, a kept and a fresh connection, fails without the change.

--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -74,8 +74,8 @@
         self.stream, self.task, self.ask, self.reply, self.kind = stream, None, None, None, NEW
         self.busy = False  # its request is whole, and the answer not written yet
         self.reason = None  # why it ends
-        # late: how long it may have waited to be accepted
-        self.since, self.late = stream.scheduler.clock(), 0
+        self.since = stream.scheduler.clock()
+        self.waits_since = self.since  # it may have waited from then on to be accepted
 
 
 class Clients:
@@ -151,7 +151,7 @@
                 self.budget.give("client")
                 if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK):
                     self.scheduler.wait(self.listener.fileno(), READ)
-                    self.first_waits = self.clock() - self.scheduler.stood
+                    self.first_waits = self.clock() - self.scheduler.unread_for()
                     continue
                 failures += 1
                 self.counts["accept failed"] += 1
@@ -164,7 +164,7 @@
                     self.scheduler.sleep(self.clock() + self.PAUSE)
                 continue
             failures = 0
-            self.open(sock).late = self.clock() - self.first_waits
+            self.open(sock).waits_since = self.first_waits
 
     def open(self, sock, data=b"", kind=NEW) -> Conn:
         """Serves a connection whose place in the budget is taken; `data`: what was read of it before."""
@@ -327,11 +327,7 @@
             self.turned_away(head.headers.get("req-kind", ""))
             return 503, (), b""
         fresh = hand_in.fresh(head.headers, body, self.config, self.clock())
-        # Danger: what came in while this process stood still would be ended late; its time runs from when it was sent. So it
-        # does for a first request while its connection waits to be accepted, be it for want of descriptors.
-        # Danger: right after a start nothing tells how long what is read has waited; it may be as long as any client waits.
-        late = self.unread if self.clock() < self.sure else conn.late if conn.kind is NEW else 0
-        fresh.due -= min(max(self.scheduler.stood, late), STOOD_MOST)
+        fresh.due -= self.unread_for(conn)
         conn.ask, conn.reply = fresh.id, None
         self.trace.record(
             Step.HANDED_IN, fresh.id, connection=conn.number, left=fresh.due - self.clock()
@@ -348,6 +344,22 @@
         self.counts[why or status] += 1
         return status, ((("Retry-After", hand_in.seconds(wait)),) if wait else ()), b""
 
+    def unread_for(self, conn) -> int:
+        """Nanoseconds that the request read now on `conn` may have waited to be read; its time runs from when it was sent.
+
+        Danger: what came in while this process stood still would be ended late. So would a first request that came while its
+        connection waited to be accepted, be it for want of descriptors.
+        Danger: right after a start nothing tells how long what is read has waited; it may be as long as any client waits.
+        """
+        now = self.clock()
+        span = self.scheduler.unread_for()
+        if now < self.sure:
+            span = max(span, self.unread)
+        elif conn.kind is NEW:
+            since = now if now - conn.since <= span else conn.since  # by then it may have come
+            span = max(span, since - conn.waits_since)
+        return min(span, STOOD_MOST)
+
     def answer(self, effect) -> None:
         """The core's answer to a request."""
         conn = effect.client
--- a/molehill/runtime/scheduler.py
+++ b/molehill/runtime/scheduler.py
@@ -85,6 +85,10 @@
     def sleep(self, until):
         return self.wait(until=until)
 
+    def unread_for(self) -> int:
+        """Nanoseconds that what a task reads now may have lain there: no look at the descriptors has told of it for so long."""
+        return self.stood + self.clock() - self.looked
+
     def pause(self):
         """Lets all others that are ready go first."""
         self.ready.append((getcurrent(), READY))
@@ -135,7 +139,7 @@
             span = max(0, min(span, self.timers[0][0] - now))
         ready = self.poll.poll(-(-span // MS))
         before, now = now, self.clock()
-        # How long what is read now may have lain there: since the last look this loop was busy or stood still.
+        # How long what this look tells of may have lain there: since the last one this loop was busy or stood still.
         self.stood, self.looked = before - self.looked + max(0, now - before - span), now
         self.most_stood = max(self.most_stood, self.stood)
         for fd, _ in ready:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -294,6 +294,30 @@
     assert door.net.scheduler.most_stood == 5 * SECOND, "the worst is kept for whoever tells it"
 
 
+@pytest.mark.parametrize("kept", [True, False])
+def test_a_request_read_late_in_a_long_turn_is_not_counted_as_just_sent(kept):
+    """Danger: the turn in which it is read stands still after its look at the descriptors."""
+    door = Door(listen="127.0.0.1:1")
+    door.clients.config.listen = ("127.0.0.1", 0)
+    door.clients.listen()
+    address = door.clients.listener.getsockname()
+    door.net.settle()
+    sock = door.connect() if kept else socket.create_connection(address)
+    if kept:
+        door.net.settle()
+    sock.send(ASK % b"id1")
+
+    def stand(again):
+        door.net.clock.now += 150 * MS
+        if again:
+            door.net.scheduler.spawn(stand, False)
+
+    door.net.scheduler.spawn(stand, not kept)
+    sent = door.net.clock()
+    door.net.settle()
+    assert door.net.events[-1].fresh.due == sent + 480 * MS
+
+
 def test_what_is_read_right_after_a_start_may_have_waited_as_long_as_any_client_waits():
     door = Door()
     door.clients.begin()
