Soak: a request that a killed process took on is not judged by its second sending

Cause: the oracle dated a request by its last sending. Sent to a process that logs it and is killed before its answer, it comes again to the next one under its own id and is owed its end by the first time: c37.21 was logged with 1.88 s left, came again 1.62 s later and was answered at once with 1.6 s counted by the oracle and 0.26 s by the log. Its notice, well behind its true time, was found to be early. Ruled out: a notice that went early: the relay's own trace shows it 150 ms behind the first time, and its call given up and unread. Change: where a process was killed between two sendings, the earlier time counts. Without a kill the last sending does, as before.

--- a/molehill/soak/oracle.py
+++ b/molehill/soak/oracle.py
@@ -108,8 +108,13 @@
 
 
 def times_up(history: History) -> dict[str, float]:
-    """When each request's time is up, at the soonest, as the relay may count it."""
+    """When each request's time is up, at the soonest, as the relay may count it.
+
+    One that is handed in again behind a kill may have been logged by the killed process: its first time stands then.
+    """
     due, ready = {}, float("inf")  # the rig sees a little late that a process is ready
+    processes = 0
+    handed_to: dict[str, int] = {}  # the process that a request was handed in to last
     answered = {event.id: event.at for event in history.of(Answered)}
     held = history.of(Held)
     for event in history.of(HandedIn, Process):
@@ -122,9 +127,14 @@
             ]
             behind_start = event.at - ready <= BEHIND_START + ASSUMED_AGE
             age = ASSUMED_AGE if behind_start else min(ASSUMED_AGE, sum(spans))
-            due[event.id] = event.at + event.span - age
+            time_up = event.at + event.span - age
+            if handed_to.get(event.id, processes) != processes:
+                time_up = min(time_up, due[event.id])
+            due[event.id] = time_up
+            handed_to[event.id] = processes
         elif event.what == "started":
             ready = float("inf")
+            processes += 1
         elif event.what == "ready":
             ready = event.at
     return due
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -226,3 +226,26 @@
         history.events.append(Notice(notice_at, "a", "dead"))
     history.events.append(Call(12.5, "a", "h0-0", 10.02, 0.6, 10.02, given_up))
     assert len(sent_after_end(history)) == found
+
+
+@pytest.mark.parametrize(
+    "killed, notice_at, found", [(True, 10.8, 0), (True, 10.6, 1), (False, 10.8, 1)]
+)
+def test_a_request_that_a_killed_process_took_on_is_not_judged_by_its_second_sending(
+    killed, notice_at, found
+):
+    history = History()
+    history.events = [Process(0.0, "ready"), HandedIn(10.0, "a", "idempotent", 0.65)]
+    if killed:
+        history.events += [
+            Process(10.2, "SIGKILL"),
+            Process(10.25, "started"),
+            Process(10.3, "ready"),
+        ]
+    history.events += [
+        HandedIn(12.0 if not killed else 10.4, "a", "idempotent", 3.0),
+        Answered(10.41, "a", 202),
+        Notice(notice_at, "a", "dead"),
+        Call(14.5, "a", "h0-0", 10.5, 0.6, 10.5, True),
+    ]
+    assert len(sent_after_end(history)) == found
