What is read in a long turn counts for the longer of two spans, not for their sum

Ruled out: a hold-up of the process in that time (none told of). Change: what is read is at least as old as the last look, and may be as old as the span before it: the longer of the two. It is never taken for older than before the sum, and for at least as old as it surely is.

--- a/molehill/runtime/scheduler.py
+++ b/molehill/runtime/scheduler.py
@@ -86,8 +86,12 @@
         return self.wait(until=until)
 
     def unread_for(self) -> int:
-        """Nanoseconds that what a task reads now may have lain there: no look at the descriptors has told of it for so long."""
-        return self.stood + self.clock() - self.looked
+        """Nanoseconds that what a task reads now may have lain there.
+
+        It came between the last two looks at the descriptors: it is as old as the last look in any case, and may be older by the
+        span between the two. The longer of both is taken; their sum would take most of what is read for too old.
+        """
+        return max(self.stood, self.clock() - self.looked)
 
     def pause(self):
         """Lets all others that are ready go first."""
