A task whose time is up goes on before the backlog of its turn

Cause: behind a standstill, or where a turn is long, a wait's end was found with the next look and its task put behind all that had become ready: two turns of work went by before a call's time-out was acted on. Ruled out: that an answer is thrown away for it: a timer fires only where the look behind its time has found nothing, as before. Change: tasks woken by timers go first in the turn behind that. Figures: in the new test the task wakes after 180 ms in place of 270 (the test fails without the change).

--- a/molehill/runtime/scheduler.py
+++ b/molehill/runtime/scheduler.py
@@ -156,6 +156,7 @@
             task, value = self.ready.popleft()
             task.switch(value)
         # Danger: a standstill in the midst of those tasks; what came meanwhile is not read yet. So what was due at the look is.
+        queued = len(self.ready)
         while self.timers and self.timers[0][0] <= self.looked:
             _, _, work, args = heappop(self.timers)
             try:
@@ -164,3 +165,5 @@
                 holds(
                     False, "timer", work=getattr(work, "__qualname__", str(work)), error=repr(error)
                 )
+        # a task whose time is up goes on before those that can wait
+        self.ready.rotate(len(self.ready) - queued)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1309,3 +1309,22 @@
             post.reply(400 if b'"bad"' in text else 204)
         post.net.advance(100 * MS)
     assert post.net.events[0].ids == ["good"] and list(post.notices.waiting) == ["bad"]
+
+
+def test_a_task_whose_time_is_up_does_not_wait_for_those_that_can():
+    net = Net()
+    begun, woke = net.clock.now, []
+
+    def sleeper():
+        net.scheduler.sleep(begun + 10 * MS)
+        woke.append(net.clock.now - begun)
+
+    def busy():
+        for _ in range(5):
+            net.clock.now += 30 * MS
+            net.scheduler.pause()
+
+    for work in (sleeper, busy, busy, busy):
+        net.scheduler.spawn(work)
+    net.settle()
+    assert woke == [180 * MS], "in the turn behind the look that found its time up"
