How long a request lay unread is known per connection, and looks are 20 ms apart

Cause: the loop looked at its descriptors once a turn, and one figure for all of them told how old is what is read: the span between two looks. Change: each stream knows since when nothing lay unread: its last empty read, or the look before the one that woke it, or for a new connection the look before its accept. Within a turn the loop looks again after 20 ms of work, so that both bounds are near; timers still fire only behind all that the turn's first look had told of. The new test fails without the change.

--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -75,7 +75,6 @@
         self.busy = False  # its request is whole, and the answer not written yet
         self.reason = None  # why it ends
         self.since = stream.scheduler.clock()
-        self.waits_since = self.since  # it may have waited from then on to be accepted
 
 
 class Clients:
@@ -151,7 +150,7 @@
                 self.budget.give("client")
                 if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK):
                     self.scheduler.wait(self.listener.fileno(), READ)
-                    self.first_waits = self.clock() - self.scheduler.unread_for()
+                    self.first_waits = self.scheduler.task_came_after()
                     continue
                 failures += 1
                 self.counts["accept failed"] += 1
@@ -164,7 +163,7 @@
                     self.scheduler.sleep(self.clock() + self.PAUSE)
                 continue
             failures = 0
-            self.open(sock).waits_since = self.first_waits
+            self.open(sock).stream.empty_at = self.first_waits
 
     def open(self, sock, data=b"", kind=NEW) -> Conn:
         """Serves a connection whose place in the budget is taken; `data`: what was read of it before."""
@@ -352,12 +351,9 @@
         Danger: right after a start nothing tells how long what is read has waited; it may be as long as any client waits.
         """
         now = self.clock()
-        span = self.scheduler.unread_for()
+        span = now - conn.stream.came_after
         if now < self.sure:
             span = max(span, self.unread)
-        elif conn.kind is NEW:
-            since = now if now - conn.since <= span else conn.since  # by then it may have come
-            span = max(span, since - conn.waits_since)
         return min(span, STOOD_MOST)
 
     def answer(self, effect) -> None:
--- a/molehill/runtime/scheduler.py
+++ b/molehill/runtime/scheduler.py
@@ -18,10 +18,12 @@
 
 
 class Waiter:
-    __slots__ = ("task", "fd", "live")
+    """One wait of a task; `came_after`: what it waits for on its descriptor was not there at that time."""
 
-    def __init__(self, task, fd):
-        self.task, self.fd, self.live = task, fd, True
+    __slots__ = ("task", "fd", "live", "came_after")
+
+    def __init__(self, task, fd, came_after):
+        self.task, self.fd, self.live, self.came_after = task, fd, True, came_after
 
 
 class Scheduler:
@@ -31,7 +33,8 @@
         self.ready, self.timers, self.serial = deque(), [], 0
         self.waiting: dict[int, Waiter] = {}
         self.stopped, self.hub = False, getcurrent()
-        self.looked, self.stood = self.clock(), 0
+        self.looked = self.clock()
+        self.came_after = self.looked  # what the last look told of was not there at that time
         self.most_stood = 0  # since whoever tells it set it back
 
     def spawn(self, work, *args):
@@ -72,7 +75,7 @@
 
     def wait(self, fd=None, mask=0, until=None):
         """Parks the current task until its descriptor is ready, the time is up, or `resume` is called on it."""
-        waiter = Waiter(getcurrent(), fd)
+        waiter = Waiter(getcurrent(), fd, self.clock())
         if fd is not None:
             holds(fd not in self.waiting, "one_waiter_a_descriptor", fd=fd)
             self.waiting[fd] = waiter
@@ -85,13 +88,9 @@
     def sleep(self, until):
         return self.wait(until=until)
 
-    def unread_for(self) -> int:
-        """Nanoseconds that what a task reads now may have lain there.
-
-        It came between the last two looks at the descriptors: it is as old as the last look in any case, and may be older by the
-        span between the two. The longer of both is taken; their sum would take most of what is read for too old.
-        """
-        return max(self.stood, self.clock() - self.looked)
+    def task_came_after(self) -> int:
+        """What ended the current task's last wait on a descriptor was not there at that time."""
+        return getcurrent().waiter.came_after
 
     def pause(self):
         """Lets all others that are ready go first."""
@@ -129,35 +128,31 @@
             except Exception as error:  # whatever it is, the relay goes on
                 holds(False, "loop", error=repr(error))
 
+    # between two looks at the descriptors while there is work
+    LOOK_AGAIN = 20 * MS
+
     def turn(self, block=True):
         """One round: descriptors, then every task that is ready, then due timers.
 
         Danger: after a standstill, or a long round, a wait's time is up while what it waits for lies there unread. So what
         has come is taken first: an answer is not thrown away for a time-out, nor a callback ended that was delivered.
         """
-        now = self.clock()
         span = self.LONGEST
         if self.ready or not block:
             span = 0
         elif self.timers:
-            span = max(0, min(span, self.timers[0][0] - now))
-        ready = self.poll.poll(-(-span // MS))
-        before, now = now, self.clock()
-        # How long what this look tells of may have lain there: since the last one this loop was busy or stood still.
-        self.stood, self.looked = before - self.looked + max(0, now - before - span), now
-        self.most_stood = max(self.most_stood, self.stood)
-        for fd, _ in ready:
-            waiter = self.waiting.get(fd)
-            if holds(waiter is not None, "waiter_of_a_descriptor", fd=fd):
-                self._wake(waiter, READY)
-            else:
-                self.poll.unregister(fd)
+            span = max(0, min(span, self.timers[0][0] - self.clock()))
+        self._look(span)
+        begun = self.looked
         for _ in range(len(self.ready)):
             task, value = self.ready.popleft()
             task.switch(value)
+            # danger: the longer no look is taken, the less is known of how old that is which it tells of
+            if self.clock() - self.looked >= self.LOOK_AGAIN:
+                self._look(0)
         # Danger: a standstill in the midst of those tasks; what came meanwhile is not read yet. So what was due at the look is.
         queued = len(self.ready)
-        while self.timers and self.timers[0][0] <= self.looked:
+        while self.timers and self.timers[0][0] <= begun:
             _, _, work, args = heappop(self.timers)
             try:
                 work(*args)
@@ -167,3 +162,20 @@
                 )
         # a task whose time is up goes on before those that can wait
         self.ready.rotate(len(self.ready) - queued)
+
+    def _look(self, span):
+        """Wakes the tasks whose descriptors are ready; waits for up to `span` for the first of them."""
+        before = self.clock()
+        ready = self.poll.poll(-(-span // MS))
+        now = self.clock()
+        # since the last look this loop was busy or stood still
+        stood = before - self.looked + max(0, now - before - span)
+        self.looked, self.came_after = now, now - stood
+        self.most_stood = max(self.most_stood, stood)
+        for fd, _ in ready:
+            waiter = self.waiting.get(fd)
+            if holds(waiter is not None, "waiter_of_a_descriptor", fd=fd):
+                waiter.came_after = max(waiter.came_after, self.came_after)
+                self._wake(waiter, READY)
+            else:
+                self.poll.unregister(fd)
--- a/molehill/runtime/stream.py
+++ b/molehill/runtime/stream.py
@@ -94,6 +94,8 @@
             pass  # not a TCP socket, as in tests
         self.scheduler, self.sock, self.kind, self.budget = scheduler, sock, kind, budget
         self.buffer, self.open, self.idle_since = Buffer(most), True, 0
+        self.empty_at = scheduler.clock()  # nothing lay unread then, as far as is known
+        self.came_after = self.empty_at  # what was read last was not there at that time
 
     def close(self) -> None:
         if self.open:
@@ -163,13 +165,15 @@
             if not self.open:
                 raise Broken("cut")
             space = self.buffer.space()
-            if not space:
+            room = len(space)
+            if not room:
                 raise Broken("more than a message holds")
             try:
                 count = self.sock.recv_into(space)
             except BlockingIOError:
                 space.release()
                 self._wait(READ, until)
+                self.empty_at = self.scheduler.task_came_after()
                 continue
             except OSError as error:
                 raise Broken(str(error)) from None
@@ -177,6 +181,9 @@
                 space.release()
             if not count:
                 raise Broken("ended")
+            self.came_after = self.empty_at
+            if count < room:
+                self.empty_at = self.scheduler.clock()
             self.buffer.filled(count)
             return
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -318,6 +318,25 @@
     assert door.net.events[-1].fresh.due == sent + 480 * MS
 
 
+def test_a_request_sent_late_in_a_long_turn_is_not_counted_as_sent_at_its_begin():
+    """Danger: it would be ended before its time."""
+    door, sent = Door(), []
+    sock = door.connect()
+    door.net.settle()
+
+    def work(sends):
+        if sends:
+            sock.send(ASK % b"id1")
+            sent.append(door.net.clock())
+        door.net.clock.now += 30 * MS
+
+    for turn in range(6):
+        door.net.scheduler.spawn(work, turn == 3)
+    door.net.settle()
+    due = door.net.events[-1].fresh.due
+    assert sent[0] + 450 * MS <= due <= sent[0] + 480 * MS
+
+
 def test_what_is_read_right_after_a_start_may_have_waited_as_long_as_any_client_waits():
     door = Door()
     door.clients.begin()
