Decisions: a package of small modules in place of policy.py, with named fields

Ruled out: keeping the class and moving parts of it only: what it shares (the time, the timers, what is held) is a State now, and each module has one job: admission, lifecycle (per-key order, retry and deadline), launching (selection), endpoint_health, slow_start, limiter (concurrency window), pacing, tenant_quotas, idle_connections, endpoint_list, timers. Endpoint, Attempt, Destination and Limiter have named fields. Change: no behaviour. Keys of the rows that are handed over stay; a test holds rows as the text before wrote them.

--- a/molehill/benchlink/__main__.py
+++ b/molehill/benchlink/__main__.py
@@ -6,7 +6,7 @@
 from molehill import config
 from molehill import interface as it
 from molehill.benchlink import codec
-from molehill.policy import Relay
+from molehill.decisions.dispatcher import Dispatcher
 
 
 class Host:
@@ -15,7 +15,7 @@
     def __init__(self, lines):
         self.lines = lines
         self.number = 0  # of the line read last
-        self.instances: dict[int, Relay] = {}
+        self.instances: dict[int, Dispatcher] = {}
         # where an instance's reports hold the told limit
         self.places: dict[int, tuple | None] = {}
         self.tables: dict[int, list[it.HostEntry]] = {}
@@ -57,7 +57,7 @@
                 if len(parts) < 3:
                     raise codec.WireError("'launch' lacks values")
                 given = codec.pairs(parts[3:])
-                self.instances[number] = Relay(config.settings(given), codec.whole(parts[2]))
+                self.instances[number] = Dispatcher(config.settings(given), codec.whole(parts[2]))
                 self.places[number] = config.limit_places(given)
                 pending[number] = []
                 continue
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -1,6 +1,6 @@
 """All state of a relay but its decisions, and the one place where it changes: an event in, effects out.
 
-No input, output or clock here. Effects are to be carried out in order. The module in molehill/policy.py is driven
+No input, output or clock here. Effects are to be carried out in order. The module in molehill/decisions/ is driven
 by `Step` events with all that came in since the last one; what it asks for comes out as effects, held back only
 where a call may not go yet: its client has not heard that the callback is taken on, or an earlier callback of its
 key ended by a notice that the platform has not answered.
--- a/molehill/emulator/mutations.py
+++ b/molehill/emulator/mutations.py
@@ -10,8 +10,10 @@
 from molehill.core import events as ev
 from molehill.core import host_list, reducer
 from molehill.core.final_notices import FinalNotices
+from molehill.decisions.endpoint import OPEN, SLOW_START
+from molehill.decisions.endpoint_health import EndpointHealth
+from molehill.decisions.lifecycle import Lifecycle
 from molehill.http import clients, discovery, hosts, notices
-from molehill.policy import OPEN, RAMP, Relay
 from molehill.runtime.engine import Engine
 from molehill.runtime.scheduler import READ
 from molehill.store import Store
@@ -150,10 +152,10 @@
 
 
 def full_at_once(before):
-    def health(self, h, good, sent, result):
-        before(self, h, good, sent, result)
-        if self.h_state[h] == RAMP:
-            self.h_state[h], self.h_next[h] = OPEN, self.now
+    def health(self, endpoint, good, sent, result):
+        before(self, endpoint, good, sent, result)
+        if endpoint.state == SLOW_START:
+            endpoint.state, endpoint.next_call_at = OPEN, self.state.now
 
     return health
 
@@ -257,7 +259,7 @@
         settings_with(effect=lambda e: it.Effect.IDEMPOTENT if e is it.Effect.AT_MOST_ONCE else e),
     ),
     "order of keys not kept": (config, "settings", settings_with(ordered=lambda _: False)),
-    "key's rest forgotten": (Relay, "_settle", lambda before: lambda self, key, until: None),
+    "key's rest forgotten": (Lifecycle, "rest_key", lambda before: lambda self, key, until: None),
     "key's rest forgotten after a restart": (
         Core,
         "_hand_over",
@@ -279,7 +281,7 @@
     "a call goes on after the time of one in it": (hosts, "ends", with_the_last),
     "notice sent once only": (notices.Notices, "_post", never_resent),
     "deadline read a second late": (clients.Clients, "fresh", late_by(config.SECOND)),
-    "returning host fed without a budget": (Relay, "_health", full_at_once),
+    "returning host fed without a budget": (EndpointHealth, "count", full_at_once),
     "streams never forgotten": (
         hosts.Hosts,
         "_call",
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -10,12 +10,12 @@
 from molehill import holds, upgrade
 from molehill.core import events as ev
 from molehill.core.reducer import Core
+from molehill.decisions.dispatcher import Dispatcher
 from molehill.http.clients import Clients
 from molehill.http.discovery import Discovery
 from molehill.http.hosts import Hosts
 from molehill.http.notices import Notices
 from molehill.log_clock import Base
-from molehill.policy import Relay
 from molehill.runtime.engine import Engine
 from molehill.runtime.scheduler import READ
 from molehill.runtime.stream import Budget
@@ -51,7 +51,7 @@
         self.core = Core(
             config.settings,
             config.seed,
-            Relay,
+            Dispatcher,
             log_room(config)[1],
             list(config.categories),
             config.connect_time_out,
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -7,8 +7,8 @@
 from molehill.core import events as ev
 from molehill.core.permission import Refusal
 from molehill.core.reducer import Core
+from molehill.decisions.dispatcher import Dispatcher
 from molehill.http.stream import HttpStream
-from molehill.policy import Relay
 from molehill.runtime.kernel import Disk, Kernel
 from molehill.runtime.scheduler import Scheduler
 from molehill.runtime.stream import Budget
@@ -61,6 +61,11 @@
     return it.Settings(**{**base, **given})
 
 
+def first_endpoint(module):
+    """What the decision module keeps of the host that it was told of first."""
+    return next(iter(module.state.endpoints.values()))
+
+
 class World:
     """Hosts are (id, zone, kind, destination)."""
 
@@ -71,7 +76,7 @@
 
     def start(self, entries):
         """A relay killed and started anew knows nothing but its list."""
-        self.relay = Relay(self.set, self.seed)
+        self.relay = Dispatcher(self.set, self.seed)
         self.open, self.out, self.final, self.sent, self.waits, self.rests = {}, {}, {}, [], {}, {}
         self.up, self.fails, self.shut, self.notes, self.closed = {}, {}, {}, [], []
         self.asked = 0
@@ -240,7 +245,7 @@
     A kill may fall between any two effects; the next process reads the log and nothing else.
     """
 
-    def __init__(self, folder, given, hosts, make_module=Relay, most=400_000):
+    def __init__(self, folder, given, hosts, make_module=Dispatcher, most=400_000):
         self.folder, self.set, self.make, self.most = str(folder), given, make_module, most
         self.now, self.serial, self.effects_left = 1000 * SECOND, 0, None
         self.hosts = {
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,7 +13,7 @@
 from molehill.core import events as ev
 from molehill.core.permission import Refusal
 from molehill.core.reducer import Core
-from molehill.policy import Relay
+from molehill.decisions.dispatcher import Dispatcher
 from molehill.runtime.kernel import Disk
 from molehill.store import Store
 from tests.ledger import MS, SECOND, R, Wire, category, settings
@@ -49,7 +49,7 @@
 
 
 def bare_core(room=100_000, **given):
-    core = Core(settings(**given), 1, Relay, room)
+    core = Core(settings(**given), 1, Dispatcher, room)
     effects_of(
         core,
         1000 * SECOND,
@@ -111,7 +111,7 @@
     rows = [world.core.classes.rows[world.core.held[i].category] for i in (first, second)]
     assert (
         rows == [it_was, strict]
-        and [world.core.module.held[i].row for i in (first, second)] == rows
+        and [world.core.module.state.held[i].category for i in (first, second)] == rows
     )
     assert world.store.rewrite(world.core.snapshot())
     # as the file of the next start has it
@@ -132,7 +132,7 @@
     world.end(next(iter(world.out)), R.ERROR)
     world.post(ev.Retuned(settings(kinds=KINDS, list_on_request=True, max_launches=1), ["0"]))
     world.step()
-    assert list(world.notices) == [number] and number not in world.core.module.held
+    assert list(world.notices) == [number] and number not in world.core.module.state.held
 
 
 def test_a_client_gone_before_its_answer_has_its_callback_back():
@@ -140,7 +140,7 @@
     effects_of(core, now, ev.Arrived("c", fresh()), ev.Step())
     effects = effects_of(core, now, ev.Unheard("a", "c"), ev.Step())
     assert not any(type(e) in (ev.Call, ev.Notify) for e in effects)
-    assert not core.held and not core.parked and not core.module.held and core.used == 0
+    assert not core.held and not core.parked and not core.module.state.held and core.used == 0
 
 
 def test_a_request_sent_again_on_a_new_connection_is_taken_on_once():
@@ -186,7 +186,7 @@
         core = Core(
             settings(categories=[category("exclusive", abandon=90000, ordered=True)] * 2),
             1,
-            Relay,
+            Dispatcher,
             100_000,
         )
         store.replay(core.load)
@@ -282,7 +282,7 @@
     core, now = bare_core(), 1001 * SECOND
     effects = effects_of(core, now, ev.Arrived("c", fresh()), ev.Unheard("a", "c"), ev.Step())
     assert not any(type(e) in (ev.Call, ev.Answer) for e in effects)
-    assert not core.held and not core.module.held and core.used == 0
+    assert not core.held and not core.module.state.held and core.used == 0
 
 
 def test_what_is_denied_at_once_is_answered_at_the_door_and_not_logged():
@@ -417,12 +417,12 @@
         held.append(world.take())
         world.now += SECOND  # just as many as its share allows
     world.kill()
-    assert not any(world.core.module.held[number].lane[1] for number in held)
+    assert not any(world.core.module.state.held[number].lane[1] for number in held)
     newcomers = [world.take() for _ in range(12)]
     assert [world.answers[number] for number in newcomers].count(503) > 9 and not set(
         world.notices
     ) & set(held)
-    assert set(held) <= set(world.core.held) and len(world.core.module.held) <= 32
+    assert set(held) <= set(world.core.held) and len(world.core.module.state.held) <= 32
 
 
 def test_what_may_go_no_more_after_a_restart_ends_at_once_though_it_is_not_its_turn(tmp_path):
@@ -730,7 +730,7 @@
 def breaking(at):
     """A module that breaks once, at that step."""
 
-    class Breaking(Relay):
+    class Breaking(Dispatcher):
         steps = 0
 
         def step(self, now, events):
@@ -781,9 +781,10 @@
 
 
 def test_a_callback_that_the_module_forgets_is_ended_by_the_core(tmp_path, monkeypatch):
-    class Forgetful(Relay):
-        def _taken(self, new):
-            pass
+    class Forgetful(Dispatcher):
+        def step(self, now, events):
+            kept = [event for event in events if type(event) is not it.NewCallback]
+            return super().step(now, kept)
 
     monkeypatch.setattr(
         "molehill.core.reducer.holds", lambda condition, name, **facts: bool(condition)
@@ -990,7 +991,7 @@
         assert not set(world.owed) - set(
             world.ended
         ), "rule 1: taken on, and neither delivered nor ended"
-        assert not world.core.held and not world.core.module.held and not world.core.owed_keys
+        assert not world.core.held and not world.core.module.state.held and not world.core.owed_keys
         assert (
             world.core.used == 0
             and world.core.open == 0
--- a/tests/test_policy.py
+++ b/tests/test_decisions.py
@@ -1,11 +1,17 @@
 """Plain cases: what each rule and each defence is there for, on the module alone."""
 
+import json
+from pathlib import Path
 from random import Random
 
 import pytest
 
 from molehill import interface as it
-from tests.ledger import MS, SECOND, R, World, category, settings
+from molehill.decisions.dispatcher import Dispatcher
+from molehill.decisions.endpoint import SLOW_START
+from tests.ledger import MS, SECOND, R, World, category, first_endpoint, settings
+
+LEARNT_BY_EARLIER_TEXT = Path(__file__).parent / "data" / "learnt_2026_12_03.json"
 
 
 def feed(world, every, span, result=R.DELIVERED, took=50, **callback):
@@ -36,19 +42,19 @@
     sent = len(world.sent)
     world.advance(499 * MS)
     assert len(world.sent) == sent
-    assert world.relay.h_route[0].limit == 4.0
+    assert first_endpoint(world.relay).limiter.window == 4.0
 
 
 def test_a_latency_that_stays_over_twice_the_best_cuts_the_window_and_an_old_best_expires():
     world = World(settings(slots=100, categories=[category(abandon=60000)]), hosts=((1, 0, 0, 1),))
     feed(world, 100, 4000, took=50)
-    limiter = world.relay.h_route[0]
-    grown = limiter.limit
+    limiter = first_endpoint(world.relay).limiter
+    grown = limiter.window
     feed(world, 300, 6000, took=290)
-    cut = limiter.limit
+    cut = limiter.window
     assert cut < grown / 2
     feed(world, 300, 15000, took=290)
-    assert limiter.limit > cut + 2
+    assert limiter.window > cut + 2
 
 
 def test_slot_share_leaves_slots_for_other_destinations_while_one_hangs():
@@ -340,7 +346,10 @@
     drains = world.out[number][0]
     world.answer(number, R.FULL)  # before the list tells
     world.advance(100 * MS)
-    assert world.out[number][0] != drains and world.relay.dests[1].limiter.paused <= world.now
+    assert (
+        world.out[number][0] != drains
+        and world.relay.state.destinations[1].limiter.paused_until <= world.now
+    )
 
 
 @pytest.mark.parametrize("wait", [0, 2 * SECOND])
@@ -353,9 +362,9 @@
             world.advance(10 * MS)
         world.answer(number, R.FULL, wait if n == 3 else 0, told=(50.0, 0.0))
     told_until = world.now + wait
-    assert world.relay.dests[1].limiter.paused > told_until + 100 * MS
+    assert world.relay.state.destinations[1].limiter.paused_until > told_until + 100 * MS
     world.step([world.news(it.Scope.UPDATE, [it.HostEntry(2, 0, 0, 1, it.Condition.UP, 1.0)])])
-    assert world.relay.dests[1].limiter.paused == told_until
+    assert world.relay.state.destinations[1].limiter.paused_until == told_until
 
 
 @pytest.mark.parametrize(
@@ -364,10 +373,10 @@
 def test_a_refusal_teaches_no_pace_where_allowances_are_told_and_none_was(tells, told, paced):
     world = World(settings(tells_limit=tells), hosts=((1, 0, 0, 1),))
     feed(world, 100, 1000)
-    world.relay.h_route[0].told = told
+    first_endpoint(world.relay).limiter.told_rate = told
     world.take()
     world.answer(next(iter(world.out)), R.FULL)  # as of a host that drains
-    assert bool(world.relay.h_route[0].pace) == paced
+    assert bool(first_endpoint(world.relay).limiter.learnt_rate) == paced
 
 
 def test_short_of_slots_the_quick_destination_goes_first():
@@ -436,21 +445,26 @@
         world.answer(next(iter(world.out)))
         world.advance(4 * SECOND)
     assert (
-        len(relay.h_id) == len(relay.rows[-1]) <= 12 and len(relay.dests) <= 12
+        len(relay.state.endpoints) <= 12 and len(relay.state.destinations) <= 12
     ), "half a minute's worth"
     world.take(destination=39)
     tell((39, 39, it.Condition.GONE))
     world.advance(31 * SECOND)
-    assert 39 in relay.hosts, "a call is out there"
+    assert 39 in relay.state.endpoints, "a call is out there"
     world.answer(next(iter(world.out)))
     world.advance(31 * SECOND)
-    assert not relay.hosts and not relay.dests and not relay.held and not relay.keys
+    assert (
+        not relay.state.endpoints
+        and not relay.state.destinations
+        and not relay.state.held
+        and not relay.lifecycle.keys
+    )
     tell((50, 7, it.Condition.UP))
-    relay.h_state[relay.hosts[50]] = "closed"
+    relay.state.endpoints[50].state = "closed"
     tell((50, 7, it.Condition.GONE))
     world.advance(10 * SECOND)
     tell((50, 7, it.Condition.UP))
-    assert relay.h_state[relay.hosts[50]] == "closed" and len(relay.h_id) <= 12
+    assert relay.state.endpoints[50].state == "closed" and len(relay.state.endpoints) == 1
 
 
 def test_a_destination_that_no_list_ever_named_is_denied_at_once_and_leaves_no_row():
@@ -459,8 +473,8 @@
     assert (
         number in world.final
         and not world.sent
-        and 77 not in world.relay.dests
-        and not world.relay.held
+        and 77 not in world.relay.state.destinations
+        and not world.relay.state.held
     )
 
 
@@ -469,7 +483,11 @@
     for _ in range(12):
         world.take()
     world.answer(min(world.out))
-    assert len(world.out) == 10 and world.relay.out == 2 and world.relay.dests[1].waiting == 1
+    assert (
+        len(world.out) == 10
+        and world.relay.state.calls_out == 2
+        and world.relay.state.destinations[1].waiting == 1
+    )
 
 
 def test_idle_connections_are_given_back_once_one_was_turned_away_for_some_calls_only():
@@ -490,12 +508,15 @@
         hosts=((1, 0, 0, 1),),
     )
     feed(world, 100, 2000)
-    limiter = world.relay.h_route[0]
-    before = limiter.limit
-    world.relay.h_free[0] = world.now - 50 * MS if kept else -60 * SECOND
+    limiter = first_endpoint(world.relay).limiter
+    before = limiter.window
+    first_endpoint(world.relay).idle_since = world.now - 50 * MS if kept else -60 * SECOND
     world.answer(world.take(), R.RESET)
     assert (
-        (limiter.limit == before) == (limiter.rounds == 0) == (world.relay.h_bad[0] == 0.0) == kept
+        (limiter.window == before)
+        == (limiter.bad_rounds == 0)
+        == (first_endpoint(world.relay).failure_share == 0.0)
+        == kept
     )
 
 
@@ -587,7 +608,7 @@
     world.advance(1900 * MS)
     assert number in world.out
     world.advance(200 * MS)
-    assert number in world.final and not world.relay.out
+    assert number in world.final and not world.relay.state.calls_out
 
 
 def test_where_refusals_use_a_told_limit_up_tries_grow_seldom_till_one_is_taken():
@@ -617,8 +638,8 @@
     world = World(settings(slots=100, categories=[category(ordered=True)]), hosts=((1, 0, 0, 1),))
     world.take(key="a")
     other = world.take(key="c")
-    limiter = world.relay.h_route[0]
-    limiter.smooth = limiter.now_best = 200 * MS
+    limiter = first_endpoint(world.relay).limiter
+    limiter.latency = limiter.best = 200 * MS
     world.advance(5 * MS)
     late, due = 99, world.now + 185 * MS
     world.open[late] = dict(row=world.set.categories[0], key="a", due=due, launches=[])
@@ -627,3 +648,12 @@
     assert late in world.open
     world.advance(190 * MS)
     assert late in world.final
+
+
+def test_what_an_earlier_text_had_measured_is_taken_over_whole():
+    rows = json.loads(LEARNT_BY_EARLIER_TEXT.read_text(encoding="utf-8"))
+    module = Dispatcher(settings(kinds=[it.Kind(True, 1)]), 1)
+    entry = it.HostEntry("h1", 0, 0, 3, it.Condition.UP, 0.0)
+    module.step(3 * SECOND, [it.ListNews(it.Scope.WHOLE, [entry]), it.Learnt(rows)])
+    assert module.learnt() == rows
+    assert first_endpoint(module).state is SLOW_START
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -433,8 +433,8 @@
     held, module = place.relay.core.held["id1"], place.relay.core.module
     assert (
         held.launches == (held.sent is not None)
-        and module.h_state == ["open"]
-        and module.h_bad == [0.0]
+        and [endpoint.state for endpoint in module.state.endpoints.values()] == ["open"]
+        and [endpoint.failure_share for endpoint in module.state.endpoints.values()] == [0.0]
     )
     assert 2 <= len(tries) <= 30, "tried again, and not as fast as it fails"
     place.advance(500 * MS)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -112,7 +112,8 @@
     def teardown(self):
         if hasattr(self, "world"):
             self.world.advance(30_000 * MS)
-            assert not self.world.open and not self.world.relay.held and not self.world.relay.keys
+            module = self.world.relay
+            assert not self.world.open and not module.state.held and not module.lifecycle.keys
 
 
 Days.TestCase.settings = profile(
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -13,7 +13,7 @@
 from molehill.runtime.kernel import Kernel
 from molehill.runtime.log import Sink
 from molehill.runtime.stream import Broken
-from tests.ledger import MS, SECOND, drain
+from tests.ledger import MS, SECOND, drain, first_endpoint
 from tests.place import Place
 
 ASK = b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: %s\r\nX-Consignee: dest=3\r\nCookie: subject=k\r\nContent-Length: 2\r\n\r\nab"
@@ -127,16 +127,21 @@
         two.client((ASK % (b"id4", b"plain"))[:-1]),
         two.client(),
     )
-    limiter = two.old.core.module.h_route[0]
-    limiter.limit = 2.5
+    limiter = first_endpoint(two.old.core.module).limiter
+    limiter.window = 2.5
     new = two.succeed(two.start())
     assert (
         two.old.given
         and not two.old.can_serve()
         and new.can_serve()
-        and new.core.module.h_route[0].limit == 2.5
+        and first_endpoint(new.core.module).limiter.window == 2.5
     )
-    assert new.core.module.out == 2 and sorted(new.core.held) == ["id0", "id1", "id2", "id3"]
+    assert new.core.module.state.calls_out == 2 and sorted(new.core.held) == [
+        "id0",
+        "id1",
+        "id2",
+        "id3",
+    ]
     for sock, rest in ((hosts[0], DONE[20:]), (hosts[1], DONE[-1:])):
         assert drain(sock) == b"", "no connection is closed and nothing is written again"
         sock.send(rest)
@@ -254,7 +259,7 @@
     two.old.on_signal(1)
     new = two.succeed(start)
     assert (
-        new.core.set.max_launches == 2 == new.core.module.set.max_launches
+        new.core.set.max_launches == 2 == new.core.module.state.settings.max_launches
         and new.config.categories == {"notice": 0}
     )
     assert b"400" in drain(two.client(ASK % (b"id0", b"plain"))) and b"202" in drain(
