Soak: a run with findings keeps all that the rig saw, in its folder

Change: history.txt beside the relay's log, only where something was found. Ruled out: printing it all, tens of thousands of lines.

--- a/molehill/soak/rig.py
+++ b/molehill/soak/rig.py
@@ -309,8 +309,13 @@
 
 
 def play(plan: Plan, folder: Path, mistake: str = "") -> tuple[list, History]:
-    """Plays the plan; its findings and its history. `folder` is made anew, and keeps the relay's log and files. Raises NotPlayed."""
+    """Plays the plan; its findings and its history. `folder` is made anew, and keeps the relay's log and files, and where there are
+    findings all that the rig saw. Raises NotPlayed."""
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
     run = Run(plan, folder, mistake)
-    return asyncio.run(run.play()), run.history
+    findings = asyncio.run(run.play())
+    if findings:
+        lines = [*findings, *run.history.events]
+        (folder / "history.txt").write_text("\n".join(map(str, lines)), encoding="utf-8")
+    return findings, run.history
