Soak: what should have come while the rig itself stood still is void

By the relay's trace it did nothing for 937 ms, in the middle of a turn; and of 40 clients that hang up after 0.4 s without an answer, most had not, so the rig stood still with it. The rig tells that it was late as it notices, and a finding was void from that moment on only: the time that was missed lies before it, within the standstill. Change: a finding is void if a time that it rests on falls into the rig's standstill or close behind it; an end that came late rests on its time due and the time it came.

--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -8,8 +8,8 @@
 from molehill.http.stream import HttpStream
 from molehill.runtime.kernel import Disk, Kernel
 from molehill.soak import rig
-from molehill.soak.history import Answered, Call, HandedIn, History, Notice, Process
-from molehill.soak.oracle import sent_after_end
+from molehill.soak.history import Answered, Call, HandedIn, History, Notice, Process, RigLate
+from molehill.soak.oracle import judge, sent_after_end
 from molehill.soak.plan import HOSTS, Drain, End, Outage, Plan, drawn
 from tests.ledger import MS, SECOND, drain
 from tests.place import ASK, Place, kill
@@ -249,3 +249,14 @@
         Call(14.5, "a", "h0-0", 10.5, 0.6, 10.5, True),
     ]
     assert len(sent_after_end(history)) == found
+
+
+@pytest.mark.parametrize("late, void", [(0.9, True), (0.02, False), (None, False)])
+def test_an_end_that_came_while_the_rig_stood_still_is_not_found_late(late, void):
+    """Danger: both stand still at once, and the time that was missed lies before the moment in which the rig notices."""
+    history = History()
+    history.events = [HandedIn(8.0, "a", "idempotent", 0.1), Answered(8.01, "a", 202)]
+    if late is not None:
+        history.events.append(RigLate(8.9, late))
+    history.events += [Notice(8.92, "a", "dead"), Process(20.0, "SIGKILL")]
+    assert [found.void for found in judge(history)] == [void]
