--- a/molehill/core/recovery.py
+++ b/molehill/core/recovery.py
@@ -99,7 +99,7 @@
 
     def _load_done(self, record):
         for number, told in record["ids"]:
-            self.core.done[number] = bytes.fromhex(told) if told else None
+            self.core.done.add(number, bytes.fromhex(told) if told else None)
 
     def _load_rest(self, record):
         self.core.rests[record["key"]] = record["until"]
@@ -155,8 +155,8 @@
         yield record, b""
     for key, until in core.rests.items():
         yield {"k": "rest", "key": key, "until": until}, b""
-    for host, until in core.away.items():
-        if core.is_away(host):
+    for host, until in core.hosts.away.items():
+        if core.hosts.is_away(host, core.now):
             at = until and until - (core.set.ramp_time or 0)
             yield {"k": "health", "host": host, "away": until is None, "at": at}, b""
     if core.told.version is not None:
@@ -173,7 +173,7 @@
     """Danger: forgotten with the log that told of them, a request that its client sends once more after a restart is taken
     on anew."""
     rows, room = [], core.log_room // DONE_PART
-    for number, contents in reversed(core.done.items()):
+    for number, contents in core.done.newest_first():
         room -= len(number) + DONE_ROOM
         if room < 0:
             break
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -6,13 +6,13 @@
 key ended by a notice that the platform has not answered.
 """
 
-from collections import Counter, OrderedDict
+from collections import Counter
 from dataclasses import replace
 from heapq import heappop, heappush
 from typing import Optional
 
 from molehill import interface as it
-from molehill.config import CONNECT_TIME_OUT, MS, SECOND
+from molehill.config import CONNECT_TIME_OUT, MS
 from molehill.core import events as ev
 from molehill.core import permission, recovery
 from molehill.core.callback import ARRIVED, HELD, NEXT, OVER, OWED, TAKEN, Callback, PendingCall
@@ -20,18 +20,23 @@
 from molehill.core.figures import DELIVERED, FAULTED, THROTTLED, Figures
 from molehill.core.final_notices import FinalNotices
 from molehill.core.host_list import ToldList
+from molehill.core.host_table import HostTable
 from molehill.core.permission import Refusal
+from molehill.core.recent_ids import RecentIds
 from molehill.holds import holds
 from molehill.interface import Result
 
 TAKEN_ON, DENIED, FAILED = 202, 503, 500  # answers to clients
 
 
+# ids lately over, by which a request sent again is known: minutes of traffic
+DONE_KEPT = 4096
+# ids lately refused or failed before they were taken on: longer than a copy is on its way
+REFUSED_KEPT = 1024
+
+
 class Core:
-    # ids lately over, by which a request sent again is known: minutes of traffic
-    DONE_KEPT = 4096
-    # ids lately refused or failed before they were taken on: longer than a copy is on its way
-    REFUSED_KEPT = 1024
+    """One relay's callbacks, calls and hosts. `reduce` is the one way in but for the log's records at a start."""
 
     def __init__(
         self, settings, seed, make_module, log_room, names=None, connect_time_out=CONNECT_TIME_OUT
@@ -51,9 +56,8 @@
         self.module, self.inbox, self.now, self.effects = make_module(self.set, seed), [], 0, []
         self.held: dict[str, Callback] = {}  # in the order in which they were handed in
         self.used, self.open = 0, 0  # log bytes taken up; callbacks the module has
-        self.done: OrderedDict[str, object] = OrderedDict()  # id lately over -> its contents
-        # id -> its contents and the answer that it got
-        self.refused: OrderedDict[str, tuple[object, int]] = OrderedDict()
+        self.done = RecentIds(DONE_KEPT)  # id lately over -> its contents
+        self.refused = RecentIds(REFUSED_KEPT)  # id -> its contents and the answer that it got
         self.calls, self.parked, self.serial = {}, {}, 0
         self.owed_keys: dict[str, int] = {}
         # those that go in turn and are not over, in the order of hand-in
@@ -63,13 +67,7 @@
         self.rests: dict[str, int] = {}
         # while the log is read: keys with a launch whose end it does not tell
         self.unsettled: dict[str, bool] = {}
-        self.hosts: dict[str, ev.Host] = {}
-        self.waits: dict[object, int] = {}  # route -> end of a told wait
-        # host -> None while closed, then when its ramp is over
-        self.away: dict[str, object] = {}
-        self.left: dict[str, int] = {}  # host that is not listed -> since when
-        # host that is listed -> how it counts in the gauges
-        self.shown: dict[str, tuple[bool, bool]] = {}
+        self.hosts = HostTable(self.figures)
         self.guards, self.wake_at, self.stop_at = [], None, None
         # no call is begun; calls that an earlier process wrote, by number
         self.held_back, self.under = False, {}
@@ -140,25 +138,9 @@
         return recovery.snapshot(self)
 
     def set_health(self, host, away, at):
-        """Rule 4 over restarts: a host is away from its closing until it has answered for the whole ramp."""
-        self.away[host] = None if away else at + (self.set.ramp_time or 0)
-        self._show(host)
-
-    def _show(self, number):
-        """Keeps the gauges of the list: what of this host counts in them now."""
-        host = self.hosts.get(number)
-        listed = host is not None and host.condition is not it.Condition.GONE
-        avoided = listed and (
-            host.condition is not it.Condition.UP or self.away.get(number, 0) is None
-        )
-        before, self.shown[number] = self.shown.get(number, (False, False)), (listed, avoided)
-        self.figures.registry_entries += listed - before[0]
-        self.figures.out_of_rotation += avoided - before[1]
-        if not listed:
-            del self.shown[number]
-
-    def is_away(self, host):
-        return host in self.away and (self.away[host] is None or self.now < self.away[host])
+        """It was closed, or answers again since `at`."""
+        ramp_over = None if away else at + (self.set.ramp_time or 0)
+        self.hosts.set_health(host, ramp_over)
 
     def known(self, ids):
         return [self.held[number] for number in ids if number in self.held]
@@ -195,9 +177,7 @@
                 if not line:
                     del self.by_key[key]
             if before in (HELD, OWED):
-                self.done[callback.id] = callback.contents
-            while len(self.done) > self.DONE_KEPT:
-                self.done.popitem(last=False)
+                self.done.add(callback.id, callback.contents)
 
     # half of what the rules leave between the abandon time and a lost callback
     GUARD = 150 * MS
@@ -205,41 +185,41 @@
     def _arrived(self, event):
         fresh, contents = event.fresh, event.fresh.contents()
         known = self.held.get(fresh.id)
+        its_contents = known.contents if known is not None else self.done.get(fresh.id)
         # Danger: a stranger uses an id that is not its own, before or after the true request. Told "taken on" for what it
         # did not hand in, a client goes on with its key's next. Refused, either may come again under a new id.
-        if (
-            contents
-            != (known.contents if known is not None else self.done.get(fresh.id))
-            is not None
-        ):
+        if its_contents is not None and its_contents != contents:
             self._count(fresh, THROTTLED)
             self.effects.append(ev.Answer(event.client, fresh.id, DENIED, why="id of another"))
-        elif known is not None and known.state in (ARRIVED, TAKEN):
-            # sent again on a new connection: both get the answer
-            known.clients.append(event.client)
-            if known.state is TAKEN:
-                self.effects.append(ev.Answer(event.client, fresh.id, TAKEN_ON))
-        elif known is not None or fresh.id in self.done:
+        elif known is not None:
+            self._copy_arrived(known, event.client)
+        elif fresh.id in self.done:
             self.effects.append(ev.Answer(event.client, fresh.id, TAKEN_ON))
         # Danger: a copy of what had its final answer is taken on, and sent on behind that.
-        elif fresh.id in self.refused and self.refused[fresh.id][0] == contents:
-            status = self.refused[fresh.id][1]
-            self.effects.append(ev.Answer(event.client, fresh.id, status, why="refused before"))
+        elif (refused := self.refused.get(fresh.id)) is not None and refused[0] == contents:
+            answer = ev.Answer(event.client, fresh.id, refused[1], why="refused before")
+            self.effects.append(answer)
         else:
-            callback = Callback(fresh, contents)
-            if (
-                self.set.max_held is not None
-                and self.open >= self.set.max_held
-                or self.used + self.told.room + callback.room > self.log_room
-            ):
-                self._count(callback, THROTTLED)
-                self._remember_refusal(callback, DENIED)
-                self.effects.append(ev.Answer(event.client, fresh.id, DENIED))
-                return
-            self.held[fresh.id] = callback
-            callback.clients.append(event.client)
-            self.move(callback, ARRIVED)
-            self._hand_over(callback)
+            self._new_arrived(Callback(fresh, contents), event.client)
+
+    def _copy_arrived(self, known, client):
+        """It was sent again on a new connection: both get the answer."""
+        if known.state in (ARRIVED, TAKEN):
+            known.clients.append(client)
+        if known.state is not ARRIVED:
+            self.effects.append(ev.Answer(client, known.id, TAKEN_ON))
+
+    def _new_arrived(self, callback, client):
+        full = self.set.max_held is not None and self.open >= self.set.max_held
+        if full or self.used + self.told.room + callback.room > self.log_room:
+            self._count(callback, THROTTLED)
+            self.refused.add(callback.id, (callback.contents, DENIED))
+            self.effects.append(ev.Answer(client, callback.id, DENIED))
+            return
+        self.held[callback.id] = callback
+        callback.clients.append(client)
+        self.move(callback, ARRIVED)
+        self._hand_over(callback)
 
     def _answer(self, callback, status, wait=0):
         """To every connection on which it was handed in."""
@@ -247,11 +227,6 @@
             ev.Answer(client, callback.id, status, wait) for client in callback.clients
         ]
 
-    def _remember_refusal(self, callback, status):
-        self.refused[callback.id] = callback.contents, status
-        while len(self.refused) > self.REFUSED_KEPT:
-            self.refused.popitem(last=False)
-
     def _count(self, c, end):
         """Each callback's end is counted here, once, whatever comes of it later."""
         self.figures.ends[self.classes.names[c.category]][end] += 1
@@ -324,7 +299,7 @@
                 callback = self.held[record["id"]]
                 self._count(callback, THROTTLED)
                 self._answer(callback, DENIED)
-                self._remember_refusal(callback, DENIED)
+                self.refused.add(callback.id, (callback.contents, DENIED))
                 self._withdraw(callback, logged=False)
             elif record["k"] == "launch":
                 out = self.calls.get(record["call"])
@@ -367,7 +342,7 @@
         if callback.state is ARRIVED:
             status = DENIED if denied else FAILED
             self._answer(callback, status, wait)
-            self._remember_refusal(callback, status)
+            self.refused.add(callback.id, (callback.contents, status))
             self.move(callback, OVER)
             return
         callback.denied, callback.wait = denied, wait
@@ -398,41 +373,53 @@
         actions = self.module.step(now, batch)
         ended = {a.callback for a in actions if type(a) in (it.Reject, it.Fail)}
         for event in batch:
-            callback = self.held.get(event.callback) if type(event) is it.NewCallback else None
-            if callback is not None and callback.state is ARRIVED and callback.id not in ended:
-                self._log("taken", callback.body, **recovery.as_handed_in(callback))
-                self.move(callback, TAKEN)
-                self._answer(callback, TAKEN_ON)
-        groups = {}
+            if type(event) is it.NewCallback and event.callback not in ended:
+                self._take_on(event.callback)
         for action in actions:
-            if type(action) is it.Launch:
-                groups.setdefault(action.host, []).append((action.callback, action.time_out))
-            elif type(action) is it.Wake:
-                self.wake_at = now + action.span
-            elif type(action) is it.FollowList:
-                self.effects.append(ev.Watch())
-            elif type(action) is it.CloseIdle:
-                self.effects.append(ev.CloseIdle(action.host))
-            elif type(action) is it.Health:
-                self.set_health(action.host, action.away, now)
-                self._log("health", host=action.host, away=action.away, at=now)
-                self.effects.append(ev.Say(action.text))
-            elif action.callback in self.held:
-                self._end_callback(
-                    self.held[action.callback],
-                    type(action) is it.Reject,
-                    action.come_back if type(action) is it.Reject else 0,
-                )
-        for host, launches in groups.items():
-            size = self._kind(self.hosts[host]).per_call
-            for at in range(0, len(launches), size):
-                self.serial += 1
-                self.parked[self.serial] = PendingCall(
-                    self.serial, host, launches[at : at + size], now
-                )
+            self._carry_out(action)
+        launches = [action for action in actions if type(action) is it.Launch]
+        self._park(launches)
         self._release()
         self._guard()
 
+    def _take_on(self, number):
+        """The module keeps it: the client is told once that is logged."""
+        callback = self.held.get(number)
+        if callback is not None and callback.state is ARRIVED:
+            self._log("taken", callback.body, **recovery.as_handed_in(callback))
+            self.move(callback, TAKEN)
+            self._answer(callback, TAKEN_ON)
+
+    def _carry_out(self, action):
+        """One action of the module that is no launch."""
+        kind = type(action)
+        if kind is it.Wake:
+            self.wake_at = self.now + action.span
+        elif kind is it.FollowList:
+            self.effects.append(ev.Watch())
+        elif kind is it.CloseIdle:
+            self.effects.append(ev.CloseIdle(action.host))
+        elif kind is it.Health:
+            self.set_health(action.host, action.away, self.now)
+            self._log("health", host=action.host, away=action.away, at=self.now)
+            self.effects.append(ev.Say(action.text))
+        elif kind in (it.Reject, it.Fail) and action.callback in self.held:
+            denied = kind is it.Reject
+            wait = action.come_back if denied else 0
+            self._end_callback(self.held[action.callback], denied, wait)
+
+    def _park(self, launches):
+        """Launches become calls, as many callbacks in each as its host takes."""
+        by_host = {}
+        for launch in launches:
+            by_host.setdefault(launch.host, []).append((launch.callback, launch.time_out))
+        for host, spans in by_host.items():
+            size = self._kind(self.hosts[host]).per_call
+            for at in range(0, len(spans), size):
+                self.serial += 1
+                call = PendingCall(self.serial, host, spans[at : at + size], self.now)
+                self.parked[self.serial] = call
+
     def _kind(self, host):
         return self.set.kinds[host.kind] if host.kind < len(self.set.kinds) else it.Kind(False, 1)
 
@@ -556,7 +543,7 @@
 
     def _of_host(self, callback, host, now) -> Optional[Refusal]:
         return permission.of_route(
-            host, self.waits.get(self._route(host), 0), now
+            host, self.hosts.waits.get(self._route(host), 0), now
         ) or permission.of_repeat(callback, self.set.categories[callback.category], now)
 
     def refusal(self, number, now) -> Optional[Refusal]:
@@ -621,8 +608,7 @@
         if end.why is not None:
             self._not_sent(end.id, out.host, self._reason(end))
         if end.wait:
-            route = self._route(self.hosts[out.host])
-            self.waits[route] = max(self.waits.get(route, 0), self.now + end.wait)
+            self.hosts.add_wait(self._route(self.hosts[out.host]), self.now + end.wait)
         callback = self.held.get(end.id)
         if callback is None or callback.call != out.number:
             self._tell_outcome(out, end, event, closed=True, launches=1)
@@ -674,17 +660,10 @@
             # before anything of it is acted on; danger: the next process knows only what is written
             if changed:
                 self._log("list", **self.told.record(changed))
-            if event.scope is not it.Scope.UPDATE:
-                named = {host.id for host in event.hosts}
-                for host in [host for host in self.hosts.values() if host.id not in named]:
-                    host.condition = it.Condition.GONE
-                    self._show(host.id)
-            for host in event.hosts:
-                before, self.hosts[host.id] = self.hosts.get(host.id, host), host
-                if host.condition is it.Condition.GONE or before.address != host.address:
-                    self.effects.append(ev.CloseIdle(host.id))
-                self._show(host.id)
-        self._forget_hosts()
+            useless = self.hosts.take_list(event.hosts, whole)
+            self.effects += [ev.CloseIdle(host) for host in useless]
+        busy = {out.host for out in (*self.calls.values(), *self.parked.values())}
+        self.hosts.forget(busy, self.now)
         if event.scope is not it.Scope.RESTORED and self.list_by is not None:
             self.list_by = None
             self._release()
@@ -699,29 +678,13 @@
                         h.destination,
                         h.condition,
                         h.units,
-                        self.is_away(h.id),
+                        self.hosts.is_away(h.id, self.now),
                     )
                     for h in event.hosts
                 ],
             )
         )
 
-    # longer than any gap in the list: a host that is back sooner is the one known
-    LEFT_KEPT = 60 * SECOND
-
-    def _forget_hosts(self):
-        """Drops what is kept of hosts that left long ago and have no call out; waits and ramps that are over."""
-        busy = {out.host for out in (*self.calls.values(), *self.parked.values())}
-        for host in [*self.hosts, *self.away]:
-            known = self.hosts.get(host)
-            if host in busy or known is not None and known.condition is not it.Condition.GONE:
-                self.left.pop(host, None)
-            elif self.now - self.left.setdefault(host, self.now) > self.LEFT_KEPT:
-                for rows in (self.hosts, self.away, self.left):
-                    rows.pop(host, None)
-        self.waits = {route: until for route, until in self.waits.items() if until > self.now}
-        self.away = {host: until for host, until in self.away.items() if self.is_away(host)}
-
     def _retuned(self, event):
         """New settings. What is held keeps its category, also over a restart; the module hears of it with the next step."""
         self.classes.renew(
@@ -776,7 +739,7 @@
 
     def estate(self):
         """What the log does not tell, for `Inherited` in the next process, as plain data."""
-        return {"waits": list(self.waits.items())}, self.module.learnt()
+        return {"waits": list(self.hosts.waits.items())}, self.module.learnt()
 
     def _inherited(self, event):
         """Danger: a call that goes on with the next process, taken for ended, has its callback run twice."""
@@ -802,7 +765,7 @@
                 ends=[[c.id, Result.NOT_SENT.value, False, True] for c in unsent],
                 at=self.now,
             )
-        self.waits.update(event.waits)
+        self.hosts.waits.update(event.waits)
         self.inbox.append(it.Learnt(event.learnt))
 
     def _start_again(self):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -805,19 +805,19 @@
             (f"n{number - 1}", it.Condition.GONE),
             (f"n{number}", it.Condition.UP),
         ):
-            core.waits[name], core.away[name] = now + 1, now + SECOND
+            core.hosts.waits[name], core.hosts.away[name] = now + 1, now + SECOND
             core.reduce(
                 now,
                 ev.Listed(
                     it.Scope.UPDATE, [ev.Host(name, ("127.0.0.1", 1), 0, 0, 2, condition, 1.0)]
                 ),
             )
-        core.away["never listed"] = None
+        core.hosts.away["never listed"] = None
     assert (
         len(core.hosts) <= 16
-        and len(core.left) <= 16
-        and len(core.away) <= 3
-        and len(core.waits) <= 3
+        and len(core.hosts.left) <= 16
+        and len(core.hosts.away) <= 3
+        and len(core.hosts.waits) <= 3
     )
     assert "h1" in core.hosts
     effects_of(
@@ -836,7 +836,7 @@
         ev.Step(),
     )
     core.reduce(now + 162 * SECOND, ev.Listed(it.Scope.UPDATE, []))
-    assert "h1" not in core.hosts and "never listed" not in core.away
+    assert "h1" not in core.hosts and "never listed" not in core.hosts.away
 
 
 def test_a_record_that_stands_twice_in_the_log_counts_once():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -280,7 +280,7 @@
         if meanwhile == "time up":
             place.clock.now += 5 * SECOND
         elif meanwhile == "told to wait":
-            core.waits[core._route(core.hosts["h1"])] = place.clock.now + 3 * SECOND
+            core.hosts.waits[core._route(core.hosts["h1"])] = place.clock.now + 3 * SECOND
         else:
             hosts = (
                 []
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -385,7 +385,10 @@
     client = place.client()
     hand_in(place, client, b"id1")
     place.hear(place.accept(place.host), b"\r\n\r\nab")
-    place.relay.core.rests["k"], place.relay.core.away["h1"] = place.clock.now, place.clock.now
+    place.relay.core.rests["k"], place.relay.core.hosts.away["h1"] = (
+        place.clock.now,
+        place.clock.now,
+    )
     for record, _ in place.relay.core.snapshot():
         moved = clock.to_log(record)
         assert clock.from_log(moved) == record
