--- a/molehill/decisions/admission.py
+++ b/molehill/decisions/admission.py
@@ -16,7 +16,7 @@
 class Admission:
     """Takes callbacks on."""
 
-    def __init__(self, state: State, lifecycle: Lifecycle):
+    def __init__(self, state: State, lifecycle: Lifecycle) -> None:
         self.state, self.lifecycle = state, lifecycle
         self.quotas = TenantQuotas(len(state.settings.tenants))
         self.joined: dict[int, Attempt] = {}  # calls of an earlier process, as told in this step
--- a/molehill/decisions/dispatcher.py
+++ b/molehill/decisions/dispatcher.py
@@ -22,7 +22,7 @@
 class Dispatcher:
     """The decisions of one relay."""
 
-    def __init__(self, settings: it.Settings, seed):
+    def __init__(self, settings: it.Settings, seed: it.Id) -> None:
         self.state = State(settings, seed)
         self.lifecycle = Lifecycle(self.state)
         self.admission = Admission(self.state, self.lifecycle)
--- a/molehill/decisions/endpoint.py
+++ b/molehill/decisions/endpoint.py
@@ -1,5 +1,6 @@
 """What is kept of an endpoint, of its destination, and of a call that is out. Times are nanoseconds of the relay's clock."""
 
+from molehill import interface as it
 from molehill.decisions.limiter import SECOND, Limiter
 
 # OPEN: fed by the window alone; CLOSED: ejected, one trial at a time; SLOW_START: back, fed under the budget of slow start.
@@ -42,7 +43,9 @@
         "h_failing": "failing_since",
     }
 
-    def __init__(self, entry, per_call: int, kind: int, limiter: Limiter, state: str, now: int):
+    def __init__(
+        self, entry: it.HostEntry, per_call: int, kind: int, limiter: Limiter, state: str, now: int
+    ) -> None:
         self.id = entry.host
         self.zone = entry.zone
         self.destination = entry.destination  # its number
@@ -85,7 +88,7 @@
 
     __slots__ = ("endpoint", "callbacks", "sent", "judged", "time_out", "idle")
 
-    def __init__(self, endpoint: Endpoint, sent: int, time_out: int, idle: int = 0):
+    def __init__(self, endpoint: Endpoint, sent: int, time_out: int, idle: int = 0) -> None:
         self.endpoint = endpoint
         self.callbacks = 0  # that have no outcome yet
         self.sent, self.time_out = sent, time_out
@@ -96,7 +99,7 @@
 class Destination:
     """A group of endpoints that may each take its callbacks."""
 
-    def __init__(self, now: int):
+    def __init__(self, now: int) -> None:
         self.endpoints: list[Endpoint] = []  # those listed as serving
         self.lanes: dict = {}  # heaps of what is queued, by what may go in place of one another
         self.limiter = Limiter(now)
--- a/molehill/decisions/endpoint_health.py
+++ b/molehill/decisions/endpoint_health.py
@@ -15,7 +15,7 @@
 class EndpointHealth:
     """Judges endpoints by the outcomes of their calls."""
 
-    def __init__(self, state: State):
+    def __init__(self, state: State) -> None:
         self.state = state
 
     def judge(self, attempt: Attempt, event: it.Outcome) -> None:
--- a/molehill/decisions/endpoint_list.py
+++ b/molehill/decisions/endpoint_list.py
@@ -1,7 +1,7 @@
 """The list of endpoints as discovery tells it: who serves, who drains, and when what left is forgotten."""
 
 from molehill import interface as it
-from molehill.decisions.endpoint import CLOSED, OPEN, Endpoint
+from molehill.decisions.endpoint import CLOSED, OPEN, Destination, Endpoint
 from molehill.decisions.limiter import SECOND, Limiter
 from molehill.decisions.state import State
 
@@ -19,7 +19,7 @@
 class EndpointList:
     """Keeps the state's endpoints and destinations as listed."""
 
-    def __init__(self, state: State, kinds: int):
+    def __init__(self, state: State, kinds: int) -> None:
         """`kinds`: how many are told apart."""
         self.state, self.kinds = state, kinds
 
@@ -42,7 +42,7 @@
                 endpoint.limiter.told_rate = entry.units
             self._set_serving(endpoint, entry.condition is it.Condition.UP)
 
-    def _follow(self, _) -> None:
+    def _follow(self, _: None) -> None:
         self.state.actions.append(it.FollowList())
 
     def _add(self, entry: it.HostEntry) -> Endpoint:
@@ -69,7 +69,7 @@
         if not up:
             state.at(state.now + FORGOTTEN_AFTER, self._forget, endpoint.id)
 
-    def _changed(self, endpoint: Endpoint, destination) -> None:
+    def _changed(self, endpoint: Endpoint, destination: Destination) -> None:
         state, number = self.state, endpoint.destination
         if endpoint.up:
             destination.endpoints.append(endpoint)
--- a/molehill/decisions/idle_connections.py
+++ b/molehill/decisions/idle_connections.py
@@ -1,5 +1,6 @@
 """Idle connections: for which kinds of endpoints none is kept, and which are too old to be used."""
 
+from molehill.decisions.endpoint import Attempt
 from molehill.interface import Result
 
 # calls: seconds of a small relay's, as a crowd takes to thin; each a handshake dearer
@@ -15,7 +16,7 @@
     # what is handed over to the next process: the row's key -> the field
     HANDED_OVER = {"worn_span": "suspect_span", "worn": "lost_when_idle", "new": "lost_when_new"}
 
-    def __init__(self, kinds: int, kept_for: int):
+    def __init__(self, kinds: int, kept_for: int) -> None:
         self.scarce = [0] * max(1, kinds)  # by kind: calls for which no idle connection is kept
         self.suspect_span = kept_for  # idle for so long, a connection may be gone unseen
         # share of calls that were lost, smoothed: on connections idle for longer, and on new ones
@@ -42,7 +43,7 @@
         )
         return self.scarce[kind] > 0
 
-    def count_loss(self, attempt, result: Result, took: int) -> None:
+    def count_loss(self, attempt: Attempt, result: Result, took: int) -> None:
         """Danger: dropped unseen, they lose the next call: most calls on long idle ones are lost, few on new."""
         lost = result is Result.RESET or result is Result.TIMEOUT and took >= attempt.time_out
         if lost and attempt.idle:
--- a/molehill/decisions/launching.py
+++ b/molehill/decisions/launching.py
@@ -32,7 +32,7 @@
         lifecycle: Lifecycle,
         health: EndpointHealth,
         connections: IdleConnections,
-    ):
+    ) -> None:
         self.state, self.lifecycle = state, lifecycle
         self.health, self.connections = health, connections
         self.starved: dict[int, bool] = {}  # destinations that lacked only a slot
--- a/molehill/decisions/lifecycle.py
+++ b/molehill/decisions/lifecycle.py
@@ -1,9 +1,11 @@
 """A callback's way through its states: per-key order, what may be launched still, and its final answer."""
 
 from heapq import heappush
+from typing import Optional
 
 from molehill import interface as it
 from molehill.decisions.callback import OVER, QUEUED, WAITING, WAITING_FOR_KEY, Callback
+from molehill.decisions.endpoint import Destination
 from molehill.decisions.limiter import SECOND
 from molehill.decisions.state import State
 from molehill.interface import Effect
@@ -18,12 +20,12 @@
 class Lifecycle:
     """Every change of a callback's state."""
 
-    def __init__(self, state: State):
+    def __init__(self, state: State) -> None:
         self.state = state
         self.keys: dict[str, list[Callback]] = {}  # the oldest of a key first
         self.rests: dict[str, int] = {}  # key -> until when it rests
 
-    def move(self, callback: Callback, to) -> None:
+    def move(self, callback: Callback, to: str) -> None:
         """Into that state."""
         if to is WAITING_FOR_KEY and callback.key is None:
             to = QUEUED
@@ -37,7 +39,7 @@
                 del self.state.held[callback.id]
             self.next_of_key(callback.key)
 
-    def _queue(self, callback: Callback, destination) -> None:
+    def _queue(self, callback: Callback, destination: Destination) -> None:
         # Danger: after an outage all that waits is late alike, and oldest first nothing is in time again.
         # What loses no more by waiting goes after the rest. One whose launch failed yields a second.
         callback.late = self.state.now >= callback.stale
@@ -58,8 +60,10 @@
         self.rests[key] = max(until, self.rests.get(key, 0))
         self.state.at(until, self.next_of_key, key)
 
-    def next_of_key(self, key) -> None:
+    def next_of_key(self, key: Optional[str]) -> None:
         """Rule 5: a key's oldest goes once all before it are over, with no launch out, and the key rested."""
+        if key is None:
+            return
         line = self.keys.get(key, [])
         while line and line[0].state is OVER and line[0].attempt is None:
             line.pop(0)
@@ -70,7 +74,7 @@
             self.keys.pop(key, None)
             self.rests.pop(key, None)
 
-    def set_may_have_run(self, callback: Callback, sent: int, zone) -> None:
+    def set_may_have_run(self, callback: Callback, sent: int, zone: Optional[int]) -> None:
         """Rule 2: from the first such launch on, a deduplicated one goes only where and while it is known."""
         category = callback.category
         if not callback.may_have_run and category.effect is Effect.DEDUPLICATED:
--- a/molehill/decisions/limiter.py
+++ b/molehill/decisions/limiter.py
@@ -5,6 +5,7 @@
 
 from typing import Optional
 
+from molehill.decisions.callback import Callback
 from molehill.interface import Effect
 
 SECOND = 1_000_000_000
@@ -52,7 +53,7 @@
         "bad_at": "bad_round_at",
     }
 
-    def __init__(self, now: int, told_rate: float = 0.0):
+    def __init__(self, now: int, told_rate: float = 0.0) -> None:
         self.reset(now, told_rate)
 
     def reset(self, now: int, told_rate: float) -> None:
@@ -159,7 +160,7 @@
         else:
             self.told_share += (share - self.told_share) * TOLD_SHARE_GAIN
 
-    def time_out(self, callback, now: int) -> int:
+    def time_out(self, callback: Callback, now: int) -> int:
         """How long a call for that callback may take: learnt as TCP learns it, doubled while nothing comes.
 
         What may not be repeated is over with it, so it waits for its goal time at least. Danger: to the end, those out at hosts
--- a/molehill/decisions/slow_start.py
+++ b/molehill/decisions/slow_start.py
@@ -2,6 +2,7 @@
 
 from molehill.decisions.endpoint import SLOW_START, Destination, Endpoint
 from molehill.decisions.limiter import SECOND
+from molehill.interface import Settings
 
 BUDGET = 1.7  # relays that saw no failure bring calls too: those that did may bring two thirds
 REFUSED_PAUSE = (
@@ -13,7 +14,7 @@
 MOST_REST_ROUNDS = 4
 
 
-def call_gap(settings, endpoint: Endpoint, destination: Destination, now: int) -> int:
+def call_gap(settings: Settings, endpoint: Endpoint, destination: Destination, now: int) -> int:
     """Rule 4: the span between two calls to an endpoint that was away, in nanoseconds.
 
     What it can do is about what is asked of it, and a relay's fair part is what that relay is asked for, or an even part of a
@@ -21,8 +22,9 @@
     """
     ramp_time = settings.ramp_time
     cold = settings.cold_from or 1.0  # no such rule: as warm as ever
-    warming = endpoint.state is SLOW_START and ramp_time
-    warm = (now - endpoint.state_since) / ramp_time if warming else 0.0
+    warm = 0.0
+    if ramp_time and endpoint.state is SLOW_START:
+        warm = (now - endpoint.state_since) / ramp_time
     limiter = endpoint.limiter
     usual = max(1, destination.usual, len(destination.endpoints))
     sharing = usual if limiter is destination.limiter else 1
@@ -33,7 +35,9 @@
     return int(min(SECOND / rate, ramp_time or SECOND))
 
 
-def rest(settings, endpoint: Endpoint, destination: Destination, now: int, random: float) -> int:
+def rest(
+    settings: Settings, endpoint: Endpoint, destination: Destination, now: int, random: float
+) -> int:
     """How long a failing endpoint rests, in nanoseconds; `random`: a number drawn from 0 to 1.
 
     Danger: many relays with few callbacks each try a strained destination often, or all at the end of a told wait, and push it
--- a/molehill/decisions/state.py
+++ b/molehill/decisions/state.py
@@ -12,7 +12,7 @@
 class State:
     """One relay's. `actions`: what this step asks for, in order."""
 
-    def __init__(self, settings: it.Settings, seed):
+    def __init__(self, settings: it.Settings, seed: it.Id) -> None:
         self.settings = settings
         self.random = Random(seed).random
         self.now = 0
--- a/molehill/decisions/tenant_quotas.py
+++ b/molehill/decisions/tenant_quotas.py
@@ -1,6 +1,7 @@
 """Tenant quotas: a token bucket for each, at this relay's even part of its quota."""
 
 from molehill.decisions.limiter import SECOND
+from molehill.interface import Settings
 
 DEPTH = 2.0  # seconds of the quota, for clumps
 
@@ -8,7 +9,7 @@
 class TenantQuotas:
     """Which callbacks are beyond the share of their tenant; such are worth less, and are not turned away for it."""
 
-    def __init__(self, tenants: int):
+    def __init__(self, tenants: int) -> None:
         self.buckets = [
             [float("inf"), 0] for _ in range(tenants)
         ]  # tokens, and when they were counted
@@ -18,11 +19,12 @@
         missing = tenants - len(self.buckets)
         self.buckets += [[float("inf"), 0] for _ in range(missing)]
 
-    def is_over(self, settings, tenant: int, now: int) -> bool:
+    def is_over(self, settings: Settings, tenant: int, now: int) -> bool:
         """Whether one more callback of that tenant is beyond its quota; takes a token where it is not."""
-        if tenant >= len(settings.tenants) or not settings.tenants[tenant].quota:
+        quota = settings.tenants[tenant].quota if tenant < len(settings.tenants) else None
+        if not quota:
             return False
-        rate = settings.tenants[tenant].quota / settings.relays
+        rate = quota / settings.relays
         bucket = self.buckets[tenant]
         tokens = bucket[0] + rate * (now - bucket[1]) / SECOND
         bucket[:] = (min(max(1.0, DEPTH * rate), tokens), now)
--- a/molehill/decisions/timers.py
+++ b/molehill/decisions/timers.py
@@ -15,6 +15,7 @@
         self.wake_at: Optional[int] = None  # as was asked for last
 
     def next_serial(self) -> int:
+        """A number that was not given before."""
         self.serial += 1
         return self.serial
 
