Hosts: tell which connection carried a call, and why idle connections are closed

The trace's 'call written' names the connection and its count of calls, 'call ended' the time since the last byte; the counts of the log have 'closed: REASON' for connections to hosts. An idle connection is checked when it is put aside by the same function that checks it later.

--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -14,8 +14,8 @@
 from molehill.core.permission import Refusal
 from molehill.http import host_responses
 from molehill.http import parser as http
-from molehill.http.idle_connections import IdleConnections
-from molehill.http.stream import HttpStream
+from molehill.http.host_connection import HostConnection
+from molehill.http.idle_connections import CloseReason, IdleConnections
 from molehill.http.timed_out_calls import TimedOutCalls
 from molehill.interface import Result
 from molehill.runtime.stream import (
@@ -72,8 +72,10 @@
             refusal,
         )
         self.clock, self.figures, self.trace = scheduler.clock, figures, NO_TRACE
-        self.idle_connections = IdleConnections(self.clock, config.settings.connection_idle)
-        self.streams: dict[int, HttpStream] = {}  # call -> its connection
+        self.idle_connections = IdleConnections(
+            self.clock, config.settings.connection_idle, self._count_closed
+        )
+        self.streams: dict[int, HostConnection] = {}  # call -> its connection
         self.running_calls: dict[int, RunningCall] = {}  # calls in flight, by number
         self.aborted: set[int] = set()
         # after the handover to the next process no call is started; these calls may be taken back
@@ -87,6 +89,9 @@
 
     # Idle connections
 
+    def _count_closed(self, reason: CloseReason) -> None:
+        self.counts[f"closed: {reason.value}"] += 1
+
     def sweep_idle(self) -> None:
         """Closes the idle connections that can't be used any more, now and every SWEEP_INTERVAL."""
         self.scheduler.call_at(self.clock() + SWEEP_INTERVAL, self.sweep_idle)
@@ -177,7 +182,7 @@
         if not self.budget.acquire("host", RESERVED_OUTGOING):
             sock.close()
             return False
-        stream = HttpStream(self.scheduler, sock, "host", self.budget)
+        stream = HostConnection(self.scheduler, sock, "host", self.budget)
         stream.restore_unread(data)
         if message["k"] == "idle":
             self.idle_connections.put(message["host"], stream, message["since"])
@@ -288,7 +293,7 @@
                         call.address,
                         "host",
                         self.budget,
-                        HttpStream,
+                        HostConnection,
                         connect_deadline,
                         RESERVED_OUTGOING,
                     )
@@ -311,9 +316,10 @@
                 write_started_at = self.clock()
                 stream.send(self._build_request(call), until)
                 running_call.written_at = self.clock()
+                stream.calls_written += 1
                 self.figures.relayed += len(call.callbacks)
                 if self.trace.is_on:
-                    self._trace_written(call, on_new_connection, until)
+                    self._trace_written(call, stream, until)
                 # Unread bytes are excess bytes of the previous answer if no answer to this call can
                 # have arrived yet. After a stall since the write one can have, so the clock is
                 # checked.
@@ -322,6 +328,7 @@
                     and stream.has_unread()
                     and self.clock() < write_started_at + MIN_ANSWER_TIME
                 ):
+                    self._count_closed(CloseReason.UNREQUESTED_BYTES)
                     stream.close()
                     self._report_same_end(
                         call, started_at, call.callbacks, ev.AttemptOutcome("", Result.RESET)
@@ -350,6 +357,8 @@
         return None
 
     def _trace_ends(self, call, ends) -> None:
+        written_at = self.running_calls[call.number].written_at
+        since_written = None if written_at is None else self.clock() - written_at
         for end in ends:
             self.trace.record(
                 Step.CALL_ENDED,
@@ -357,10 +366,11 @@
                 call=call.number,
                 host=call.host,
                 result=end.result.value,
+                since_written=since_written,
                 why=end.reason.name.lower() if end.reason is not None else None,
             )
 
-    def _trace_written(self, call, on_new_connection: bool, until: int) -> None:
+    def _trace_written(self, call, stream: HostConnection, until: int) -> None:
         time_left = until - self.clock()
         for member in call.callbacks:
             self.trace.record(
@@ -368,7 +378,9 @@
                 member.id,
                 call=call.number,
                 host=call.host,
-                fresh=on_new_connection,
+                fresh=stream.calls_written == 1,
+                host_connection=stream.number,
+                calls_on_connection=stream.calls_written,
                 left=time_left,
             )
 
@@ -458,11 +470,7 @@
                 end,
                 answered_at if end.result is not Result.TIMEOUT else None,
             )
-        if head.keep_alive and self.idle_connections.max_idle_time > 0 and stream.is_quiet():
-            stream.parser.raw_head = b""
-            self.idle_connections.put(call.host, stream, self.clock())
-        else:
-            stream.close()
+        self._keep_or_close(call.host, stream, head)
         advertised = host_responses.advertised_limit(
             head, self.config.settings.limits_are_advertised
         )
@@ -474,6 +482,14 @@
         end = host_responses.call_end(head, self.running_calls[call.number].on_new_connection)
         self._report_same_end(call, started_at, call.callbacks, end, advertised, wait, answered_at)
 
+    def _keep_or_close(self, host: str, stream: HostConnection, head: http.Head) -> None:
+        """Keeps a connection for the next call, or closes it after its last answer `head`."""
+        stream.parser.raw_head = b""
+        if head.keep_alive and self.idle_connections.max_idle_time > 0:
+            self.idle_connections.put(host, stream, self.clock())
+        else:
+            stream.close()
+
     def _end_without_answer(self, call, stream, started_at, end, answered_at) -> None:
         """Reports the end of a call whose answer did not come, came too late or is malformed.
 
--- a/molehill/http/idle_connections.py
+++ b/molehill/http/idle_connections.py
@@ -1,25 +1,40 @@
 """Idle connections to hosts: kept for the next call, closed when old, ended or displaced."""
 
+from enum import Enum
 from typing import Callable, Optional
 
 from molehill.http.stream import HttpStream
 
 
+class CloseReason(Enum):
+    """Why a connection carries no further call; the counts in the log contain the values."""
+
+    IDLE_TOO_LONG = "idle too long"
+    ENDED_BY_HOST = "ended by its host"
+    UNREQUESTED_BYTES = "unrequested bytes"
+
+
 class IdleConnections(dict[str, list[HttpStream]]):
     """The idle connections by host; each list ends with the one that was used last.
 
     `clock()` returns nanoseconds; a connection that has been idle for `max_idle_time` nanoseconds
-    is not used again.
+    is not used again. `count_closed` is handed the reason of each connection that is unusable.
     """
 
-    def __init__(self, clock: Callable[[], int], max_idle_time: int):
+    def __init__(
+        self,
+        clock: Callable[[], int],
+        max_idle_time: int,
+        count_closed: Callable[[CloseReason], None],
+    ):
         super().__init__()
-        self.clock, self.max_idle_time = clock, max_idle_time
+        self.clock, self.max_idle_time, self.count_closed = clock, max_idle_time, count_closed
 
     def put(self, host: str, stream: HttpStream, since: int) -> None:
-        """Adds a connection that has been idle since the time `since`."""
+        """Adds a connection that has been idle since the time `since`, unless it is unusable."""
         stream.idle_since = since
-        self.setdefault(host, []).append(stream)
+        if not self._close_if_unusable(stream):
+            self.setdefault(host, []).append(stream)
 
     def take(self, host: str) -> Optional[HttpStream]:
         """Removes and returns the usable connection that was used last, or None.
@@ -29,21 +44,32 @@
         streams = self.get(host, [])
         while streams:
             stream = streams.pop()
-            if not self.is_unusable(stream):
+            if not self._close_if_unusable(stream):
                 return stream
-            stream.close()
         return None
 
-    def is_unusable(self, stream: HttpStream) -> bool:
-        """Whether it has been idle too long, or the host has ended it or sent unexpected bytes."""
-        return stream.idle_since <= self.clock() - self.max_idle_time or not stream.is_quiet()
+    def why_unusable(self, stream: HttpStream) -> Optional[CloseReason]:
+        """Returns why a connection can't be used again, or None if it can."""
+        if stream.idle_since <= self.clock() - self.max_idle_time:
+            return CloseReason.IDLE_TOO_LONG
+        if stream.is_quiet():
+            return None
+        return CloseReason.ENDED_BY_HOST if stream.has_ended() else CloseReason.UNREQUESTED_BYTES
+
+    def _close_if_unusable(self, stream: HttpStream) -> bool:
+        reason = self.why_unusable(stream)
+        if reason is None:
+            return False
+        self.count_closed(reason)
+        stream.close()
+        return True
 
     def close_unusable(self) -> None:
         """Closes the connections that can't be used again."""
         for host, streams in list(self.items()):
-            for stream in [stream for stream in streams if self.is_unusable(stream)]:
-                streams.remove(stream)
-                stream.close()
+            for stream in list(streams):
+                if self._close_if_unusable(stream):
+                    streams.remove(stream)
             if not streams:
                 del self[host]
 
