--- a/molehill/soak/clients.py
+++ b/molehill/soak/clients.py
@@ -26,6 +26,7 @@
 RECONNECT_DELAY_S = 0.03  # before the next attempt to connect
 ACCEPTED_STATUSES = (200, 202)
 CLASSES = {"status": "deduplicated", "refund": "at_most_once", "rate": "idempotent"}
+ORDERED_EFFECT = "deduplicated"  # requests of one key are delivered in order
 
 
 class Client:
@@ -85,7 +86,8 @@
         rng, class_name = self.rng, self.rng.choice(list(CLASSES))
         self.request_count += 1
         request_id, time_limit = f"c{self.number}.{self.request_count}", rng.choice(TIME_LIMITS_S)
-        key = f"k{rng.randrange(12)}" if class_name == "status" else f"{request_id}"
+        order_key = f"k{rng.randrange(12)}" if CLASSES[class_name] == ORDERED_EFFECT else ""
+        key = order_key or request_id
         data = (
             f"POST /api HTTP/1.1\r\nReq-Id: {request_id}\r\nReq-Kind: {class_name}\r\nCookie: subject={key}\r\n"
             f"X-Consignee: dest={rng.randrange(DESTINATIONS)}\r\nIdempotency-Key: m-{request_id}\r\n"
@@ -100,7 +102,9 @@
             self.requests_on_connection += 1
             try:
                 self.writer.write(data)
-                self.history.record(HandedIn, request_id, CLASSES[class_name], time_limit)
+                self.history.record(
+                    HandedIn, request_id, CLASSES[class_name], time_limit, order_key
+                )
                 status = await asyncio.wait_for(self.read_answer(request_id), ANSWER_TIMEOUT_S)
                 return request_id if status in ACCEPTED_STATUSES else None
             except asyncio.TimeoutError:
--- a/molehill/soak/history.py
+++ b/molehill/soak/history.py
@@ -14,13 +14,15 @@
 class HandedIn:
     """A client wrote a request, or wrote it again because the connection was closed meanwhile.
 
-    `span`: seconds from `at` within which the request may be delivered.
+    `span`: seconds from `at` within which the request may be delivered; `key`: requests of one key
+    are delivered in order, empty if the request has none.
     """
 
     at: float
     id: str
     effect: str
     span: float
+    key: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -89,6 +91,16 @@
     status: int
 
 
+@dataclass(slots=True, frozen=True)
+class Copied:
+    """A host wrote its answer to a call once more, whole or the first part of it."""
+
+    at: float
+    id: str
+    host: str
+    status: int
+
+
 @dataclass(slots=True, frozen=True)
 class Notice:
     """The platform read the final notice of a request."""
--- a/molehill/soak/oracle.py
+++ b/molehill/soak/oracle.py
@@ -61,7 +61,17 @@
     stamped: Optional[float] = None
 
 
-SENT_AFTER_END, PAST_GRACE, NO_END, UNANSWERED, RAN_TWICE, CRASHED, TWO_ENDS, INVARIANT = (
+(
+    SENT_AFTER_END,
+    PAST_GRACE,
+    NO_END,
+    UNANSWERED,
+    RAN_TWICE,
+    CRASHED,
+    TWO_ENDS,
+    INVARIANT,
+    OUT_OF_ORDER,
+) = (
     "sent on after its end",
     "sent past the grace",
     "nothing at all",
@@ -70,6 +80,7 @@
     "crashed",
     "ended in two ways",
     "broken invariant",
+    "sent out of its turn",
 )
 
 
@@ -317,7 +328,46 @@
     return found
 
 
-RULES = (sent_after_end, past_grace, no_end, closed_unanswered, ran_twice, crashed, two_ends)
+def out_of_order(history: History) -> list[Finding]:
+    """Reports calls while an earlier request of their key is not over.
+
+    A request is earlier if it was accepted before the other was handed in. It is over once a host
+    answered it with 200, its notice was read, or its client is gone.
+    """
+    submitted: dict[str, HandedIn] = {}
+    accepted: dict[str, dict[str, float]] = {}  # key -> id of a request that is not over -> when
+    found = []
+    for event in history.of_type(HandedIn, Answered, Replied, Notice, Left, GaveUp, Call):
+        if isinstance(event, HandedIn):
+            if event.key:
+                submitted.setdefault(event.id, event)
+            continue
+        if event.id not in submitted:
+            continue
+        ahead = accepted.setdefault(submitted[event.id].key, {})
+        if isinstance(event, Call):
+            for other, accepted_at in ahead.items():
+                if other != event.id and accepted_at < submitted[event.id].at:
+                    text = f"{other} of its key, accepted at {accepted_at:.3f}, is not over"
+                    found.append(Finding(OUT_OF_ORDER, event.at, event.id, text))
+        elif isinstance(event, Answered):
+            if event.status in ACCEPTED_STATUSES:
+                ahead[event.id] = event.at
+        elif not isinstance(event, Replied) or event.status in ACCEPTED_STATUSES:
+            ahead.pop(event.id, None)
+    return found
+
+
+RULES = (
+    sent_after_end,
+    past_grace,
+    no_end,
+    closed_unanswered,
+    ran_twice,
+    crashed,
+    two_ends,
+    out_of_order,
+)
 
 
 def is_affected_by(finding: Finding, late: RigLate) -> bool:
--- a/molehill/soak/plan.py
+++ b/molehill/soak/plan.py
@@ -65,6 +65,20 @@
     value: float
 
 
+@dataclass(slots=True)
+class Copies:
+    """A share of all answers is written once more, up to `max_delay` seconds later.
+
+    Of these copies, a share of `cut_share` ends in the middle. `distinct_bodies`: no two answers
+    with 200 have the same body; otherwise all have.
+    """
+
+    share: float = 0.0
+    max_delay: float = 0.0
+    cut_share: float = 0.0
+    distinct_bodies: bool = True
+
+
 @dataclass(slots=True)
 class Plan:
     """What happens in one run; times are seconds since its start.
@@ -89,6 +103,7 @@
     outages: list = field(default_factory=list)
     restarts: list = field(default_factory=list)
     shims: list = field(default_factory=list)
+    copies: Copies = field(default_factory=Copies)
 
 
 SHIM_VALUES = {
@@ -136,6 +151,7 @@
         )
         plan.shims.append(Shim(max(0.5, begins), rng.uniform(0.3, 3), kind, value))
     draw_lateness(plan)
+    plan.copies = draw_copies(seed)
     for rows in (plan.host_faults, plan.drains):
         rows.sort(key=lambda row: row.at)
     return plan
@@ -160,3 +176,17 @@
         host = rng.choice(HOSTS)
         at, fault_duration = rng.uniform(1, plan.duration - 4), rng.uniform(0.3, 3)
         plan.host_faults.append(HostFault(at, fault_duration, host, NOT_READING))
+
+
+COPY_DELAYS_S = (0.0, 0.01, 0.1, 1.0)  # the longest is beyond the time of most calls
+
+
+def draw_copies(seed: int) -> Copies:
+    """Draws which answers are written twice, from a random stream of its own."""
+    rng = Random(f"soak copies {seed}")
+    return Copies(
+        share=rng.choice((0.0, 0.05, 0.3)),
+        max_delay=rng.choice(COPY_DELAYS_S),
+        cut_share=rng.choice((0.0, 0.0, 0.3)),
+        distinct_bodies=rng.random() < 0.8,
+    )
--- a/molehill/soak/rig.py
+++ b/molehill/soak/rig.py
@@ -15,7 +15,8 @@
 from random import Random
 
 from molehill.fleet.shims import write_control
-from molehill.soak.clients import CLASSES, Client, hold_idle_connection
+from molehill.soak.answers import AnswerCopier
+from molehill.soak.clients import CLASSES, ORDERED_EFFECT, Client, hold_idle_connection
 from molehill.soak.history import Held, History, Process, RigLate
 from molehill.soak.oracle import judge, shim_end_text, shim_start_text
 from molehill.soak.plan import HOSTS, KILL_DELAY_S, START_DELAY_S, Plan
@@ -47,7 +48,7 @@
                 **(
                     {"dedupScope": "all", "dedupWindowMs": 2000} if effect == "deduplicated" else {}
                 ),
-                "serialByKey": effect == "deduplicated",
+                "serialByKey": effect == ORDERED_EFFECT,
             }
             for name, effect in CLASSES.items()
         ],
@@ -86,11 +87,20 @@
         self.history, self.rng = History(), Random(f"rig {plan.seed}")
         self.history.max_pause = plan.max_pause if plan.paused else 0.0
         self.address = loopback_address(plan.seed)
+        copier = AnswerCopier(plan.copies, self.history, Random(f"copies {plan.seed}"))
         self.hosts = [
-            Host(name, self.address, self.history, self.rng, plan.latency, plan.max_read_delay)
+            Host(
+                name,
+                self.address,
+                self.history,
+                self.rng,
+                copier,
+                plan.latency,
+                plan.max_read_delay,
+            )
             for name in HOSTS
         ]
-        self.platform = Platform(self.address, self.history, self.hosts)
+        self.platform = Platform(self.address, self.history, self.hosts, copier)
         self.process, self.port, self.is_finished, self.exit_expected = None, 0, False, False
         self.shim_control, self.active_shims = folder / "shim", {}
 
--- a/molehill/soak/stand_ins.py
+++ b/molehill/soak/stand_ins.py
@@ -9,6 +9,7 @@
 import socket
 from urllib.parse import parse_qs, urlsplit
 
+from molehill.soak.answers import build_response
 from molehill.soak.history import Call, Notice, Replied, Told
 from molehill.soak.plan import NOT_READING
 
@@ -23,12 +24,6 @@
 }
 
 
-def build_response(status: int, headers: str = "", body: bytes = b"") -> bytes:
-    """Returns an HTTP/1.1 response; each line of `headers` ends with CRLF."""
-    head = f"HTTP/1.1 {status} X\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
-    return head.encode() + body
-
-
 async def read_message(reader):
     """Reads one request; returns its first line, headers, body and the time of its first byte.
 
@@ -54,13 +49,13 @@
 class Host:
     """One host of a destination.
 
-    `latency`: seconds between the relay's write and this host's read; `max_read_delay`: longest
+    `copier`: an `AnswerCopier`; `latency`: seconds between the relay's write and this host's read; `max_read_delay`: longest
     time in seconds for which the bytes of a new connection stay unread in the host's operating
     system before its process reads them.
     """
 
-    def __init__(self, name, address, history, rng, latency, max_read_delay=0.0):
-        self.address = address
+    def __init__(self, name, address, history, rng, copier, latency, max_read_delay=0.0):
+        self.address, self.copier = address, copier
         self.name, self.history, self.rng, self.latency = name, history, rng, latency
         self.max_read_delay = max_read_delay
         self.mode, self.listener, self.port, self.writers = "well", None, 0, set()
@@ -160,16 +155,18 @@
         await asyncio.sleep(
             SLOW_SERVICE_TIME_S if self.mode == "slow" else self.rng.uniform(*SERVICE_TIME_S)
         )
-        writer.write(build_response(status, extra))
+        answer = build_response(status, extra, self.copier.next_body() if status == 200 else b"")
+        writer.write(answer)
         history.record(Replied, headers["req-id"], self.name, status)
+        self.copier.copy_later(writer, answer, request_id, self.name, status)
         await writer.drain()
 
 
 class Platform:
     """Discovery, and the receiver of final notices."""
 
-    def __init__(self, address, history, hosts):
-        self.address = address
+    def __init__(self, address, history, hosts, copier):
+        self.address, self.copier = address, copier
         self.history, self.hosts, self.version, self.changes = history, hosts, 1, []
         self.status = {host.name: "active" for host in hosts}
         self.change_condition, self.server, self.port = asyncio.Condition(), None, 0
@@ -220,15 +217,18 @@
                     for row in body.splitlines():
                         notice = json.loads(row)
                         self.history.record(Notice, notice["ref"], notice["result"])
-                    writer.write(build_response(204))
+                    answer = build_response(204)
+                    writer.write(answer)
                 else:
                     host_list = await self.wait_for_list(parse_qs(urlsplit(target).query))
                     if self.down:
                         writer.write(build_response(503))
                         continue
-                    writer.write(build_response(200, body=json.dumps(host_list).encode()))
+                    answer = build_response(200, body=json.dumps(host_list).encode())
+                    writer.write(answer)
                     for row in host_list["endpoints"]:
                         self.history.record(Told, row["name"], row["status"])
+                self.copier.copy_later(writer, answer, "", "platform", 0)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # CancelledError means that the run is over
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -11,8 +11,17 @@
 from molehill.http.stream import HttpStream
 from molehill.runtime.kernel import Disk, Kernel
 from molehill.soak import rig
-from molehill.soak.history import Answered, Call, HandedIn, History, Notice, Process, RigLate
-from molehill.soak.oracle import judge, sent_after_end
+from molehill.soak.history import (
+    Answered,
+    Call,
+    HandedIn,
+    History,
+    Notice,
+    Process,
+    Replied,
+    RigLate,
+)
+from molehill.soak.oracle import judge, out_of_order, sent_after_end
 from molehill.soak.plan import HOSTS, Drain, Outage, Plan, Restart, draw_plan
 from tests.core_harness import MS, SECOND, drain
 from tests.harness import REQUEST, RelayHarness, kill_and_restart
@@ -280,3 +289,19 @@
         history.events.append(RigLate(8.9, late))
     history.events += [Notice(8.92, "a", "dead"), Process(20.0, "SIGKILL")]
     assert [found.void for found in judge(history)] == [void]
+
+
+@pytest.mark.parametrize(
+    "end,found",
+    [
+        (Replied(2.0, "a", "h", 503), True),
+        (Replied(2.0, "a", "h", 200), False),
+        (Notice(2.0, "a", "dead"), False),
+        (Notice(2.2, "a", "dead"), True),
+    ],
+)
+def test_the_soak_reports_a_request_sent_before_the_one_ahead_is_over(end, found):
+    events = [HandedIn(0.0, "a", "deduplicated", 1.0, "k"), Answered(0.1, "a", 202)]
+    events += [HandedIn(0.2, "b", "deduplicated", 1.0, "k"), Call(2.1, "b", "h", 2.1, None), end]
+    history = History(events=sorted(events, key=lambda event: event.at))
+    assert bool(out_of_order(history)) is found
