Hosts: a late copy of an answer no longer ends the next call of its connection

Cause: an answer was matched to a call by its connection alone, http/hosts.py _read_answer; a copy of the 200 before it that came behind the next call's last byte ended that call as delivered.

A connection remembers its answers with 200 and a body (length and CRC-32 of all bytes, 256 at most, then it is not used again); one that comes again is skipped, counted and traced, and the call waits for its own. Ruled out: telling copies by time (they come 1 to 10 ms or later behind the call, as quick answers do) and by id (answers carry none).

--- a/molehill/http/host_connection.py
+++ b/molehill/http/host_connection.py
@@ -1,9 +1,16 @@
-"""A connection to a host: an HTTP/1.1 connection that carries one call after another."""
+"""A connection to a host: an HTTP/1.1 connection that carries one call after another.
 
+An answer names no call, so a late copy of an earlier answer looks like the answer to the call that
+is out. The connection remembers its answers, and a copy is recognized by its bytes.
+"""
+
+import zlib
 from itertools import count
 
 from molehill.http.stream import HttpStream
 
+# answers that a connection remembers at most: it is not used again after so many
+MAX_REMEMBERED_ANSWERS = 256
 connection_numbers = count(1)
 
 
@@ -11,9 +18,27 @@
     """A connection to a host.
 
     `number`: identifies it among the connections of this process; `calls_written`: the calls that
-    it has carried, in this process and in those that handed it over.
+    it has carried, in this process and in those that handed it over; `answer_digests`: of the
+    answers to them.
     """
 
     def __init__(self, scheduler, sock, kind, budget):
         super().__init__(scheduler, sock, kind, budget)
         self.number, self.calls_written = next(connection_numbers), 0
+        self.answer_digests: set[int] = set()
+
+    def _digest(self, body: bytes) -> int:
+        answer = self.parser.raw_head + body
+        return len(answer) << 32 | zlib.crc32(answer)
+
+    def remember_answer(self, body: bytes) -> None:
+        """Remembers the answer that was read last; `body` is its body."""
+        self.answer_digests.add(self._digest(body))
+
+    def repeats_earlier_answer(self, body: bytes) -> bool:
+        """Returns whether the answer that was read last is the same as an earlier one."""
+        return bool(self.answer_digests) and self._digest(body) in self.answer_digests
+
+    def has_room_for_answers(self) -> bool:
+        """Returns whether the answer to another call can be remembered."""
+        return len(self.answer_digests) < MAX_REMEMBERED_ANSWERS
--- a/molehill/http/host_responses.py
+++ b/molehill/http/host_responses.py
@@ -10,6 +10,7 @@
 from molehill.config import SECOND, ConfigError, parse_nanoseconds
 from molehill.core import events as ev
 from molehill.core.permission import Refusal
+from molehill.http.parser import Head
 from molehill.interface import Result
 
 SECOND_DECIMALS = 9  # decimal places of seconds, down to a nanosecond
@@ -43,9 +44,32 @@
 UNKNOWN_ANSWER = ev.AttemptOutcome("", Result.ERROR)
 
 
-def call_end(head, on_new_connection: bool) -> ev.AttemptOutcome:
+def call_ends(
+    call: ev.Call, head: Head, body: bytes, on_new_connection: bool
+) -> list[ev.AttemptOutcome]:
     """Returns the outcome that an answer gives to each callback of its call.
 
+    `on_new_connection`: the call was the first on its connection.
+    """
+    wait = retry_after(head)
+    if call.is_bundle and head.status == 200:
+        return ends_by_line(call.callbacks, body, wait)
+    end = call_end(head, on_new_connection)
+    return [replace(end, id=member.id, retry_after=wait) for member in call.callbacks]
+
+
+def distinguishes_its_call(head: Head, body: bytes, ends: list[ev.AttemptOutcome]) -> bool:
+    """Returns whether an answer can be taken for different from those to all other calls.
+
+    The body of an answer with 200 differs from call to call at most hosts. A callback that was
+    delivered is in no later call, so the lines of a bundle's answer do not come again either.
+    """
+    return head.status == 200 and bool(body) and all(end.result is Result.DELIVERED for end in ends)
+
+
+def call_end(head, on_new_connection: bool) -> ev.AttemptOutcome:
+    """Returns the outcome that an answer's head gives to the callbacks of its call.
+
     `on_new_connection`: the call was the first on its connection.
     """
     if head.status != 503:
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -52,6 +52,8 @@
             False,
         )
         self.written_at = None  # when its last byte was written
+        self.answered_at = None  # when the head of its answer was read
+        self.outcome_is_known = False  # that head tells the outcome, whatever follows
         self.unread_until = None  # after a timeout: until when its host may still read it
         self.awaits_host_close = False  # its connection stays open until the host closes it
 
@@ -433,16 +435,12 @@
         and for a 500, which proves as little as a broken answer, the rest is waited for only
         REMAINDER_TIMEOUT.
         """
-        until, answered_at, outcome_known, end = call_deadline(call), None, False, None
+        until, end, running_call = call_deadline(call), None, self.running_calls[call.number]
         try:
-            head, answered_at = stream.read_response_head(until), self.clock()
-            outcome_known = not call.is_bundle and head.status in (200, 500)
-            body = stream.read_body(
-                head, min(until, answered_at + REMAINDER_TIMEOUT) if outcome_known else until
-            )
+            head, body = self._receive_answer(call, stream, until)
         except (ConnectionBroken, TimedOut, http.MalformedMessage) as error:
             start_received = stream.parser.start_line_bytes or stream.buffer.peek(64)
-            if isinstance(error, TimedOut) and not outcome_known:
+            if isinstance(error, TimedOut) and not running_call.outcome_is_known:
                 end = ev.AttemptOutcome("", Result.TIMEOUT)
             elif (
                 not call.is_bundle
@@ -453,13 +451,14 @@
             else:
                 end = (
                     host_responses.END_BY_STATUS[500]
-                    if outcome_known
+                    if running_call.outcome_is_known
                     else ev.AttemptOutcome("", Result.RESET)
                 )
         # An answer after the call's deadline is no delivery, whatever it says: by then the host has
         # given the call up, as this relay told it to. An answer that is read too late because this
         # relay was stalled may be such a one, and says nothing about the host.
-        known_at = answered_at if outcome_known and answered_at is not None else self.clock()
+        answered_at = running_call.answered_at
+        known_at = answered_at if running_call.outcome_is_known else self.clock()
         if (end is None or end.result is not Result.TIMEOUT) and known_at > until:
             end = ev.AttemptOutcome("", Result.CANCELLED)
         if end is not None:
@@ -470,22 +469,48 @@
                 end,
                 answered_at if end.result is not Result.TIMEOUT else None,
             )
+        ends = host_responses.call_ends(call, head, body, running_call.on_new_connection)
+        if host_responses.distinguishes_its_call(head, body, ends):
+            stream.remember_answer(body)
         self._keep_or_close(call.host, stream, head)
         advertised = host_responses.advertised_limit(
             head, self.config.settings.limits_are_advertised
         )
-        wait = host_responses.retry_after(head)
-        if call.is_bundle and head.status == 200:
-            ended = host_responses.ends_by_line(call.callbacks, body, wait)
-            self._report_ends(call, started_at, ended, advertised, answered_at)
-            return
-        end = host_responses.call_end(head, self.running_calls[call.number].on_new_connection)
-        self._report_same_end(call, started_at, call.callbacks, end, advertised, wait, answered_at)
+        self._report_ends(call, started_at, ends, advertised, answered_at)
+
+    def _receive_answer(self, call, stream: HostConnection, until) -> tuple[http.Head, bytes]:
+        """Reads the answer to a call, and skips late copies of earlier answers before it.
+
+        Raises MalformedMessage, ConnectionBroken and, at `until`, TimedOut.
+        """
+        running_call = self.running_calls[call.number]
+        while True:
+            head = stream.read_response_head(until)
+            running_call.answered_at = self.clock()
+            running_call.outcome_is_known = not call.is_bundle and head.status in (200, 500)
+            body_deadline = until
+            if running_call.outcome_is_known:
+                body_deadline = min(until, running_call.answered_at + REMAINDER_TIMEOUT)
+            body = stream.read_body(head, body_deadline)
+            if not stream.repeats_earlier_answer(body):
+                return head, body
+            self._skip_copy(call, stream)
+
+    def _skip_copy(self, call, stream: HostConnection) -> None:
+        running_call = self.running_calls[call.number]
+        running_call.answered_at, running_call.outcome_is_known = None, False
+        stream.parser.start_line_bytes = stream.parser.raw_head = b""
+        self.counts["copies skipped"] += 1
+        for member in call.callbacks:
+            self.trace.record(
+                Step.COPY_SKIPPED, member.id, call=call.number, host_connection=stream.number
+            )
 
     def _keep_or_close(self, host: str, stream: HostConnection, head: http.Head) -> None:
         """Keeps a connection for the next call, or closes it after its last answer `head`."""
         stream.parser.raw_head = b""
-        if head.keep_alive and self.idle_connections.max_idle_time > 0:
+        may_keep = head.keep_alive and stream.has_room_for_answers()
+        if may_keep and self.idle_connections.max_idle_time > 0:
             self.idle_connections.put(host, stream, self.clock())
         else:
             stream.close()
--- a/molehill/runtime/trace.py
+++ b/molehill/runtime/trace.py
@@ -21,6 +21,7 @@
     ANSWER_WRITTEN = "answer written"
     WITHDRAWN = "withdrawn"
     CALL_WRITTEN = "call written"
+    COPY_SKIPPED = "copy skipped"
     CALL_ENDED = "call ended"
     HOST_ENDED_CONNECTION = "host ended connection"
     ENDED = "ended"
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -56,3 +56,16 @@
     assert len(results(harness)) == 1, "the call is still out"
     harness.reply(response(200, body=b"own"))
     assert results(harness)[1:] == [Result.DELIVERED]
+
+
+def test_a_late_copy_of_a_bundle_s_answer_is_skipped(monkeypatch):
+    harness = HostsHarness(monkeypatch)
+    harness.call("a", "b", bundle=True)
+    first = response(200, body=b"a delivered\r\nb delivered\r\n")
+    harness.reply(first)
+    harness.net.advance(10 * MS)
+    harness.call("c", "d", bundle=True)
+    harness.net.advance(2 * MS)
+    harness.reply(first)
+    harness.reply(response(200, body=b"c delivered\r\nd refused\r\n"))
+    assert results(harness) == [Result.DELIVERED] * 3 + [Result.REFUSED]
