Hosts: use a connection again only where answers differ from call to call

First answers of connections, which can't be copies, are compared by host (http/answer_variety.py). Where they are alike, or nothing is known yet, each call gets a connection of its own; a host with one answer so far counts like the others. If nothing but copies came to a call, its host counts as alike until two first answers differ.

Ruled out: ending such a call at once as perhaps run (an at-most-once callback would fail at each copy); one comparison for each host before its first connection is kept (a handshake more for each host and relay). Cost: one or two connections more at a start.

--- /dev/null
+++ b/molehill/http/answer_variety.py
@@ -0,0 +1,55 @@
+"""Which hosts give each call another answer, so that a copy of an answer can be told from others.
+
+Only the first answer on a connection counts here: it can't be a copy of an earlier one.
+"""
+
+import zlib
+from dataclasses import dataclass
+from typing import Optional
+
+MAX_HOSTS = 4096  # whose answers are remembered
+
+
+@dataclass(slots=True)
+class HostAnswers:
+    """The digest of a host's latest body, and whether it differs from the one before.
+
+    `is_varied` is None until two bodies could be compared.
+    """
+
+    latest_digest: int
+    is_varied: Optional[bool] = None
+
+
+class AnswerVariety:
+    """Compares the bodies of each host's answers with 200.
+
+    A host with a single answer so far is taken to be like the others: as varied as any host is.
+    """
+
+    def __init__(self) -> None:
+        self.hosts: dict[str, HostAnswers] = {}
+        self.any_is_varied = False
+
+    def add_first_answer(self, host: str, body: bytes) -> None:
+        """Adds the body of the first answer on a connection to a host."""
+        digest, known = zlib.crc32(body), self.hosts.pop(host, None)
+        answers = HostAnswers(digest)
+        if known is not None:
+            answers.is_varied = known.latest_digest != digest
+            self.any_is_varied = self.any_is_varied or answers.is_varied
+        elif len(self.hosts) >= MAX_HOSTS:
+            del self.hosts[next(iter(self.hosts))]
+        self.hosts[host] = answers
+
+    def mark_alike(self, host: str) -> None:
+        """Takes a host's answers for alike, until two first answers differ."""
+        if host in self.hosts:
+            self.hosts[host].is_varied = False
+
+    def is_varied(self, host: str) -> bool:
+        """Returns whether a copy of a host's answer can be told from its other answers."""
+        answers = self.hosts.get(host)
+        if answers is None or answers.is_varied is None:
+            return self.any_is_varied
+        return answers.is_varied
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -14,6 +14,7 @@
 from molehill.core.permission import Refusal
 from molehill.http import host_responses
 from molehill.http import parser as http
+from molehill.http.answer_variety import AnswerVariety
 from molehill.http.host_connection import HostConnection
 from molehill.http.idle_connections import CloseReason, IdleConnections
 from molehill.http.timed_out_calls import TimedOutCalls
@@ -54,6 +55,7 @@
         self.written_at = None  # when its last byte was written
         self.answered_at = None  # when the head of its answer was read
         self.outcome_is_known = False  # that head tells the outcome, whatever follows
+        self.copies_skipped = 0  # answers that were copies of earlier ones on its connection
         self.unread_until = None  # after a timeout: until when its host may still read it
         self.awaits_host_close = False  # its connection stays open until the host closes it
 
@@ -77,6 +79,7 @@
         self.idle_connections = IdleConnections(
             self.clock, config.settings.connection_idle, self._count_closed
         )
+        self.answer_variety = AnswerVariety()
         self.streams: dict[int, HostConnection] = {}  # call -> its connection
         self.running_calls: dict[int, RunningCall] = {}  # calls in flight, by number
         self.aborted: set[int] = set()
@@ -470,9 +473,7 @@
                 answered_at if end.result is not Result.TIMEOUT else None,
             )
         ends = host_responses.call_ends(call, head, body, running_call.on_new_connection)
-        if host_responses.distinguishes_its_call(head, body, ends):
-            stream.remember_answer(body)
-        self._keep_or_close(call.host, stream, head)
+        self._keep_or_close(call, stream, head, body, ends)
         advertised = host_responses.advertised_limit(
             head, self.config.settings.limits_are_advertised
         )
@@ -499,6 +500,7 @@
     def _skip_copy(self, call, stream: HostConnection) -> None:
         running_call = self.running_calls[call.number]
         running_call.answered_at, running_call.outcome_is_known = None, False
+        running_call.copies_skipped += 1
         stream.parser.start_line_bytes = stream.parser.raw_head = b""
         self.counts["copies skipped"] += 1
         for member in call.callbacks:
@@ -506,12 +508,17 @@
                 Step.COPY_SKIPPED, member.id, call=call.number, host_connection=stream.number
             )
 
-    def _keep_or_close(self, host: str, stream: HostConnection, head: http.Head) -> None:
-        """Keeps a connection for the next call, or closes it after its last answer `head`."""
-        stream.parser.raw_head = b""
+    def _keep_or_close(self, call, stream: HostConnection, head: http.Head, body, ends) -> None:
+        """Keeps a connection for the next call if a copy of its last answer can be recognized."""
         may_keep = head.keep_alive and stream.has_room_for_answers()
+        if host_responses.distinguishes_its_call(head, body, ends):
+            if self.running_calls[call.number].on_new_connection and not call.is_bundle:
+                self.answer_variety.add_first_answer(call.host, body)
+            may_keep = may_keep and (call.is_bundle or self.answer_variety.is_varied(call.host))
+            stream.remember_answer(body)
+        stream.parser.raw_head = b""
         if may_keep and self.idle_connections.max_idle_time > 0:
-            self.idle_connections.put(host, stream, self.clock())
+            self.idle_connections.put(call.host, stream, self.clock())
         else:
             stream.close()
 
@@ -520,8 +527,10 @@
 
         No later answer on its connection would count, and the connection must not carry another
         call. It is closed, but after a timeout with no byte of an answer it first waits for the
-        host to close it.
+        host to close it. If copies of earlier answers came, they may have been the host's answer.
         """
+        if self.running_calls[call.number].copies_skipped:
+            self.answer_variety.mark_alike(call.host)
         if (
             end.result is Result.TIMEOUT
             and not stream.parser.start_line_bytes
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -594,6 +594,7 @@
             lambda *_: self.refusal,
             Metrics(()),
         )
+        self.hosts.answer_variety.any_is_varied = True  # other hosts have shown it
         self.last_number, self.on_begun = 0, lambda call: None
 
     def post(self, event):
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -4,7 +4,7 @@
 
 from molehill.core import events as ev
 from molehill.interface import Result
-from tests.core_harness import MS
+from tests.core_harness import MS, SECOND
 from tests.test_net import HostsHarness, response
 
 FIRST_ANSWER = response(200, b"Srv-Load: x0=0.4,x1=25", body=b"c0ad9693e0852046")
@@ -69,3 +69,42 @@
     harness.reply(first)
     harness.reply(response(200, body=b"c delivered\r\nd refused\r\n"))
     assert results(harness) == [Result.DELIVERED] * 3 + [Result.REFUSED]
+
+
+def test_a_host_that_answers_all_calls_alike_gets_a_connection_for_each(monkeypatch):
+    """Taken for copies, its answers would leave delivered callbacks without their outcome."""
+    harness = HostsHarness(monkeypatch)
+    harness.hosts.answer_variety.any_is_varied = False
+    for number in range(4):
+        harness.call("a")
+        harness.reply(response(200, body=b"accepted"))
+        assert (
+            results(harness)
+            == [Result.DELIVERED] * len(harness.peers)
+            == [Result.DELIVERED] * (number + 1)
+        )
+    for number in range(3):  # those of another host differ: from its third call on they show it
+        harness.call("b", host="h2")
+        harness.reply(response(200, body=b"%d" % number))
+    assert len(harness.peers) == 6
+    harness.call("c")
+    assert len(harness.peers) == 7
+
+
+def test_a_host_whose_answer_repeats_its_last_one_is_taken_to_answer_alike(monkeypatch):
+    """The outcome of the call stays open, as the answer may be a copy; once is enough."""
+    harness = HostsHarness(monkeypatch)
+    same = response(200, body=b"accepted")
+    call_twice(harness, same, span=SECOND)
+    harness.reply(same)
+    harness.net.advance(1100 * MS, step=50 * MS)
+    assert results(harness) == [Result.DELIVERED, Result.TIMEOUT]
+    for number in range(3):
+        harness.call("c")
+        harness.reply(same)
+        assert len(harness.peers) == 2 + number
+    for body in (b"1", b"2"):  # two that differ, on connections of their own
+        harness.call("d")
+        harness.reply(response(200, body=body))
+    harness.call("e")
+    assert len(harness.peers) == 5, "the last one is used again"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -156,6 +156,7 @@
         "id2",
         "id3",
     ]
+    new.hosts.answer_variety.any_is_varied = True  # else each call gets a connection of its own
     for sock, rest in ((hosts[0], DELIVERED[20:]), (hosts[1], DELIVERED[-1:])):
         assert drain(sock) == b"", "no connection is closed and nothing is written again"
         sock.send(rest)
