Hosts: part of an earlier answer no longer delivers the next call

A copy that is cut short proved delivery as well: of a broken answer a first line with 200 counts, and the first part of a late copy followed by the call's own answer can read as one whole 200 (cut in its reason phrase or in its body).

On a connection that has answered before, a broken answer proves nothing, and an answer in which another status line starts is two that ran together; both leave the call as perhaps run. On its first use a connection counts as before. Ruled out: comparing with earlier bytes (heads without a load report are all alike).

Left: an answer that arrives in pieces behind a copy cut less than seven bytes before its end.

--- a/molehill/http/host_connection.py
+++ b/molehill/http/host_connection.py
@@ -7,10 +7,12 @@
 import zlib
 from itertools import count
 
+from molehill.http.parser import MalformedMessage
 from molehill.http.stream import HttpStream
 
 # answers that a connection remembers at most: it is not used again after so many
 MAX_REMEMBERED_ANSWERS = 256
+STATUS_LINE_START = b"HTTP/1."
 connection_numbers = count(1)
 
 
@@ -31,13 +33,27 @@
         answer = self.parser.raw_head + body
         return len(answer) << 32 | zlib.crc32(answer)
 
+    @property
+    def has_answered(self) -> bool:
+        """Returns whether an earlier call was answered, so that parts of its answer may come."""
+        return bool(self.answer_digests)
+
     def remember_answer(self, body: bytes) -> None:
         """Remembers the answer that was read last; `body` is its body."""
         self.answer_digests.add(self._digest(body))
 
     def repeats_earlier_answer(self, body: bytes) -> bool:
         """Returns whether the answer that was read last is the same as an earlier one."""
-        return bool(self.answer_digests) and self._digest(body) in self.answer_digests
+        return self.has_answered and self._digest(body) in self.answer_digests
+
+    def raise_if_merged(self, body: bytes) -> None:
+        """Raises MalformedMessage if the answer that was read last holds the start of another one.
+
+        Part of an earlier answer and the answer behind it may read as one whole answer.
+        """
+        behind_it = self.buffer.peek(len(STATUS_LINE_START) - 1)
+        if STATUS_LINE_START in self.parser.raw_head[1:] + body + behind_it:
+            raise MalformedMessage(400, "two answers that ran together")
 
     def has_room_for_answers(self) -> bool:
         """Returns whether the answer to another call can be remembered."""
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -434,7 +434,8 @@
         """Reads the whole answer, as the host holds the call until then, and reports the outcome.
 
         Part of an answer that refuses a callback proves nothing. Of a malformed or truncated
-        answer, only a status line with 200 to a call with one callback counts. So for such a 200,
+        answer, only a status line with 200 to a call with one callback counts, and on a connection
+        that has answered before not even that: it may be part of a late copy. So for such a 200,
         and for a 500, which proves as little as a broken answer, the rest is waited for only
         REMAINDER_TIMEOUT.
         """
@@ -443,10 +444,12 @@
             head, body = self._receive_answer(call, stream, until)
         except (ConnectionBroken, TimedOut, http.MalformedMessage) as error:
             start_received = stream.parser.start_line_bytes or stream.buffer.peek(64)
-            if isinstance(error, TimedOut) and not running_call.outcome_is_known:
+            is_timeout = isinstance(error, TimedOut) and self.clock() >= until
+            if is_timeout and not running_call.outcome_is_known:
                 end = ev.AttemptOutcome("", Result.TIMEOUT)
             elif (
                 not call.is_bundle
+                and not stream.has_answered
                 and start_received.startswith(b"HTTP/1.1 200 ")
                 and b"\r\n" in start_received
             ):
@@ -488,12 +491,15 @@
         while True:
             head = stream.read_response_head(until)
             running_call.answered_at = self.clock()
-            running_call.outcome_is_known = not call.is_bundle and head.status in (200, 500)
+            has_single_outcome = not call.is_bundle and head.status in (200, 500)
+            running_call.outcome_is_known = has_single_outcome and not stream.has_answered
             body_deadline = until
-            if running_call.outcome_is_known:
+            if has_single_outcome:
                 body_deadline = min(until, running_call.answered_at + REMAINDER_TIMEOUT)
             body = stream.read_body(head, body_deadline)
             if not stream.repeats_earlier_answer(body):
+                if stream.has_answered:
+                    stream.raise_if_merged(body)
                 return head, body
             self._skip_copy(call, stream)
 
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -111,3 +111,33 @@
         harness.reply(response(200, body=body))
     harness.call("e")
     assert len(harness.peers) == 5, "the last one is used again"
+
+
+@pytest.mark.parametrize("length", [17, 40, len(FIRST_ANSWER) - 1])
+def test_a_late_part_of_a_200_does_not_deliver_the_next_call(monkeypatch, length):
+    """On its first use a connection that breaks behind a first line with 200 proves delivery."""
+    harness = HostsHarness(monkeypatch)
+    call_twice(harness)
+    harness.reply(FIRST_ANSWER[:length], close=True)
+    assert results(harness) == [Result.DELIVERED, Result.RESET]
+
+
+@pytest.mark.parametrize("own", [response(503, b"Srv-Load: x0=0.1,x1=25"), response(500)])
+def test_a_late_part_of_a_200_and_the_call_s_own_answer_deliver_nothing(monkeypatch, own):
+    """The two together may read as one whole answer."""
+    for length in range(12, len(FIRST_ANSWER)):
+        harness = HostsHarness(monkeypatch)
+        call_twice(harness)
+        harness.reply(FIRST_ANSWER[:length])
+        harness.peers[0].send(own)
+        harness.net.advance(300 * MS)
+        assert results(harness) == [Result.DELIVERED, Result.RESET], FIRST_ANSWER[:length]
+
+
+def test_an_answer_in_pieces_on_a_used_connection_delivers(monkeypatch):
+    harness = HostsHarness(monkeypatch)
+    call_twice(harness)
+    for byte in response(200, b"Srv-Load: x0=0.1,x1=25", body=b"another"):
+        harness.peers[0].send(bytes([byte]))
+        harness.net.advance(2 * MS)
+    assert results(harness) == [Result.DELIVERED] * 2
