Hosts: a late copy no longer proves that a timed-out call was read

A call that timed out keeps its connection until its host answers or closes; any byte counted as an answer, so as proof that the host had read the call, and the final notice went.

On a connection that has answered before, only its close counts; what else comes is discarded, 256 KiB at most and no longer than before (drain, taken out of end_sending_and_drain).

--- a/molehill/http/timed_out_calls.py
+++ b/molehill/http/timed_out_calls.py
@@ -2,17 +2,20 @@
 
 The relay has shut down its sending side. The host's operating system may still hold it unread. If
 the host closes the connection too, or answers after all, it has read all that was sent; the answer
-itself doesn't count. Each connection is kept for a bounded time, and no more of them than there may
-be calls at once.
+itself doesn't count. On a connection that has answered before, what comes may be a late copy, so
+that only the close counts. Each connection is kept for a bounded time, and no more of them than
+there may be calls at once.
 """
 
 import socket
 
 from molehill.core import events as ev
-from molehill.http.stream import HttpStream
-from molehill.runtime.stream import ConnectionBroken, TimedOut
+from molehill.http.host_connection import HostConnection
+from molehill.runtime.stream import ConnectionBroken, TimedOut, drain
 from molehill.runtime.trace import NO_TRACE, Step
 
+MAX_DRAINED_BYTES = 256 * 1024  # of late copies and answers, before a host's close is given up
+
 
 class TimedOutCalls:
     """The connections of timed-out calls, by the call's number, the oldest first."""
@@ -23,10 +26,12 @@
         `max_streams` limits the connections that are kept at once.
         """
         self.scheduler, self.post, self.max_streams = scheduler, post, max_streams
-        self.streams: dict[int, HttpStream] = {}
+        self.streams: dict[int, HostConnection] = {}
         self.trace = NO_TRACE
 
-    def await_host_close(self, number: int, ids: list[str], stream: HttpStream, until: int) -> None:
+    def await_host_close(
+        self, number: int, ids: list[str], stream: HostConnection, until: int
+    ) -> None:
         """Ends the sending side of a call and waits for the host to close or answer.
 
         `until`: when the wait ends, in nanoseconds of the clock.
@@ -40,10 +45,15 @@
         self.streams[number] = stream
         self.scheduler.spawn(self._wait_for_host, number, ids, stream, until)
 
-    def _wait_for_host(self, number: int, ids: list[str], stream: HttpStream, until: int) -> None:
+    def _wait_for_host(
+        self, number: int, ids: list[str], stream: HostConnection, until: int
+    ) -> None:
         host_ended = True
         try:
             stream.read(until)
+            if stream.has_answered:
+                drain(stream, until, MAX_DRAINED_BYTES)
+                host_ended = False
         except TimedOut:
             host_ended = False
         except ConnectionBroken:
--- a/molehill/runtime/stream.py
+++ b/molehill/runtime/stream.py
@@ -237,6 +237,18 @@
         return self._peek() == b""
 
 
+def drain(stream, deadline: int, max_bytes: int) -> None:
+    """Reads and discards what arrives until `deadline`, or until `max_bytes` bytes have.
+
+    Raises ConnectionBroken, also at the end of the stream, or TimedOut.
+    """
+    drained_bytes = 0
+    while drained_bytes < max_bytes and stream.scheduler.clock() < deadline:
+        drained_bytes += len(stream.buffer.take(len(stream.buffer)))
+        stream.read(deadline)
+        stream.scheduler.yield_now()
+
+
 def end_sending_and_drain(stream, timeout: int, max_bytes: int) -> None:
     """Shuts down the sending side, then reads and discards what still arrives.
 
@@ -245,11 +257,7 @@
     answer.
     """
     stream.sock.shutdown(socket.SHUT_WR)
-    deadline, drained_bytes = stream.scheduler.clock() + timeout, 0
-    while drained_bytes < max_bytes and stream.scheduler.clock() < deadline:
-        drained_bytes += len(stream.buffer.take(len(stream.buffer)))
-        stream.read(deadline)
-        stream.scheduler.yield_now()
+    drain(stream, stream.scheduler.clock() + timeout, max_bytes)
 
 
 BACKLOG = 1024
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -141,3 +141,27 @@
         harness.peers[0].send(bytes([byte]))
         harness.net.advance(2 * MS)
     assert results(harness) == [Result.DELIVERED] * 2
+
+
+def test_a_late_copy_does_not_confirm_that_a_timed_out_call_was_read(monkeypatch):
+    """A notice that rests on it could reach the platform before the host reads the call."""
+    harness = HostsHarness(monkeypatch)
+    call_twice(harness, span=100 * MS)
+    harness.net.advance(150 * MS, step=10 * MS)
+    assert results(harness) == [Result.DELIVERED, Result.TIMEOUT]
+    harness.reply(FIRST_ANSWER)
+    assert type(harness.net.events[-1]) is ev.CallEnded, "whether it was read is not known yet"
+    harness.reply(response(200, body=b"own"), close=True)
+    assert harness.net.events[-1] == ev.HostFinishedReading(2, True)
+
+
+def test_a_timed_out_call_s_endless_late_copies_are_read_no_longer_than_its_wait(monkeypatch):
+    harness = HostsHarness(monkeypatch)
+    call_twice(harness, span=100 * MS)
+    harness.net.advance(150 * MS, step=10 * MS)
+    for _ in range(200):
+        with suppress(OSError):
+            harness.peers[0].send(FIRST_ANSWER * 100)
+        harness.net.advance(10 * MS)
+    assert harness.net.events[-1] == ev.HostFinishedReading(2, False)
+    assert harness.net.budget.total() == 0
