Notices: a late copy of an answer no longer completes the next batch

Each batch gets a connection of its own; a connection was dropped after 2 s of idling anyway. Ruled out: counting answers against batches (a copy shifts them for good), a pause before reuse (copies come whenever they like).

--- a/molehill/http/notices.py
+++ b/molehill/http/notices.py
@@ -21,7 +21,6 @@
 RETRY_DELAY = 10 * MS
 # The longest wait for an answer while none comes; half of it is the longest pause between tries.
 MAX_TIMEOUT = 2000 * MS
-MAX_IDLE_TIME = 2000 * MS  # a connection that was idle for longer is not used again
 
 
 class UnexpectedStatus(ConnectionBroken):
@@ -29,10 +28,14 @@
 
 
 class Notices:
-    """Sends notices in batches on one connection, and again until they are answered."""
+    """Sends notices in batches, and again until they are answered.
+
+    Each batch gets a connection of its own: all answers are alike, so that on one that had answered
+    before a late copy would look like the answer to this batch.
+    """
 
     def __init__(self, scheduler, config, budget, post):
-        self.scheduler, self.config, self.post, self.answered_at = scheduler, config, post, 0
+        self.scheduler, self.config, self.post = scheduler, config, post
         self.clock, self.unanswered, self.task = scheduler.clock, {}, None
         self.scheduled = {}  # notices that must not be sent yet, by id
         self.is_backing_off, self.failed_at, self.handed_over = False, 0, {}
@@ -135,7 +138,7 @@
                     batch_limit = 1
                     if batch[0].id in self.unanswered:
                         self.unanswered[batch[0].id] = self.unanswered.pop(batch[0].id)
-                # The first failure may be due to the idle connection: retried at once on a new one.
+                # The first failure may concern this connection alone: retried at once on a new one.
                 was_cut_short, self.was_cut_short = self.was_cut_short, False
                 if failures > 1 and not was_cut_short:
                     self.is_backing_off, self.failed_at = True, self.clock()
@@ -152,8 +155,6 @@
         self.task = None
 
     def _send_batch(self, batch, until) -> None:
-        if self.clock() - self.answered_at > MAX_IDLE_TIME:
-            self.connection.close()
         stream = self.connection.get_stream(until)
         rows = []
         for notice in batch:
@@ -170,6 +171,4 @@
         head = stream.read_response_head(until)
         if head.status != 204:
             raise UnexpectedStatus(f"status {head.status}")
-        self.answered_at = self.clock()
-        if not head.keep_alive:
-            self.connection.close()
+        self.connection.close()
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -6,8 +6,8 @@
 
 from molehill.core import events as ev
 from molehill.interface import Result
-from tests.core_harness import MS, SECOND
-from tests.test_net import HostsHarness, response
+from tests.core_harness import MS, SECOND, drain
+from tests.test_net import HostsHarness, NoticesHarness, response
 
 FIRST_ANSWER = response(200, b"Srv-Load: x0=0.4,x1=25", body=b"c0ad9693e0852046")
 
@@ -165,3 +165,19 @@
         harness.net.advance(10 * MS)
     assert harness.net.events[-1] == ev.HostFinishedReading(2, False)
     assert harness.net.budget.total() == 0
+
+
+def test_a_late_copy_of_an_answer_does_not_complete_the_next_notice(monkeypatch):
+    harness = NoticesHarness(monkeypatch)
+    harness.send_notices("a")
+    harness.reply(204)
+    harness.send_notices("b")
+    with suppress(OSError):  # the relay has closed the connection
+        harness.peers[0].send(response(204))
+    harness.net.settle()
+    assert [event.ids for event in harness.net.events] == [["a"]]
+    harness.peers[-1].close()  # unread
+    harness.net.settle()
+    assert b'"ref":"b"' in drain(harness.peers[-1])
+    harness.reply(204)
+    assert [event.ids for event in harness.net.events] == [["a"], ["b"]]
