Discovery: a late copy of an older list no longer replaces a newer one

On the kept connection of the watch a late copy of an earlier answer was taken for the answer to the present watch: a list older than the one known was told on, so a draining host came back as active (calls past the drain's grace) until the whole list had come.

An answer on a connection that has answered before is outdated if its version is lower than the known one, or if it holds changes only where the whole list was asked for. Nothing of it counts; the whole list is asked for at once on a new connection, whose first answer can't be a copy. A copy of the latest answer changes nothing. Ruled out: a new connection for each watch (one more way for a watch to fail).

--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -108,6 +108,10 @@
     """Discovery accepted a request, but did not answer it or not completely in time."""
 
 
+class OutdatedAnswer(Exception):
+    """An answer that another one on its connection has outdated: perhaps a late copy."""
+
+
 class Discovery:
     """Follows discovery's host list and reports it to `post`."""
 
@@ -121,6 +125,7 @@
         )
         self.clock, self.is_watching = scheduler.clock, False
         self.has_answered = False  # discovery has answered this process, or one that handed over
+        self.answered_stream: Optional[HttpStream] = None  # the last one that carried an answer
         self.version: Optional[int] = 0  # to watch from; None: request the whole list
         make_stream = partial(
             HttpStream, max_body_bytes=max(MIN_LIST_BYTES, config.memory // LIST_MEMORY_DIVISOR)
@@ -203,6 +208,9 @@
             try:
                 version, is_whole, hosts = self._request_list(timeout)
                 break
+            except OutdatedAnswer:
+                self.connection.close()
+                self.version = known_version = None
             except ResponseTimeout:
                 # The next watch may get no answer either. Pausing after that, as after a failure,
                 # would leave the relay without a watch while the news it misses counts as known.
@@ -227,6 +235,7 @@
         holds_answer = self.version is not None and self.has_answered
         until = self.clock() + (WATCH_HOLD + ANSWER_TIMEOUT if holds_answer else timeout)
         stream = self.connection.get_stream(self.clock() + self.config.connect_time_out)
+        is_used = stream is self.answered_stream
         target = "/registry/instances"  # the whole list, at once
         if self.version is not None:
             hold = WATCH_HOLD if self.has_answered else FIRST_WATCH_HOLD
@@ -239,7 +248,11 @@
             raise ResponseTimeout() from error
         if head.status != 200:
             raise ValueError(f"status {head.status}")
+        version, is_whole, hosts = parse_list(body, self.config)
+        if is_used and (version < self.version if self.version is not None else not is_whole):
+            raise OutdatedAnswer()
+        self.answered_stream = stream
         if not head.keep_alive:
             self.connection.close()
         self.has_answered = True
-        return parse_list(body, self.config)
+        return version, is_whole, hosts
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -7,7 +7,7 @@
 from molehill.core import events as ev
 from molehill.interface import Result
 from tests.core_harness import MS, SECOND, drain
-from tests.test_net import HostsHarness, NoticesHarness, response
+from tests.test_net import DiscoveryHarness, HostsHarness, NoticesHarness, entry, response
 
 FIRST_ANSWER = response(200, b"Srv-Load: x0=0.4,x1=25", body=b"c0ad9693e0852046")
 
@@ -181,3 +181,20 @@
     assert b'"ref":"b"' in drain(harness.peers[-1])
     harness.reply(204)
     assert [event.ids for event in harness.net.events] == [["a"], ["b"]]
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_late_copy_of_an_older_list_brings_no_draining_host_back(monkeypatch, whole):
+    harness = DiscoveryHarness(monkeypatch)
+    harness.start_watch()
+    harness.reply_list(41, entry(), whole=True)
+    harness.net.advance(200 * MS)
+    harness.reply_list(42, entry(status="leaving"))
+    harness.net.advance(200 * MS)
+    told = len(harness.net.events)
+    harness.reply_list(41, entry(), whole=whole)
+    harness.net.advance(200 * MS)
+    assert len(harness.net.events) == told and len(harness.peers) == 2
+    assert drain(harness.peers[1]).startswith(b"GET /registry/instances HTTP/1.1")
+    harness.reply_list(42, entry(status="leaving"), whole=True)
+    assert len(harness.net.events) == told + 1 and harness.discovery.version == 42
