Upgrade: the next process knows what the connections it takes over have answered

A connection to a host that was handed over had forgotten its answers: a late copy of one ended the first call that the next process made on it, or the call that was out.

Rows of connections carry the digests of their answers, their count of calls and whether the host's answers differ. An idle connection from a release that does not tell its answers is closed; a call from such a release goes on as before (its connection counts as unanswered: a copy of an earlier answer would still end it, once, at that upgrade). Ruled out: closing all idle connections at an upgrade (a handshake for each at the moment of least room).

--- a/molehill/http/answer_variety.py
+++ b/molehill/http/answer_variety.py
@@ -8,6 +8,7 @@
 from typing import Optional
 
 MAX_HOSTS = 4096  # whose answers are remembered
+NO_DIGEST = -1  # of no body
 
 
 @dataclass(slots=True)
@@ -42,6 +43,10 @@
             del self.hosts[next(iter(self.hosts))]
         self.hosts[host] = answers
 
+    def restore_varied(self, host: str) -> None:
+        """Restores that an earlier process has seen a host's answers differ."""
+        self.hosts.setdefault(host, HostAnswers(NO_DIGEST, True))
+
     def mark_alike(self, host: str) -> None:
         """Takes a host's answers for alike, until two first answers differ."""
         if host in self.hosts:
--- a/molehill/http/host_connection.py
+++ b/molehill/http/host_connection.py
@@ -55,6 +55,10 @@
         if STATUS_LINE_START in self.parser.raw_head[1:] + body + behind_it:
             raise MalformedMessage(400, "two answers that ran together")
 
+    def handover_row(self) -> dict:
+        """Returns what the next process has to know of this connection."""
+        return {"calls": self.calls_written, "answers": sorted(self.answer_digests)}
+
     def has_room_for_answers(self) -> bool:
         """Returns whether the answer to another call can be remembered."""
         return len(self.answer_digests) < MAX_REMEMBERED_ANSWERS
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -130,10 +130,12 @@
                 if stream is not None:
                     stream.close()
                 continue
+            connection_row = stream.handover_row()
             sock, data = stream.detach()
             rows.append(
                 (
                     {
+                        **connection_row,
                         "k": "call",
                         "n": number,
                         "host": call.host,
@@ -148,7 +150,10 @@
             )
             # The call's task in this process has nothing left to report.
             self.handed_over_calls[number], call.callbacks = replace(call), []
-        return rows + self.idle_connections.hand_over()
+        rows += self.idle_connections.hand_over()
+        for row, _, _ in rows:
+            row["varied"] = self.answer_variety.is_varied(row["host"])
+        return rows
 
     def take_back(self, rows) -> None:
         """Takes back the rows of `hand_over` after a failed upgrade.
@@ -170,8 +175,9 @@
     def adopt_connection(self, message, data, sock, call=None) -> bool:
         """Continues a connection that was handed over, or that is taken back with its `call`.
 
-        Returns whether it can be used: without a file descriptor for it, it is closed. Raises
-        ConfigError, ValueError, KeyError or TypeError if the row is invalid.
+        Returns whether it can be used: without a file descriptor for it, it is closed, and an idle
+        one if a release handed it over that did not tell its answers. Raises ConfigError,
+        ValueError, KeyError or TypeError if the row is invalid.
         """
         if message["k"] == "call":
             call = call or ev.Call(
@@ -184,17 +190,25 @@
                     for callback_id, until in message["members"]
                 ],
             )
-        if not self.budget.acquire("host", RESERVED_OUTGOING):
+        knows_answers = "answers" in message
+        is_useless = message["k"] == "idle" and not knows_answers
+        calls_written = int(message.get("calls", 0))
+        digests = {int(digest) for digest in message.get("answers", ())}
+        if is_useless or not self.budget.acquire("host", RESERVED_OUTGOING):
             sock.close()
             return False
         stream = HostConnection(self.scheduler, sock, "host", self.budget)
         stream.restore_unread(data)
+        stream.calls_written, stream.answer_digests = calls_written, digests
+        if message.get("varied"):
+            self.answer_variety.restore_varied(message["host"])
         if message["k"] == "idle":
             self.idle_connections.put(message["host"], stream, message["since"])
             return True
         self.calls_in_flight += 1
         running_call = RunningCall(call, message["start"])
         running_call.written_at = self.clock()  # the earlier process wrote it, at the latest now
+        running_call.on_new_connection = stream.calls_written == 1
         self.running_calls[call.number], self.streams[call.number] = running_call, stream
         self.scheduler.spawn(self._run_call, call, stream)
         return True
--- a/molehill/http/idle_connections.py
+++ b/molehill/http/idle_connections.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import Callable, Optional
 
-from molehill.http.stream import HttpStream
+from molehill.http.host_connection import HostConnection
 
 
 class CloseReason(Enum):
@@ -14,7 +14,7 @@
     UNREQUESTED_BYTES = "unrequested bytes"
 
 
-class IdleConnections(dict[str, list[HttpStream]]):
+class IdleConnections(dict[str, list[HostConnection]]):
     """The idle connections by host; each list ends with the one that was used last.
 
     `clock()` returns nanoseconds; a connection that has been idle for `max_idle_time` nanoseconds
@@ -30,13 +30,13 @@
         super().__init__()
         self.clock, self.max_idle_time, self.count_closed = clock, max_idle_time, count_closed
 
-    def put(self, host: str, stream: HttpStream, since: int) -> None:
+    def put(self, host: str, stream: HostConnection, since: int) -> None:
         """Adds a connection that has been idle since the time `since`, unless it is unusable."""
         stream.idle_since = since
         if not self._close_if_unusable(stream):
             self.setdefault(host, []).append(stream)
 
-    def take(self, host: str) -> Optional[HttpStream]:
+    def take(self, host: str) -> Optional[HostConnection]:
         """Removes and returns the usable connection that was used last, or None.
 
         Unusable ones that it finds are closed.
@@ -48,7 +48,7 @@
                 return stream
         return None
 
-    def why_unusable(self, stream: HttpStream) -> Optional[CloseReason]:
+    def why_unusable(self, stream: HostConnection) -> Optional[CloseReason]:
         """Returns why a connection can't be used again, or None if it can."""
         if stream.idle_since <= self.clock() - self.max_idle_time:
             return CloseReason.IDLE_TOO_LONG
@@ -56,7 +56,7 @@
             return None
         return CloseReason.ENDED_BY_HOST if stream.has_ended() else CloseReason.UNREQUESTED_BYTES
 
-    def _close_if_unusable(self, stream: HttpStream) -> bool:
+    def _close_if_unusable(self, stream: HostConnection) -> bool:
         reason = self.why_unusable(stream)
         if reason is None:
             return False
@@ -92,8 +92,9 @@
         rows = []
         for host, streams in self.items():
             for stream in [stream for stream in streams if stream.is_quiet()]:
-                since = stream.idle_since
+                row = {"k": "idle", "host": host, "since": stream.idle_since}
+                row.update(stream.handover_row())
                 sock, data = stream.detach()
-                rows.append(({"k": "idle", "host": host, "since": since}, data, sock))
+                rows.append((row, data, sock))
         self.clear()
         return rows
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import select
 import signal
 import socket
 from dataclasses import replace
@@ -143,6 +144,7 @@
     )
     limiter = first_endpoint(harness.old.core.module).limiter
     limiter.window = 2.5
+    harness.old.hosts.answer_variety.any_is_varied = True  # other hosts have shown it
     new = harness.finish_upgrade(harness.start_process())
     assert (
         harness.old.handed_over
@@ -156,8 +158,7 @@
         "id2",
         "id3",
     ]
-    new.hosts.answer_variety.any_is_varied = True  # else each call gets a connection of its own
-    for sock, rest in ((hosts[0], DELIVERED[20:]), (hosts[1], DELIVERED[-1:])):
+    for sock, rest in ((hosts[0], DELIVERED[20:]), (hosts[1], b"!")):  # two bodies that differ
         assert drain(sock) == b"", "no connection is closed and nothing is written again"
         sock.send(rest)
     harness.advance(50 * MS)
@@ -183,6 +184,33 @@
     assert third.can_serve() and set(third.core.callbacks) == set(new.core.callbacks)
 
 
+def send_answer(harness, process, host, data):
+    """Sends from a host and runs the process once the data has arrived at its only call."""
+    (stream,) = process.hosts.streams.values()
+    host.send(data)
+    assert select.select([stream.sock], [], [], 5)[0]
+    harness.advance(20 * MS)
+
+
+def test_late_copy_after_upgrade_ends_no_call(harness):
+    """The next process must know what a connection that it takes over has answered."""
+    answers = [DELIVERED.replace(b"ok", b"%d%d" % (n, n)) for n in range(2)]
+    harness.old.hosts.answer_variety.any_is_varied = True
+    client = harness.connect_client(REQUEST % (b"id0", b"plain"))
+    (host,) = harness.accept_calls()
+    assert b"id0" in drain(host)
+    send_answer(harness, harness.old, host, answers[0])
+    new = harness.finish_upgrade(harness.start_process())  # the connection is idle
+    client.send(REQUEST % (b"id1", b"plain"))
+    harness.read_until(host, b"Req-Id: id1")
+    send_answer(harness, new, host, answers[0])
+    third = harness.finish_upgrade(harness.start_process())  # the call is out
+    send_answer(harness, third, host, answers[0])
+    assert list(third.core.callbacks) == ["id1"]
+    send_answer(harness, third, host, answers[1])
+    assert not third.core.callbacks and third.hosts.idle_connections["h1"], "it is used again"
+
+
 def test_unwritten_call_is_sent_again_after_upgrade(
     harness,
 ):
