Soak: a request that ended before its client heard of it is over in the order rule

Followed by id: c37.112 was taken on by a process that was killed before its 202; the next one told its end at 13.453 s and answered the copy that the client sent again at 13.456. The rule counted the answer behind the notice as a request that is never over. It remembers ends now; one case more in its test (failed before).

--- a/molehill/soak/oracle.py
+++ b/molehill/soak/oracle.py
@@ -336,6 +336,7 @@
     """
     submitted: dict[str, HandedIn] = {}
     accepted: dict[str, dict[str, float]] = {}  # key -> id of a request that is not over -> when
+    over: set[str] = set()  # a process may end a request before its client hears that it has it
     found = []
     for event in history.of_type(HandedIn, Answered, Replied, Notice, Left, GaveUp, Call):
         if isinstance(event, HandedIn):
@@ -351,9 +352,10 @@
                     text = f"{other} of its key, accepted at {accepted_at:.3f}, is not over"
                     found.append(Finding(OUT_OF_ORDER, event.at, event.id, text))
         elif isinstance(event, Answered):
-            if event.status in ACCEPTED_STATUSES:
+            if event.status in ACCEPTED_STATUSES and event.id not in over:
                 ahead[event.id] = event.at
         elif not isinstance(event, Replied) or event.status in ACCEPTED_STATUSES:
+            over.add(event.id)
             ahead.pop(event.id, None)
     return found
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -298,6 +298,7 @@
         (Replied(2.0, "a", "h", 200), False),
         (Notice(2.0, "a", "dead"), False),
         (Notice(2.2, "a", "dead"), True),
+        (Notice(0.05, "a", "dead"), False),  # by the process before the one that answered
     ],
 )
 def test_the_soak_reports_a_request_sent_before_the_one_ahead_is_over(end, found):
