Engine: a rejection decided after its deadline while the log fails is told as a failure

An unlogged rejection waits for the log until the deadline and becomes a failure then; one that the module decided in the turn behind the deadline was sent as it was, in runtime/engine.py notify.

It takes the same way now.

--- a/molehill/runtime/engine.py
+++ b/molehill/runtime/engine.py
@@ -140,11 +140,14 @@
 
         A kill would lose a result that the log refused, and the next process would attempt a
         callback that had already ended. So the notice is sent once the result is logged, or at the
-        callback's deadline, after which nothing is attempted.
+        callback's deadline, after which nothing is attempted. From then on the next process would
+        report a failure, so an unlogged rejection becomes one.
         """
-        if self.clock() < effect.deadline and any(
+        is_unlogged = any(
             record["k"] == "owed" and record["id"] == effect.id for record, _ in self.unwritten_rows
-        ):
+        )
+        is_over = self.clock() >= effect.deadline
+        if is_unlogged and (not is_over or effect.rejected):
             self.withheld_notices[effect.id] = effect
             self.scheduler.call_at(effect.deadline, self.end_unlogged, effect.id)
         else:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -313,7 +313,10 @@
 
 
 @pytest.mark.parametrize("works_again", [False, True])
-def test_unlogged_result_is_not_contradicted_after_restart(failing_harness, works_again):
+@pytest.mark.parametrize("rejected_after", [0, 901 * MS])
+def test_unlogged_result_is_not_contradicted_after_restart(
+    failing_harness, works_again, rejected_after
+):
     """Two processes must not report different results of one callback.
 
     This one rejects it; the next one finds it unattempted and overdue, and reports a failure.
@@ -329,6 +332,7 @@
     failing_harness.read_until(client, b"HTTP/1.1 202")
     due = failing_harness.clock.now + 900 * MS
     disk.left, disk.failing = 0, {"open": errno.ENOSPC}
+    failing_harness.clock.now += rejected_after  # in one turn, perhaps beyond the deadline
     failing_harness.relay.engine.execute_effects(denial_effects(failing_harness.relay.core, "id1"))
     while failing_harness.clock.now < due + 200 * MS:
         failing_harness.advance(10 * MS)
