--- a/molehill/http/host_connection.py
+++ b/molehill/http/host_connection.py
@@ -7,7 +7,7 @@
 import zlib
 from itertools import count
 
-from molehill.http.parser import MalformedMessage
+from molehill.http.parser import Head, MalformedMessage
 from molehill.http.stream import HttpStream
 
 # answers that a connection remembers at most: it is not used again after so many
@@ -42,7 +42,7 @@
         """Remembers the answer that was read last; `body` is its body."""
         self.answer_digests.add(self._digest(body))
 
-    def repeats_earlier_answer(self, body: bytes) -> bool:
+    def repeats_earlier_answer(self, _head: Head, body: bytes) -> bool:
         """Returns whether the answer that was read last is the same as an earlier one."""
         return self.has_answered and self._digest(body) in self.answer_digests
 
@@ -51,6 +51,8 @@
 
         Part of an earlier answer and the answer behind it may read as one whole answer.
         """
+        if not self.has_answered:
+            return
         behind_it = self.buffer.peek(len(STATUS_LINE_START) - 1)
         if STATUS_LINE_START in self.parser.raw_head[1:] + body + behind_it:
             raise MalformedMessage(400, "two answers that ran together")
--- a/molehill/http/hosts.py
+++ b/molehill/http/hosts.py
@@ -14,6 +14,7 @@
 from molehill.core.permission import Refusal
 from molehill.http import host_responses
 from molehill.http import parser as http
+from molehill.http.answer_reader import AnswerReader
 from molehill.http.answer_variety import AnswerVariety
 from molehill.http.host_connection import HostConnection
 from molehill.http.idle_connections import CloseReason, IdleConnections
@@ -32,8 +33,6 @@
 SWEEP_INTERVAL = 200 * MS
 # before the end of a call is reported that this machine had no resources for
 LOCAL_ERROR_DELAY = 20 * MS
-# for the rest of an answer whose outcome is known: its segments arrive shortly after one another
-REMAINDER_TIMEOUT = 250 * MS
 # No answer comes sooner: the host has to read the call, do its work and write.
 MIN_ANSWER_TIME = MS
 
@@ -53,9 +52,6 @@
             False,
         )
         self.written_at = None  # when its last byte was written
-        self.answered_at = None  # when the head of its answer was read
-        self.outcome_is_known = False  # that head tells the outcome, whatever follows
-        self.copies_skipped = 0  # answers that were copies of earlier ones on its connection
         self.unread_until = None  # after a timeout: until when its host may still read it
         self.awaits_host_close = False  # its connection stays open until the host closes it
 
@@ -445,83 +441,36 @@
         return http.build_request("POST", "/events/bundle", host, headers, body)
 
     def _read_answer(self, call, stream, started_at) -> None:
-        """Reads the whole answer, as the host holds the call until then, and reports the outcome.
-
-        Part of an answer that refuses a callback proves nothing. Of a malformed or truncated
-        answer, only a status line with 200 to a call with one callback counts, and on a connection
-        that has answered before not even that: it may be part of a late copy. So for such a 200,
-        and for a 500, which proves as little as a broken answer, the rest is waited for only
-        REMAINDER_TIMEOUT.
-        """
-        until, end, running_call = call_deadline(call), None, self.running_calls[call.number]
+        """Reads the whole answer, as the host holds the call until then, and reports the outcome."""
+        until, end = call_deadline(call), None
+        reader = AnswerReader(
+            stream, call.is_bundle, self.clock, lambda: self._count_copy(call, stream)
+        )
         try:
-            head, body = self._receive_answer(call, stream, until)
+            head, body = reader.read(until)
         except (ConnectionBroken, TimedOut, http.MalformedMessage) as error:
-            start_received = stream.parser.start_line_bytes or stream.buffer.peek(64)
-            is_timeout = isinstance(error, TimedOut) and self.clock() >= until
-            if is_timeout and not running_call.outcome_is_known:
-                end = ev.AttemptOutcome("", Result.TIMEOUT)
-            elif (
-                not call.is_bundle
-                and not stream.has_answered
-                and start_received.startswith(b"HTTP/1.1 200 ")
-                and b"\r\n" in start_received
-            ):
-                end = host_responses.END_BY_STATUS[200]
-            else:
-                end = (
-                    host_responses.END_BY_STATUS[500]
-                    if running_call.outcome_is_known
-                    else ev.AttemptOutcome("", Result.RESET)
-                )
+            end = reader.outcome_of_failure(error, until)
         # An answer after the call's deadline is no delivery, whatever it says: by then the host has
         # given the call up, as this relay told it to. An answer that is read too late because this
         # relay was stalled may be such a one, and says nothing about the host.
-        answered_at = running_call.answered_at
-        known_at = answered_at if running_call.outcome_is_known else self.clock()
-        if (end is None or end.result is not Result.TIMEOUT) and known_at > until:
+        has_timed_out = end is not None and end.result is Result.TIMEOUT
+        if not has_timed_out and reader.is_too_late(until):
             end = ev.AttemptOutcome("", Result.CANCELLED)
+        # If only copies of earlier answers came, they may have been the host's answer.
+        if end is not None and reader.copies_skipped:
+            self.answer_variety.mark_alike(call.host)
         if end is not None:
-            return self._end_without_answer(
-                call,
-                stream,
-                started_at,
-                end,
-                answered_at if end.result is not Result.TIMEOUT else None,
-            )
+            answered_at = None if has_timed_out else reader.answered_at
+            return self._end_without_answer(call, stream, started_at, end, answered_at)
+        running_call = self.running_calls[call.number]
         ends = host_responses.call_ends(call, head, body, running_call.on_new_connection)
         self._keep_or_close(call, stream, head, body, ends)
         advertised = host_responses.advertised_limit(
             head, self.config.settings.limits_are_advertised
         )
-        self._report_ends(call, started_at, ends, advertised, answered_at)
-
-    def _receive_answer(self, call, stream: HostConnection, until) -> tuple[http.Head, bytes]:
-        """Reads the answer to a call, and skips late copies of earlier answers before it.
+        self._report_ends(call, started_at, ends, advertised, reader.answered_at)
 
-        Raises MalformedMessage, ConnectionBroken and, at `until`, TimedOut.
-        """
-        running_call = self.running_calls[call.number]
-        while True:
-            head = stream.read_response_head(until)
-            running_call.answered_at = self.clock()
-            has_single_outcome = not call.is_bundle and head.status in (200, 500)
-            running_call.outcome_is_known = has_single_outcome and not stream.has_answered
-            body_deadline = until
-            if has_single_outcome:
-                body_deadline = min(until, running_call.answered_at + REMAINDER_TIMEOUT)
-            body = stream.read_body(head, body_deadline)
-            if not stream.repeats_earlier_answer(body):
-                if stream.has_answered:
-                    stream.raise_if_merged(body)
-                return head, body
-            self._skip_copy(call, stream)
-
-    def _skip_copy(self, call, stream: HostConnection) -> None:
-        running_call = self.running_calls[call.number]
-        running_call.answered_at, running_call.outcome_is_known = None, False
-        running_call.copies_skipped += 1
-        stream.parser.start_line_bytes = stream.parser.raw_head = b""
+    def _count_copy(self, call, stream: HostConnection) -> None:
         self.counts["copies skipped"] += 1
         for member in call.callbacks:
             self.trace.record(
@@ -548,10 +497,8 @@
 
         No later answer on its connection would count, and the connection must not carry another
         call. It is closed, but after a timeout with no byte of an answer it first waits for the
-        host to close it. If copies of earlier answers came, they may have been the host's answer.
+        host to close it.
         """
-        if self.running_calls[call.number].copies_skipped:
-            self.answer_variety.mark_alike(call.host)
         if (
             end.result is Result.TIMEOUT
             and not stream.parser.start_line_bytes
