--- a/molehill/emulator/generator.py
+++ b/molehill/emulator/generator.py
@@ -72,6 +72,7 @@
     "herd": (2, (0, 0), (0.3, 1)),
     "zone_dark": (2, (500, 6000), (0, 1)),
     "lower": (3, (2000, 8000), (0.2, 0.9)),
+    "copies": (4, (500, 6000), (1, 300)),
 }
 ALL_KINDS = {**KINDS, **OPTIONAL_KINDS}
 EFFECTS = ("idempotent", "deduplicated", "at_most_once")
--- a/molehill/emulator/mutations.py
+++ b/molehill/emulator/mutations.py
@@ -13,7 +13,8 @@
 from molehill.decisions.endpoint import HEALTHY, SLOW_START
 from molehill.decisions.endpoint_health import EndpointHealth
 from molehill.decisions.lifecycle import Lifecycle
-from molehill.http import clients, discovery, hosts, notices
+from molehill.http import clients, discovery, host_responses, hosts, notices
+from molehill.http.host_connection import HostConnection
 from molehill.runtime.engine import Engine
 from molehill.runtime.scheduler import READ
 from molehill.store import Store
@@ -293,7 +294,12 @@
         "CONDITION_BY_STATUS",
         lambda before: {**before, "leaving": interface.Condition.UP},
     ),
-    "told wait not read": (hosts, "retry_after", lambda before: lambda head: 0),
+    "late copy ends the next call": (
+        HostConnection,
+        "repeats_earlier_answer",
+        lambda before: lambda self, head, body: False,
+    ),
+    "told wait not read": (host_responses, "retry_after", lambda before: lambda head: 0),
     "wait heeded by host, not by destination": (config, "parse_settings", route_per_host),
     "late answer ends another callback": (hosts.Hosts, "_end_without_answer", reuse_after_timeout),
     "a call goes on after the time of one in it": (hosts, "call_deadline", last_deadline),
--- a/molehill/emulator/parties/endpoint.py
+++ b/molehill/emulator/parties/endpoint.py
@@ -75,6 +75,8 @@
         # counts_refusals: refused calls count towards the limit too
         self.recent_calls, self.counts_refusals, self.usual_rate = deque(), False, plan.rate
         self.conns, self.listener = {}, None
+        # While above 0, each answer is written once more, this many ms later at most.
+        self.max_copy_delay_ms = 0.0
         # Greatest share of its budget that it received after an outage.
         self.max_budget_share = 0.0
         self.open()
@@ -298,7 +300,17 @@
             wait=told,
             ids=[i for i, _, _ in ids],
         )
-        sock.put(answer(status, headers, body))
+        data = answer(status, headers, body)
+        sock.put(data)
+        if self.max_copy_delay_ms:
+            delay = int(self.world.chance.uniform(0, self.max_copy_delay_ms) * MS)
+            self.world.after(delay, self.send_copy, sock, number, data)
+
+    def send_copy(self, sock, number, data: bytes) -> None:
+        """Write an answer once more, unless its connection has ended."""
+        if sock in self.conns and not (sock.closed or sock.error):
+            self.world.tell(self.name, "answer copied", call=number)
+            sock.put(data)
 
     def send_noise(self, sock, number) -> None:
         if sock in self.conns and not sock.closed:
--- a/molehill/emulator/scenario.py
+++ b/molehill/emulator/scenario.py
@@ -153,6 +153,8 @@
     "dead": "host",
     "vanished": "host",
     "drain": "host",
+    # Each answer is written once more, up to so many ms later (worth).
+    "copies": "host",
     "lag": "platform",
     "outage": "platform",
     "lost_answers": "platform",
--- a/molehill/emulator/script.py
+++ b/molehill/emulator/script.py
@@ -106,6 +106,10 @@
         _apply_mode
     )
 
+    def on_copies(self, fault, host, span) -> None:
+        """Let a host write its answers twice for `span`."""
+        self.set_during(span, host, "max_copy_delay_ms", fault.worth, 0.0)
+
     def on_drain(self, fault, host, span) -> None:
         """Drain a host for `span`.
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -10,7 +10,7 @@
 from molehill.cli.__main__ import main
 from molehill.config import MS
 from molehill.core.reducer import Core
-from molehill.emulator import generator, sweep
+from molehill.emulator import generator, mutations, sweep
 from molehill.emulator import scenario as scenarios
 from molehill.emulator.parties.endpoint import slow_start_budget
 from molehill.emulator.run import Run
@@ -167,6 +167,17 @@
     )
 
 
+def test_late_copies_of_answers_keep_the_rules_unless_they_are_not_recognized():
+    def play(seed):
+        weights = {"copies": 60.0, "refusing": 20.0, "shut": 20.0, "erring": 20.0}
+        return sweep.play_one(generator.make(seed, weights=weights))
+
+    for seed in range(4):
+        check_kept(play(seed))
+    with mutations.mutated("late copy ends the next call"):
+        assert not play(0)["ok"]
+
+
 @pytest.mark.parametrize("end", ["fulfilled", "throttled", "faulted"])
 def test_a_figure_that_counts_wrongly_is_found(monkeypatch, end):
     count = Core._count_end
