Hosts: at most 16 late copies are skipped for a call; a host marked alike stays so

A host that writes copies without an end held the loop in the skipping of them; the call ends as perhaps run behind 16, as with interim responses. A host whose only answers came on connections that were handed over could not be marked as answering alike, and one first answer would have cleared the mark.

--- a/molehill/http/answer_reader.py
+++ b/molehill/http/answer_reader.py
@@ -10,13 +10,14 @@
 from molehill.core import events as ev
 from molehill.http import host_responses
 from molehill.http.host_connection import HostConnection
-from molehill.http.parser import Head
+from molehill.http.parser import Head, MalformedMessage
 from molehill.interface import Result
 from molehill.runtime.stream import TimedOut
 
 # for the rest of an answer whose outcome is known: its segments arrive shortly after one another
 REMAINDER_TIMEOUT = 250 * MS
 START_LINE_BYTES = 64  # enough to hold a status
+MAX_COPIES = 16  # of earlier answers before the call's own
 
 
 class AnswerReader:
@@ -45,12 +46,13 @@
         Raises MalformedMessage, ConnectionBroken and, at `until` or for lack of the rest of an
         answer, TimedOut.
         """
-        while True:
+        while self.copies_skipped <= MAX_COPIES:
             head, body = self._read_next(until)
             if not self.stream.repeats_earlier_answer(head, body):
                 self.stream.raise_if_merged(body)
                 return head, body
             self._skip_copy()
+        raise MalformedMessage(400, "too many copies of earlier answers")
 
     def _read_next(self, until: int) -> tuple[Head, bytes]:
         head = self.stream.read_response_head(until)
--- a/molehill/http/answer_variety.py
+++ b/molehill/http/answer_variety.py
@@ -8,7 +8,6 @@
 from typing import Optional
 
 MAX_HOSTS = 4096  # whose answers are remembered
-NO_DIGEST = -1  # of no body
 
 
 def body_digest(body: bytes) -> int:
@@ -20,10 +19,10 @@
 class HostAnswers:
     """The digest of a host's latest body, and whether it differs from the one before.
 
-    `is_varied` is None until two bodies could be compared.
+    Each is None as long as it is not known.
     """
 
-    latest_digest: int
+    latest_digest: Optional[int] = None
     is_varied: Optional[bool] = None
 
 
@@ -39,23 +38,27 @@
 
     def add_first_answer(self, host: str, body: bytes) -> None:
         """Adds the body of the first answer on a connection to a host."""
-        digest, known = body_digest(body), self.hosts.pop(host, None)
-        answers = HostAnswers(digest)
-        if known is not None:
-            answers.is_varied = known.latest_digest != digest
+        digest, answers = body_digest(body), self._answers_of(host)
+        if answers.latest_digest is not None:
+            answers.is_varied = answers.latest_digest != digest
             self.any_is_varied = self.any_is_varied or answers.is_varied
-        elif len(self.hosts) >= MAX_HOSTS:
+        answers.latest_digest = digest
+
+    def _answers_of(self, host: str) -> HostAnswers:
+        """Returns what is known of a host; the one that was looked at longest ago makes room."""
+        answers = self.hosts.pop(host, None) or HostAnswers()
+        if len(self.hosts) >= MAX_HOSTS:
             del self.hosts[next(iter(self.hosts))]
         self.hosts[host] = answers
+        return answers
 
     def restore_varied(self, host: str) -> None:
         """Restores that an earlier process has seen a host's answers differ."""
-        self.hosts.setdefault(host, HostAnswers(NO_DIGEST, True))
+        self._answers_of(host).is_varied = True
 
     def mark_alike(self, host: str) -> None:
         """Takes a host's answers for alike, until two first answers differ."""
-        if host in self.hosts:
-            self.hosts[host].is_varied = False
+        self._answers_of(host).is_varied = False
 
     def is_varied(self, host: str) -> bool:
         """Returns whether a copy of a host's answer can be told from its other answers."""
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from molehill.core import events as ev
+from molehill.http.answer_variety import AnswerVariety
 from molehill.interface import Result
 from tests.core_harness import MS, SECOND, drain
 from tests.test_net import DiscoveryHarness, HostsHarness, NoticesHarness, entry, response
@@ -49,6 +50,13 @@
     assert results(harness) == [Result.DELIVERED, result] and len(harness.peers) == 1
 
 
+def test_endless_late_copies_end_their_call(monkeypatch):
+    harness = HostsHarness(monkeypatch)
+    call_twice(harness)
+    harness.reply(FIRST_ANSWER * 100)
+    assert results(harness) == [Result.DELIVERED, Result.RESET]
+
+
 @pytest.mark.parametrize("status", [429, 500, 503, 504, 410, 400, 200])
 def test_a_late_copy_of_an_answer_without_a_body_does_not_end_the_next_call(monkeypatch, status):
     """Such answers are alike, so that a copy can't be told from the next call's own answer."""
@@ -112,6 +120,11 @@
         harness.reply(response(200, body=body))
     harness.call("e")
     assert len(harness.peers) == 5, "the last one is used again"
+    restored = AnswerVariety()
+    restored.any_is_varied = True
+    restored.mark_alike("h1")  # before any first answer, as over an upgrade
+    restored.add_first_answer("h1", b"1")
+    assert not restored.is_varied("h1")
 
 
 @pytest.mark.parametrize("length", [17, 40, len(FIRST_ANSWER) - 1])
