--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -188,7 +188,9 @@
     """Sends from a host and runs the process once the data has arrived at its only call."""
     (stream,) = process.hosts.streams.values()
     host.send(data)
-    assert select.select([stream.sock], [], [], 5)[0]
+    poller = select.poll()
+    poller.register(stream.sock, select.POLLIN)
+    assert poller.poll(5000)
     harness.advance(20 * MS)
 
 
