--- a/review/3/case.py
+++ b/review/3/case.py
@@ -71,6 +71,7 @@
         await old.change(first.entry("leaving"))
         await asyncio.sleep(2.0)
         await old.change(first.entry("left"))
+        gone_at = record.now()
         await asyncio.sleep(3.0)
         first.close()
         await asyncio.sleep(0.2)
@@ -113,7 +114,8 @@
     if len(accepted) < 60:
         raise rig.CouldNotRun(f"only {len(accepted)} messages were taken on")
     return [
-        f"foreign: {id} for destination {destinations.get(id)} came to {name} of another one at {at:.3f}"
+        f"drain: {id} for destination 3 sent to the address of s-c1 at {at:.3f}, told as gone at {gone_at:.3f};"
+        f" {name} of destination 5 is there now"
         for id, name, at in foreign
     ]
 
--- a/review/rig.py
+++ b/review/rig.py
@@ -1,6 +1,6 @@
 """Stand-ins and a runner that the cases of this folder share: hosts, platform, clients, one relay.
 
-Standard library only. Everything listens on 127.0.0.1; the relay is started with `run` of the deploy
+Standard library only. Everything listens on one loopback address; the relay is started with `run` of the deploy
 file, in a temporary folder. All parties run in one event loop, so that what they saw has one order.
 """
 
@@ -19,7 +19,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[1]
-ADDRESS = "127.0.0.1"
+# An address for each run, so that the ports of a stopped process stay free for its next one.
+ADDRESS = f"127.{64 + (os.getpid() >> 8) % 64}.{os.getpid() % 256}.1"
 READY_TIMEOUT_S = 20.0
 CLIENT_TIMEOUT_S = 0.4  # a client waits so long for its answer
 OLD_DISCOVERY_CLOSES_AFTER_S = 1.5
