--- a/review/3/case.py
+++ b/review/3/case.py
@@ -114,7 +114,7 @@
     if len(accepted) < 60:
         raise rig.CouldNotRun(f"only {len(accepted)} messages were taken on")
     return [
-        f"drain: {id} for destination 3 sent to the address of s-c1 at {at:.3f}, told as gone at {gone_at:.3f};"
+        f"foreign: {id} for destination 3 sent to the address of s-c1 at {at:.3f}, told as gone at {gone_at:.3f};"
         f" {name} of destination 5 is there now"
         for id, name, at in foreign
     ]
