Log: each request for the host list, since which version, how it ended and what it changed

Change: a request for the list has a number and a typed outcome; a line when it is sent, one when it has ended. No line stands for it in the counts but the one it had. The form of the lines is a module of its own, so that the engine below knows nothing of discovery's protocol.

--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -14,6 +14,12 @@
 from molehill.core.host_list import digest_file_list, restore_host_list
 from molehill.http import parser as http
 from molehill.http.host_list_format import parse_list
+from molehill.http.list_request import (
+    ListOutcome,
+    ListRequest,
+    ListRequestEnded,
+    ListRequestLog,
+)
 from molehill.http.list_stream import MIN_ANSWER_DURATION, STALL_TIMEOUT, ListStream
 from molehill.invariants import check_invariant
 from molehill.runtime.stream import ConnectionBroken, PersistentConnection, TimedOut
@@ -47,10 +53,11 @@
 
 
 class ResponseTimeout(TimedOut):
-    """Discovery accepted a request, but did not answer it or not completely in time.
+    """Discovery accepted a request, but did not answer it or not completely in time."""
 
-    The text is its name in the counts.
-    """
+    def __init__(self, outcome: ListOutcome):
+        super().__init__(outcome.value)
+        self.outcome = outcome
 
 
 class UnreadableAnswer(Exception):
@@ -82,6 +89,9 @@
         self.must_confirm = False  # the next answer is to be posted as a confirmation
         self.failed_connects = 0  # connections in a row that did not come up in time
         self.counts: Counter[str] = Counter()  # requests by their outcome, since the last log line
+        self.request_count = 0
+        self.request: Optional[ListRequest] = None  # that has not ended
+        self.request_log: Optional[ListRequestLog] = None
         self.answered_at = self.clock()  # when discovery answered last, or the process started
         self.answered_stream: Optional[ListStream] = None  # the last one that carried an answer
         self.version: Optional[int] = 0  # to watch from; None: request the whole list
@@ -172,10 +182,10 @@
                         self._watch_once()
                 except (ConnectionBroken, http.MalformedMessage, ValueError) as error:
                     self.connection.close()
-                    reason = f"failed: {str(error)[:MAX_REASON_LENGTH]}"
+                    outcome = ListOutcome.FAILED
                     if interruptions != (self.address_changes, self.confirmations):
-                        reason = "interrupted"
-                    self.counts[reason] += 1
+                        outcome = ListOutcome.INTERRUPTED
+                    self._end_request(outcome, str(error)[:MAX_REASON_LENGTH])
         finally:
             self.connection.close()
             self.is_watching = False
@@ -212,20 +222,37 @@
                 return self._request_list(silences)
             except OutdatedAnswer:
                 self.version = None
-                self.counts["outdated"] += 1
+                self._end_request(ListOutcome.OUTDATED)
             except UnreadableAnswer as error:
                 unreadable += 1
                 if unreadable > MAX_UNREADABLE:
                     raise ConnectionBroken(str(error)) from error
-                self.counts["unreadable"] += 1
+                self._end_request(ListOutcome.UNREADABLE, str(error)[:MAX_REASON_LENGTH])
             except ResponseTimeout as error:
                 silences += 1
-                self.counts[str(error)] += 1
+                self._end_request(error.outcome)
             except TimedOut:  # the connection never came up
                 self.failed_connects += 1
-                self.counts["not connected"] += 1
+                self._end_request(ListOutcome.NOT_CONNECTED)
             self.connection.close()
 
+    def _begin_request(self, hold: int) -> ListRequest:
+        self.request_count += 1
+        self.request = ListRequest(
+            self.request_count, self.source(), self.version, hold, self.clock()
+        )
+        return self.request
+
+    def _end_request(self, outcome: ListOutcome, reason="", version=None, hosts=()) -> None:
+        """Counts and reports the end of the present request; `reason`: in words."""
+        name = outcome.value
+        self.counts[f"{name}: {reason}" if outcome is ListOutcome.FAILED else name] += 1
+        request, self.request = self.request, None
+        if request is not None and self.request_log is not None:
+            self.request_log.ended(
+                ListRequestEnded(request, outcome, self.clock(), reason, version, list(hosts))
+            )
+
     def _connect_timeout(self) -> int:
         """Returns the nanoseconds that the next connection gets to come up."""
         timeout = FIRST_CONNECT_TIMEOUT << min(self.failed_connects, 8)
@@ -239,23 +266,28 @@
         """
         timeout = LIST_TIMEOUTS[min(silences, len(LIST_TIMEOUTS) - 1)]
         holds_answer, self.may_hold = self.version is not None and self.may_hold, False
+        hold = WATCH_HOLD if holds_answer else MIN_WATCH_HOLD
+        request = self._begin_request(0 if self.version is None else hold)
         stream = self.connection.get_stream(self.clock() + self._connect_timeout())
         self.failed_connects = 0
         until = self.clock() + (WATCH_HOLD + ANSWER_TIMEOUT if holds_answer else timeout)
         is_used = stream is self.answered_stream
         target = "/registry/instances"  # the whole list, at once
         if self.version is not None:
-            hold = WATCH_HOLD if holds_answer else MIN_WATCH_HOLD
             target += f"?from={self.version}&hold_ms={hold // MS}"
         stream.expect_answer(STALL_TIMEOUT << silences, max(MIN_ANSWER_DURATION, timeout))
         stream.send(http.build_request("GET", target, "%s:%d" % self.config.discovery), until)
         self.is_held, self.requested_at = holds_answer, self.clock()
+        request.sent_at = self.requested_at
+        if self.request_log is not None:
+            self.request_log.sent(request)
         try:
             head = stream.read_response_head(until)
             body = stream.read_body(head, until)
         except TimedOut as error:
             has_begun = stream.began_at is not None
-            raise ResponseTimeout("stopped in the middle" if has_begun else "silent") from error
+            outcome = ListOutcome.STOPPED if has_begun else ListOutcome.SILENT
+            raise ResponseTimeout(outcome) from error
         except (ConnectionBroken, http.MalformedMessage) as error:
             if stream.began_at is None:
                 raise
@@ -275,5 +307,5 @@
             self.connection.close()
         self.has_answered = self.may_hold = True
         self.answered_at = self.clock()
-        self.counts["answered"] += 1
+        self._end_request(ListOutcome.ANSWERED, version=version, hosts=hosts)
         return version, is_whole, hosts
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -15,6 +15,7 @@
 from molehill.http.clients import Clients
 from molehill.http.discovery import Discovery
 from molehill.http.hosts import Hosts
+from molehill.http.list_request import ListRequestLog
 from molehill.http.notices import Notices
 from molehill.log_clock import EpochSource
 from molehill.runtime.engine import Engine
@@ -106,6 +107,7 @@
         self.discovery = engine.discovery = Discovery(
             self.scheduler, config, budget, engine.post_event, self.core.received_list
         )
+        self.discovery.request_log = ListRequestLog(self.log)
         self.membership = None
         if config.fleet is not None:
             try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,6 +12,7 @@
 from molehill.core.permission import Refusal
 from molehill.http import discovery, host_list_format, hosts, notices
 from molehill.http.clients import FOR_NEW_CONNECTION, Clients
+from molehill.http.list_request import ListRequestLog
 from molehill.runtime import stream as stream_module
 from molehill.runtime.scheduler import CANCELLED, READ, READY, TIMED_OUT
 from molehill.runtime.stream import ConnectionBroken, ConnectionRefused
@@ -1152,6 +1153,18 @@
     }
 
 
+class LineLog:
+    """A logger that keeps its lines as dictionaries."""
+
+    def __init__(self):
+        self.lines = []
+
+    def info(self, event, **fields):
+        self.lines.append({"event": event, **fields})
+
+    debug = info
+
+
 class DiscoveryHarness:
     def __init__(self, monkeypatch, known=None):
         self.net = NetHarness()
@@ -1217,6 +1230,28 @@
     assert harness.net.events[-1].hosts[0].condition is interface.Condition.DRAINING
 
 
+def test_each_request_for_the_list_is_logged_with_its_outcome(monkeypatch):
+    harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
+    log = LineLog()
+    harness.discovery.request_log = ListRequestLog(log)
+    harness.start_watch()
+    harness.reply_list(43, entry(status="leaving"))
+    harness.net.advance(2 * SECOND)
+    harness.discovery.confirm_list()
+    harness.net.settle()
+    requested = [line for line in log.lines if line["event"] == "list requested"]
+    assert [(line["number"], line["since_version"], line["hold_ms"]) for line in requested] == [
+        (1, 41, 1),
+        (2, 43, 10000),
+        (3, 43, 1),
+    ]
+    ended = [line for line in log.lines if line["event"] == "list request ended"]
+    assert [(line["number"], line["outcome"], line["hosts"]) for line in ended] == [
+        (1, "answered", {"h1": "draining"}),
+        (2, "interrupted", {}),
+    ]
+
+
 def test_a_confirmation_interrupts_a_held_watch_every_two_seconds(monkeypatch):
     harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
     harness.start_watch()
