Core: the host list has a lease; without one no call is begun

Cause: the relay went by the list that it had for as long as no newer one came. What discovery has to tell counts as told 6 s after it had it, or 2 s after the hold of a watch, whether or not it arrived. Nothing in the relay knew that time: it was kept only if the next request happened to be answered within a second. A watch that is silent and then given up (11.5 s after its start; sooner for a refused address, SIGHUP or a kill) and a request behind it that is not answered either broke the rule.

Change: core/list_lease.py says how long the list may be used, from each request, how it ended, a move and the start; core/permission.py refuses a call without a lease, before it is started and before its first byte. It is suspended where discovery fails or can't be reached, as nothing counts as told then. After a restart no call is begun on the log's list while discovery is silent (2 s before). drainGraceMs is read (500 ms where absent). After a hand-over the first request is answered at once, as its news binds after 2 s.

Why it works: a call's first byte needs a lease, and each way in which news can stay away either keeps the lease from being renewed or suspends it.

Four tests (test_relay, test_races, test_faults, test_upgrade) began calls after a restart with a discovery that never answers, which is the fault; it answers them now, and they assert what they did.

--- a/molehill/config.py
+++ b/molehill/config.py
@@ -210,6 +210,7 @@
         connection_idle=get("allowed.connIdleMs", parse_nanoseconds, 0),
         limits_are_advertised=limit_field_indexes(values) is not None
         and values.get("telemetry.how") == "piggyback",
+        drain_grace=get("guarantees.drainGraceMs", parse_nanoseconds, DEFAULT_DRAIN_GRACE),
         key_cooldown=get("guarantees.settleAfterDoubtMs", parse_nanoseconds, 0),
     )
 
@@ -301,6 +302,7 @@
 
 # The defaults are the users' figures on all their deployments.
 DEFAULT_CONNECT_TIMEOUT = 1500 * MS
+DEFAULT_DRAIN_GRACE = 500 * MS  # the shortest of the known deployments
 DEFAULT_PERIOD = 5 * MS
 # The users' maximum on scored days, so the defaults are never too large.
 DEFAULT_SOCKETS, DEFAULT_DISK_MB, DEFAULT_MEMORY_MB = (
--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -8,6 +8,7 @@
 from typing import Optional
 
 from molehill import interface
+from molehill.core.list_lease import ListOutcome
 from molehill.core.permission import Refusal
 
 
@@ -167,6 +168,29 @@
     ids: list[str]
 
 
+@dataclass(slots=True)
+class ListRequestSent:
+    """Discovery was asked for the list; it may hold the request for `hold` until there is news."""
+
+    hold: int
+
+
+@dataclass(slots=True)
+class ListRequestEnded:
+    """A request for the list has ended; an answer has been applied by then.
+
+    `began_at`: when the first bytes of an answer came that has not been read whole.
+    """
+
+    outcome: ListOutcome
+    began_at: Optional[int] = None
+
+
+@dataclass(slots=True)
+class DiscoveryMoved:
+    """The configuration names another address of discovery."""
+
+
 @dataclass(slots=True)
 class HostListReceived:
     """A list of hosts, or a part of one, has been received or restored, or could not be fetched."""
--- a/molehill/core/permission.py
+++ b/molehill/core/permission.py
@@ -48,6 +48,7 @@
     HOST_SAYS_OVER = "the host says that it is over (410), and this relay has not ended it"
     CALLED_AFTER_END = "the host says that it is over (410), as this relay had ended it"
     HOST_SAYS_SPENT = "the host says that it had all its attempts (504)"
+    LIST_OUTDATED = "discovery has not confirmed the list of hosts for too long"
     NOT_LOGGED = "the log did not take its launch"
 
     @property
@@ -83,11 +84,14 @@
     )
 
 
-def check_route(host, retry_at: int, now: int) -> Optional[Refusal]:
+def check_route(host, list_expired: bool, retry_at: int, now: int) -> Optional[Refusal]:
     """Returns why nothing may be sent to that host now, or None (rules 3 and 6).
 
+    `list_expired`: nobody can tell whether it still is to get calls (core/list_lease.py).
     `retry_at`: end of the Retry-After of its route.
     """
+    if list_expired:
+        return Refusal.LIST_OUTDATED
     if host.condition is not interface.Condition.UP:
         return Refusal.HOST_NOT_UP
     return Refusal.TOLD_TO_WAIT if now < retry_at else None
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -31,6 +31,7 @@
 from molehill.core.final_notices import FinalNotices
 from molehill.core.host_list import ReceivedList
 from molehill.core.host_table import HostTable
+from molehill.core.list_lease import ListLease, ListOutcome
 from molehill.core.metrics import DELIVERED, FAULTED, THROTTLED, Metrics
 from molehill.core.permission import Refusal
 from molehill.core.recent_ids import RecentIds
@@ -117,6 +118,8 @@
         # after a restart no call is started before discovery has answered or failed, or this time
         # has come
         self.list_deadline: Optional[int] = None
+        self.list_lease = ListLease()
+        self.list_expired_at: Optional[int] = None  # since when calls wait for the list
         self.handlers = {
             ev.Startup: self._on_start,
             ev.Submitted: self._on_submitted,
@@ -132,6 +135,9 @@
             ev.HostFinishedReading: self._on_host_finished_reading,
             ev.NoticesDelivered: self._on_notices_delivered,
             ev.HostListReceived: self._on_host_list_received,
+            ev.ListRequestSent: self._on_list_request_sent,
+            ev.ListRequestEnded: self._on_list_request_ended,
+            ev.DiscoveryMoved: self._on_discovery_moved,
             ev.Step: self._on_step,
             ev.Stop: self._on_stop,
             ev.SettingsChanged: self._on_settings_changed,
@@ -531,12 +537,16 @@
             if self._queued_until(call) <= self.now:
                 for callback in self.find_callbacks(call.ids):
                     is_past_deadline = self.now >= callback.deadline
-                    reason = Refusal.TIME_UP if is_past_deadline else Refusal.KEY_BLOCKED
+                    reason = Refusal.TIME_UP if is_past_deadline else self._queue_refusal()
                     self._report_not_sent(callback.id, call.host, reason)
                 self._unqueue(call, list(call.ids))
         events += self.inbox
         self.inbox = []
 
+    def _queue_refusal(self) -> Refusal:
+        """Returns why a queued call has not been started in time."""
+        return Refusal.KEY_BLOCKED if self.list_expired_at is None else Refusal.LIST_OUTDATED
+
     def _check_overdue(self):
         """Ends callbacks past their deadline that the module has not ended in its own step."""
         while self.overdue_checks and self.overdue_checks[0][0] <= self.now:
@@ -576,10 +586,31 @@
         """Starts the queued calls that may start now."""
         if self.calls_paused or self.log_failing or self.list_deadline is not None:
             return
+        if self.queued_calls and self._has_list_expired(self.now):
+            self._note_list_expiry()
+            return
         for call in list(self.queued_calls.values()):
             if not any(self._is_blocked(callback) for callback in self.find_callbacks(call.ids)):
                 self._start_call(call)
 
+    def _has_list_expired(self, now) -> bool:
+        return self.list_lease.has_expired(now, self.settings.drain_grace)
+
+    def _note_list_expiry(self) -> None:
+        """Logs, once, that calls wait for the list."""
+        if self.list_expired_at is None:
+            self.list_expired_at = self.now
+            text = "no call before discovery answers: the list of hosts is outdated"
+            self.effects.append(ev.LogMessage(text))
+
+    def _resume_after_expiry(self) -> None:
+        """Starts the calls that waited for the list, if they may start again."""
+        if self.list_expired_at is None or self._has_list_expired(self.now):
+            return
+        span, self.list_expired_at = self.now - self.list_expired_at, None
+        self.effects.append(ev.LogMessage(f"calls begin again, after {span // MS} ms"))
+        self._start_ready_calls()
+
     def _start_call(self, call):
         host = self.hosts[call.host]
         ready = [
@@ -688,7 +719,10 @@
 
     def _host_refusal(self, callback, host, now) -> Optional[Refusal]:
         return permission.check_route(
-            host, self.hosts.retry_times.get(self._route(host), 0), now
+            host,
+            self._has_list_expired(now),
+            self.hosts.retry_times.get(self._route(host), 0),
+            now,
         ) or permission.check_repeat(
             callback, self.settings.callback_classes[callback.callback_class], now
         )
@@ -869,6 +903,19 @@
         self.effects.append(ev.Append(recovery.refused_record(addresses)))
         self.effects.append(ev.ConfirmHostList(event.address))
 
+    def _on_list_request_sent(self, event):
+        self.list_lease.request_sent(self.now, event.hold)
+
+    def _on_list_request_ended(self, event):
+        if event.outcome is ListOutcome.ANSWERED:
+            self.list_lease.answered(self.now)
+        else:
+            self.list_lease.request_ended(self.now, event.outcome, event.began_at)
+        self._resume_after_expiry()
+
+    def _on_discovery_moved(self, _):
+        self.list_lease.discovery_moved(self.now)
+
     def _on_host_list_confirmed(self, _):
         if self.hosts.refused_addresses:
             self.hosts.refused_addresses.clear()
@@ -902,6 +949,10 @@
         """
         if self.is_restart:
             self.list_deadline = self.now + self.LIST_TIMEOUT
+        elif self.is_handover:
+            self.list_lease.taken_over(self.now)
+        else:
+            self.list_lease.started(self.now)
         if self.hosts.refused_addresses:
             self.effects.append(ev.ConfirmHostList())
         self.effects += [ev.Append(record) for record in self.classes.records()]
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -12,10 +12,10 @@
 from molehill.config import MS, SECOND
 from molehill.core import events as ev
 from molehill.core.host_list import digest_file_list, restore_host_list
+from molehill.core.list_lease import ListOutcome
 from molehill.http import parser as http
 from molehill.http.host_list_format import parse_list
 from molehill.http.list_request import (
-    ListOutcome,
     ListRequest,
     ListRequestEnded,
     ListRequestLog,
@@ -64,6 +64,10 @@
     """An answer that has begun, and then broke off or is no list; the text is the reason."""
 
 
+# that end a watch; a ValueError for a status that refuses the request
+WATCH_ERRORS = (ConnectionBroken, http.MalformedMessage, UnreadableAnswer, ValueError)
+
+
 class OutdatedAnswer(Exception):
     """An answer that another one on its connection has outdated: perhaps a late copy."""
 
@@ -91,6 +95,7 @@
         self.counts: Counter[str] = Counter()  # requests by their outcome, since the last log line
         self.request_count = 0
         self.request: Optional[ListRequest] = None  # that has not ended
+        self.answer_began_at: Optional[int] = None  # of an answer that stopped in the middle
         self.request_log: Optional[ListRequestLog] = None
         self.answered_at = self.clock()  # when discovery answered last, or the process started
         self.answered_stream: Optional[ListStream] = None  # the last one that carried an answer
@@ -115,7 +120,7 @@
         """
         hosts: list[ev.Host] = []
         version: Optional[int] = 0
-        self.has_answered = self.may_hold = known is not None
+        self.has_answered = known is not None
         try:
             if known is None:
                 entries, version = restore_host_list(
@@ -148,6 +153,7 @@
     def change_address(self) -> None:
         """Requests the whole list from the new address, which may count versions differently."""
         self.address_changes, self.version = self.address_changes + 1, None
+        self.post(ev.DiscoveryMoved())
         self.connection.close()
         self.start_watch()
 
@@ -180,9 +186,10 @@
                 try:
                     while True:
                         self._watch_once()
-                except (ConnectionBroken, http.MalformedMessage, ValueError) as error:
+                except WATCH_ERRORS as error:
                     self.connection.close()
-                    outcome = ListOutcome.FAILED
+                    is_unreadable = isinstance(error, UnreadableAnswer)
+                    outcome = ListOutcome.UNREADABLE if is_unreadable else ListOutcome.FAILED
                     if interruptions != (self.address_changes, self.confirmations):
                         outcome = ListOutcome.INTERRUPTED
                     self._end_request(outcome, str(error)[:MAX_REASON_LENGTH])
@@ -201,6 +208,7 @@
         if is_whole or hosts or is_first:
             scope = interface.ListScope.WHOLE if is_whole else interface.ListScope.UPDATE
             self._post_list(scope, hosts, version, source)
+        self.post(ev.ListRequestEnded(ListOutcome.ANSWERED))
         if self.must_confirm:
             self.must_confirm = False
             self.post(ev.HostListConfirmed())
@@ -226,7 +234,7 @@
             except UnreadableAnswer as error:
                 unreadable += 1
                 if unreadable > MAX_UNREADABLE:
-                    raise ConnectionBroken(str(error)) from error
+                    raise
                 self._end_request(ListOutcome.UNREADABLE, str(error)[:MAX_REASON_LENGTH])
             except ResponseTimeout as error:
                 silences += 1
@@ -245,6 +253,9 @@
 
     def _end_request(self, outcome: ListOutcome, reason="", version=None, hosts=()) -> None:
         """Counts and reports the end of the present request; `reason`: in words."""
+        began_at = self.answer_began_at if outcome is ListOutcome.STOPPED else None
+        if outcome is not ListOutcome.ANSWERED:  # an answer is applied first
+            self.post(ev.ListRequestEnded(outcome, began_at))
         name = outcome.value
         self.counts[f"{name}: {reason}" if outcome is ListOutcome.FAILED else name] += 1
         request, self.request = self.request, None
@@ -279,12 +290,14 @@
         stream.send(http.build_request("GET", target, "%s:%d" % self.config.discovery), until)
         self.is_held, self.requested_at = holds_answer, self.clock()
         request.sent_at = self.requested_at
+        self.post(ev.ListRequestSent(WATCH_HOLD if holds_answer else 0))
         if self.request_log is not None:
             self.request_log.sent(request)
         try:
             head = stream.read_response_head(until)
             body = stream.read_body(head, until)
         except TimedOut as error:
+            self.answer_began_at = stream.began_at
             has_begun = stream.began_at is not None
             outcome = ListOutcome.STOPPED if has_begun else ListOutcome.SILENT
             raise ResponseTimeout(outcome) from error
--- a/molehill/http/list_request.py
+++ b/molehill/http/list_request.py
@@ -1,24 +1,11 @@
 """One request to discovery for the host list, from its start to its outcome, and its log lines."""
 
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import Any, Optional
 
 from molehill.config import MS
 from molehill.core import events as ev
-
-
-class ListOutcome(Enum):
-    """How a request for the host list ended; the values are the names in the log's counts."""
-
-    ANSWERED = "answered"
-    OUTDATED = "outdated"  # by another answer on the same connection
-    UNREADABLE = "unreadable"
-    SILENT = "silent"
-    STOPPED = "stopped in the middle"
-    NOT_CONNECTED = "not connected"
-    INTERRUPTED = "interrupted"  # given up for a request that is answered at once
-    FAILED = "failed"
+from molehill.core.list_lease import ListOutcome
 
 
 @dataclass(slots=True)
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -126,6 +126,7 @@
     connection_idle: int = 0  # an idle connection is closed after this span
     # a host that has a limit advertises it in its answers, in calls a second
     limits_are_advertised: bool = False
+    drain_grace: int = 0  # for how long a draining host may get calls after its drain is known
     key_cooldown: int = 0  # no attempt for a key for this span after one that may still run
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -2,6 +2,7 @@
 
 import os
 import socket
+from contextlib import suppress
 from dataclasses import replace
 from itertools import count
 
@@ -18,6 +19,9 @@
 )
 
 
+UNCHANGED_BODY = b'{"index":1,"snapshot":false,"endpoints":[]}'
+UNCHANGED_LIST = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(UNCHANGED_BODY)
+UNCHANGED_LIST += UNCHANGED_BODY
 answer_numbers = count()
 
 
@@ -129,6 +133,19 @@
             connections.append(sock)
         return b"".join(drain(sock) or b"" for sock in connections)
 
+    def confirm_list(self, process=None):
+        """Answers the present request of `relay`, or this process, for the list: no change."""
+        discovery = (process or self.relay).discovery
+        for _ in range(200):
+            platform = self.accept(self.platform)
+            if b"GET /registry/instances" in (drain(platform) or b""):
+                with suppress(ConnectionError):  # the one of a process that was killed
+                    platform.send(UNCHANGED_LIST)
+                self.run_rounds()
+            if discovery.has_answered:
+                return
+        raise AssertionError("no process asked for the list")
+
     def connect_client(self):
         """Returns the client's end of a new connection to the relay."""
         sock = socket.create_connection(self.address)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -17,7 +17,6 @@
 from molehill import interface, log_clock
 from molehill.config import ConfigError
 from molehill.core import events as ev
-from molehill.core.reducer import Core
 from molehill.log_clock import EpochSource
 from molehill.relay import Process, Startup
 from molehill.runtime.kernel import Disk, Kernel
@@ -134,7 +133,7 @@
     stepped_harness.wall_offset[0] += step
     kill_and_restart(stepped_harness)
     assert not stepped_harness.relay.notices.unanswered
-    stepped_harness.advance(Core.LIST_TIMEOUT)  # discovery does not answer in this test
+    stepped_harness.confirm_list()
     accept_and_read(stepped_harness, stepped_harness.host, b"Req-Id: id1")
     stepped_harness.clock.now += 15 * SECOND  # the relay does not run until it is killed
     stepped_harness.wall_offset[0] += step
--- /dev/null
+++ b/tests/test_list_lease.py
@@ -0,0 +1,95 @@
+"""The lease on the host list: when it runs out, and that no call is begun without it."""
+
+import pytest
+
+from molehill.config import MS, SECOND
+from molehill.core import events as ev
+from molehill.core.list_lease import WRITE_DELAY, ListLease, ListOutcome
+from molehill.core.permission import Refusal
+from tests.harness import REQUEST
+
+S, HOLD, GRACE = SECOND, 10 * SECOND, SECOND
+END_OF_GRACE = GRACE - WRITE_DELAY
+
+
+def answered(at):
+    return lambda lease: lease.answered(at)
+
+
+def sent(at, hold=0):
+    return lambda lease: lease.request_sent(at, hold)
+
+
+def ended(at, outcome, began_at=None):
+    return lambda lease: lease.request_ended(at, outcome, began_at)
+
+
+def moved(at):
+    return lambda lease: lease.discovery_moved(at)
+
+
+SILENT, FAILED, STOPPED = ListOutcome.SILENT, ListOutcome.FAILED, ListOutcome.STOPPED
+CURRENT = [answered(10 * S)]
+WATCH = [*CURRENT, sent(10 * S, HOLD)]
+
+
+@pytest.mark.parametrize(
+    "steps, expires_at",
+    [
+        ([], None),  # nobody was asked yet
+        ([sent(3 * S)], 3 * S),  # an earlier process may have known more
+        ([lambda lease: lease.started(3 * S), sent(4 * S)], 9 * S),
+        ([lambda lease: lease.taken_over(3 * S), sent(4 * S)], 5 * S),
+        (CURRENT, 16 * S),
+        (WATCH, 22 * S),  # the hold and 2 s
+        ([*WATCH, ended(13 * S, ListOutcome.INTERRUPTED), sent(13 * S)], 16 * S),
+        ([*WATCH, ended(19 * S, ListOutcome.INTERRUPTED), sent(19 * S)], 19 * S),
+        ([*WATCH, ended(21 * S, SILENT), sent(21 * S), sent(24 * S)], 21 * S),
+        ([*WATCH, ended(21 * S, SILENT), sent(21 * S), answered(23 * S)], 29 * S),
+        ([*WATCH, ended(14 * S, STOPPED, 13 * S), sent(14 * S)], 19 * S),
+        ([sent(3 * S), ended(5 * S, STOPPED, 4 * S), sent(5 * S)], 3 * S),
+        ([*WATCH, ended(13 * S, ListOutcome.UNREADABLE), sent(13 * S)], 13 * S),
+        ([*WATCH, ended(21 * S, SILENT), sent(21 * S), ended(22 * S, FAILED)], None),
+        ([*WATCH, ended(40 * S, FAILED), sent(42 * S)], 46 * S),
+        ([*WATCH, ended(40 * S, ListOutcome.NOT_CONNECTED), sent(42 * S)], 46 * S),
+        ([*WATCH, moved(11 * S)], 15 * S),
+        ([*WATCH, moved(19 * S), sent(19 * S)], 19 * S),
+        ([ended(9 * S, FAILED), moved(19 * S), sent(20 * S)], 20 * S),
+    ],
+)
+def test_the_lease_runs_out_as_news_counts_as_known(steps, expires_at):
+    lease = ListLease()
+    for step in steps:
+        step(lease)
+    assert lease.expires_at == expires_at
+    if expires_at is not None:
+        assert not lease.has_expired(expires_at + END_OF_GRACE - 1, GRACE)
+        assert lease.has_expired(expires_at + END_OF_GRACE, GRACE)
+
+
+def test_no_call_is_begun_without_a_lease_and_calls_begin_with_the_answer(harness):
+    """Guards against calls to hosts that drain while discovery is silent."""
+    core = harness.relay.core
+    harness.advance(6 * S)
+    harness.clock.now += core.settings.drain_grace
+    client = harness.connect_client()
+    client.send(REQUEST % b"id1")
+    harness.read_until(client, b"HTTP/1.1 202")
+    harness.advance(1200 * MS)
+    with pytest.raises(BlockingIOError):
+        harness.host.accept()
+    assert core.metrics.not_sent[Refusal.LIST_OUTDATED]
+    harness.confirm_list()
+    assert b"Req-Id: id1" in harness.read_until(harness.accept(harness.host), b"\r\n\r\nab")
+
+
+def test_a_call_whose_connection_comes_up_without_a_lease_is_not_written(harness):
+    client = harness.connect_client()
+    harness.relay.engine.post_event(ev.ListRequestSent(0))
+    client.send(REQUEST % b"id1")
+    harness.read_until(client, b"HTTP/1.1 202")
+    host = harness.accept(harness.host)
+    core, call = harness.relay.core, next(iter(harness.relay.core.calls))
+    core.list_lease.expires_at = harness.clock.now - core.settings.drain_grace
+    assert core.refusal(call, harness.clock.now) is Refusal.LIST_OUTDATED
+    host.close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1170,10 +1170,16 @@
         self.net = NetHarness()
         self.peers, self.connect_errors = self.net.intercept_connections(monkeypatch)
         self.discovery = discovery.Discovery(
-            self.net.scheduler, net_config(known=known or {}), self.net.budget, self.net.post
+            self.net.scheduler, net_config(known=known or {}), self.net.budget, self.post
         )
+        self.lease_events = []
         self.discovery.restore_list()
 
+    def post(self, event):
+        """Keeps the events on requests apart from those on lists."""
+        is_for_lease = type(event) in (ev.ListRequestSent, ev.ListRequestEnded, ev.DiscoveryMoved)
+        (self.lease_events.append if is_for_lease else self.net.post)(event)
+
     def start_watch(self):
         self.discovery.start_watch()
         self.net.settle()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -11,7 +11,6 @@
 import pytest
 
 from molehill.core import events as ev
-from molehill.core.reducer import Core
 from molehill.http.clients import FOR_NEW_CONNECTION
 from molehill.http.stream import HttpStream
 from molehill.interface import Result
@@ -338,7 +337,7 @@
     harness.run_rounds = turn
     # Killed once more, before the process that resumed it has run a round.
     kill_and_restart(harness)
-    harness.advance(Core.LIST_TIMEOUT)  # discovery does not answer in this test
+    harness.confirm_list()
     _, text = accept_and_read(harness, harness.host, b"\r\n\r\nab")
     assert (
         not drain(silent)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,7 +9,6 @@
 import pytest
 
 from molehill.core.host_list import digest_file_list
-from molehill.core.reducer import Core
 from molehill.relay import log_limits
 from molehill.store import HEADER
 from tests.core_harness import MS, SECOND, drain, net_config, net_config_fields
@@ -59,7 +58,7 @@
         == ["id1", "id2", "id3", "id4"]
         == list(first.core.callbacks)
     )
-    harness.advance(Core.LIST_TIMEOUT)  # discovery does not answer in this test
+    harness.confirm_list()
     again = harness.accept(harness.host)
     assert b"Req-Id: id1" in harness.read_until(
         again, b"\r\n\r\nab"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -283,6 +283,7 @@
         monkeypatch.setattr(upgrade.MessageChannel, "send", old_dies)
         startup = harness.start_process()
         left = harness.finish_upgrade(startup)
+        harness.confirm_list(left)
         harness.address = left.clients.listener.getsockname()
     assert len(seen) > step, "the kill at this step took place"
     assert left.can_serve() and {"id0", "id1", "id2"} == set(left.core.callbacks)
