Failing test, listed: a slow discovery's answer meets a connection that is closed already

A discovery that takes longer answers nobody then, and the next request waits behind all others. Since calls wait for the list, a slow discovery ends them.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1481,6 +1481,27 @@
     assert harness.discovery.counts == {"answered": 2, "silent": 4}
 
 
+@pytest.mark.parametrize("wait_for_next", [11_500 * MS, 2100 * MS], ids=["silent", "confirmed"])
+def test_an_answer_to_a_request_behind_which_another_was_sent_is_taken(monkeypatch, wait_for_next):
+    """Guards against a slow discovery's answers being thrown away while calls wait for one."""
+    harness = DiscoveryHarness(monkeypatch)
+    harness.start_watch()
+    harness.reply_list(0)
+    harness.net.advance(discovery.MIN_WATCH_INTERVAL)
+    harness.net.advance(wait_for_next - SECOND)
+    harness.discovery.confirm_list() if wait_for_next < 10 * SECOND else None
+    harness.net.advance(SECOND)
+    assert len(harness.peers) == 2 and b"?from=0&hold_ms=1 " in drain(harness.peers[1])
+    first, second = harness.peers
+    body = json.dumps({"index": 2, "endpoints": [entry(status="leaving")]}).encode()
+    first.send(response(200, body=body))
+    harness.net.settle()
+    assert harness.net.events[1].hosts[0].condition is interface.Condition.DRAINING
+    assert drain(second) is None, "closed"
+    harness.net.advance(discovery.MIN_WATCH_INTERVAL)
+    assert b"?from=2&hold_ms=10000 " in drain(first)
+
+
 def test_a_connection_that_never_comes_up_is_made_anew_at_once(monkeypatch):
     """Guards against a pause, as after a refusal, while news counts as known.
 
