Discovery: a request that is not answered in time stays open beside the next one

What callers saw, or would: a discovery that takes longer than 2.5 s for an answer (a watch: its hold and 1.5 s) answered nobody, as its answers met connections that were closed, and each next request waited behind all others; draining hosts stayed unknown, and since calls wait for the list, calls stopped for up to 11 s where the first answer came after 4.

Cause: one connection, and one wait for an answer; asking again meant giving up.

Change: a request is an exchange in a task of its own (http/list_exchange.py). The watch sends another one beside it once its time is over, or to confirm the list, three at once at most, and takes the first answer; the others are closed then. An answer that has begun and stops, one that can't be read, a refusal and a connection that does not come up are treated as before; an old request that breaks while a newer one is open ends nothing. The lease counts as before: the hold of an earlier request ends with the next one.

--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -13,13 +13,16 @@
 from molehill.core import events as ev
 from molehill.core.host_list import digest_file_list, restore_host_list
 from molehill.core.list_lease import ListOutcome
-from molehill.http import parser as http
 from molehill.http.host_list_format import parse_list
-from molehill.http.list_request import (
-    ListRequest,
-    ListRequestEnded,
-    ListRequestLog,
+from molehill.http.list_exchange import (
+    EXCHANGE_ERRORS,
+    ExchangeLimits,
+    ListAnswer,
+    ListExchange,
+    StoppedAnswer,
+    UnreadableAnswer,
 )
+from molehill.http.list_request import ListRequest, ListRequestEnded, ListRequestLog
 from molehill.http.list_stream import MIN_ANSWER_DURATION, STALL_TIMEOUT, ListStream
 from molehill.invariants import check_invariant
 from molehill.runtime.stream import ConnectionBroken, PersistentConnection, TimedOut
@@ -48,30 +51,11 @@
 MIN_LIST_BYTES, LIST_MEMORY_DIVISOR = 1 << 20, 32
 
 
+MAX_OPEN_REQUESTS = 3  # at once; beyond it the oldest is given up
 MAX_UNREADABLE = 1  # answers in a row that can't be read, before discovery is given a rest
 MAX_REASON_LENGTH = 40  # characters of an error in the counts
 
 
-class ResponseTimeout(TimedOut):
-    """Discovery accepted a request, but did not answer it or not completely in time."""
-
-    def __init__(self, outcome: ListOutcome):
-        super().__init__(outcome.value)
-        self.outcome = outcome
-
-
-class UnreadableAnswer(Exception):
-    """An answer that has begun, and then broke off or is no list; the text is the reason."""
-
-
-# that end a watch; a ValueError for a status that refuses the request
-WATCH_ERRORS = (ConnectionBroken, http.MalformedMessage, UnreadableAnswer, ValueError)
-
-
-class OutdatedAnswer(Exception):
-    """An answer that another one on its connection has outdated: perhaps a late copy."""
-
-
 class Discovery:
     """Follows discovery's host list and reports it to `post`."""
 
@@ -86,16 +70,13 @@
         self.clock, self.is_watching = scheduler.clock, False
         self.has_answered = False  # discovery has answered this process, or one that handed over
         self.may_hold = False  # the request before this one was answered
-        self.is_held = False  # discovery holds the present request until there is news
         self.requested_at = self.clock()  # when the last request was sent
         self.confirm_at: Optional[int] = None  # when a confirmation is to be requested
-        self.confirmations = 0  # requested so far
+        self.asks_confirmation = False  # a request that is not held is to be sent
         self.must_confirm = False  # the next answer is to be posted as a confirmation
         self.failed_connects = 0  # connections in a row that did not come up in time
         self.counts: Counter[str] = Counter()  # requests by their outcome, since the last log line
         self.request_count = 0
-        self.request: Optional[ListRequest] = None  # that has not ended
-        self.answer_began_at: Optional[int] = None  # of an answer that stopped in the middle
         self.request_log: Optional[ListRequestLog] = None
         self.answered_at = self.clock()  # when discovery answered last, or the process started
         self.answered_stream: Optional[ListStream] = None  # the last one that carried an answer
@@ -104,12 +85,20 @@
         make_stream = partial(
             ListStream, max_body_bytes=max(MIN_LIST_BYTES, config.memory // LIST_MEMORY_DIVISOR)
         )
-        self.connection, self.address_changes = (
-            PersistentConnection(
-                scheduler, lambda: config.discovery, "discovery", budget, make_stream
-            ),
-            0,
+        self.make_connection = partial(
+            PersistentConnection,
+            scheduler,
+            lambda: config.discovery,
+            "discovery",
+            budget,
+            make_stream,
         )
+        self.connection, self.address_changes = self.make_connection(), 0
+        # Requests that are open, the latest one last, and the task that waits for an answer.
+        self.exchanges: list[ListExchange] = []
+        self.task = None
+        # since the last answer, requests in a row that got none in time, and unreadable answers
+        self.silences = self.unreadable = 0
 
     def restore_list(self, known=None) -> None:
         """Posts the host list as this relay last had it.
@@ -148,13 +137,19 @@
         """Starts to watch, unless a watch is running."""
         if not self.is_watching:
             self.is_watching = True
-            self.scheduler.spawn(self._run_watches)
+            self.task = self.scheduler.spawn(self._run_watches)
+
+    def close(self) -> None:
+        """Closes all connections to discovery."""
+        self.connection.close()
+        for exchange in self.exchanges:
+            exchange.connection.close()
 
     def change_address(self) -> None:
         """Requests the whole list from the new address, which may count versions differently."""
         self.address_changes, self.version = self.address_changes + 1, None
         self.post(ev.DiscoveryMoved())
-        self.connection.close()
+        self.close()
         self.start_watch()
 
     def confirm_list(self) -> None:
@@ -169,38 +164,33 @@
 
     def _request_confirmation(self) -> None:
         self.confirm_at = None
-        if self.is_held and self.must_confirm:
-            self.confirmations, self.may_hold = self.confirmations + 1, False
-            self.connection.close()
+        if self.must_confirm:
+            self.asks_confirmation = True
+            self.scheduler.resume(self.task) if self.exchanges else None
 
     def _run_watches(self) -> None:
         """Runs one watch after another until one fails, which is posted.
 
-        A failure because of a changed address, or of a held request that was given up for one that
-        is answered at once, only starts over.
+        A failure because of a changed address only starts over.
         """
         try:
-            interruptions = None
-            while interruptions != (self.address_changes, self.confirmations):
-                interruptions = self.address_changes, self.confirmations
+            address_changes = None
+            while address_changes != self.address_changes:
+                address_changes = self.address_changes
                 try:
                     while True:
                         self._watch_once()
-                except WATCH_ERRORS as error:
-                    self.connection.close()
-                    is_unreadable = isinstance(error, UnreadableAnswer)
-                    outcome = ListOutcome.UNREADABLE if is_unreadable else ListOutcome.FAILED
-                    if interruptions != (self.address_changes, self.confirmations):
-                        outcome = ListOutcome.INTERRUPTED
-                    self._end_request(outcome, str(error)[:MAX_REASON_LENGTH])
+                except EXCHANGE_ERRORS:
+                    pass  # it has been counted and reported
         finally:
-            self.connection.close()
+            self.close()
             self.is_watching = False
             self.post(ev.HostListReceived(interface.ListScope.FAILED))
 
     def _watch_once(self) -> None:
         began, source, is_first = self.clock(), self.source(), not self.has_answered
-        version, is_whole, hosts = self._request_until_answered()
+        answer = self._request_until_answered()
+        version, is_whole, hosts = answer.version, answer.is_whole, answer.hosts
         known_version = self.version
         # A lower version means that discovery has restarted its count: it would withhold its news
         # until its count has caught up with ours, so the whole list is requested.
@@ -215,110 +205,171 @@
         if version == known_version and self.clock() - began < MIN_WATCH_INTERVAL:
             self.scheduler.sleep_until(began + MIN_WATCH_INTERVAL)
 
-    def _request_until_answered(self):
-        """Requests the list again, at once, as long as discovery is silent; returns the answer.
+    def _request_until_answered(self) -> ListAnswer:
+        """Requests the list, and again as long as discovery is silent; returns the answer.
 
         Pausing after a silence, as after a failure, would leave the relay without a watch while the
-        news it misses counts as known. Each request waits its whole timeout, so this puts no load
-        on discovery. What an answer held that can't be read counts as known, too: the list is
-        requested again, but not more often than MAX_UNREADABLE times in a row.
+        news it misses counts as known. A request that gets no answer in time stays open beside the
+        next one, as a slow discovery would answer nobody otherwise. What an answer held that can't
+        be read counts as known, too: the list is requested again, but not more often than
+        MAX_UNREADABLE times in a row. Raises an exchange's error if the watch has failed.
         """
-        silences = 0  # requests in a row that got no answer, or not all of one
-        unreadable = 0  # requests whose answer could not be read
-        while True:
-            try:
-                return self._request_list(silences)
-            except OutdatedAnswer:
-                self.version = None
-                self._end_request(ListOutcome.OUTDATED)
-            except UnreadableAnswer as error:
-                unreadable += 1
-                if unreadable > MAX_UNREADABLE:
-                    raise
-                self._end_request(ListOutcome.UNREADABLE, str(error)[:MAX_REASON_LENGTH])
-            except ResponseTimeout as error:
-                silences += 1
-                self._end_request(error.outcome)
-            except TimedOut:  # the connection never came up
-                self.failed_connects += 1
-                self._end_request(ListOutcome.NOT_CONNECTED)
-            self.connection.close()
-
-    def _begin_request(self, hold: int) -> ListRequest:
+        self.silences = self.unreadable = 0
+        self.asks_confirmation = False
+        try:
+            self._begin_exchange()
+            while True:
+                ended = next((row for row in self.exchanges if row.is_over), None)
+                if ended is None:
+                    self._wait_for_exchanges()
+                    continue
+                self.exchanges.remove(ended)
+                if self._is_usable(ended):
+                    return self._accept_answer(ended)
+                ended.connection.close()
+                self._handle_failure(ended)
+                if all(exchange.is_late for exchange in self.exchanges):
+                    self._begin_exchange()
+        finally:
+            self._close_exchanges()
+
+    def _wait_for_exchanges(self) -> None:
+        """Waits until an exchange ends, or it is time for a request beside those that are open."""
+        latest, now = self.exchanges[-1], self.clock()
+        patience_ends_at = latest.patience_ends_at
+        if patience_ends_at is None:  # it has not been sent yet
+            self.scheduler.wait()
+        elif now >= patience_ends_at and latest.has_begun_answer():
+            self.scheduler.sleep_until(now + STALL_TIMEOUT)
+        elif now >= patience_ends_at:
+            self.silences += 1
+            self._report_end(latest, ListOutcome.SILENT)
+            self._begin_exchange()
+        elif self.asks_confirmation and latest.request.hold == WATCH_HOLD:
+            self._begin_exchange()
+        else:
+            self.scheduler.sleep_until(patience_ends_at)
+
+    def _begin_exchange(self) -> None:
+        """Sends a request, beside those that are open.
+
+        Its answer is held until there is news only if the request before was answered: otherwise
+        this one may be missed, too.
+        """
+        timeout = LIST_TIMEOUTS[min(self.silences, len(LIST_TIMEOUTS) - 1)]
+        is_held, self.may_hold = self.version is not None and self.may_hold, False
+        hold = WATCH_HOLD if is_held else MIN_WATCH_HOLD
+        self.asks_confirmation = False
+        for exchange in self.exchanges:
+            exchange.is_late = True
+        if len(self.exchanges) >= MAX_OPEN_REQUESTS:
+            self.exchanges.pop(0).close()
         self.request_count += 1
-        self.request = ListRequest(
-            self.request_count, self.source(), self.version, hold, self.clock()
+        request = ListRequest(
+            self.request_count,
+            self.source(),
+            self.version,
+            0 if self.version is None else hold,
+            self.clock(),
         )
-        return self.request
-
-    def _end_request(self, outcome: ListOutcome, reason="", version=None, hosts=()) -> None:
-        """Counts and reports the end of the present request; `reason`: in words."""
-        began_at = self.answer_began_at if outcome is ListOutcome.STOPPED else None
+        limits = ExchangeLimits(
+            self._connect_timeout(),
+            WATCH_HOLD + ANSWER_TIMEOUT if is_held else timeout,
+            STALL_TIMEOUT << self.silences,
+            max(MIN_ANSWER_DURATION, timeout),
+        )
+        is_free = all(exchange.connection is not self.connection for exchange in self.exchanges)
+        connection = self.connection if is_free else self.make_connection()
+        exchange = ListExchange(self.config, connection, request, limits, self._on_change)
+        self.exchanges.append(exchange)
+        self.scheduler.spawn(exchange.run)
+
+    def _on_change(self, exchange: ListExchange) -> None:
+        if exchange.request.sent_at is not None:
+            self.failed_connects = 0
+        if not exchange.is_over:
+            self.requested_at = self.clock()
+            is_held = exchange.request.hold == WATCH_HOLD
+            self.post(ev.ListRequestSent(WATCH_HOLD if is_held else 0))
+            if self.request_log is not None:
+                self.request_log.sent(exchange.request)
+        self.scheduler.resume(self.task)
+
+    def _is_usable(self, ended: ListExchange) -> bool:
+        """Returns whether an exchange has an answer that nothing has outdated.
+
+        On a connection that has carried an answer before, an older list may be a late copy.
+        """
+        answer = ended.answer
+        if answer is None or self._has_moved(ended):
+            return False
+        if ended.stream is not self.answered_stream:
+            return True
+        return answer.is_whole if self.version is None else answer.version >= self.version
+
+    def _has_moved(self, exchange: ListExchange) -> bool:
+        return exchange.request.source != self.source()
+
+    def _accept_answer(self, ended: ListExchange) -> ListAnswer:
+        """Keeps the connection of a usable answer, which it returns."""
+        answer = ended.answer
+        assert answer is not None
+        self.connection, self.answered_stream = ended.connection, ended.stream
+        if not answer.keep_alive:
+            self.connection.close()
+        self.has_answered = self.may_hold = True
+        self.answered_at = self.clock()
+        self._report_end(ended, ListOutcome.ANSWERED)
+        return answer
+
+    def _handle_failure(self, ended: ListExchange) -> None:
+        """Counts and reports a failed exchange; raises its error if the watch has failed."""
+        error, reason = ended.error, str(ended.error)[:MAX_REASON_LENGTH]
+        if self._has_moved(ended):
+            self._report_end(ended, ListOutcome.INTERRUPTED)
+            raise ConnectionBroken("moved")
+        if error is None:
+            self.version = None
+            self._report_end(ended, ListOutcome.OUTDATED)
+        elif isinstance(error, StoppedAnswer):
+            self.silences += 1
+            self._report_end(ended, ListOutcome.STOPPED)
+        elif isinstance(error, UnreadableAnswer):
+            self.unreadable += 1
+            self._report_end(ended, ListOutcome.UNREADABLE, reason)
+            if self.unreadable > MAX_UNREADABLE:
+                raise error
+        elif isinstance(error, TimedOut):
+            self.failed_connects += 1
+            self._report_end(ended, ListOutcome.NOT_CONNECTED)
+        elif all(exchange.is_late for exchange in self.exchanges):
+            self._report_end(ended, ListOutcome.FAILED, reason)
+            raise error
+
+    def _close_exchanges(self) -> None:
+        """Gives the open requests up, as one was answered or the watch has failed."""
+        exchanges, self.exchanges = self.exchanges, []
+        for exchange in exchanges:
+            exchange.close()
+            if not exchange.is_late or exchange.request.hold == WATCH_HOLD:
+                self._report_end(exchange, ListOutcome.INTERRUPTED)
+
+    def _report_end(self, exchange: ListExchange, outcome: ListOutcome, reason: str = "") -> None:
+        """Counts, posts and logs how an exchange ended; `reason`: in words."""
+        stream = exchange.stream
+        began_at = stream.began_at if stream and outcome is ListOutcome.STOPPED else None
         if outcome is not ListOutcome.ANSWERED:  # an answer is applied first
             self.post(ev.ListRequestEnded(outcome, began_at))
         name = outcome.value
         self.counts[f"{name}: {reason}" if outcome is ListOutcome.FAILED else name] += 1
-        request, self.request = self.request, None
-        if request is not None and self.request_log is not None:
+        if self.request_log is not None:
+            answer = exchange.answer
+            version, hosts = (answer.version, answer.hosts) if answer else (None, [])
             self.request_log.ended(
-                ListRequestEnded(request, outcome, self.clock(), reason, version, list(hosts))
+                ListRequestEnded(exchange.request, outcome, self.clock(), reason, version, hosts)
             )
 
     def _connect_timeout(self) -> int:
         """Returns the nanoseconds that the next connection gets to come up."""
         timeout = FIRST_CONNECT_TIMEOUT << min(self.failed_connects, 8)
         return min(timeout, self.config.connect_time_out)
-
-    def _request_list(self, silences: int):
-        """Returns version, whether it is the whole list, and hosts; `silences`: requests before.
-
-        An answer is held until there is news only if the request before was answered: otherwise
-        this one may be missed, too.
-        """
-        timeout = LIST_TIMEOUTS[min(silences, len(LIST_TIMEOUTS) - 1)]
-        holds_answer, self.may_hold = self.version is not None and self.may_hold, False
-        hold = WATCH_HOLD if holds_answer else MIN_WATCH_HOLD
-        request = self._begin_request(0 if self.version is None else hold)
-        stream = self.connection.get_stream(self.clock() + self._connect_timeout())
-        self.failed_connects = 0
-        until = self.clock() + (WATCH_HOLD + ANSWER_TIMEOUT if holds_answer else timeout)
-        is_used = stream is self.answered_stream
-        target = "/registry/instances"  # the whole list, at once
-        if self.version is not None:
-            target += f"?from={self.version}&hold_ms={hold // MS}"
-        stream.expect_answer(STALL_TIMEOUT << silences, max(MIN_ANSWER_DURATION, timeout))
-        stream.send(http.build_request("GET", target, "%s:%d" % self.config.discovery), until)
-        self.is_held, self.requested_at = holds_answer, self.clock()
-        request.sent_at = self.requested_at
-        self.post(ev.ListRequestSent(WATCH_HOLD if holds_answer else 0))
-        if self.request_log is not None:
-            self.request_log.sent(request)
-        try:
-            head = stream.read_response_head(until)
-            body = stream.read_body(head, until)
-        except TimedOut as error:
-            self.answer_began_at = stream.began_at
-            has_begun = stream.began_at is not None
-            outcome = ListOutcome.STOPPED if has_begun else ListOutcome.SILENT
-            raise ResponseTimeout(outcome) from error
-        except (ConnectionBroken, http.MalformedMessage) as error:
-            if stream.began_at is None:
-                raise
-            raise UnreadableAnswer(str(error)) from error
-        finally:
-            self.is_held = False
-        if head.status != 200:
-            raise ValueError(f"status {head.status}")
-        try:
-            version, is_whole, hosts = parse_list(body, self.config)
-        except ValueError as error:
-            raise UnreadableAnswer(str(error)) from error
-        if is_used and (version < self.version if self.version is not None else not is_whole):
-            raise OutdatedAnswer()
-        self.answered_stream = stream
-        if not head.keep_alive:
-            self.connection.close()
-        self.has_answered = self.may_hold = True
-        self.answered_at = self.clock()
-        self._end_request(ListOutcome.ANSWERED, version=version, hosts=hosts)
-        return version, is_whole, hosts
--- a/molehill/relay.py
+++ b/molehill/relay.py
@@ -343,7 +343,7 @@
         self.store.close()
         self.scheduler.machine.close(self.lock)
         self.clients.close_listener()
-        self.discovery.connection.close()
+        self.discovery.close()
         self.core.metrics.open_requests = 0
         if self.shutdown.state is not SERVING:
             self.shutdown.change_state(ENDED)
--- a/molehill/soak/plan.py
+++ b/molehill/soak/plan.py
@@ -225,6 +225,7 @@
     draw_lateness(plan)
     plan.copies = draw_copies(seed)
     draw_stalled_lists(plan)
+    draw_discovery(plan)
     draw_kill_series(plan)
     draw_replacements(plan)
     for rows in (plan.host_faults, plan.drains):
@@ -270,6 +271,29 @@
         plan.drains.append(Drain(at + 0.1, STALLED_DRAIN_S, rng.choice(HOSTS)))
 
 
+SILENT_REQUESTS = (0, 1, 1, 2, 3)  # behind the one that waits
+ANSWER_DELAYS_S = (0.5, 1.5, 3.0, 4.5)  # around the relay's own time-outs
+MOVE_INTERVAL_S = 0.7  # between two moves of discovery
+
+
+def draw_discovery(plan: Plan) -> None:
+    """Adds discovery that is silent, slow or moves, from a random stream of its own."""
+    rng = Random(f"soak discovery {plan.seed}")
+    if rng.random() < 0.4:
+        at = rng.uniform(0.5, 4)
+        plan.silences.append(Silence(at, rng.choice(SILENT_REQUESTS)))
+        drained = rng.sample(HOSTS, 2)
+        plan.drains += [Drain(at + rng.uniform(0.1, 2), plan.duration, host) for host in drained]
+    if rng.random() < 0.3:
+        at, span = rng.uniform(1, plan.duration - 4), rng.uniform(2, 8)
+        plan.slow_discovery.append(SlowDiscovery(at, span, rng.choice(ANSWER_DELAYS_S)))
+    if rng.random() < 0.4:
+        at = rng.uniform(2, plan.duration - 2)
+        plan.moves = [Move(at, rng.choice((0, 0, 1, 2)))]
+        if rng.random() < 0.3:
+            plan.moves.append(Move(at + MOVE_INTERVAL_S))
+
+
 MAX_STARTUP_S = 0.5  # a process is ready by then, on a machine that is not busy
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1245,15 +1245,18 @@
     harness.net.advance(2 * SECOND)
     harness.discovery.confirm_list()
     harness.net.settle()
+    harness.reply_list(43)
     requested = [line for line in log.lines if line["event"] == "list requested"]
     assert [(line["number"], line["since_version"], line["hold_ms"]) for line in requested] == [
         (1, 41, 1),
         (2, 43, 10000),
         (3, 43, 1),
+        (4, 43, 10000),
     ]
     ended = [line for line in log.lines if line["event"] == "list request ended"]
     assert [(line["number"], line["outcome"], line["hosts"]) for line in ended] == [
         (1, "answered", {"h1": "draining"}),
+        (3, "answered", {}),
         (2, "interrupted", {}),
     ]
 
@@ -1496,7 +1499,8 @@
     body = json.dumps({"index": 2, "endpoints": [entry(status="leaving")]}).encode()
     first.send(response(200, body=body))
     harness.net.settle()
-    assert harness.net.events[1].hosts[0].condition is interface.Condition.DRAINING
+    lists = [event for event in harness.net.events if type(event) is ev.HostListReceived]
+    assert [host.condition for host in lists[-1].hosts] == [interface.Condition.DRAINING]
     assert drain(second) is None, "closed"
     harness.net.advance(discovery.MIN_WATCH_INTERVAL)
     assert b"?from=2&hold_ms=10000 " in drain(first)
@@ -1512,15 +1516,23 @@
     harness.reply_list(0)
     harness.net.advance(discovery.MIN_WATCH_INTERVAL)
     spans, made = [], len(harness.peers)
-    get_stream = harness.discovery.connection.get_stream
+    make_connection = harness.discovery.make_connection
 
-    def record_timeout(deadline):
-        spans.append(deadline - harness.net.scheduler.clock())
-        return get_stream(deadline)
+    def make_recording_connection():
+        connection = make_connection()
+        get_stream = connection.get_stream
 
-    harness.discovery.connection.get_stream = record_timeout
+        def record_timeout(deadline):
+            spans.append(deadline - harness.net.scheduler.clock())
+            return get_stream(deadline)
+
+        connection.get_stream = record_timeout
+        return connection
+
+    harness.discovery.make_connection = make_recording_connection
     harness.connect_errors += [hosts.TimedOut()] * 5
     harness.net.advance(11_600 * MS)
+    harness.net.settle()
     assert len(harness.peers) == made + 1 and drain(harness.peers[-1])
     assert spans == [750 * MS, *[1500 * MS] * 5]
     scopes = [event.scope for event in harness.net.events]
