--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -107,6 +107,16 @@
     assert not rule_violations(plan, tmp_path)
 
 
+@pytest.mark.parametrize("restarts", [[], [Restart(9.2, "SIGKILL")]], ids=["alone", "killed"])
+def test_a_host_that_drained_in_a_silence_gets_no_call_in_the_outage_behind_it(tmp_path, restarts):
+    """Guards against calls by a list that had run out before discovery went down."""
+    plan = Plan(1, duration=14.0, clients=12, restarts=restarts)
+    plan.silences, plan.moves = [Silence(1.0)], [Move(5.0, silent=2)]
+    plan.drains = [Drain(1.2, 20.0, host) for host in HOSTS[::3]]
+    plan.outages = [Outage(9.0, 20.0)]
+    assert not rule_violations(plan, tmp_path)
+
+
 @pytest.mark.parametrize("restarts", [[], [Restart(3.6, "SIGKILL")]], ids=["alone", "killed"])
 def test_an_address_that_refused_a_connection_gets_no_call_before_the_next_list(tmp_path, restarts):
     """Guards against messages to a host that took the address of one that left in an outage."""
