List lease: news that was missed in a silence binds in the outage behind it, and over a restart

Cause: each failure of discovery suspended the lease. Nothing counts as told while discovery can't be reached; but what it had while it took requests and answered none does, and stays so. The next process knew nothing of it.

Change: a request that is not held and has no answer for 2.5 s, by a discovery that has answered this process before, means that news is missing: until the next answer no failure suspends the lease. A record of the log (missed) keeps that. A watch alone that is silent, and the first request of a process, prove no such thing: a discovery that many relays ask at once may be busy, and fails later.

Ruled out: the same for every failure behind any silence: a watch that falls silent and an outage that begins before its request is repeated would end all calls for the outage.

Cost: behind two silences and in an outage after them there are no calls until discovery answers.

--- a/molehill/core/list_lease.py
+++ b/molehill/core/list_lease.py
@@ -4,8 +4,11 @@
 list is leased: each answer renews the lease, and how the requests after it fare tells when the
 lease runs out. Without a lease no call is begun, as any host may be one that is to get none.
 
-While discovery can't be reached, nothing counts as known, and the lease is suspended. Plain data,
-no input or output; times are nanoseconds of the relay's clock.
+While discovery can't be reached, nothing counts as known, and the lease is suspended. That does not
+hold for news from a time in which discovery took requests and answered none: the lease runs out all
+the same, and stays so until discovery answers, also over a restart.
+
+Plain data, no input or output; times are nanoseconds of the relay's clock.
 """
 
 from enum import Enum
@@ -48,7 +51,10 @@
         self.current_at: Optional[int] = None
         self.expires_at: Optional[int] = None  # None: suspended
         self.unreachable_at: Optional[int] = None  # the last request failed then
-        self.is_unanswered = False  # news was asked for, or is owed, and has not come
+        self.is_unanswered = False  # a request that was sent has got no answer
+        self.hold = 0  # of the last request
+        self.was_answered = False  # this process, or the one that handed over to it
+        self.has_missed_news = False  # discovery could be reached, and answered nothing
 
     def started(self, now: int) -> None:
         """Takes the list of a first start as current."""
@@ -56,12 +62,16 @@
 
     def taken_over(self, now: int) -> None:
         """Takes over the list of an earlier process, which knew its age."""
-        self.current_at = now + HANDOVER_LIMIT - UNTOLD_LIMIT
+        self.current_at, self.was_answered = now + HANDOVER_LIMIT - UNTOLD_LIMIT, True
+
+    def restore_missed_news(self) -> None:
+        """Starts without a lease, as an earlier process had missed news."""
+        self.has_missed_news, self.expires_at = True, 0
 
     def answered(self, now: int) -> None:
         """Renews the lease: the list is current."""
-        self.current_at, self.expires_at = now, now + UNTOLD_LIMIT
-        self.unreachable_at, self.is_unanswered = None, False
+        self.current_at, self.expires_at, self.was_answered = now, now + UNTOLD_LIMIT, True
+        self.unreachable_at, self.is_unanswered, self.has_missed_news = None, False, False
 
     def request_sent(self, now: int, hold: int) -> None:
         """Counts from a request that discovery may hold for `hold` until there is news.
@@ -70,18 +80,22 @@
         """
         contacts = [at for at in (self.current_at, self.unreachable_at) if at is not None]
         expires_at = max([now, *(at + UNTOLD_LIMIT for at in contacts)]) if contacts else now
-        if self.is_unanswered and self.expires_at is not None:
+        owes_news = self.is_unanswered or self.has_missed_news
+        if owes_news and self.expires_at is not None:
             expires_at = min(expires_at, self.expires_at)
         elif hold:
             expires_at = max(expires_at, now + hold + HELD_LIMIT)
-        self.expires_at, self.is_unanswered = expires_at, True
+        self.expires_at, self.is_unanswered, self.hold = expires_at, True, hold
 
     def request_ended(self, now: int, outcome: ListOutcome, began_at: Optional[int]) -> None:
         """Applies the end of a request other than an answer.
 
         `began_at`: when the first bytes of an answer came, up to which the list was current.
         """
-        if outcome in UNREACHABLE_OUTCOMES:
+        if outcome is ListOutcome.SILENT:
+            # After a start without any answer, or of a watch, this may be a discovery that is busy.
+            self.has_missed_news |= self.was_answered and not self.hold
+        elif outcome in UNREACHABLE_OUTCOMES and not self.has_missed_news:
             self.expires_at, self.unreachable_at, self.is_unanswered = None, now, False
         elif outcome in LOST_OUTCOMES:
             self._expire_by(now)
--- a/molehill/core/recovery.py
+++ b/molehill/core/recovery.py
@@ -15,7 +15,9 @@
 
 RECORD_KIND_PATTERN = re.compile(rb'"k":"([a-z]+)"')
 # kinds of record that certainly hold no attempt (kind `launch`)
-NON_ATTEMPT_KINDS = b"taken end owed over done class rest health list refused clock filler".split()
+NON_ATTEMPT_KINDS = (
+    b"taken end owed over done class rest health list refused missed clock filler".split()
+)
 # time of an attempt at an unknown time: before any deduplication window that is still open
 LONG_AGO = 0
 # share of the log capacity (1/8) for the latest completed ids in a snapshot: seconds to minutes of
@@ -41,6 +43,7 @@
             "health": self._load_health,
             "list": core.received_list.load,
             "refused": self._load_refused,
+            "missed": self._load_missed_news,
         }
 
     def load(self, record: dict, body: bytes) -> None:
@@ -127,6 +130,9 @@
         addresses = {parse_address(text, "addresses") for text in record["addresses"]}
         self.core.hosts.refused_addresses = addresses
 
+    def _load_missed_news(self, record):
+        self.core.restore_list_lease(bool(record["news"]))
+
     def load_corrupt(self, data: bytes) -> None:
         """Handles bytes of the log that can't be read.
 
@@ -163,6 +169,11 @@
     return {"k": "refused", "addresses": sorted("%s:%d" % address for address in addresses)}
 
 
+def missed_news_record(has_missed_news: bool) -> dict:
+    """Returns the record of whether news of the host list is missing; it replaces earlier ones."""
+    return {"k": "missed", "news": has_missed_news}
+
+
 def submitted_fields(callback) -> dict:
     """Returns the fields of a `taken` record that never change."""
     fields = {
@@ -191,6 +202,8 @@
             yield {"k": "health", "host": host, "away": until is None, "at": at}, b""
     if core.hosts.refused_addresses:
         yield refused_record(core.hosts.refused_addresses), b""
+    if core.list_lease.has_missed_news:
+        yield missed_news_record(True), b""
     if core.received_list.version is not None:
         yield {"k": "list", **core.received_list.as_record(core.received_list.all_rows())}, b""
     recent = _recently_completed(core)
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -188,6 +188,12 @@
         """Handles bytes of the log that can't be read."""
         self.recovery.load_corrupt(data)
 
+    def restore_list_lease(self, has_missed_news: bool) -> None:
+        """Sets the lease from what the log says of the list; a later record overrides this one."""
+        self.list_lease = ListLease()
+        if has_missed_news:
+            self.list_lease.restore_missed_news()
+
     def snapshot(self):
         """Yields the records of everything pending; a log of just these replaces a longer one."""
         return recovery.snapshot(self)
@@ -907,10 +913,14 @@
         self.list_lease.request_sent(self.now, event.hold)
 
     def _on_list_request_ended(self, event):
+        lease = self.list_lease
+        had_missed_news = lease.has_missed_news
         if event.outcome is ListOutcome.ANSWERED:
-            self.list_lease.answered(self.now)
+            lease.answered(self.now)
         else:
-            self.list_lease.request_ended(self.now, event.outcome, event.began_at)
+            lease.request_ended(self.now, event.outcome, event.began_at)
+        if lease.has_missed_news != had_missed_news:
+            self.effects.append(ev.Append(recovery.missed_news_record(lease.has_missed_news)))
         self._resume_after_expiry()
 
     def _on_discovery_moved(self, _):
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -31,6 +31,7 @@
 SILENT, FAILED, STOPPED = ListOutcome.SILENT, ListOutcome.FAILED, ListOutcome.STOPPED
 CURRENT = [answered(10 * S)]
 WATCH = [*CURRENT, sent(10 * S, HOLD)]
+IGNORED = [*WATCH, ended(21 * S, SILENT), sent(21 * S), ended(24 * S, SILENT)]
 
 
 @pytest.mark.parametrize(
@@ -50,6 +51,11 @@
         ([sent(3 * S), ended(5 * S, STOPPED, 4 * S), sent(5 * S)], 3 * S),
         ([*WATCH, ended(13 * S, ListOutcome.UNREADABLE), sent(13 * S)], 13 * S),
         ([*WATCH, ended(21 * S, SILENT), sent(21 * S), ended(22 * S, FAILED)], None),
+        ([*IGNORED, ended(25 * S, FAILED)], 21 * S),  # the news was there before discovery failed
+        ([*IGNORED, ended(25 * S, FAILED), sent(27 * S)], 21 * S),
+        ([*IGNORED, answered(25 * S), ended(26 * S, FAILED)], None),
+        ([sent(3 * S), ended(6 * S, SILENT), sent(6 * S), ended(7 * S, FAILED)], None),
+        ([ListLease.restore_missed_news, ended(7 * S, FAILED), sent(8 * S)], 0),
         ([*WATCH, ended(40 * S, FAILED), sent(42 * S)], 46 * S),
         ([*WATCH, ended(40 * S, ListOutcome.NOT_CONNECTED), sent(42 * S)], 46 * S),
         ([*WATCH, moved(11 * S)], 15 * S),
