--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -166,7 +166,8 @@
         self.confirm_at = None
         if self.must_confirm:
             self.asks_confirmation = True
-            self.scheduler.resume(self.task) if self.exchanges else None
+            if self.exchanges:
+                self.scheduler.resume(self.task)
 
     def _run_watches(self) -> None:
         """Runs one watch after another until one fails, which is posted.
@@ -200,7 +201,7 @@
             self._post_list(scope, hosts, version, source)
         self.post(ev.ListRequestEnded(ListOutcome.ANSWERED))
         if self.must_confirm:
-            self.must_confirm = False
+            self.must_confirm = self.asks_confirmation = False
             self.post(ev.HostListConfirmed())
         if version == known_version and self.clock() - began < MIN_WATCH_INTERVAL:
             self.scheduler.sleep_until(began + MIN_WATCH_INTERVAL)
@@ -215,7 +216,6 @@
         MAX_UNREADABLE times in a row. Raises an exchange's error if the watch has failed.
         """
         self.silences = self.unreadable = 0
-        self.asks_confirmation = False
         try:
             self._begin_exchange()
             while True:
@@ -259,7 +259,8 @@
         timeout = LIST_TIMEOUTS[min(self.silences, len(LIST_TIMEOUTS) - 1)]
         is_held, self.may_hold = self.version is not None and self.may_hold, False
         hold = WATCH_HOLD if is_held else MIN_WATCH_HOLD
-        self.asks_confirmation = False
+        if not is_held:
+            self.asks_confirmation = False
         for exchange in self.exchanges:
             exchange.is_late = True
         if len(self.exchanges) >= MAX_OPEN_REQUESTS:
@@ -351,12 +352,12 @@
         exchanges, self.exchanges = self.exchanges, []
         for exchange in exchanges:
             exchange.close()
-            if not exchange.is_late or exchange.request.hold == WATCH_HOLD:
+            if not exchange.is_reported:
                 self._report_end(exchange, ListOutcome.INTERRUPTED)
 
     def _report_end(self, exchange: ListExchange, outcome: ListOutcome, reason: str = "") -> None:
         """Counts, posts and logs how an exchange ended; `reason`: in words."""
-        stream = exchange.stream
+        exchange.is_reported, stream = True, exchange.stream
         began_at = stream.began_at if stream and outcome is ListOutcome.STOPPED else None
         if outcome is not ListOutcome.ANSWERED:  # an answer is applied first
             self.post(ev.ListRequestEnded(outcome, began_at))
--- a/molehill/http/list_exchange.py
+++ b/molehill/http/list_exchange.py
@@ -65,7 +65,7 @@
     """Sends a request and reads its answer, for as long as that takes or until it is closed.
 
     `answer` or `error` is set once it `is_over`. `patience_ends_at`: None until the request was
-    sent. `is_late`: another request was sent beside it.
+    sent. `is_late`: another request was sent beside it. `is_reported`: an outcome was reported.
     """
 
     def __init__(
@@ -89,7 +89,7 @@
         self.answer: Optional[ListAnswer] = None
         self.error: Optional[Exception] = None
         self.patience_ends_at: Optional[int] = None
-        self.is_over = self.is_late = False
+        self.is_over = self.is_late = self.is_reported = False
 
     def run(self) -> None:
         """Runs the exchange to its end."""
