Discovery: an answer of a lower version does not renew the list's lease

The answer renewed the lease for 6 s all the same. Now the lease runs out at once, as for an answer that can't be read, and the whole list renews it.

test_an_answer_of_a_lower_version... failed before (answered for outdated) and passes.

--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -199,7 +199,9 @@
         if is_whole or hosts or is_first:
             scope = interface.ListScope.WHOLE if is_whole else interface.ListScope.UPDATE
             self._post_list(scope, hosts, version, source)
-        self.post(ev.ListRequestEnded(ListOutcome.ANSWERED))
+        is_current = self.version is not None
+        outcome = ListOutcome.ANSWERED if is_current else ListOutcome.OUTDATED
+        self.post(ev.ListRequestEnded(outcome))
         if self.must_confirm:
             self.must_confirm = self.asks_confirmation = False
             self.post(ev.HostListConfirmed())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,6 +8,7 @@
 
 from molehill import interface
 from molehill.core import events as ev
+from molehill.core.list_lease import ListOutcome
 from molehill.core.metrics import Metrics
 from molehill.core.permission import Refusal
 from molehill.http import discovery, host_list_format, hosts, notices
@@ -1585,6 +1586,10 @@
     drain(harness.peers[0])
     harness.net.advance(9 * SECOND)
     harness.reply_list(3)
+    assert harness.lease_events[-2:] == [
+        ev.ListRequestEnded(ListOutcome.OUTDATED),
+        ev.ListRequestSent(0),
+    ]
     assert len(harness.peers) == 2, "it may be a late copy: on a new connection"
     assert drain(harness.peers[-1]).startswith(b"GET /registry/instances HTTP/1.1\r\n")
     harness.reply_list(3, entry("h5"), whole=True)
@@ -1592,6 +1597,16 @@
     assert drain(harness.peers[-1]).startswith(b"GET /registry/instances?from=3&")
 
 
+def test_an_answer_of_a_lower_version_does_not_renew_the_lease(monkeypatch):
+    """Guards against calls by a list to which a discovery with a new count does not tell changes."""
+    harness = DiscoveryHarness(monkeypatch, {"index": 41, "endpoints": [entry()]})
+    harness.start_watch()
+    harness.reply_list(3)
+    assert b"GET /registry/instances HTTP" in drain(harness.peers[-1])
+    outcomes = [e.outcome for e in harness.lease_events if type(e) is ev.ListRequestEnded]
+    assert outcomes == [ListOutcome.OUTDATED]
+
+
 def test_immediate_answers_without_news_do_not_spin(monkeypatch):
     harness = DiscoveryHarness(monkeypatch)
     harness.start_watch()
