--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -202,7 +202,7 @@
         is_current = self.version is not None
         outcome = ListOutcome.ANSWERED if is_current else ListOutcome.OUTDATED
         self.post(ev.ListRequestEnded(outcome))
-        if self.must_confirm:
+        if self.must_confirm and is_current:
             self.must_confirm = self.asks_confirmation = False
             self.post(ev.HostListConfirmed())
         if version == known_version and self.clock() - began < MIN_WATCH_INTERVAL:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1601,10 +1601,14 @@
     """Guards against calls by a list to which a discovery with a new count does not tell changes."""
     harness = DiscoveryHarness(monkeypatch, {"index": 41, "endpoints": [entry()]})
     harness.start_watch()
+    harness.discovery.confirm_list()
     harness.reply_list(3)
+    assert ev.HostListConfirmed not in map(type, harness.net.events)
     assert b"GET /registry/instances HTTP" in drain(harness.peers[-1])
     outcomes = [e.outcome for e in harness.lease_events if type(e) is ev.ListRequestEnded]
     assert outcomes == [ListOutcome.OUTDATED]
+    harness.reply_list(3, entry(), whole=True)
+    assert type(harness.net.events[-1]) is ev.HostListConfirmed
 
 
 def test_immediate_answers_without_news_do_not_spin(monkeypatch):
