Soak: a request that is given up in an outage does not end the outage for the rule on drains

The check is narrowed for this case alone; test_a_drain_counts_as_told_in_time has it and failed before.

--- a/molehill/soak/drain_rule.py
+++ b/molehill/soak/drain_rule.py
@@ -104,7 +104,7 @@
         self.hold_ends.pop(event.number, None)
         if self.hold_ends:
             return
-        for change in self.untold.values():
+        for change in [row for row in self.untold.values() if row.told_at != NEVER]:
             earliest = change.changed_at + UNTOLD_LIMIT_S
             change.told_at = max(earliest, min(change.told_at, event.at))
 
--- a/tests/test_soak_rules.py
+++ b/tests/test_soak_rules.py
@@ -115,6 +115,7 @@
         ([WATCH, DRAINS, ListStalled(2.1, "h", "leaving")], 8.1),
         ([WATCH, DRAINS, Process(7.0, DISCOVERY_MOVED)], 11.0),
         ([DRAINS, Process(3.0, OUTAGE_START), Process(9.0, OUTAGE_END)], 15.0),
+        ([WATCH, DRAINS, Process(7.0, OUTAGE_START), DROPPED, Process(9.5, OUTAGE_END)], 15.5),
         ([DRAINS, Process(8.5, OUTAGE_START), Process(9.0, OUTAGE_END)], 8.0),
         ([DRAINS, Changed(4.0, "h", "active")], None),
     ],
