List lease: a failure of this machine to reach discovery suspends nothing

Cause: each error of a connection counted as discovery's, which suspends the lease: nothing counts as told while discovery can't be reached.

Tests: a_host_that_drained_in_a_kill_gets_no_call_behind_a_failure_of_this_machine, real processes: failed before (1.7 s late), passes.

--- a/molehill/core/list_lease.py
+++ b/molehill/core/list_lease.py
@@ -35,6 +35,7 @@
     NOT_CONNECTED = "not connected"
     INTERRUPTED = "interrupted"  # given up for a request that is answered at once
     FAILED = "failed"
+    LOCAL_ERROR = "local error"  # this machine could not connect; discovery might have answered
 
 
 # discovery could not be reached, or refused the request
@@ -78,14 +79,20 @@
 
         The hold of an earlier request that got no answer does not count any more.
         """
+        is_owed = self.expires_at is not None and (self.is_unanswered or self.has_missed_news)
+        self._expect_news(now)
+        if hold and not is_owed and self.expires_at is not None:
+            self.expires_at = max(self.expires_at, now + hold + HELD_LIMIT)
+        self.hold = hold
+
+    def _expect_news(self, now: int) -> None:
+        """Counts from the last time at which nothing counted as known, if it does not count yet."""
         contacts = [at for at in (self.current_at, self.unreachable_at) if at is not None]
         expires_at = max([now, *(at + UNTOLD_LIMIT for at in contacts)]) if contacts else now
-        owes_news = self.is_unanswered or self.has_missed_news
-        if owes_news and self.expires_at is not None:
+        is_owed = self.is_unanswered or self.has_missed_news
+        if is_owed and self.expires_at is not None:
             expires_at = min(expires_at, self.expires_at)
-        elif hold:
-            expires_at = max(expires_at, now + hold + HELD_LIMIT)
-        self.expires_at, self.is_unanswered, self.hold = expires_at, True, hold
+        self.expires_at, self.is_unanswered = expires_at, True
 
     def request_ended(self, now: int, outcome: ListOutcome, began_at: Optional[int]) -> None:
         """Applies the end of a request other than an answer.
@@ -97,6 +104,8 @@
             self.has_missed_news |= self.was_answered and not self.hold
         elif outcome in UNREACHABLE_OUTCOMES and not self.has_missed_news:
             self.expires_at, self.unreachable_at, self.is_unanswered = None, now, False
+        elif outcome is ListOutcome.LOCAL_ERROR:
+            self._expect_news(now)
         elif outcome in LOST_OUTCOMES:
             self._expire_by(now)
         elif outcome is ListOutcome.STOPPED and None not in (began_at, self.current_at):
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -25,7 +25,12 @@
 from molehill.http.list_request import ListRequest, ListRequestEnded, ListRequestLog
 from molehill.http.list_stream import MIN_ANSWER_DURATION, STALL_TIMEOUT, ListStream
 from molehill.invariants import check_invariant
-from molehill.runtime.stream import ConnectionBroken, PersistentConnection, TimedOut
+from molehill.runtime.stream import (
+    ConnectionBroken,
+    NoDescriptor,
+    PersistentConnection,
+    TimedOut,
+)
 
 # How long discovery may hold a watch open. A watch that gets no answer is noticed after this and
 # ANSWER_TIMEOUT.
@@ -346,7 +351,9 @@
             self.failed_connects += 1
             self._report_end(ended, ListOutcome.NOT_CONNECTED)
         elif all(exchange.is_late for exchange in self.exchanges):
-            self._report_end(ended, ListOutcome.FAILED, reason)
+            is_local = isinstance(error, NoDescriptor)
+            outcome = ListOutcome.LOCAL_ERROR if is_local else ListOutcome.FAILED
+            self._report_end(ended, outcome, reason)
             raise error
 
     def _close_exchanges(self) -> None:
@@ -364,7 +371,8 @@
         if outcome is not ListOutcome.ANSWERED:  # an answer is applied first
             self.post(ev.ListRequestEnded(outcome, began_at))
         name = outcome.value
-        self.counts[f"{name}: {reason}" if outcome is ListOutcome.FAILED else name] += 1
+        has_reason = outcome in (ListOutcome.FAILED, ListOutcome.LOCAL_ERROR)
+        self.counts[f"{name}: {reason}" if has_reason else name] += 1
         if self.request_log is not None:
             answer = exchange.answer
             version, hosts = (answer.version, answer.hosts) if answer else (None, [])
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -3,6 +3,7 @@
 Some tests run real processes (molehill/soak), the others a relay with a manual clock.
 """
 
+import errno
 from concurrent.futures import ProcessPoolExecutor
 
 import pytest
@@ -38,6 +39,7 @@
     Plan,
     Replacement,
     Restart,
+    Shim,
     Silence,
     StalledLists,
     draw_plan,
@@ -107,6 +109,15 @@
     assert not rule_violations(plan, tmp_path)
 
 
+def test_a_host_that_drained_in_a_kill_gets_no_call_behind_a_failure_of_this_machine(tmp_path):
+    """Guards against calls by the log's list where it is this machine that can't reach discovery."""
+    plan = Plan(1, duration=11.0, clients=12, restarts=[Restart(2.0, "SIGKILL")])
+    plan.drains = [Drain(2.3, 20.0, host) for host in HOSTS[::3]]
+    plan.shims = [Shim(2.1, 4.0, "connect", errno.EADDRNOTAVAIL)]
+    plan.silences = [Silence(2.2, count=2)]
+    assert not rule_violations(plan, tmp_path)
+
+
 @pytest.mark.parametrize("restarts", [[], [Restart(9.2, "SIGKILL")]], ids=["alone", "killed"])
 def test_a_host_that_drained_in_a_silence_gets_no_call_in_the_outage_behind_it(tmp_path, restarts):
     """Guards against calls by a list that had run out before discovery went down."""
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -29,6 +29,7 @@
 
 
 SILENT, FAILED, STOPPED = ListOutcome.SILENT, ListOutcome.FAILED, ListOutcome.STOPPED
+LOCAL = ListOutcome.LOCAL_ERROR
 CURRENT = [answered(10 * S)]
 WATCH = [*CURRENT, sent(10 * S, HOLD)]
 IGNORED = [*WATCH, ended(21 * S, SILENT), sent(21 * S), ended(24 * S, SILENT)]
@@ -58,6 +59,9 @@
         ([ListLease.restore_missed_news, ended(7 * S, FAILED), sent(8 * S)], 0),
         ([*WATCH, ended(40 * S, FAILED), sent(42 * S)], 46 * S),
         ([*WATCH, ended(40 * S, ListOutcome.NOT_CONNECTED), sent(42 * S)], 46 * S),
+        ([ended(3 * S, LOCAL), ended(5 * S, LOCAL), sent(6 * S)], 3 * S),
+        ([*WATCH, ended(19 * S, LOCAL), sent(21 * S)], 19 * S),
+        ([*WATCH, ended(19 * S, FAILED), ended(21 * S, LOCAL), sent(22 * S)], 25 * S),
         ([*WATCH, moved(11 * S)], 15 * S),
         ([*WATCH, moved(19 * S), sent(19 * S)], 19 * S),
         ([ended(9 * S, FAILED), moved(19 * S), sent(20 * S)], 20 * S),
