--- a/molehill/core/recovery.py
+++ b/molehill/core/recovery.py
@@ -131,7 +131,7 @@
         self.core.hosts.refused_addresses = addresses
 
     def _load_missed_news(self, record):
-        self.core.restore_list_lease(bool(record["news"]))
+        self.core.list_updates.restore_lease(bool(record["news"]))
 
     def load_corrupt(self, data: bytes) -> None:
         """Handles bytes of the log that can't be read.
@@ -202,7 +202,7 @@
             yield {"k": "health", "host": host, "away": until is None, "at": at}, b""
     if core.hosts.refused_addresses:
         yield refused_record(core.hosts.refused_addresses), b""
-    if core.list_lease.has_missed_news:
+    if core.list_updates.lease.has_missed_news:
         yield missed_news_record(True), b""
     if core.received_list.version is not None:
         yield {"k": "list", **core.received_list.as_record(core.received_list.all_rows())}, b""
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -31,7 +31,7 @@
 from molehill.core.final_notices import FinalNotices
 from molehill.core.host_list import ReceivedList
 from molehill.core.host_table import HostTable
-from molehill.core.list_lease import ListLease, ListOutcome
+from molehill.core.list_updates import ListUpdates
 from molehill.core.metrics import DELIVERED, FAULTED, THROTTLED, Metrics
 from molehill.core.permission import Refusal
 from molehill.core.recent_ids import RecentIds
@@ -118,8 +118,7 @@
         # after a restart no call is started before discovery has answered or failed, or this time
         # has come
         self.list_deadline: Optional[int] = None
-        self.list_lease = ListLease()
-        self.list_expired_at: Optional[int] = None  # since when calls wait for the list
+        self.list_updates = ListUpdates(self)
         self.handlers = {
             ev.Startup: self._on_start,
             ev.Submitted: self._on_submitted,
@@ -130,14 +129,9 @@
             ev.LogWritable: self._on_log_writable,
             ev.CallConnected: self._on_call_connected,
             ev.CallEnded: self._on_call_ended,
-            ev.ConnectionRefused: self._on_connection_refused,
-            ev.HostListConfirmed: self._on_host_list_confirmed,
             ev.HostFinishedReading: self._on_host_finished_reading,
             ev.NoticesDelivered: self._on_notices_delivered,
-            ev.HostListReceived: self._on_host_list_received,
-            ev.ListRequestSent: self._on_list_request_sent,
-            ev.ListRequestEnded: self._on_list_request_ended,
-            ev.DiscoveryMoved: self._on_discovery_moved,
+            **self.list_updates.handlers,
             ev.Step: self._on_step,
             ev.Stop: self._on_stop,
             ev.SettingsChanged: self._on_settings_changed,
@@ -176,7 +170,8 @@
 
     # The log
 
-    def _log(self, kind, body=b"", **fields):
+    def log_record(self, kind, body=b"", **fields):
+        """Appends a record of this kind to the log."""
         self.effects.append(ev.Append({"k": kind, **fields}, body))
 
     def load(self, record, body):
@@ -188,12 +183,6 @@
         """Handles bytes of the log that can't be read."""
         self.recovery.load_corrupt(data)
 
-    def restore_list_lease(self, has_missed_news: bool) -> None:
-        """Sets the lease from what the log says of the list; a later record overrides this one."""
-        self.list_lease = ListLease()
-        if has_missed_news:
-            self.list_lease.restore_missed_news()
-
     def snapshot(self):
         """Yields the records of everything pending; a log of just these replaces a longer one."""
         return recovery.snapshot(self)
@@ -360,7 +349,7 @@
         if callback is not None and callback.state is LOGGED and event.client in callback.clients:
             callback.clients.clear()
             self.set_state(callback, ACKNOWLEDGED)
-            self._start_ready_calls()
+            self.start_ready_calls()
 
     def _on_answer_not_written(self, event):
         callback = self.callbacks.get(event.id)
@@ -378,12 +367,12 @@
         """Drops a callback that no client was told is accepted; the client may submit it again."""
         self.inbox.append(interface.CallbackWithdrawn(callback.id))
         if logged:
-            self._log("over", ids=[callback.id])
+            self.log_record("over", ids=[callback.id])
         self.set_state(callback, COMPLETED)
         for call in list(self.queued_calls.values()):
             if callback.id in call.ids:
                 self._unqueue(call, [callback.id])
-        self._start_ready_calls()
+        self.start_ready_calls()
 
     def _on_append_failed(self, event):
         """Refuses the callbacks and cancels the attempts whose records could not be written.
@@ -431,12 +420,12 @@
             counts[THROTTLED] -= 1
             counts[FAULTED] += 1
             callback.rejected, callback.retry_after = False, 0
-            self._log("owed", id=callback.id, denied=False, wait=0)
+            self.log_record("owed", id=callback.id, denied=False, wait=0)
         self._send_notice(callback)
 
     def _on_log_writable(self, _):
         self.log_failing = False
-        self._start_ready_calls()
+        self.start_ready_calls()
 
     # Calls
 
@@ -450,7 +439,7 @@
             self.set_state(callback, COMPLETED)
             return
         callback.rejected, callback.retry_after = rejected, retry_after
-        self._log("owed", id=callback.id, denied=rejected, wait=retry_after)
+        self.log_record("owed", id=callback.id, denied=rejected, wait=retry_after)
         self.set_state(callback, NOTICE_PENDING)
         self._send_notice(callback)
 
@@ -485,14 +474,14 @@
             self._run_action(action)
         attempts = [action for action in actions if type(action) is interface.StartAttempt]
         self._queue_calls(attempts)
-        self._start_ready_calls()
+        self.start_ready_calls()
         self._check_overdue()
 
     def _accept(self, callback_id):
         """Accepts a callback that the module keeps; its client is answered once it is logged."""
         callback = self.callbacks.get(callback_id)
         if callback is not None and callback.state is RECEIVED:
-            self._log("taken", callback.body, **recovery.submitted_fields(callback))
+            self.log_record("taken", callback.body, **recovery.submitted_fields(callback))
             self.set_state(callback, LOGGED)
             self._answer_clients(callback, STATUS_ACCEPTED)
 
@@ -507,7 +496,7 @@
             self.effects.append(ev.CloseIdle(action.host))
         elif kind is interface.ReportHealth:
             self.set_health(action.host, action.ejected, self.now)
-            self._log("health", host=action.host, away=action.ejected, at=self.now)
+            self.log_record("health", host=action.host, away=action.ejected, at=self.now)
             self.effects.append(ev.LogMessage(action.text))
         elif kind in (interface.Reject, interface.Fail) and action.callback in self.callbacks:
             rejected = kind is interface.Reject
@@ -543,16 +532,14 @@
             if self._queued_until(call) <= self.now:
                 for callback in self.find_callbacks(call.ids):
                     is_past_deadline = self.now >= callback.deadline
-                    reason = Refusal.TIME_UP if is_past_deadline else self._queue_refusal()
+                    reason = (
+                        Refusal.TIME_UP if is_past_deadline else self.list_updates.queue_refusal()
+                    )
                     self._report_not_sent(callback.id, call.host, reason)
                 self._unqueue(call, list(call.ids))
         events += self.inbox
         self.inbox = []
 
-    def _queue_refusal(self) -> Refusal:
-        """Returns why a queued call has not been started in time."""
-        return Refusal.KEY_BLOCKED if self.list_expired_at is None else Refusal.LIST_OUTDATED
-
     def _check_overdue(self):
         """Ends callbacks past their deadline that the module has not ended in its own step."""
         while self.overdue_checks and self.overdue_checks[0][0] <= self.now:
@@ -588,35 +575,17 @@
     def _is_blocked(self, callback):
         return callback.state is LOGGED or callback.key in self.keys_awaiting_notice
 
-    def _start_ready_calls(self):
+    def start_ready_calls(self):
         """Starts the queued calls that may start now."""
         if self.calls_paused or self.log_failing or self.list_deadline is not None:
             return
-        if self.queued_calls and self._has_list_expired(self.now):
-            self._note_list_expiry()
+        if self.queued_calls and self.list_updates.has_expired(self.now):
+            self.list_updates.note_expiry()
             return
         for call in list(self.queued_calls.values()):
             if not any(self._is_blocked(callback) for callback in self.find_callbacks(call.ids)):
                 self._start_call(call)
 
-    def _has_list_expired(self, now) -> bool:
-        return self.list_lease.has_expired(now, self.settings.drain_grace)
-
-    def _note_list_expiry(self) -> None:
-        """Logs, once, that calls wait for the list."""
-        if self.list_expired_at is None:
-            self.list_expired_at = self.now
-            text = "no call before discovery answers: the list of hosts is outdated"
-            self.effects.append(ev.LogMessage(text))
-
-    def _resume_after_expiry(self) -> None:
-        """Starts the calls that waited for the list, if they may start again."""
-        if self.list_expired_at is None or self._has_list_expired(self.now):
-            return
-        span, self.list_expired_at = self.now - self.list_expired_at, None
-        self.effects.append(ev.LogMessage(f"calls begin again, after {span // MS} ms"))
-        self._start_ready_calls()
-
     def _start_call(self, call):
         host = self.hosts[call.host]
         ready = [
@@ -674,7 +643,7 @@
         call.is_logged = True
         if current_callbacks:
             at, zone = current_callbacks[0].current_attempt
-            self._log(
+            self.log_record(
                 "launch",
                 ids=[c.id for c in current_callbacks],
                 at=at,
@@ -726,7 +695,7 @@
     def _host_refusal(self, callback, host, now) -> Optional[Refusal]:
         return permission.check_route(
             host,
-            self._has_list_expired(now),
+            self.list_updates.has_expired(now),
             self.hosts.retry_times.get(self._route(host), 0),
             now,
         ) or permission.check_repeat(
@@ -800,8 +769,8 @@
             if (row := self._end_attempt(call, outcome, event)) is not None
         ]
         if logged and call.is_logged:  # else the log has no attempt to end
-            self._log("end", ends=logged, at=self.now)
-        self._start_ready_calls()
+            self.log_record("end", ends=logged, at=self.now)
+        self.start_ready_calls()
         if len(self.cooldowns) > 2 * len(self.callbacks) + 64:
             self.cooldowns = {
                 key: until for key, until in self.cooldowns.items() if until > self.now
@@ -857,80 +826,11 @@
         for callback_id in ids:
             self.set_state(self.callbacks[callback_id], COMPLETED)
         if ids:
-            self._log("over", ids=ids)
-            self._start_ready_calls()
+            self.log_record("over", ids=ids)
+            self.start_ready_calls()
 
     # Host list, settings, start and stop
 
-    def _on_host_list_received(self, event):
-        if event.scope is not interface.ListScope.FAILED:
-            is_complete = event.scope is not interface.ListScope.UPDATE
-            changed = self.received_list.update(
-                event.hosts, is_complete, event.version, event.source, event.file_digest
-            )
-            # logged before it takes effect: the next process knows only the log
-            if changed is not None:
-                self._log("list", **self.received_list.as_record(changed))
-            hosts_with_stale_connections = self.hosts.apply_list(event.hosts, is_complete)
-            self.effects += [ev.CloseIdle(host) for host in hosts_with_stale_connections]
-        busy = {call.host for call in (*self.calls.values(), *self.queued_calls.values())}
-        self.hosts.drop_expired(busy, self.now)
-        if event.scope is not interface.ListScope.RESTORED and self.list_deadline is not None:
-            self.list_deadline = None
-            self._start_ready_calls()
-        self.inbox.append(
-            interface.HostListUpdate(
-                event.scope,
-                [
-                    interface.HostEntry(
-                        h.id,
-                        h.zone,
-                        h.kind,
-                        h.destination,
-                        h.condition,
-                        h.weight,
-                        self.hosts.is_ejected(h.id, self.now),
-                    )
-                    for h in event.hosts
-                ],
-            )
-        )
-
-    def _on_connection_refused(self, event):
-        """Allows no new connection to this address until discovery has answered.
-
-        Logged, as the next process would connect to whoever listens there by then.
-        """
-        addresses = self.hosts.refused_addresses
-        if event.address in addresses:
-            self.effects.append(ev.ConfirmHostList())
-            return
-        addresses.add(event.address)
-        self.effects.append(ev.Append(recovery.refused_record(addresses)))
-        self.effects.append(ev.ConfirmHostList(event.address))
-
-    def _on_list_request_sent(self, event):
-        self.list_lease.request_sent(self.now, event.hold)
-
-    def _on_list_request_ended(self, event):
-        lease = self.list_lease
-        had_missed_news = lease.has_missed_news
-        if event.outcome is ListOutcome.ANSWERED:
-            lease.answered(self.now)
-        else:
-            lease.request_ended(self.now, event.outcome, event.began_at)
-        if lease.has_missed_news != had_missed_news:
-            self.effects.append(ev.Append(recovery.missed_news_record(lease.has_missed_news)))
-        self._resume_after_expiry()
-
-    def _on_discovery_moved(self, _):
-        self.list_lease.discovery_moved(self.now)
-
-    def _on_host_list_confirmed(self, _):
-        if self.hosts.refused_addresses:
-            self.hosts.refused_addresses.clear()
-            self.effects.append(ev.Append(recovery.refused_record(())))
-
     def _on_settings_changed(self, event):
         """Applies new settings, which the module gets with its next step.
 
@@ -960,9 +860,9 @@
         if self.is_restart:
             self.list_deadline = self.now + self.LIST_TIMEOUT
         elif self.is_handover:
-            self.list_lease.taken_over(self.now)
+            self.list_updates.lease.taken_over(self.now)
         else:
-            self.list_lease.started(self.now)
+            self.list_updates.lease.started(self.now)
         if self.hosts.refused_addresses:
             self.effects.append(ev.ConfirmHostList())
         self.effects += [ev.Append(record) for record in self.classes.records()]
@@ -985,7 +885,7 @@
         self.unsettled_keys = {}
         # otherwise, after another kill, the next process would not know these keys' cooldowns
         if interrupted_callbacks:
-            self._log(
+            self.log_record(
                 "end",
                 ends=[[c.id, Result.RESET.value, False, False] for c in interrupted_callbacks],
                 at=self.now,
@@ -1001,7 +901,7 @@
 
     def _on_pause_calls(self, event):
         self.calls_paused = event.paused
-        self._start_ready_calls()
+        self.start_ready_calls()
 
     def handover_state(self):
         """Returns, as plain data for the next process, what the log does not hold.
@@ -1036,7 +936,7 @@
         for callback in unsent:
             self.settle_attempt(callback, Result.NOT_SENT, self.now, True)
         if unsent:
-            self._log(
+            self.log_record(
                 "end",
                 ends=[[c.id, Result.NOT_SENT.value, False, True] for c in unsent],
                 at=self.now,
@@ -1062,7 +962,7 @@
                 callback, Result.RESET if was_logged else Result.NOT_SENT, self.now, not was_logged
             )
             if was_logged:
-                self._log(
+                self.log_record(
                     "end", ends=[[callback.id, Result.RESET.value, False, False]], at=self.now
                 )
         self.calls, self.queued_calls, self.inbox, self.wake_at, self.overdue_checks = (
@@ -1074,7 +974,7 @@
         )
         self.seed += 1
         self.module = self.make_module(self.settings, self.seed)
-        self._on_host_list_received(
+        self.list_updates.on_list_received(
             ev.HostListReceived(interface.ListScope.RESTORED, list(self.hosts.values()))
         )
         for callback in self.callbacks.values():
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -100,6 +100,6 @@
     harness.read_until(client, b"HTTP/1.1 202")
     host = harness.accept(harness.host)
     core, call = harness.relay.core, next(iter(harness.relay.core.calls))
-    core.list_lease.expires_at = harness.clock.now - core.settings.drain_grace
+    core.list_updates.lease.expires_at = harness.clock.now - core.settings.drain_grace
     assert core.refusal(call, harness.clock.now) is Refusal.LIST_OUTDATED
     host.close()
