--- a/molehill/core/list_lease.py
+++ b/molehill/core/list_lease.py
@@ -79,25 +79,34 @@
 
         The hold of an earlier request that got no answer does not count any more.
         """
-        is_owed = self.expires_at is not None and (self.is_unanswered or self.has_missed_news)
-        self._expect_news(now)
-        if hold and not is_owed and self.expires_at is not None:
-            self.expires_at = max(self.expires_at, now + hold + HELD_LIMIT)
+        was_owed = self._owes_news()
+        expires_at = self._expect_news(now)
+        if hold and not was_owed:
+            self.expires_at = max(expires_at, now + hold + HELD_LIMIT)
         self.hold = hold
 
-    def _expect_news(self, now: int) -> None:
-        """Counts from the last time at which nothing counted as known, if it does not count yet."""
+    def _owes_news(self) -> bool:
+        """Returns whether the lease runs towards its end already."""
+        return self.expires_at is not None and (self.is_unanswered or self.has_missed_news)
+
+    def _expect_news(self, now: int) -> int:
+        """Counts from the last time at which nothing counted as known, if it does not count yet.
+
+        Returns when the lease runs out.
+        """
         contacts = [at for at in (self.current_at, self.unreachable_at) if at is not None]
-        expires_at = max([now, *(at + UNTOLD_LIMIT for at in contacts)]) if contacts else now
-        is_owed = self.is_unanswered or self.has_missed_news
-        if is_owed and self.expires_at is not None:
-            expires_at = min(expires_at, self.expires_at)
-        self.expires_at, self.is_unanswered = expires_at, True
+        expires_at = max([now, *(at + UNTOLD_LIMIT for at in contacts)])
+        if self._owes_news():
+            self._expire_by(expires_at)
+        else:
+            self.expires_at, self.is_unanswered = expires_at, True
+        return expires_at
 
     def request_ended(self, now: int, outcome: ListOutcome, began_at: Optional[int]) -> None:
         """Applies the end of a request other than an answer.
 
-        `began_at`: when the first bytes of an answer came, up to which the list was current.
+        `began_at`: when the first bytes of an answer came that stopped, up to which the list was
+        current; None for other outcomes.
         """
         if outcome is ListOutcome.SILENT:
             # After a start without any answer, or of a watch, this may be a discovery that is busy.
@@ -108,8 +117,8 @@
             self._expect_news(now)
         elif outcome in LOST_OUTCOMES:
             self._expire_by(now)
-        elif outcome is ListOutcome.STOPPED and None not in (began_at, self.current_at):
-            self.current_at = max(self.current_at or 0, began_at or 0)
+        elif began_at is not None and self.current_at is not None:
+            self.current_at = max(self.current_at, began_at)
             self._expire_by(self.current_at + UNTOLD_LIMIT)
 
     def discovery_moved(self, now: int) -> None:
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -22,7 +22,12 @@
     StoppedAnswer,
     UnreadableAnswer,
 )
-from molehill.http.list_request import ListRequest, ListRequestEnded, ListRequestLog
+from molehill.http.list_request import (
+    MIN_WATCH_HOLD,
+    ListRequest,
+    ListRequestEnded,
+    ListRequestLog,
+)
 from molehill.http.list_stream import MIN_ANSWER_DURATION, STALL_TIMEOUT, ListStream
 from molehill.invariants import check_invariant
 from molehill.runtime.stream import (
@@ -36,8 +41,6 @@
 # ANSWER_TIMEOUT.
 WATCH_HOLD = 10 * SECOND
 ANSWER_TIMEOUT = 1500 * MS  # after the hold; the rules count news as known 2 s after it
-# Of a watch that asks for present changes only, as discovery has not answered the request before.
-MIN_WATCH_HOLD = MS
 # A request that is not held: its contents count as known 6 s after discovery fell silent, and 4 s
 # after SIGHUP. The timeout grows with each silence, in case discovery is that slow.
 LIST_TIMEOUTS = (2500 * MS, 3500 * MS, 5 * SECOND, 10 * SECOND, 20 * SECOND)
@@ -252,7 +255,7 @@
             self.silences += 1
             self._report_end(latest, ListOutcome.SILENT)
             self._begin_exchange()
-        elif self.asks_confirmation and latest.request.hold == WATCH_HOLD:
+        elif self.asks_confirmation and latest.request.is_held():
             self._begin_exchange()
         else:
             self.scheduler.sleep_until(patience_ends_at)
@@ -297,8 +300,8 @@
             self.failed_connects = 0
         if not exchange.is_over:
             self.requested_at = self.clock()
-            is_held = exchange.request.hold == WATCH_HOLD
-            self.post(ev.ListRequestSent(WATCH_HOLD if is_held else 0))
+            hold = exchange.request.hold if exchange.request.is_held() else 0
+            self.post(ev.ListRequestSent(hold))
             if self.request_log is not None:
                 self.request_log.sent(exchange.request)
         self.scheduler.resume(self.task)
--- a/molehill/http/list_request.py
+++ b/molehill/http/list_request.py
@@ -7,6 +7,9 @@
 from molehill.core import events as ev
 from molehill.core.list_lease import ListOutcome
 
+# Of a watch that asks for present changes only, as discovery has not answered the request before.
+MIN_WATCH_HOLD = MS
+
 
 @dataclass(slots=True)
 class ListRequest:
@@ -25,6 +28,10 @@
     started_at: int
     sent_at: Optional[int] = None
 
+    def is_held(self) -> bool:
+        """Returns whether discovery holds it until there is news, if there is none yet."""
+        return self.hold > MIN_WATCH_HOLD
+
 
 @dataclass(slots=True)
 class ListRequestEnded:
