Soak: the target of a request for the list is read once

No change of behaviour; three tests of real processes (a move, a refused address, a failure of this machine) pass.

--- a/molehill/soak/stand_ins.py
+++ b/molehill/soak/stand_ins.py
@@ -7,6 +7,7 @@
 import json
 import re
 import socket
+from dataclasses import dataclass
 from typing import Optional
 from urllib.parse import parse_qs, urlsplit
 
@@ -212,6 +213,26 @@
 STALLED_BYTES = 40  # of a list that stops in the middle: they are never sent
 
 
+@dataclass(slots=True, frozen=True)
+class ListQuery:
+    """What a request for the list asks for.
+
+    `since`: a version, of which the changes are wanted, None: the whole list; `hold`: seconds to
+    wait for changes at most.
+    """
+
+    since: Optional[int]
+    hold: float
+
+
+def parse_list_query(target: str) -> ListQuery:
+    """Returns what the target of a request line asks for."""
+    query = parse_qs(urlsplit(target).query)
+    if "from" not in query:
+        return ListQuery(None, 0.0)
+    return ListQuery(int(query["from"][0]), int(query["hold_ms"][0]) / 1000)
+
+
 class Platform:
     """Discovery, and the receiver of final notices."""
 
@@ -324,10 +345,9 @@
         An answer of 503 or one that stops in the middle is written here, and None returned. Raises
         ConnectionResetError if the relay has given the request up, or gets no answer.
         """
-        query = parse_qs(urlsplit(target).query)
-        hold = int(query["hold_ms"][0]) / 1000 if "from" in query else 0.0
-        number = self.history.record_list_request(hold)
-        host_list = await self.wait_for_answer(reader, query, hold)
+        query = parse_list_query(target)
+        number = self.history.record_list_request(query.hold)
+        host_list = await self.wait_for_answer(reader, query)
         if host_list is None or reader.at_eof():  # the relay has closed, and is told nothing
             self.history.record(ListDropped, number)
             raise ConnectionResetError
@@ -348,7 +368,7 @@
                 self.history.record(Told, name, "left")
         return answer
 
-    async def wait_for_answer(self, reader, query, hold: float) -> Optional[dict]:
+    async def wait_for_answer(self, reader, query: ListQuery) -> Optional[dict]:
         """Returns the list that is to be sent, or None once the relay has closed the connection.
 
         A request that discovery ignores waits until then.
@@ -359,7 +379,7 @@
             is_ignored.set()
         self.waiting.add(is_ignored)
         closed = asyncio.ensure_future(reader.read(1))
-        answered = asyncio.ensure_future(self.list_after_delay(query, hold))
+        answered = asyncio.ensure_future(self.list_after_delay(query))
         ignored = asyncio.ensure_future(is_ignored.wait())
         try:
             await asyncio.wait({closed, answered, ignored}, return_when=asyncio.FIRST_COMPLETED)
@@ -373,9 +393,9 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def list_after_delay(self, query, hold: float) -> dict:
+    async def list_after_delay(self, query: ListQuery) -> dict:
         """Returns the list that a query asks for, as of when it is to be sent."""
-        await self.wait_for_news(query, hold)
+        await self.wait_for_news(query)
         await asyncio.sleep(self.answer_delay)
         return self.list_for(query)
 
@@ -386,25 +406,25 @@
         for row in rows:
             self.history.record(ListStalled, row["name"], row["status"])
 
-    async def wait_for_news(self, query, hold: float) -> None:
-        """Waits until there are changes after `from`, for `hold` seconds at most."""
-        if "from" not in query:
+    async def wait_for_news(self, query: ListQuery) -> None:
+        """Waits until there are changes that the query asks for, or its hold is over."""
+        since = query.since
+        if since is None:
             return
-        since = int(query["from"][0])
         async with self.change_condition:
             try:
                 await asyncio.wait_for(
                     self.change_condition.wait_for(lambda: self.down or self.version > since),
-                    timeout=hold,
+                    timeout=query.hold,
                 )
             except asyncio.TimeoutError:
                 pass
 
-    def list_for(self, query) -> dict:
-        """Returns the whole list, or the changes after `from`."""
-        if "from" not in query:
+    def list_for(self, query: ListQuery) -> dict:
+        """Returns the whole list, or the changes that the query asks for."""
+        since = query.since
+        if since is None:
             return self.snapshot()
-        since = int(query["from"][0])
         names = dict.fromkeys(name for version, name in self.changes if version > since)
         rows = [self.entry(host) for host in self.hosts if host.name in names]
         return {"index": self.version, "snapshot": False, "endpoints": rows}
