Log: requests for the list that fail beside another one, and when the lease is suspended

A request that failed while another one was out was neither counted nor logged; no line told that the lease was suspended, and by which outcome; the end of a request did not say whether it might have been held.

Change: such a request is counted and logged, and not posted, as before; a line tells that the list is used without a limit, and why; `hold_ms` stands in the line of the end, too. No decision changes.

--- a/molehill/core/list_lease.py
+++ b/molehill/core/list_lease.py
@@ -129,6 +129,10 @@
         self.expires_at = limit if self.expires_at is None else min(limit, self.expires_at)
         self.is_unanswered = True
 
+    def is_suspended(self) -> bool:
+        """Returns whether the list may be used without a limit."""
+        return self.expires_at is None
+
     def has_expired(self, now: int, grace: int) -> bool:
         """Returns whether a call that is begun now may reach a host that is to get none.
 
--- a/molehill/core/list_updates.py
+++ b/molehill/core/list_updates.py
@@ -90,13 +90,16 @@
 
     def _on_list_request_ended(self, event: ev.ListRequestEnded) -> None:
         lease = self.lease
-        had_missed_news = lease.has_missed_news
+        had_missed_news, was_suspended = lease.has_missed_news, lease.is_suspended()
         if event.outcome is ListOutcome.ANSWERED:
             lease.answered(self.core.now)
         else:
             lease.request_ended(self.core.now, event.outcome, event.began_at)
         if lease.has_missed_news != had_missed_news:
             self.core.effects.append(ev.Append(recovery.missed_news_record(lease.has_missed_news)))
+        if lease.is_suspended() and not was_suspended:
+            text = f"the list of hosts is used without a limit: discovery, {event.outcome.value}"
+            self.core.effects.append(ev.LogMessage(text))
         self._resume_after_expiry()
 
     def _on_discovery_moved(self, _: ev.DiscoveryMoved) -> None:
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -353,9 +353,12 @@
         elif isinstance(error, TimedOut):
             self.failed_connects += 1
             self._report_end(ended, ListOutcome.NOT_CONNECTED)
-        elif all(exchange.is_late for exchange in self.exchanges):
+        else:
             is_local = isinstance(error, NoDescriptor)
             outcome = ListOutcome.LOCAL_ERROR if is_local else ListOutcome.FAILED
+            if not all(exchange.is_late for exchange in self.exchanges):
+                self._log_end(ended, outcome, reason)
+                return
             self._report_end(ended, outcome, reason)
             raise error
 
@@ -369,10 +372,15 @@
 
     def _report_end(self, exchange: ListExchange, outcome: ListOutcome, reason: str = "") -> None:
         """Counts, posts and logs how an exchange ended; `reason`: in words."""
-        exchange.is_reported, stream = True, exchange.stream
+        stream = exchange.stream
         began_at = stream.began_at if stream and outcome is ListOutcome.STOPPED else None
         if outcome is not ListOutcome.ANSWERED:  # an answer is applied first
             self.post(ev.ListRequestEnded(outcome, began_at))
+        self._log_end(exchange, outcome, reason)
+
+    def _log_end(self, exchange: ListExchange, outcome: ListOutcome, reason: str = "") -> None:
+        """Counts and logs how an exchange ended."""
+        exchange.is_reported = True
         name = outcome.value
         has_reason = outcome in (ListOutcome.FAILED, ListOutcome.LOCAL_ERROR)
         self.counts[f"{name}: {reason}" if has_reason else name] += 1
--- a/molehill/http/list_request.py
+++ b/molehill/http/list_request.py
@@ -78,6 +78,7 @@
             reason=ended.reason,
             was_sent=request.sent_at is not None,
             took_ms=(ended.ended_at - request.started_at) // MS,
+            hold_ms=request.hold // MS,
             since_version=request.version,
             version=ended.version,
             host_count=len(ended.hosts),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1262,6 +1262,26 @@
     ]
 
 
+def test_a_request_that_fails_beside_another_one_is_logged(monkeypatch):
+    harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
+    log = LineLog()
+    harness.discovery.request_log = ListRequestLog(log)
+    harness.start_watch()
+    harness.reply_list(41)
+    harness.net.advance(2 * SECOND)
+    harness.discovery.confirm_list()
+    harness.net.settle()
+    harness.peers[0].send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+    harness.net.settle()
+    ended = [line for line in log.lines if line["event"] == "list request ended"]
+    assert [
+        (line["number"], line["outcome"], line["reason"], line["hold_ms"]) for line in ended
+    ] == [
+        (1, "answered", "", 1),
+        (2, "failed", "status 503", 10000),
+    ]
+
+
 def test_a_confirmation_interrupts_a_held_watch_every_two_seconds(monkeypatch):
     harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
     harness.start_watch()
