Failing test, listed: calls to draining hosts while discovery turns requests away

The soak's discovery can be crowded: it is up, and turns each new request away, by 503 or a reset, at once or after a wait, while requests that wait for news go on.

--- a/molehill/soak/drain_rule.py
+++ b/molehill/soak/drain_rule.py
@@ -100,7 +100,7 @@
         self.hold_ends.pop(event.number, None)
 
     def _on_dropped(self, event) -> None:
-        """A request that was given up has no hold any more."""
+        """A request that was given up or turned away has no hold any more."""
         self.hold_ends.pop(event.number, None)
         if self.hold_ends:
             return
--- a/molehill/soak/history.py
+++ b/molehill/soak/history.py
@@ -179,7 +179,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ListDropped:
-    """The relay closed the connection of a request for the list that had no answer."""
+    """The relay gave a request for the list up, or a crowded discovery turned it away."""
 
     at: float
     number: int
--- a/molehill/soak/plan.py
+++ b/molehill/soak/plan.py
@@ -78,6 +78,20 @@
     delay: float
 
 
+@dataclass(slots=True)
+class CrowdedDiscovery:
+    """For `duration` seconds from `at` on, discovery is up, and turns each new request away.
+
+    It does so `wait` seconds after the request, by 503, or by a reset if `resets`. A request that
+    waits for news already is answered as ever.
+    """
+
+    at: float
+    duration: float
+    wait: float = 0.0
+    resets: bool = False
+
+
 @dataclass(slots=True)
 class Move:
     """Discovery moves to another address, which the relay is told by SIGHUP.
@@ -171,6 +185,7 @@
     stalled_lists: list = field(default_factory=list)
     silences: list = field(default_factory=list)
     slow_discovery: list = field(default_factory=list)
+    crowded_discovery: list = field(default_factory=list)
     moves: list = field(default_factory=list)
     replacements: list = field(default_factory=list)
     restarts: list = field(default_factory=list)
--- a/molehill/soak/rig.py
+++ b/molehill/soak/rig.py
@@ -207,6 +207,7 @@
         yield from (self.stall_lists(row) for row in plan.stalled_lists)
         yield from (self.silence_discovery(row) for row in plan.silences)
         yield from (self.slow_discovery_down(row) for row in plan.slow_discovery)
+        yield from (self.crowd_discovery(row) for row in plan.crowded_discovery)
         yield from (self.move_discovery(row) for row in plan.moves)
         yield from (self.apply_shim(row) for row in plan.shims)
         yield self.run_restarts()
@@ -473,6 +474,12 @@
         await asyncio.sleep(row.duration)
         self.platform.answer_delay = 0.0
 
+    async def crowd_discovery(self, row) -> None:
+        await self.sleep_until(row.at)
+        self.platform.crowded = row
+        await asyncio.sleep(row.duration)
+        self.platform.crowded = None
+
     async def move_discovery(self, row) -> None:
         """Moves discovery, and tells the relay as soon as its process may get a SIGHUP."""
         await self.sleep_until(row.at)
--- a/molehill/soak/stand_ins.py
+++ b/molehill/soak/stand_ins.py
@@ -28,7 +28,13 @@
     Replied,
     Told,
 )
-from molehill.soak.plan import BUNDLE_DESTINATION, BUNDLE_KIND, NOT_READING, SINGLE_KIND
+from molehill.soak.plan import (
+    BUNDLE_DESTINATION,
+    BUNDLE_KIND,
+    NOT_READING,
+    SINGLE_KIND,
+    CrowdedDiscovery,
+)
 
 SERVICE_TIME_S = (0.005, 0.03)  # shortest and longest time that a call takes
 SLOW_SERVICE_TIME_S = 0.8
@@ -247,6 +253,7 @@
         self.waiting: set[asyncio.Event] = set()  # one for each request that is not answered yet
         self.requests_to_ignore = 0  # of the next requests for the list
         self.answer_delay = 0.0  # seconds that discovery takes for each answer
+        self.crowded: Optional[CrowdedDiscovery] = None  # new requests are turned away
 
     async def open(self) -> None:
         """Listens, at a new port each time."""
@@ -347,6 +354,8 @@
         """
         query = parse_list_query(target)
         number = self.history.record_list_request(query.hold)
+        if self.crowded is not None:
+            return await self.turn_away(writer, number, self.crowded)
         host_list = await self.wait_for_answer(reader, query)
         if host_list is None or reader.at_eof():  # the relay has closed, and is told nothing
             self.history.record(ListDropped, number)
@@ -368,6 +377,18 @@
                 self.history.record(Told, name, "left")
         return answer
 
+    async def turn_away(self, writer, number: int, crowded: CrowdedDiscovery) -> bytes:
+        """Refuses a request as a crowded discovery does; its relay is told nothing.
+
+        Raises ConnectionResetError where the connection is reset.
+        """
+        await asyncio.sleep(crowded.wait)
+        self.history.record(ListDropped, number)
+        if crowded.resets:
+            writer.transport.abort()
+            raise ConnectionResetError
+        return build_response(503)
+
     async def wait_for_answer(self, reader, query: ListQuery) -> Optional[dict]:
         """Returns the list that is to be sent, or None once the relay has closed the connection.
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -32,6 +32,7 @@
 )
 from molehill.soak.plan import (
     HOSTS,
+    CrowdedDiscovery,
     Drain,
     HostFault,
     Move,
@@ -109,6 +110,36 @@
     assert not rule_violations(plan, tmp_path)
 
 
+CROWDED_DISCOVERIES = {
+    "watch": {
+        "duration": 17.0,
+        "silences": [Silence(1.0)],
+        "crowded_discovery": [CrowdedDiscovery(1.5, 20.0)],
+    },
+    "alone": {"duration": 12.0, "crowded_discovery": [CrowdedDiscovery(1.0, 20.0)]},
+    "waits": {"duration": 13.0, "crowded_discovery": [CrowdedDiscovery(1.0, 20.0, 2.0, True)]},
+    "killed": {
+        "duration": 12.0,
+        "restarts": [Restart(1.1, "SIGKILL")],
+        "crowded_discovery": [CrowdedDiscovery(1.0, 20.0)],
+    },
+    "moved": {
+        "duration": 11.0,
+        "moves": [Move(1.1)],
+        "crowded_discovery": [CrowdedDiscovery(1.0, 20.0)],
+    },
+}
+
+
+@pytest.mark.parametrize("given", CROWDED_DISCOVERIES.values(), ids=CROWDED_DISCOVERIES)
+def test_a_draining_host_gets_no_call_while_discovery_turns_requests_away(tmp_path, given):
+    """Guards against calls by a list whose lease a refused request had suspended."""
+    plan = Plan(1, clients=12, **given)
+    plan.drains = [Drain(1.2, 20.0, HOSTS[0])]
+    plan.drains += [Drain(1.6, 20.0, host) for host in HOSTS[3::3]]
+    assert not rule_violations(plan, tmp_path)
+
+
 def test_a_host_that_drained_in_a_kill_gets_no_call_behind_a_failure_of_this_machine(tmp_path):
     """Guards against calls by the log's list where it is this machine that can't reach discovery."""
     plan = Plan(1, duration=11.0, clients=12, restarts=[Restart(2.0, "SIGKILL")])
