List lease: a request that discovery refuses no longer lifts the lease

Cause: a request for the list that failed (503, a reset) suspended the lease, as proof that discovery was down. It is none: a discovery that is up turns requests away just so when it has too many, as all relays ask again at once behind a silence, an outage or a move. The failure also lifted what a silent watch, a list that stopped and an answer that could not be read had left owed.

Change: a failure counts from when the list was last known to be current, and never later than what was owed. A watch that was out for longer than a turn takes proves the list up to its end. Only where no connection comes up the lease is suspended. News that was missed binds until an answer. The log has both (`lease` records, in place of `missed`, which is still read), so that a start behind a kill goes on with them: where the first request of a process is refused, the log's list holds for what is left of the 6 s.

Why it works: the lease now ends with time alone, and only an answer, or proof that nothing can be reached, moves that end.

Cost: an outage that answers 503 ends calls 6 s and the grace behind its start, until discovery answers; the relay can't tell it from a crowd.

--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -179,11 +179,13 @@
 class ListRequestEnded:
     """A request for the list has ended; an answer has been applied by then.
 
-    `began_at`: when the first bytes of an answer came that has not been read whole.
+    `began_at`: when the first bytes of an answer came that has not been read whole; `held_for`: how
+    long a request that discovery may hold was out, 0 for others.
     """
 
     outcome: ListOutcome
     began_at: Optional[int] = None
+    held_for: int = 0
 
 
 @dataclass(slots=True)
--- a/molehill/core/list_updates.py
+++ b/molehill/core/list_updates.py
@@ -22,6 +22,7 @@
 
     def __init__(self, core):
         self.core, self.lease = core, ListLease()
+        self.logged_lease = self.lease.as_restored()
         self.expired_at: Optional[int] = None
         self.handlers: dict[type, Callable[[Any], None]] = {
             ev.HostListReceived: self.on_list_received,
@@ -90,13 +91,12 @@
 
     def _on_list_request_ended(self, event: ev.ListRequestEnded) -> None:
         lease = self.lease
-        had_missed_news, was_suspended = lease.has_missed_news, lease.is_suspended()
+        was_suspended = lease.is_suspended()
         if event.outcome is ListOutcome.ANSWERED:
             lease.answered(self.core.now)
         else:
-            lease.request_ended(self.core.now, event.outcome, event.began_at)
-        if lease.has_missed_news != had_missed_news:
-            self.core.effects.append(ev.Append(recovery.missed_news_record(lease.has_missed_news)))
+            lease.request_ended(self.core.now, event.outcome, event.began_at, event.held_for)
+        self.log_lease()
         if lease.is_suspended() and not was_suspended:
             text = f"the list of hosts is used without a limit: discovery, {event.outcome.value}"
             self.core.effects.append(ev.LogMessage(text))
@@ -128,8 +128,14 @@
         """Returns why a queued call has not been started in time."""
         return Refusal.KEY_BLOCKED if self.expired_at is None else Refusal.LIST_OUTDATED
 
-    def restore_lease(self, has_missed_news: bool) -> None:
+    def log_lease(self) -> None:
+        """Logs what the next process has to know of the lease, if that has changed."""
+        state = self.lease.as_restored()
+        if state != self.logged_lease:
+            self.logged_lease = state
+            self.core.effects.append(ev.Append(recovery.lease_record(*state)))
+
+    def restore_lease(self, current_at: Optional[int], missed_at: Optional[int]) -> None:
         """Sets the lease from what the log says of the list; a later record overrides this one."""
-        self.lease = ListLease()
-        if has_missed_news:
-            self.lease.restore_missed_news()
+        self.lease.restore(current_at, missed_at)
+        self.logged_lease = self.lease.as_restored()
--- a/molehill/core/recovery.py
+++ b/molehill/core/recovery.py
@@ -5,7 +5,7 @@
 """
 
 import re
-from typing import Iterable, Iterator
+from typing import Iterable, Iterator, Optional
 
 from molehill import interface
 from molehill.config import parse_address
@@ -16,7 +16,7 @@
 RECORD_KIND_PATTERN = re.compile(rb'"k":"([a-z]+)"')
 # kinds of record that certainly hold no attempt (kind `launch`)
 NON_ATTEMPT_KINDS = (
-    b"taken end owed over done class rest health list refused missed clock filler".split()
+    b"taken end owed over done class rest health list refused lease missed clock filler".split()
 )
 # time of an attempt at an unknown time: before any deduplication window that is still open
 LONG_AGO = 0
@@ -43,7 +43,8 @@
             "health": self._load_health,
             "list": core.received_list.load,
             "refused": self._load_refused,
-            "missed": self._load_missed_news,
+            "lease": self._load_lease,
+            "missed": self._load_missed_news,  # of earlier releases
         }
 
     def load(self, record: dict, body: bytes) -> None:
@@ -130,8 +131,11 @@
         addresses = {parse_address(text, "addresses") for text in record["addresses"]}
         self.core.hosts.refused_addresses = addresses
 
+    def _load_lease(self, record):
+        self.core.list_updates.restore_lease(record["current"], record["missed"])
+
     def _load_missed_news(self, record):
-        self.core.list_updates.restore_lease(bool(record["news"]))
+        self.core.list_updates.restore_lease(None, LONG_AGO if record["news"] else None)
 
     def load_corrupt(self, data: bytes) -> None:
         """Handles bytes of the log that can't be read.
@@ -169,9 +173,9 @@
     return {"k": "refused", "addresses": sorted("%s:%d" % address for address in addresses)}
 
 
-def missed_news_record(has_missed_news: bool) -> dict:
-    """Returns the record of whether news of the host list is missing; it replaces earlier ones."""
-    return {"k": "missed", "news": has_missed_news}
+def lease_record(current_at: Optional[int], missed_at: Optional[int]) -> dict:
+    """Returns the record of the host list's lease (core/list_lease.py); it replaces earlier ones."""
+    return {"k": "lease", "current": current_at, "missed": missed_at}
 
 
 def submitted_fields(callback) -> dict:
@@ -202,8 +206,7 @@
             yield {"k": "health", "host": host, "away": until is None, "at": at}, b""
     if core.hosts.refused_addresses:
         yield refused_record(core.hosts.refused_addresses), b""
-    if core.list_updates.lease.has_missed_news:
-        yield missed_news_record(True), b""
+    yield lease_record(*core.list_updates.lease.as_restored()), b""
     if core.received_list.version is not None:
         yield {"k": "list", **core.received_list.as_record(core.received_list.all_rows())}, b""
     recent = _recently_completed(core)
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -863,6 +863,7 @@
             self.list_updates.lease.taken_over(self.now)
         else:
             self.list_updates.lease.started(self.now)
+        self.list_updates.log_lease()
         if self.hosts.refused_addresses:
             self.effects.append(ev.ConfirmHostList())
         self.effects += [ev.Append(record) for record in self.classes.records()]
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -62,6 +62,7 @@
 MAX_OPEN_REQUESTS = 3  # at once; beyond it the oldest is given up
 MAX_UNREADABLE = 1  # answers in a row that can't be read, before discovery is given a rest
 MAX_REASON_LENGTH = 40  # characters of an error in the counts
+REASONED_OUTCOMES = (ListOutcome.FAILED, ListOutcome.UNREACHABLE, ListOutcome.LOCAL_ERROR)
 
 
 class Discovery:
@@ -354,14 +355,19 @@
             self.failed_connects += 1
             self._report_end(ended, ListOutcome.NOT_CONNECTED)
         else:
-            is_local = isinstance(error, NoDescriptor)
-            outcome = ListOutcome.LOCAL_ERROR if is_local else ListOutcome.FAILED
+            outcome = self._outcome_of_error(ended, error)
             if not all(exchange.is_late for exchange in self.exchanges):
                 self._log_end(ended, outcome, reason)
                 return
             self._report_end(ended, outcome, reason)
             raise error
 
+    def _outcome_of_error(self, ended: ListExchange, error: Exception) -> ListOutcome:
+        if isinstance(error, NoDescriptor):
+            return ListOutcome.LOCAL_ERROR
+        was_sent = ended.request.sent_at is not None
+        return ListOutcome.FAILED if was_sent else ListOutcome.UNREACHABLE
+
     def _close_exchanges(self) -> None:
         """Gives the open requests up, as one was answered or the watch has failed."""
         exchanges, self.exchanges = self.exchanges, []
@@ -375,14 +381,16 @@
         stream = exchange.stream
         began_at = stream.began_at if stream and outcome is ListOutcome.STOPPED else None
         if outcome is not ListOutcome.ANSWERED:  # an answer is applied first
-            self.post(ev.ListRequestEnded(outcome, began_at))
+            has_failed = outcome is ListOutcome.FAILED
+            held_for = exchange.request.held_for(self.clock()) if has_failed else 0
+            self.post(ev.ListRequestEnded(outcome, began_at, held_for))
         self._log_end(exchange, outcome, reason)
 
     def _log_end(self, exchange: ListExchange, outcome: ListOutcome, reason: str = "") -> None:
         """Counts and logs how an exchange ended."""
         exchange.is_reported = True
         name = outcome.value
-        has_reason = outcome in (ListOutcome.FAILED, ListOutcome.LOCAL_ERROR)
+        has_reason = outcome in REASONED_OUTCOMES
         self.counts[f"{name}: {reason}" if has_reason else name] += 1
         if self.request_log is not None:
             answer = exchange.answer
--- a/molehill/http/list_request.py
+++ b/molehill/http/list_request.py
@@ -32,6 +32,10 @@
         """Returns whether discovery holds it until there is news, if there is none yet."""
         return self.hold > MIN_WATCH_HOLD
 
+    def held_for(self, now: int) -> int:
+        """Returns for how long it has been out, if discovery holds it until there is news."""
+        return now - self.sent_at if self.sent_at is not None and self.is_held() else 0
+
 
 @dataclass(slots=True)
 class ListRequestEnded:
--- a/molehill/log_clock.py
+++ b/molehill/log_clock.py
@@ -24,6 +24,7 @@
     "end": ("at",),
     "rest": ("until",),
     "health": ("at",),
+    "lease": ("current", "missed"),
 }
 WRITTEN_AT_KEY = "at"  # key of the time at which a record was written
 WRITTEN_AT_PATTERN = re.compile(rb'"at":(\d{1,20})\b')
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -20,8 +20,12 @@
     return lambda lease: lease.request_sent(at, hold)
 
 
-def ended(at, outcome, began_at=None):
-    return lambda lease: lease.request_ended(at, outcome, began_at)
+def ended(at, outcome, began_at=None, held_for=0):
+    return lambda lease: lease.request_ended(at, outcome, began_at, held_for)
+
+
+def restored(current_at, missed_at=None):
+    return lambda lease: lease.restore(current_at, missed_at)
 
 
 def moved(at):
@@ -29,7 +33,7 @@
 
 
 SILENT, FAILED, STOPPED = ListOutcome.SILENT, ListOutcome.FAILED, ListOutcome.STOPPED
-LOCAL = ListOutcome.LOCAL_ERROR
+LOCAL, UNREACHABLE = ListOutcome.LOCAL_ERROR, ListOutcome.UNREACHABLE
 CURRENT = [answered(10 * S)]
 WATCH = [*CURRENT, sent(10 * S, HOLD)]
 IGNORED = [*WATCH, ended(21 * S, SILENT), sent(21 * S), ended(24 * S, SILENT)]
@@ -51,20 +55,37 @@
         ([*WATCH, ended(14 * S, STOPPED, 13 * S), sent(14 * S)], 19 * S),
         ([sent(3 * S), ended(5 * S, STOPPED, 4 * S), sent(5 * S)], 3 * S),
         ([*WATCH, ended(13 * S, ListOutcome.UNREADABLE), sent(13 * S)], 13 * S),
-        ([*WATCH, ended(21 * S, SILENT), sent(21 * S), ended(22 * S, FAILED)], None),
-        ([*IGNORED, ended(25 * S, FAILED)], 21 * S),  # the news was there before discovery failed
-        ([*IGNORED, ended(25 * S, FAILED), sent(27 * S)], 21 * S),
-        ([*IGNORED, answered(25 * S), ended(26 * S, FAILED)], None),
-        ([sent(3 * S), ended(6 * S, SILENT), sent(6 * S), ended(7 * S, FAILED)], None),
-        ([ListLease.restore_missed_news, ended(7 * S, FAILED), sent(8 * S)], 0),
-        ([*WATCH, ended(40 * S, FAILED), sent(42 * S)], 46 * S),
+        ([*WATCH, ended(21 * S, SILENT), sent(21 * S), ended(22 * S, FAILED)], 16 * S),
+        ([*WATCH, ended(21 * S, SILENT), sent(21 * S), ended(22 * S, UNREACHABLE)], 22 * S),
+        ([*IGNORED, ended(25 * S, UNREACHABLE)], 21 * S),  # the news was there before
+        ([*IGNORED, ended(25 * S, UNREACHABLE), sent(27 * S)], 21 * S),
+        ([*IGNORED, answered(25 * S), ended(26 * S, UNREACHABLE)], None),
+        ([*IGNORED, answered(25 * S), ended(26 * S, FAILED)], 31 * S),
+        ([*CURRENT, sent(10 * S), ended(12 * S, FAILED), sent(14 * S)], 16 * S),
+        (
+            [*CURRENT, sent(10 * S), ended(12 * S, FAILED), sent(14 * S), ended(15 * S, FAILED)],
+            16 * S,
+        ),
+        ([*WATCH, ended(12 * S, FAILED, held_for=2 * S)], 16 * S),  # it may have waited its turn
+        ([*WATCH, ended(13 * S, FAILED, held_for=3 * S)], 19 * S),  # news would have come by it
+        ([*WATCH, ended(19 * S, FAILED, held_for=9 * S)], 22 * S),  # or it was ignored
+        ([*WATCH, ended(13 * S, ListOutcome.UNREADABLE), ended(14 * S, UNREACHABLE)], 13 * S),
+        ([*WATCH, ended(14 * S, STOPPED, 13 * S), ended(15 * S, UNREACHABLE)], 19 * S),
+        ([*WATCH, moved(11 * S), ended(12 * S, FAILED)], 15 * S),
+        ([sent(3 * S), ended(6 * S, SILENT), sent(6 * S), ended(7 * S, UNREACHABLE)], None),
+        ([sent(3 * S), ended(4 * S, FAILED), sent(5 * S)], 4 * S),
+        ([restored(2 * S), sent(3 * S)], 3 * S),  # news may have lain unread in the kill
+        ([restored(2 * S), sent(3 * S), ended(4 * S, FAILED)], 8 * S),
+        ([restored(2 * S), sent(3 * S), ended(4 * S, FAILED), sent(6 * S)], 8 * S),
+        ([restored(None, 0), ended(7 * S, UNREACHABLE), sent(8 * S)], 0),
+        ([*WATCH, ended(40 * S, UNREACHABLE), sent(42 * S)], 46 * S),
         ([*WATCH, ended(40 * S, ListOutcome.NOT_CONNECTED), sent(42 * S)], 46 * S),
         ([ended(3 * S, LOCAL), ended(5 * S, LOCAL), sent(6 * S)], 3 * S),
         ([*WATCH, ended(19 * S, LOCAL), sent(21 * S)], 19 * S),
-        ([*WATCH, ended(19 * S, FAILED), ended(21 * S, LOCAL), sent(22 * S)], 25 * S),
+        ([*WATCH, ended(19 * S, UNREACHABLE), ended(21 * S, LOCAL), sent(22 * S)], 25 * S),
         ([*WATCH, moved(11 * S)], 15 * S),
         ([*WATCH, moved(19 * S), sent(19 * S)], 19 * S),
-        ([ended(9 * S, FAILED), moved(19 * S), sent(20 * S)], 20 * S),
+        ([ended(9 * S, UNREACHABLE), moved(19 * S), sent(20 * S)], 20 * S),
     ],
 )
 def test_the_lease_runs_out_as_news_counts_as_known(steps, expires_at):
@@ -100,6 +121,6 @@
     harness.read_until(client, b"HTTP/1.1 202")
     host = harness.accept(harness.host)
     core, call = harness.relay.core, next(iter(harness.relay.core.calls))
-    core.list_updates.lease.expires_at = harness.clock.now - core.settings.drain_grace
+    core.list_updates.lease.pending_at = harness.clock.now - core.settings.drain_grace
     assert core.refusal(call, harness.clock.now) is Refusal.LIST_OUTDATED
     host.close()
