Discovery: news on a connection that is given up is read, or counts as missed

Cause: where another request was answered, or SIGHUP moved discovery, open requests were closed without a look at what lay unread on them. What discovery has written counts as known.

Change: an answer that has begun to come is read on beside the next request, and used if it is newer; one that stops there is asked for again at once. Where it can't be read on (a move, a watch that has failed, a fourth request) the news counts as missed, with an outcome of its own (`discarded`), and no call is begun behind the grace until discovery answers.

--- a/molehill/core/list_lease.py
+++ b/molehill/core/list_lease.py
@@ -38,13 +38,14 @@
     NOT_CONNECTED = "not connected"  # in time
     UNREACHABLE = "unreachable"  # the connection was refused, or broke before the request
     INTERRUPTED = "interrupted"  # given up for a request that is answered at once
+    DISCARDED = "discarded"  # given up with an answer, or a part of one, that was not read
     FAILED = "failed"  # after it was sent; discovery may be up
     LOCAL_ERROR = "local error"  # this machine could not connect; discovery might have answered
 
 
 UNREACHABLE_OUTCOMES = (ListOutcome.NOT_CONNECTED, ListOutcome.UNREACHABLE)
 # an answer was written, and what it held is lost
-LOST_OUTCOMES = (ListOutcome.OUTDATED, ListOutcome.UNREADABLE)
+LOST_OUTCOMES = (ListOutcome.OUTDATED, ListOutcome.UNREADABLE, ListOutcome.DISCARDED)
 
 
 def earliest(*times: Optional[int]) -> Optional[int]:
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -158,6 +158,9 @@
         """Requests the whole list from the new address, which may count versions differently."""
         self.address_changes, self.version = self.address_changes + 1, None
         self.post(ev.DiscoveryMoved())
+        for exchange in self.exchanges:
+            if exchange.has_unread():
+                self._report_end(exchange, ListOutcome.DISCARDED)
         self.close()
         self.start_watch()
 
@@ -227,22 +230,33 @@
         MAX_UNREADABLE times in a row. Raises an exchange's error if the watch has failed.
         """
         self.silences = self.unreadable = 0
+        answer = None
         try:
             self._begin_exchange()
-            while True:
+            while answer is None:
                 ended = next((row for row in self.exchanges if row.is_over), None)
                 if ended is None:
                     self._wait_for_exchanges()
-                    continue
-                self.exchanges.remove(ended)
-                if self._is_usable(ended):
-                    return self._accept_answer(ended)
-                ended.connection.close()
-                self._handle_failure(ended)
-                if all(exchange.is_late for exchange in self.exchanges):
-                    self._begin_exchange()
+                else:
+                    self.exchanges.remove(ended)
+                    answer = self._take_up(ended)
+            return answer
         finally:
-            self._close_exchanges()
+            self._close_exchanges(keeps_unread=answer is not None)
+
+    def _take_up(self, ended: ListExchange) -> Optional[ListAnswer]:
+        """Returns the answer of an exchange that is over, or has the list requested once more."""
+        if self._is_usable(ended):
+            return self._accept_answer(ended)
+        ended.connection.close()
+        if self._is_superseded(ended):
+            self._report_end(ended, ListOutcome.INTERRUPTED)
+            return None
+        self._handle_failure(ended)
+        # the one beside a kept one may wait for other news
+        if ended.is_kept or all(exchange.is_late for exchange in self.exchanges):
+            self._begin_exchange()
+        return None
 
     def _wait_for_exchanges(self) -> None:
         """Waits until an exchange ends, or it is time for a request beside those that are open."""
@@ -275,7 +289,7 @@
         for exchange in self.exchanges:
             exchange.is_late = True
         if len(self.exchanges) >= MAX_OPEN_REQUESTS:
-            self.exchanges.pop(0).close()
+            self._give_up(self.exchanges.pop(0))
         self.request_count += 1
         request = ListRequest(
             self.request_count,
@@ -313,12 +327,19 @@
         On a connection that has carried an answer before, an older list may be a late copy.
         """
         answer = ended.answer
-        if answer is None or self._has_moved(ended):
+        if answer is None or self._has_moved(ended) or self._is_superseded(ended):
             return False
         if ended.stream is not self.answered_stream:
             return True
         return answer.is_whole if self.version is None else answer.version >= self.version
 
+    def _is_superseded(self, ended: ListExchange) -> bool:
+        """Returns whether its answer is no newer than one that came to a request after it."""
+        answer, version = ended.answer, self.version
+        if not ended.is_kept or answer is None or version is None or self._has_moved(ended):
+            return False
+        return answer.version <= version
+
     def _has_moved(self, exchange: ListExchange) -> bool:
         return exchange.request.source != self.source()
 
@@ -338,7 +359,8 @@
         """Counts and reports a failed exchange; raises its error if the watch has failed."""
         error, reason = ended.error, str(ended.error)[:MAX_REASON_LENGTH]
         if self._has_moved(ended):
-            self._report_end(ended, ListOutcome.INTERRUPTED)
+            if not ended.is_reported:
+                self._report_end(ended, ListOutcome.INTERRUPTED)
             raise ConnectionBroken("moved")
         if error is None:
             self.version = None
@@ -368,13 +390,27 @@
         was_sent = ended.request.sent_at is not None
         return ListOutcome.FAILED if was_sent else ListOutcome.UNREACHABLE
 
-    def _close_exchanges(self) -> None:
-        """Gives the open requests up, as one was answered or the watch has failed."""
+    def _close_exchanges(self, keeps_unread: bool) -> None:
+        """Gives the open requests up, as one was answered or the watch has failed.
+
+        What discovery has written counts as known: with `keeps_unread`, an answer that has begun to
+        come is read on beside the next request.
+        """
         exchanges, self.exchanges = self.exchanges, []
         for exchange in exchanges:
-            exchange.close()
-            if not exchange.is_reported:
-                self._report_end(exchange, ListOutcome.INTERRUPTED)
+            if keeps_unread and exchange.has_unread():
+                exchange.is_late = exchange.is_kept = True
+                self.exchanges.append(exchange)
+            else:
+                self._give_up(exchange)
+
+    def _give_up(self, exchange: ListExchange) -> None:
+        is_discarded = exchange.has_unread()
+        exchange.close()
+        if is_discarded:
+            self._report_end(exchange, ListOutcome.DISCARDED)
+        elif not exchange.is_reported:
+            self._report_end(exchange, ListOutcome.INTERRUPTED)
 
     def _report_end(self, exchange: ListExchange, outcome: ListOutcome, reason: str = "") -> None:
         """Counts, posts and logs how an exchange ended; `reason`: in words."""
--- a/molehill/http/list_exchange.py
+++ b/molehill/http/list_exchange.py
@@ -65,7 +65,8 @@
     """Sends a request and reads its answer, for as long as that takes or until it is closed.
 
     `answer` or `error` is set once it `is_over`. `patience_ends_at`: None until the request was
-    sent. `is_late`: another request was sent beside it. `is_reported`: an outcome was reported.
+    sent. `is_late`: another request was sent beside it. `is_kept`: that one was answered, and this
+    one's answer had begun to come. `is_reported`: an outcome was reported.
     """
 
     def __init__(
@@ -89,7 +90,7 @@
         self.answer: Optional[ListAnswer] = None
         self.error: Optional[Exception] = None
         self.patience_ends_at: Optional[int] = None
-        self.is_over = self.is_late = self.is_reported = False
+        self.is_over = self.is_late = self.is_kept = self.is_reported = False
 
     def run(self) -> None:
         """Runs the exchange to its end."""
@@ -107,6 +108,13 @@
         """Returns whether bytes of the answer have come; then it goes on within its limits."""
         return self.stream is not None and self.stream.began_at is not None
 
+    def has_unread(self) -> bool:
+        """Returns whether an answer, or a part of one, has come that nobody has used."""
+        if self.is_over:
+            return self.answer is not None and not self.is_reported
+        stream = self.stream
+        return stream is not None and (self.has_begun_answer() or stream.has_unread())
+
     def close(self) -> None:
         """Gives the request up; nothing more is reported."""
         self.on_change = None
--- a/molehill/soak/plan.py
+++ b/molehill/soak/plan.py
@@ -96,11 +96,13 @@
 class Move:
     """Discovery moves to another address, which the relay is told by SIGHUP.
 
-    `silent`: so many of the first requests there are ignored.
+    `silent`: so many of the first requests there are ignored; `frozen`: the process is stopped so
+    many seconds before the SIGHUP, so that what it is sent meanwhile lies unread.
     """
 
     at: float
     silent: int = 0
+    frozen: float = 0.0
 
 
 @dataclass(slots=True)
--- a/molehill/soak/rig.py
+++ b/molehill/soak/rig.py
@@ -483,6 +483,9 @@
     async def move_discovery(self, row) -> None:
         """Moves discovery, and tells the relay as soon as its process may get a SIGHUP."""
         await self.sleep_until(row.at)
+        if row.frozen:
+            self.send_signal("SIGSTOP")
+            await asyncio.sleep(row.frozen)
         self.platform.requests_to_ignore = row.silent
         old_port = await self.platform.move()
         self.write_config()
@@ -490,6 +493,8 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self.history.record(Process, DISCOVERY_MOVED)
         self.send_signal("SIGHUP")
+        if row.frozen:
+            self.send_signal("SIGCONT")
         await asyncio.sleep(MOVED_CLOSE_DELAY_S)
         self.platform.close_connections(old_port)
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -110,6 +110,14 @@
     assert not rule_violations(plan, tmp_path)
 
 
+def test_a_drain_told_unread_before_a_move_gets_no_call_while_the_new_address_refuses(tmp_path):
+    """Guards against calls to a host whose drain was written right before a SIGHUP."""
+    plan = Plan(1, duration=8.0, clients=12, moves=[Move(3.0, frozen=0.1)])
+    plan.drains = [Drain(3.05, 20.0, host) for host in HOSTS[::3]]
+    plan.crowded_discovery = [CrowdedDiscovery(3.06, 20.0)]
+    assert not rule_violations(plan, tmp_path)
+
+
 CROWDED_DISCOVERIES = {
     "watch": {
         "duration": 17.0,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1282,6 +1282,54 @@
     ]
 
 
+@pytest.mark.parametrize("bytes_in_time", [None, 100, 0])
+def test_news_that_crosses_another_answer_is_read(monkeypatch, bytes_in_time):
+    """Guards against calls to a host whose drain was written to a request that is given up."""
+    harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
+    harness.start_watch()
+    harness.reply_list(41)
+    harness.net.advance(2100 * MS)
+    harness.discovery.confirm_list()
+    harness.net.settle()
+    body = json.dumps({"index": 43, "snapshot": False, "endpoints": [entry(status="leaving")]})
+    news = response(200, body=body.encode())
+    if bytes_in_time == 0:  # the confirmation has it, too
+        harness.reply_list(43, entry(status="leaving"))
+    else:
+        harness.peers[0].send(news[:bytes_in_time])
+        harness.reply_list(42)
+        harness.peers[0].send(news[bytes_in_time:] if bytes_in_time else b"")
+        harness.net.settle()
+    lists = [event for event in harness.net.events if type(event) is ev.HostListReceived]
+    assert [host.condition for host in lists[-1].hosts] == [interface.Condition.DRAINING]
+    assert harness.discovery.version == 43
+    assert b"?from=43&hold_ms=10000 " in drain(harness.peers[-1]) + drain(harness.peers[0])
+
+
+def test_news_that_stops_in_the_middle_beside_another_answer_is_requested_again(monkeypatch):
+    harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
+    harness.start_watch()
+    harness.reply_list(41)
+    harness.net.advance(2100 * MS)
+    harness.discovery.confirm_list()
+    harness.net.settle()
+    harness.peers[0].send(b"HTTP/1.1 200 OK\r\n")
+    harness.reply_list(42)
+    assert b"&hold_ms=10000 " in drain(harness.peers[-1])
+    harness.net.advance(discovery.STALL_TIMEOUT + 100 * MS)
+    assert b"?from=42&hold_ms=1 " in drain(harness.peers[-1])
+
+
+def test_news_that_lies_unread_as_discovery_moves_is_missed(monkeypatch):
+    """Guards against calls to a host whose drain was written right before a SIGHUP."""
+    harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
+    harness.start_watch()
+    harness.peers[0].send(b"HTTP/1.1 200 OK\r\n")
+    harness.discovery.change_address()
+    ended = [event for event in harness.lease_events if type(event) is ev.ListRequestEnded]
+    assert [event.outcome for event in ended] == [ListOutcome.DISCARDED]
+
+
 def test_a_confirmation_interrupts_a_held_watch_every_two_seconds(monkeypatch):
     harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
     harness.start_watch()
