Soak: discovery that turns requests away, moves to a stopped process, a stricter rule on outages

Change: in 4 of 10 runs new requests are turned away for 4 to 14 s, at once or after a wait, by 503 or a reset, with drains in it; half of the moves find the process stopped for 0.1 s.

--- a/molehill/soak/drain_rule.py
+++ b/molehill/soak/drain_rule.py
@@ -110,9 +110,7 @@
 
     def _on_process(self, event) -> None:
         if event.what == OUTAGE_START:
-            self.is_down = True
-            for change in self.untold.values():
-                change.told_at = change.told_at if change.told_at <= event.at else NEVER
+            self.is_down = True  # what it had to tell before counts all the same
         elif event.what == OUTAGE_END:
             self.is_down = False
             for change in self.untold.values():
--- a/molehill/soak/plan.py
+++ b/molehill/soak/plan.py
@@ -243,6 +243,7 @@
     plan.copies = draw_copies(seed)
     draw_stalled_lists(plan)
     draw_discovery(plan)
+    draw_crowded_discovery(plan)
     draw_kill_series(plan)
     draw_replacements(plan)
     for rows in (plan.host_faults, plan.drains):
@@ -311,6 +312,27 @@
             plan.moves.append(Move(at + MOVE_INTERVAL_S))
 
 
+CROWD_WAITS_S = (0.0, 0.0, 0.5, 2.0)  # until discovery turns a request away
+CROWDED_S = 4.0, 14.0  # shortest and longest; news counts as known after 6 s
+
+
+def draw_crowded_discovery(plan: Plan) -> None:
+    """Adds a discovery that turns requests away, from a random stream of its own.
+
+    Hosts drain as it begins and later, and some moves find the process stopped.
+    """
+    rng = Random(f"soak crowd {plan.seed}")
+    for move in plan.moves:
+        move.frozen = rng.choice((0.0, MAX_FROZEN_S))
+    if rng.random() < 0.4:
+        at = rng.uniform(0.5, max(1.0, plan.duration - 8))
+        wait, resets = rng.choice(CROWD_WAITS_S), rng.random() < 0.3
+        crowd = CrowdedDiscovery(at, rng.uniform(*CROWDED_S), wait, resets)
+        plan.crowded_discovery.append(crowd)
+        drained = rng.sample(HOSTS, 2)
+        plan.drains += [Drain(at + rng.uniform(0.1, 3), plan.duration, host) for host in drained]
+
+
 MAX_STARTUP_S = 0.5  # a process is ready by then, on a machine that is not busy
 
 
