--- a/molehill/soak/plan.py
+++ b/molehill/soak/plan.py
@@ -137,6 +137,20 @@
     frozen: float = 0.0
 
 
+@dataclass(slots=True)
+class Attack:
+    """For `duration` seconds from `at` on, a process runs clients of molehill/soak/attackers.py.
+
+    `kind`: the name of what they send; `is_frozen`: the relay's process is stopped meanwhile.
+    """
+
+    at: float
+    duration: float
+    kind: str
+    clients: int = 1
+    is_frozen: bool = False
+
+
 @dataclass(slots=True)
 class Shim:
     """The relay's machine has a fault; `kind` and `value` are those of molehill/fleet/shims.py."""
@@ -174,6 +188,7 @@
     clients: int = 40
     idle_clients: int = 0  # clients that connect and send nothing
     flooding_clients: int = 0  # clients that send nearly all of a large request, and stay
+    sockets: int = 256  # descriptors that the relay's configuration allows
     paused: bool = False  # the process is stopped several times a second
     max_pause: float = 0.15  # longest of these stops, in seconds
     # seconds by which a third of the new connections to hosts are read late at most
@@ -191,6 +206,7 @@
     moves: list = field(default_factory=list)
     replacements: list = field(default_factory=list)
     restarts: list = field(default_factory=list)
+    attacks: list = field(default_factory=list)
     shims: list = field(default_factory=list)
     copies: Copies = field(default_factory=Copies)
 
--- a/molehill/soak/rig.py
+++ b/molehill/soak/rig.py
@@ -53,7 +53,7 @@
 ANSWER_WAIT_S = 0.5  # for an answer behind which the process is to be killed
 RESOURCE_INTERVAL_S = 0.1  # between looks at what the process holds
 CLIENT_DESCRIPTORS = 120  # of these, what the relay leaves to clients, or some more
-LIMITS = {"sockets": 256, "disk_mb": 1, "memory_mb": 96}  # of the relay's configuration
+LIMITS = {"disk_mb": 1, "memory_mb": 96}  # of the relay's configuration, beside the plan's
 POLL_INTERVAL_S = 0.01
 MIN_REPORTED_LATENESS_S = 0.015  # the rig's event loop may be this late without a `RigLate` event
 SIGNAL_INTERVAL_S = 0.25  # between the signals of one restart
@@ -132,6 +132,7 @@
     def __init__(self, plan: Plan, folder: Path, mutation: str = ""):
         """`mutation`: name in molehill/emulator/mutations.py of a mistake to put into the relay."""
         self.plan, self.folder, self.mutation = plan, folder, mutation
+        self.limits = {**LIMITS, "sockets": plan.sockets}
         self.history, self.rng = History(), Random(f"rig {plan.seed}")
         self.history.max_pause = plan.max_pause if plan.paused else 0.0
         connected = plan.clients + plan.idle_clients + plan.flooding_clients
@@ -209,6 +210,7 @@
         yield from (self.slow_discovery_down(row) for row in plan.slow_discovery)
         yield from (self.crowd_discovery(row) for row in plan.crowded_discovery)
         yield from (self.move_discovery(row) for row in plan.moves)
+        yield from (self.attack(row) for row in plan.attacks)
         yield from (self.apply_shim(row) for row in plan.shims)
         yield self.run_restarts()
         yield from (self.replace_host(row) for row in plan.replacements)
@@ -232,7 +234,7 @@
             "listen": f"{self.address}:{self.port}",
             "discovery": f"{self.address}:{self.platform.port}",
             "seed": f"{self.plan.seed:x}",
-            "limits": LIMITS,
+            "limits": self.limits,
             "known": self.known_hosts,
             "settings": settings(),
         }
@@ -318,7 +320,7 @@
         while not self.is_finished:
             if self.process.poll() is None:
                 use = ResourceUse.of_process(self.process.pid, self.folder / "state")
-                for resource, used, limit in resources_over_limit(use, LIMITS):
+                for resource, used, limit in resources_over_limit(use, self.limits):
                     self.history.record(OverLimit, resource, used, limit)
             await asyncio.sleep(RESOURCE_INTERVAL_S)
 
@@ -498,6 +500,23 @@
         await asyncio.sleep(MOVED_CLOSE_DELAY_S)
         self.platform.close_connections(old_port)
 
+    async def attack(self, row) -> None:
+        """Runs the clients of an attack, which end by themselves or with this task."""
+        await self.sleep_until(row.at)
+        if row.is_frozen:
+            self.send_signal("SIGSTOP")
+        arguments = (row.kind, self.address, self.port, row.duration, row.clients)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "molehill.soak.attackers", *map(str, arguments)
+        )
+        try:
+            await process.wait()
+        finally:
+            if process.returncode is None:
+                process.kill()
+            if row.is_frozen:
+                self.send_signal("SIGCONT")
+
     async def apply_shim(self, row) -> None:
         await self.sleep_until(row.at)
         self.active_shims[row.kind] = row.value if row.kind == "wall_ms" else int(row.value)
