Requests: empty lines at full speed end their connection, and keep nobody from an answer

Cause: empty lines before a request are skipped, without a limit. As long as the client writes as fast as the relay reads, the task never waits: its time-out and the other tasks run only when it does. Class: work for one peer that is bounded by nothing but that peer. Looked at: heads, bodies, chunks, trailers and interim answers are bounded by the buffer or a count, the reading behind an error by bytes, with turns for others; pipelined requests take turns.

Change: more than 16 empty lines are no request: 400, and the connection ends.

--- a/molehill/http/parser.py
+++ b/molehill/http/parser.py
@@ -5,6 +5,7 @@
 from typing import Optional
 
 MAX_HEAD_BYTES = 16 * 1024  # ample for the few short headers of the protocol
+MAX_EMPTY_LINES = 16  # before a request
 MAX_BODY_BYTES = 64 * 1024  # the protocol's limit
 REASON_PHRASES = {
     200: "OK",
@@ -63,6 +64,7 @@
             0,
             max_body_bytes,
         )
+        self.empty_line_count = 0  # before the next head
         self.raw_head = b""  # the latest head, until its message is complete
         # the first 64 bytes of the latest head, even if that was malformed
         self.start_line_bytes = b""
@@ -72,14 +74,16 @@
         buffer = self.buffer
         while not self.reads_responses and buffer.peek(2) == b"\r\n":
             buffer.take(2)  # empty lines before a request are skipped
-            self.scanned = 0
+            self.scanned, self.empty_line_count = 0, self.empty_line_count + 1
+            if self.empty_line_count > MAX_EMPTY_LINES:
+                raise MalformedMessage(400, "empty lines in place of a request")
         end = buffer.find(b"\r\n\r\n", max(0, self.scanned - 3))
         if end < 0:
             self.scanned = len(buffer)
             if self.scanned > MAX_HEAD_BYTES:
                 raise MalformedMessage(431, "the head is too long")
             return None
-        self.scanned = 0
+        self.scanned = self.empty_line_count = 0
         if end > MAX_HEAD_BYTES:
             raise MalformedMessage(431, "the head is too long")
         self.start_line_bytes = buffer.peek(64)
