Heads: 128 lines at most, as each costs memory besides its bytes

Cause: a head is bounded by 16 KiB, and its fields become texts in a table: some 3,000 of five bytes take about 0.5 MB until the body is whole, or for 1 s. Class: a bound on bytes where objects cost. Looked at: a body and the buffer are bytes; chunks are bytes; lists of hosts have a limit of a thirty-second of the memory; ids and keys 1,024 characters.

Change: a head of more than 128 lines is answered 431 before it is taken apart; answers of hosts likewise count as unreadable.

--- a/molehill/http/parser.py
+++ b/molehill/http/parser.py
@@ -5,6 +5,7 @@
 from typing import Optional
 
 MAX_HEAD_BYTES = 16 * 1024  # ample for the few short headers of the protocol
+MAX_HEAD_LINES = 128  # a header takes some hundred bytes of memory besides its own
 MAX_EMPTY_LINES = 16  # before a request
 MAX_BODY_BYTES = 64 * 1024  # the protocol's limit
 REASON_PHRASES = {
@@ -128,6 +129,8 @@
             or b"\r" in raw_head.replace(b"\r\n", b"")
         ):
             raise MalformedMessage(400, "a stray control byte in the head")
+        if raw_head.count(b"\r\n") >= MAX_HEAD_LINES:
+            raise MalformedMessage(431, "the head has too many lines")
         lines = raw_head.decode("latin-1").split("\r\n")
         start_line = tuple(lines[0].split(" ", 2))
         if self.reads_responses:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -117,6 +117,7 @@
         (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked", 501),
         (b"X" * (http.MAX_HEAD_BYTES + 1), 431),
         (b"\r\n" * (http.MAX_EMPTY_LINES + 1), 400),
+        (b"POST /api HTTP/1.1" + b"\r\nA: b" * http.MAX_HEAD_LINES, 431),
     ],
 )
 def test_each_malformed_head_has_its_status(lines, status):
