Clients: a request whose client has closed is not sent on, also with more of its bytes unread

Cause: that a client has gone was looked for by a peek at the next byte, which finds the end only where nothing lies unread. The first write after the close succeeds, so each request counted as told until the reset came back. Class: an end that is looked for behind the data.

Change: with bytes unread the system is asked whether the peer has ended the connection (poll, POLLRDHUP); only then, so that usual clients cost no further call.

--- a/molehill/emulator/process.py
+++ b/molehill/emulator/process.py
@@ -354,6 +354,11 @@
         self.current_poller = Poller(self)
         return self.current_poller
 
+    @staticmethod
+    def has_hung_up(sock) -> bool:
+        """Return whether the peer has ended the connection, also where its bytes lie unread."""
+        return bool(sock.error or sock.eof)
+
     def descriptor_limit(self) -> int:
         """Return the limit of the machine; under a fault a share of it, but enough to start."""
         node = self.node
--- a/molehill/http/clients.py
+++ b/molehill/http/clients.py
@@ -479,7 +479,7 @@
             connection.answer[0] == 202,
         )
         try:
-            if connection.stream.has_ended():
+            if connection.stream.peer_has_closed():
                 raise ConnectionBroken("gone before its answer")
             connection.stream.send(data, self.clock() + WRITE_TIMEOUT)
         except (ConnectionBroken, TimedOut):
--- a/molehill/runtime/kernel.py
+++ b/molehill/runtime/kernel.py
@@ -123,6 +123,13 @@
         """Returns a new poll object."""
         return select.poll()
 
+    @staticmethod
+    def has_hung_up(sock: socket.socket) -> bool:
+        """Returns whether the peer has ended the connection, also where its bytes lie unread."""
+        poller = select.poll()
+        poller.register(sock, select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     close = staticmethod(os.close)  # takes a descriptor number
 
     # File in the state folder by which the next process finds this one.
--- a/molehill/runtime/stream.py
+++ b/molehill/runtime/stream.py
@@ -244,6 +244,13 @@
         """Returns whether the stream has ended or is broken, with nothing left to read."""
         return self._peek() == b""
 
+    def peer_has_closed(self) -> bool:
+        """Returns whether the peer has ended the connection, also where its bytes lie unread."""
+        unread = self._peek()
+        if unread is None:
+            return False
+        return not unread or self.scheduler.machine.has_hung_up(self.sock)
+
 
 def drain(stream, deadline: int, max_bytes: int) -> None:
     """Reads and discards what arrives until `deadline`, or until `max_bytes` bytes have.
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -194,6 +194,25 @@
     harness.advance(20 * MS)
 
 
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_an_id_that_comes_again_at_the_next_process_runs_once(harness, is_answered):
+    """Its client has left, with more of its requests unread, before or after it was delivered."""
+    client = harness.connect_client(REQUEST % (b"id0", b"notice"))
+    (host,) = harness.accept_calls()
+    assert b"id0" in drain(host)
+    client.send(b"GET")
+    client.close()
+    if is_answered:
+        send_answer(harness, harness.old, host, DELIVERED)
+    new = harness.finish_upgrade(harness.start_process())
+    again = harness.connect_client(REQUEST % (b"id0", b"notice"))
+    assert b" 202 " in drain(again)
+    if not is_answered:
+        send_answer(harness, new, host, DELIVERED)
+    assert not harness.accept_calls() and not new.core.callbacks
+    assert not drain(host), "its connection carries no second call"
+
+
 def test_late_copy_after_upgrade_ends_no_call(harness):
     """The next process must know what a connection that it takes over has answered."""
     answers = [DELIVERED.replace(b"ok", b"%d%d" % (n, n)) for n in range(2)]
