--- a/molehill/cli/soak.py
+++ b/molehill/cli/soak.py
@@ -12,7 +12,7 @@
 import click
 
 from molehill.cli.emulate import parse_seeds
-from molehill.soak import plan as plans
+from molehill.soak.draw import draw_plan
 from molehill.soak.oracle import count_unread_calls
 from molehill.soak.rig import RunError, play
 
@@ -23,7 +23,7 @@
 def play_seed(seed: int, span: float, out: Path, mutation: str) -> tuple[Counter, list[str]]:
     """Runs one seed; returns how often each rule was broken and the lines of the report."""
     try:
-        findings, history = play(plans.draw_plan(seed, span), out / f"seed-{seed}", mutation)
+        findings, history = play(draw_plan(seed, span), out / f"seed-{seed}", mutation)
     except RunError as error:
         return Counter({NOT_PLAYED: 1}), [f"seed {seed}: not played: {error}"]
     counts = Counter(VOID if finding.void else finding.rule for finding in findings)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -12,6 +12,7 @@
 from molehill.http.stream import HttpStream
 from molehill.runtime.kernel import Disk, Kernel
 from molehill.soak import rig
+from molehill.soak.draw import draw_plan
 from molehill.soak.history import (
     Answered,
     Call,
@@ -43,7 +44,6 @@
     Shim,
     Silence,
     StalledLists,
-    draw_plan,
 )
 from tests.core_harness import MS, SECOND, drain
 from tests.harness import REQUEST, RelayHarness, kill_and_restart
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1186,6 +1186,14 @@
         self.net.settle()
         return drain(self.peers[-1])
 
+    def start_watch_and_confirmation(self):
+        """Has a request that is held at the first peer, and one that is not at the second."""
+        self.start_watch()
+        self.reply_list(41)
+        self.net.advance(2100 * MS)
+        self.discovery.confirm_list()
+        self.net.settle()
+
     def reply_list(self, index, *rows, whole=False, status=200):
         body = json.dumps({"index": index, "snapshot": whole, "endpoints": rows}).encode()
         self.peers[-1].send(response(status, body=body))
@@ -1266,11 +1274,7 @@
     harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
     log = LineLog()
     harness.discovery.request_log = ListRequestLog(log)
-    harness.start_watch()
-    harness.reply_list(41)
-    harness.net.advance(2 * SECOND)
-    harness.discovery.confirm_list()
-    harness.net.settle()
+    harness.start_watch_and_confirmation()
     harness.peers[0].send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
     harness.net.settle()
     ended = [line for line in log.lines if line["event"] == "list request ended"]
@@ -1286,11 +1290,7 @@
 def test_news_that_crosses_another_answer_is_read(monkeypatch, bytes_in_time):
     """Guards against calls to a host whose drain was written to a request that is given up."""
     harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
-    harness.start_watch()
-    harness.reply_list(41)
-    harness.net.advance(2100 * MS)
-    harness.discovery.confirm_list()
-    harness.net.settle()
+    harness.start_watch_and_confirmation()
     body = json.dumps({"index": 43, "snapshot": False, "endpoints": [entry(status="leaving")]})
     news = response(200, body=body.encode())
     if bytes_in_time == 0:  # the confirmation has it, too
@@ -1308,11 +1308,7 @@
 
 def test_news_that_stops_in_the_middle_beside_another_answer_is_requested_again(monkeypatch):
     harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
-    harness.start_watch()
-    harness.reply_list(41)
-    harness.net.advance(2100 * MS)
-    harness.discovery.confirm_list()
-    harness.net.settle()
+    harness.start_watch_and_confirmation()
     harness.peers[0].send(b"HTTP/1.1 200 OK\r\n")
     harness.reply_list(42)
     assert b"&hold_ms=10000 " in drain(harness.peers[-1])
