List lease: a connection that is made anew before its time is over suspends nothing

Cause: the first connection to discovery gets 0.75 s, and is made anew then, as its first packet may be lost. That counted as proof that discovery can't be reached, and began the 6 s anew, though connections may come up later than that.

Change: only a connection that does not come up in the settings' time suspends the lease; the earlier one counts like a failure of this machine (`connection late`).

--- a/molehill/core/list_lease.py
+++ b/molehill/core/list_lease.py
@@ -35,7 +35,8 @@
     UNREADABLE = "unreadable"
     SILENT = "silent"
     STOPPED = "stopped in the middle"
-    NOT_CONNECTED = "not connected"  # in time
+    CONNECTING_LATE = "connection late"  # made anew, before the settings' time for it was over
+    NOT_CONNECTED = "not connected"  # in the settings' time
     UNREACHABLE = "unreachable"  # the connection was refused, or broke before the request
     INTERRUPTED = "interrupted"  # given up for a request that is answered at once
     DISCARDED = "discarded"  # given up with an answer, or a part of one, that was not read
@@ -44,6 +45,8 @@
 
 
 UNREACHABLE_OUTCOMES = (ListOutcome.NOT_CONNECTED, ListOutcome.UNREACHABLE)
+# no request was sent, and discovery might have answered one
+UNPROVEN_OUTCOMES = (ListOutcome.LOCAL_ERROR, ListOutcome.CONNECTING_LATE)
 # an answer was written, and what it held is lost
 LOST_OUTCOMES = (ListOutcome.OUTDATED, ListOutcome.UNREADABLE, ListOutcome.DISCARDED)
 
@@ -136,7 +139,7 @@
         elif outcome in UNREACHABLE_OUTCOMES:
             self.pending_at, self.unreachable_at = None, now
             self.is_unanswered = self.is_restored = False
-        elif outcome is ListOutcome.LOCAL_ERROR:
+        elif outcome in UNPROVEN_OUTCOMES:
             self._count_by(now if self.is_restored else max(now, self._untold_limit(now)))
         elif outcome in LOST_OUTCOMES:
             self._miss_by(now)
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -375,7 +375,9 @@
                 raise error
         elif isinstance(error, TimedOut):
             self.failed_connects += 1
-            self._report_end(ended, ListOutcome.NOT_CONNECTED)
+            is_late = ended.limits.connect < self.config.connect_time_out
+            outcome = ListOutcome.CONNECTING_LATE if is_late else ListOutcome.NOT_CONNECTED
+            self._report_end(ended, outcome)
         else:
             outcome = self._outcome_of_error(ended, error)
             if not all(exchange.is_late for exchange in self.exchanges):
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -33,6 +33,7 @@
 
 
 SILENT, FAILED, STOPPED = ListOutcome.SILENT, ListOutcome.FAILED, ListOutcome.STOPPED
+LATE = ListOutcome.CONNECTING_LATE
 LOCAL, UNREACHABLE = ListOutcome.LOCAL_ERROR, ListOutcome.UNREACHABLE
 CURRENT = [answered(10 * S)]
 WATCH = [*CURRENT, sent(10 * S, HOLD)]
@@ -80,6 +81,8 @@
         ([restored(None, 0), ended(7 * S, UNREACHABLE), sent(8 * S)], 0),
         ([*WATCH, ended(40 * S, UNREACHABLE), sent(42 * S)], 46 * S),
         ([*WATCH, ended(40 * S, ListOutcome.NOT_CONNECTED), sent(42 * S)], 46 * S),
+        ([*CURRENT, ended(14 * S, LATE), sent(15 * S), ended(15 * S, FAILED)], 16 * S),
+        ([*CURRENT, ended(14 * S, LATE), ended(15 * S, ListOutcome.NOT_CONNECTED)], None),
         ([ended(3 * S, LOCAL), ended(5 * S, LOCAL), sent(6 * S)], 3 * S),
         ([*WATCH, ended(19 * S, LOCAL), sent(21 * S)], 19 * S),
         ([*WATCH, ended(19 * S, UNREACHABLE), ended(21 * S, LOCAL), sent(22 * S)], 25 * S),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1600,6 +1600,8 @@
     harness.net.settle()
     assert len(harness.peers) == made + 1 and drain(harness.peers[-1])
     assert spans == [750 * MS, *[1500 * MS] * 5]
+    ended = [row.outcome for row in harness.lease_events if type(row) is ev.ListRequestEnded]
+    assert ended[-5:] == [ListOutcome.CONNECTING_LATE, *[ListOutcome.NOT_CONNECTED] * 4]
     scopes = [event.scope for event in harness.net.events]
     assert interface.ListScope.FAILED not in scopes
     harness.reply_list(2, entry("h2"))
