Lists: a host whose entry can't be read gets no call

Cause: an entry of which a field can't be read was left out, also where it names a listed host; in a list of changes its drain or end was lost with it.

Change: the names of such entries go with the list, and a listed host among them counts as draining until an entry of it can be read. A whole list without it took it as gone before; it drains now.

Figures: the new test (an update with such a name, then a request) fails without the change, by the host's condition, and passes; the suites of emulator, upgrade, relay, store, list, races, network and core pass.

--- a/molehill/core/events.py
+++ b/molehill/core/events.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from typing import Optional
+from typing import Optional, Sequence
 
 from molehill import interface
 from molehill.core.list_lease import ListOutcome
@@ -205,6 +205,8 @@
     # of the file's list that was read before (`digest_file_list` of molehill/core/host_list.py);
     # None: it is not known
     file_digest: Optional[str] = None
+    # names of entries that could not be read: these hosts may be about to leave
+    unreadable: Sequence[str] = ()
 
 
 @dataclass(slots=True)
--- a/molehill/core/list_updates.py
+++ b/molehill/core/list_updates.py
@@ -4,6 +4,7 @@
 call is begun. No input or output; times are nanoseconds of the relay's clock.
 """
 
+from dataclasses import replace
 from typing import Any, Callable, Optional
 
 from molehill import interface
@@ -48,6 +49,11 @@
 
     def _apply_list(self, event: ev.HostListReceived) -> None:
         core, is_complete = self.core, event.scope is not interface.ListScope.UPDATE
+        event.hosts += [
+            replace(core.hosts[name], condition=interface.Condition.DRAINING)
+            for name in event.unreadable
+            if name in core.hosts and core.hosts[name].condition is interface.Condition.UP
+        ]
         changed = core.received_list.update(
             event.hosts, is_complete, event.version, event.source, event.file_digest
         )
--- a/molehill/http/discovery.py
+++ b/molehill/http/discovery.py
@@ -125,14 +125,16 @@
                     self.logged_list, self.config.known, self.source(), self.file_digest
                 )
                 known = {"endpoints": entries, "index": version or 0}
-            listed_version, _, hosts = parse_list(known, self.config)
-            self.version = listed_version if version is not None else None
+            parsed = parse_list(known, self.config)
+            hosts = parsed.hosts
+            self.version = parsed.version if version is not None else None
         except ValueError as error:
             check_invariant(False, "list_at_the_start", error=str(error))
         self._post_list(interface.ListScope.RESTORED, hosts, self.version, self.source())
 
-    def _post_list(self, scope, hosts, version, source) -> None:
-        self.post(ev.HostListReceived(scope, hosts, version, source, self.file_digest))
+    def _post_list(self, scope, hosts, version, source, unreadable=()) -> None:
+        event = ev.HostListReceived(scope, hosts, version, source, self.file_digest, unreadable)
+        self.post(event)
 
     def file_was_read(self, known) -> None:
         """Notes that the configuration file has been read again; `known` is its list."""
@@ -208,9 +210,9 @@
         # A lower version means that discovery has restarted its count: it would withhold its news
         # until its count has caught up with ours, so the whole list is requested.
         self.version = version if is_whole or version >= (known_version or 0) else None
-        if is_whole or hosts or is_first:
+        if is_whole or hosts or answer.unreadable or is_first:
             scope = interface.ListScope.WHOLE if is_whole else interface.ListScope.UPDATE
-            self._post_list(scope, hosts, version, source)
+            self._post_list(scope, hosts, version, source, answer.unreadable)
         is_current = self.version is not None
         outcome = ListOutcome.ANSWERED if is_current else ListOutcome.OUTDATED
         self.post(ev.ListRequestEnded(outcome))
--- a/molehill/http/host_list_format.py
+++ b/molehill/http/host_list_format.py
@@ -1,6 +1,7 @@
 """The form in which discovery sends its list of hosts: a version, and an entry for each host."""
 
 import json
+from typing import NamedTuple
 
 from molehill import interface
 from molehill.config import ConfigError, parse_address
@@ -15,28 +16,42 @@
 }
 
 
-def parse_list(text, config):
-    """Returns a list's version, whether it is the whole list, and its hosts.
+class ParsedList(NamedTuple):
+    """A list of hosts: `is_whole` if hosts that it does not name have left.
 
-    `text`: JSON, or the decoded object. Entries that can't be read are left out; raises
-    ValueError if it is not a list of hosts.
+    `unreadable`: names of entries of which nothing else can be used.
+    """
+
+    version: int
+    is_whole: bool
+    hosts: list[ev.Host]
+    unreadable: list[str]
+
+
+def parse_list(text, config) -> ParsedList:
+    """Reads a list; `text`: JSON, or the decoded object.
+
+    Entries that can't be read are left out; raises ValueError if it is not a list of hosts.
     """
     try:
         data = json.loads(text) if isinstance(text, (bytes, str)) else text
-        rows, version, is_whole = (
-            data.get("endpoints", []),
-            int(data.get("index", 0)),
-            bool(data.get("snapshot")),
-        )
-        return (
+        rows, version = data.get("endpoints", []), int(data.get("index", 0))
+        parsed = [(row, parse_host(row, config)) for row in rows]
+        return ParsedList(
             version,
-            is_whole,
-            [host for host in (parse_host(row, config) for row in rows) if host is not None],
+            bool(data.get("snapshot")),
+            [host for _, host in parsed if host is not None],
+            [str(row["name"]) for row, host in parsed if host is None and has_name(row)],
         )
     except (AttributeError, KeyError, TypeError, OverflowError, RecursionError) as error:
         raise ValueError(f"not a list of hosts: {error!r}") from None
 
 
+def has_name(row) -> bool:
+    """Returns whether an entry names a host."""
+    return isinstance(row, dict) and "name" in row
+
+
 def parse_host(row, config):
     """Returns the host of an entry, or None if it is invalid: that must not spoil the others."""
     try:
--- a/molehill/http/list_exchange.py
+++ b/molehill/http/list_exchange.py
@@ -39,11 +39,12 @@
 
 @dataclass(slots=True, frozen=True)
 class ListAnswer:
-    """An answer of discovery: `is_whole` if hosts that it does not name have left."""
+    """An answer of discovery, with the fields of a `ParsedList`."""
 
     version: int
     is_whole: bool
     hosts: list[ev.Host]
+    unreadable: list[str]
     keep_alive: bool
 
 
@@ -137,10 +138,10 @@
         if head.status != STATUS_OK:
             raise RefusedRequest(f"status {head.status}")
         try:
-            version, is_whole, hosts = parse_list(body, self.config)
+            parsed = parse_list(body, self.config)
         except ValueError as error:
             raise UnreadableAnswer(str(error)) from error
-        return ListAnswer(version, is_whole, hosts, head.keep_alive)
+        return ListAnswer(*parsed, keep_alive=head.keep_alive)
 
     def _build_request(self) -> bytes:
         target = "/registry/instances"  # the whole list, at once
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from molehill import interface
 from molehill.config import MS, SECOND
 from molehill.core import events as ev
 from molehill.core.list_lease import WRITE_DELAY, ListLease, ListOutcome
@@ -127,3 +128,20 @@
     core.list_updates.lease.pending_at = harness.clock.now - core.settings.drain_grace
     assert core.refusal(call, harness.clock.now) is Refusal.LIST_OUTDATED
     host.close()
+
+
+def test_a_host_whose_entry_can_not_be_read_gets_no_call(harness):
+    """Guards against a drain that is written to the relay, and dropped with the rest of its entry."""
+    harness.confirm_list()
+    core = harness.relay.core
+    (name,) = core.hosts
+    harness.relay.engine.post_event(
+        ev.HostListReceived(interface.ListScope.UPDATE, version=9, unreadable=[name, "unknown"])
+    )
+    assert core.hosts[name].condition is interface.Condition.DRAINING
+    assert list(core.hosts) == [name]
+    client = harness.connect_client()
+    client.send(REQUEST % b"id1")
+    harness.advance(200 * MS)
+    with pytest.raises(BlockingIOError):
+        harness.host.accept()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1445,6 +1445,7 @@
         1,
     )
     assert len(reported) == 3
+    assert harness.net.events[-1].unreadable == ["h1", "h9"]
 
 
 @pytest.mark.parametrize(
