--- a/molehill/soak/clients.py
+++ b/molehill/soak/clients.py
@@ -150,8 +150,10 @@
     while True:
         try:
             reader, writer = await asyncio.open_connection(address, port)
-            await reader.read()
-            writer.close()
+            try:
+                await reader.read()
+            finally:
+                writer.close()
         except OSError:
             await asyncio.sleep(RECONNECT_DELAY_S)
 
@@ -168,9 +170,11 @@
     while True:
         try:
             reader, writer = await asyncio.open_connection(address, port)
-            writer.write(head + b"f" * (UNFINISHED_BODY_BYTES - 1))
-            await reader.read()
-            writer.close()
+            try:
+                writer.write(head + b"f" * (UNFINISHED_BODY_BYTES - 1))
+                await reader.read()
+            finally:
+                writer.close()
         except OSError:
             pass
         await asyncio.sleep(RECONNECT_DELAY_S)
