Discovery: a request that is given up before it began is not sent

Cause: where two requests for the list are answered at once, and the later one has the newer list, the next request is given up before its task has run. The task ran all the same: it connected, sent the request and waited, and nobody closed its connection, so that a descriptor was lost.

Change: a task whose request was given up ends at once. The lease's `hold`, which nothing reads any more, is taken out.

--- a/molehill/core/list_lease.py
+++ b/molehill/core/list_lease.py
@@ -70,7 +70,6 @@
         self.missed_at: Optional[int] = None
         self.unreachable_at: Optional[int] = None  # discovery could not be reached then
         self.is_unanswered = False  # a request that was sent has got no answer
-        self.hold = 0  # of the last request
         self.was_answered = False  # this process, or the one that handed over to it
         # an earlier process may have been told more than the log has
         self.is_restored = True
@@ -111,7 +110,7 @@
             self._count_by(limit)
         else:
             self.pending_at = max(limit, now + hold + HELD_LIMIT) if hold else limit
-        self.is_unanswered, self.hold = True, hold
+        self.is_unanswered = True
 
     def _untold_limit(self, now: int) -> int:
         """Returns when news counts as known that came since nothing counted as known.
--- a/molehill/http/list_exchange.py
+++ b/molehill/http/list_exchange.py
@@ -94,7 +94,9 @@
         self.is_over = self.is_late = self.is_kept = self.is_reported = False
 
     def run(self) -> None:
-        """Runs the exchange to its end."""
+        """Runs the exchange to its end, unless it was given up before it began."""
+        if self.on_change is None:
+            return
         self.error = ConnectionBroken("fault")  # unless nothing unexpected is raised
         try:
             self.answer = self._exchange()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1303,9 +1303,20 @@
     lists = [event for event in harness.net.events if type(event) is ev.HostListReceived]
     assert [host.condition for host in lists[-1].hosts] == [interface.Condition.DRAINING]
     assert harness.discovery.version == 43
+    assert harness.net.budget.used["discovery"] == 1, "no request stays open that nobody awaits"
     assert b"?from=43&hold_ms=10000 " in drain(harness.peers[-1]) + drain(harness.peers[0])
 
 
+def test_two_answers_at_once_leave_no_request_that_nobody_awaits(monkeypatch):
+    harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
+    harness.start_watch_and_confirmation()
+    body = json.dumps({"index": 42, "snapshot": False, "endpoints": [entry("h2")]})
+    harness.peers[0].send(response(200, body=body.encode()))
+    harness.reply_list(43, entry(status="leaving"))
+    assert harness.discovery.version == 43
+    assert harness.net.budget.used["discovery"] == 1
+
+
 def test_news_that_stops_in_the_middle_beside_another_answer_is_requested_again(monkeypatch):
     harness = DiscoveryHarness(monkeypatch, {"index": 41, "snapshot": True, "endpoints": [entry()]})
     harness.start_watch_and_confirmation()
