--- a/review/kit-2/rig2.py
+++ b/review/kit-2/rig2.py
@@ -292,7 +292,7 @@
         config = {
             "name": "n1", "listen": f"127.0.0.1:{case.listen_port}",
             "discovery": f"127.0.0.1:{case.platform.port}", "seed": case.seed,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+            "limits": case.limits,
             "known": case.platform.whole(), "settings": case.settings,
         }
         path = self.folder / "config.json"
@@ -353,6 +353,7 @@
         self.messages, self.calls, self.notices, self.lists = {}, [], [], []
         self.hosts, self.processes = [], []
         self.settings = settings()
+        self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}
         self.listen_port, platform_port = free_ports(2)
         self.platform = Platform(self, platform_port)
         self.client, self.relay = Client(self), Relay(self, self.work)
