--- a/review/kit-2/rig2.py
+++ b/review/kit-2/rig2.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -28,13 +29,17 @@
 
 
 def free_ports(count):
-    """Returns free ports of 127.0.0.1."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Returns free ports of 127.0.0.1, below those that the system gives to clients."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
