--- a/review/kit-2/rig2.py
+++ b/review/kit-2/rig2.py
@@ -432,7 +432,7 @@
                 print("BROKEN:", text)
             code = BROKEN if breaks else HELD
             case.log("the rule was broken" if breaks else "the rule held")
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except Exception as error:  # whatever it is, it says nothing of the rule
             case.log("could not run:", repr(error))
             print("could not run:", repr(error))
         finally:
@@ -443,6 +443,10 @@
         print({BROKEN: "broken", HELD: "held", COULD_NOT_RUN: "could not run"}[code])
         return code
 
-    code = asyncio.run(whole())
+    try:
+        code = asyncio.run(whole())
+    except Exception as error:  # before the case began, or while its processes ended
+        print("could not run:", repr(error))
+        code = COULD_NOT_RUN
     sys.stdout.flush()
     os._exit(code)
