Health: a line as a destination answers again tells failures, their spread, and calls out

Change: failures are counted for a route too, since its last good answer (decisions/failure_run.py), and a good answer after failures that may have been an outage is logged with the span, the calls out, the window and each host's state and share of failures. Nothing is decided by it yet. The run passes at an upgrade; rows without it are read as before.

--- a/molehill/benchlink/codec.py
+++ b/molehill/benchlink/codec.py
@@ -150,6 +150,6 @@
         return f"release {instance} {action.host}\n"
     if type(action) is interface.WatchHostList:
         return f"listen {instance} 1\n"
-    if type(action) is interface.ReportHealth:
+    if type(action) in (interface.ReportHealth, interface.LogMessage):
         return f"note_down {instance} {' '.join(action.text.split())}\n"
     raise TypeError(f"no message for action {action!r}")
--- a/molehill/core/reducer.py
+++ b/molehill/core/reducer.py
@@ -498,6 +498,8 @@
             self.set_health(action.host, action.ejected, self.now)
             self.log_record("health", host=action.host, away=action.ejected, at=self.now)
             self.effects.append(ev.LogMessage(action.text))
+        elif kind is interface.LogMessage:
+            self.effects.append(ev.LogMessage(action.text))
         elif kind in (interface.Reject, interface.Fail) and action.callback in self.callbacks:
             rejected = kind is interface.Reject
             retry_after = action.retry_after if rejected else 0
--- a/molehill/decisions/dispatcher.py
+++ b/molehill/decisions/dispatcher.py
@@ -122,10 +122,13 @@
             if share_left is not None and event.result is interface.Result.REFUSED:
                 share_left = 0.0
             limiter.set_advertised(event.advertised_rate, share_left)
-        if not call.outcome_counted or event.retry_after:
+        is_first = not call.outcome_counted
+        if is_first or event.retry_after:
             # A call with several callbacks is judged once, but each Retry-After counts.
             call.outcome_counted = True
             self.health.count_outcome(call, event)
+        if is_first:
+            self.health.count_for_route(call, event)
 
     def _handle_withdrawn(self, event: interface.CallbackWithdrawn) -> None:
         callback = self.state.callbacks_by_id.get(event.callback)
--- a/molehill/decisions/endpoint_health.py
+++ b/molehill/decisions/endpoint_health.py
@@ -7,7 +7,12 @@
 from molehill import interface
 from molehill.decisions import slow_start
 from molehill.decisions.endpoint import EJECTED, HEALTHY, SLOW_START, Call, Endpoint
-from molehill.decisions.limiter import DECREASE_FACTOR, REFUSAL_DECREASE_FACTOR, TIMEOUT_DEVIATIONS
+from molehill.decisions.limiter import (
+    DECREASE_FACTOR,
+    REFUSAL_DECREASE_FACTOR,
+    SECOND,
+    TIMEOUT_DEVIATIONS,
+)
 from molehill.decisions.state import State
 from molehill.interface import Result
 
@@ -16,6 +21,25 @@
 FAILURE_SMOOTHING, EJECTION_FAILURE_SHARE = 0.25, 0.5
 
 
+def _is_caused_by_host(call: Call, result: Result) -> bool:
+    """Whether the outcome tells anything about the host."""
+    idle_reset = result is Result.RESET and call.idle_time
+    return not idle_reset and result not in (Result.NOT_SENT, Result.CANCELLED)
+
+
+def _answer_was_due(call: Call, event: interface.Outcome) -> bool:
+    """Whether the call would have been answered by its end, had the host been well.
+
+    A callback's deadline cuts a timeout short, perhaps before an answer could be expected.
+    """
+    if event.result is not Result.TIMEOUT:
+        return True
+    limiter, expected_within = call.endpoint.limiter, slow_start.REFUSAL_BACKOFF
+    if limiter.latency:
+        expected_within = limiter.latency + TIMEOUT_DEVIATIONS * limiter.deviation
+    return event.duration >= min(call.timeout, expected_within)
+
+
 class EndpointHealth:
     """Judges endpoints by the outcomes of their calls."""
 
@@ -31,9 +55,8 @@
         limiter, destination = endpoint.limiter, self.state.destination_of(endpoint)
         self._count_failures(call, event)
         cut_short = result is Result.TIMEOUT and event.duration < call.timeout
-        idle_reset = result is Result.RESET and call.idle_time
-        if cut_short or idle_reset or result in (Result.NOT_SENT, Result.CANCELLED):
-            return  # not caused by the host
+        if cut_short or not _is_caused_by_host(call, result):
+            return
         succeeded = result is Result.DELIVERED
         if not succeeded:
             limiter.count_failure(call.sent_at, now)
@@ -74,13 +97,38 @@
             # Other failures are no outage: a connect may fail because the host has no room for more
             # connections, and an error may concern a single call.
             return
-        # A timeout cut short by a callback's deadline also counts if an answer was due by then.
-        limiter, expected_within = endpoint.limiter, slow_start.REFUSAL_BACKOFF
-        if limiter.latency:
-            expected_within = limiter.latency + TIMEOUT_DEVIATIONS * limiter.deviation
-        if event.duration >= min(call.timeout, expected_within):
+        if _answer_was_due(call, event):
             endpoint.count_failure(call.sent_at)
 
+    def count_for_route(self, call: Call, event: interface.Outcome) -> None:
+        """Counts the outcome of a call for the failure run of its route, once for each call."""
+        run, result = call.endpoint.limiter.failure_run, event.result
+        if result is Result.DELIVERED:
+            self._report_return(call.endpoint)
+            run.count_success(self.state.now)
+        elif _is_caused_by_host(call, result) and _answer_was_due(call, event):
+            run.count_failure(result)
+
+    def _report_return(self, endpoint: Endpoint) -> None:
+        """Logs that a route answers again after failures that may have been an outage.
+
+        The line tells how the failures are spread over its hosts, and what limits the calls.
+        """
+        state, limiter, run = self.state, endpoint.limiter, endpoint.limiter.failure_run
+        if not run.failures or run.unanswered_span(state.now) < (state.settings.overload_span or 0):
+            return
+        span = "no answer before"
+        if run.answered_at is not None:
+            span = f"{(state.now - run.answered_at) / SECOND:.1f} s after the last answer"
+        text = (
+            f"destination {endpoint.destination} answers again: {run.failures} failed calls,"
+            f" {run.silent_failures} without an answer, {span};"
+            f" {limiter.calls_in_flight} calls in flight, window {limiter.window:.0f}, hosts "
+        )
+        hosts = state.destination_of(endpoint).endpoints
+        text += ", ".join(f"{host.id} {host.state} {host.failure_share:.2f}" for host in hosts)
+        state.actions.append(interface.LogMessage(text))
+
     def _begin_slow_start(self, endpoint: Endpoint) -> None:
         """Limits the endpoint to the rate of slow start until it is warm."""
         endpoint.state, endpoint.state_since = SLOW_START, self.state.now
--- a/molehill/decisions/limiter.py
+++ b/molehill/decisions/limiter.py
@@ -7,6 +7,7 @@
 from typing import Optional
 
 from molehill.decisions.callback import Callback
+from molehill.decisions.failure_run import FailureRun
 from molehill.interface import DeliverySemantics
 
 SECOND = 1_000_000_000
@@ -57,10 +58,11 @@
     }
 
     def __init__(self, now: int, advertised_rate: float = 0.0) -> None:
+        self.failure_run = FailureRun()
         self.reset(now, advertised_rate)
 
     def reset(self, now: int, advertised_rate: float) -> None:
-        """Forgets all measurements."""
+        """Forgets all measurements, but not the failures since the last answer."""
         self.window = INITIAL_WINDOW
         self.is_doubling = True  # until the first slow answer or failure
         self.calls_in_flight = 0
@@ -83,13 +85,15 @@
 
     def handover_row(self) -> dict:
         """Returns the learned state for the next process of this relay."""
-        return {key: getattr(self, name) for key, name in self.HANDED_OVER.items()}
+        learned = {key: getattr(self, name) for key, name in self.HANDED_OVER.items()}
+        return {**learned, **self.failure_run.handover_row()}
 
     def restore_row(self, row: dict) -> None:
         """Restores the learned state of an earlier process; unknown keys are ignored."""
         for key, value in row.items():
             if key in self.HANDED_OVER:
                 setattr(self, self.HANDED_OVER[key], value)
+        self.failure_run.restore_row(row)
 
     def update_baseline(self, latest_latency: int, now: int) -> int:
         """Counts an answer's latency, and returns the least smoothed latency in two spans.
--- a/molehill/interface.py
+++ b/molehill/interface.py
@@ -291,3 +291,10 @@
     host: Id
     ejected: bool
     text: str
+
+
+@dataclass(slots=True)
+class LogMessage:
+    """Action: write a line to the relay's log."""
+
+    text: str
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -215,6 +215,9 @@
     def on_reporthealth(self, action):
         self.health_messages.append(action.text)
 
+    def on_logmessage(self, action):
+        self.health_messages.append(action.text)
+
     def on_closeidle(self, action):
         assert action.host in self.host_rows
         self.closed_idle.append(action.host)
