Upgrades: the lines on a hand-over tell its phases, and how many rows were sent

Cause: `hand-over broke off error='TimedOut()'` does not tell whether the calls under way were not finished, the rows took the time, sending them did, or the reply was late. Change: `drain_ms`, `prepare_ms`, `send_ms`, `reply_ms`, `rows` and `sent` in both lines; `ms` stays.

--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -197,6 +197,30 @@
         return True
 
 
+@dataclass(slots=True)
+class HandoverProgress:
+    """How far a handover came: nanoseconds of each phase, and rows."""
+
+    started_at: int
+    drained_at: int = 0  # calls and requests that had begun were finished, or cut off
+    prepared_at: int = 0  # the rows were made
+    rows: int = 0
+    sent_rows: int = 0
+    sent_at: int = 0  # the last row was sent; 0: not all were
+
+    def facts(self, now: int) -> dict[str, int]:
+        """Returns the facts for the log, times in milliseconds."""
+        return {
+            "rows": self.rows,
+            "sent": self.sent_rows,
+            "drain_ms": (self.drained_at - self.started_at) // MS,
+            "prepare_ms": (self.prepared_at - self.drained_at) // MS,
+            "send_ms": ((self.sent_at or now) - self.prepared_at) // MS,
+            "reply_ms": (now - self.sent_at) // MS if self.sent_at else 0,
+            "ms": (now - self.started_at) // MS,
+        }
+
+
 class HandoverServer:
     """Waits, in the serving process, for the next process and hands over to it."""
 
@@ -254,24 +278,26 @@
     def hand_over(self, channel) -> None:
         """Drains this process and hands over; resumes service if the handover breaks off."""
         started_at, process = self.clock(), self.process
+        progress = HandoverProgress(started_at)
         process.pause_intake()
         while self.clock() < started_at + DRAIN_TIMEOUT and not process.is_drained():
             self.scheduler.sleep_until(self.clock() + MS)
         # Their clients have got no answer, and the next process could not know that.
         process.clients.close_unanswered()
         self.scheduler.yield_now()
-        rows, error, deadline = (
-            process.prepare_handover(started_at),
-            None,
-            self.clock() + TRANSFER_TIMEOUT,
-        )
+        progress.drained_at = self.clock()
+        rows, error = process.prepare_handover(started_at), None
+        progress.prepared_at, progress.rows = self.clock(), len(rows)
+        deadline = progress.prepared_at + TRANSFER_TIMEOUT
         try:
             # The next process knows only what is in the log.
             if process.engine.unwritten_rows:
                 raise ConnectionBroken("the log does not take records")
             for message, body, sock in rows:
                 channel.send(message, deadline, body, sock and sock.fileno())
+                progress.sent_rows += 1
             channel.send({"k": "lock"}, deadline, fd=process.lock)
+            progress.sent_at = self.clock()
             reply = channel.receive(deadline)[0]
         except (ConnectionBroken, TimedOut) as failure:
             # The new process's `mine` may be on the way, and then it begins to write the log. After
@@ -285,9 +311,10 @@
                 if sock is not None and sock is not process.clients.listener:
                     sock.close()
             process.finish_handover()
-            self.log.info("handed over", rows=len(rows), ms=(self.clock() - started_at) // MS)
+            self.log.info("handed over", **progress.facts(self.clock()))
         else:
-            self.log.error("hand-over broke off", error=repr(error))
+            facts = progress.facts(self.clock())
+            self.log.error("hand-over broke off", error=repr(error), **facts)
             process.abort_handover(rows, started_at)
 
 
