Slow start: failures spread over a destination's hosts are an outage of the destination

Cause: health was judged at each host, and the rule speaks of the destination: four time-outs at four hosts closed none, and before the first good answer only window and slots limited the calls. Evidence: the line added before: "4 failed calls, 4 without an answer, 11.9 s after the last answer; 23 calls in flight, window 31, hosts s-0 open 0.25, s-1 open 0.44, s-2 open 0.00, s-3 open 0.00". Ruled out: failures not counted, a closed host forgotten, a slow start too fast (none had begun). Change: a route counts its failures since its last good answer. One time-out, or three failures of any kind, with no good answer for the settings' fall time show an outage: its healthy hosts are closed (logged, so it holds over restarts and upgrades). The next call goes at once, further ones one a host and no denser than in the ramp; a good answer starts the ramp of all hosts that did not fail by themselves. A host that joins a destination without a healthy host is limited as the others. Why it works: the evidence is counted where the rule counts, and calls are limited from the evidence on rather than from the first good answer on. No span or limit is new but the count of three, which closes a host as well.

--- a/molehill/decisions/endpoint_health.py
+++ b/molehill/decisions/endpoint_health.py
@@ -23,8 +23,13 @@
 
 def _is_caused_by_host(call: Call, result: Result) -> bool:
     """Whether the outcome tells anything about the host."""
-    idle_reset = result is Result.RESET and call.idle_time
-    return not idle_reset and result not in (Result.NOT_SENT, Result.CANCELLED)
+    unrelated = _is_idle_reset(call, result) or result in (Result.NOT_SENT, Result.CANCELLED)
+    return not unrelated
+
+
+def _is_idle_reset(call: Call, result: Result) -> bool:
+    """Whether a connection that had been idle broke, perhaps without the host's doing."""
+    return result is Result.RESET and call.idle_time > 0
 
 
 def _answer_was_due(call: Call, event: interface.Outcome) -> bool:
@@ -102,12 +107,49 @@
 
     def count_for_route(self, call: Call, event: interface.Outcome) -> None:
         """Counts the outcome of a call for the failure run of its route, once for each call."""
-        run, result = call.endpoint.limiter.failure_run, event.result
+        endpoint, result, now = call.endpoint, event.result, self.state.now
+        run = endpoint.limiter.failure_run
         if result is Result.DELIVERED:
-            self._report_return(call.endpoint)
-            run.count_success(self.state.now)
-        elif _is_caused_by_host(call, result) and _answer_was_due(call, event):
-            run.count_failure(result)
+            self._report_return(endpoint)
+            run.count_success(now)
+            return
+        if _is_idle_reset(call, result):
+            run.count_idle_reset()
+            return
+        is_paced = result is Result.REFUSED and self._refusal_teaches_rate(endpoint)
+        if is_paced or not _is_caused_by_host(call, result) or not _answer_was_due(call, event):
+            return
+        run.count_failure(result, call.sent_at, now)
+        self._eject_failing_route(endpoint)
+        span = self.state.settings.overload_span
+        if span and run.answered_at is not None and run.unanswered_span(now) < span:
+            # If no call follows until then, a restart has to find the hosts ejected.
+            self.state.schedule(run.answered_at + span, self._eject_failing_route, endpoint)
+
+    def _refusal_teaches_rate(self, endpoint: Endpoint) -> bool:
+        """Whether refusals of its route are due to a rate, which then limits the calls."""
+        advertised = endpoint.limiter.advertised_rate > 0
+        return advertised or not self.state.settings.limits_are_advertised
+
+    def _fails_as_route(self, endpoint: Endpoint) -> bool:
+        """Whether its route as a whole seems to be in an outage."""
+        span, run = self.state.settings.overload_span, endpoint.limiter.failure_run
+        return bool(span and run.failures and run.shows_outage(self.state.now, span))
+
+    def _eject_failing_route(self, endpoint: Endpoint) -> None:
+        """Rule 4: ejects the healthy hosts of a route that fails, as all may return cold.
+
+        With few calls, or calls spread over several hosts, none of these fails often enough to be
+        ejected for its own calls. The next call may be sent at once: it is the probe.
+        """
+        if not self._fails_as_route(endpoint):
+            return
+        state, limiter = self.state, endpoint.limiter
+        for host in state.destination_of(endpoint).endpoints:
+            if host.limiter is limiter and host.state is HEALTHY:
+                host.state, host.state_since = EJECTED, state.now
+                text = f"host {host.id} closed: destination {host.destination} does not answer"
+                state.actions.append(interface.ReportHealth(host.id, True, text))
 
     def _report_return(self, endpoint: Endpoint) -> None:
         """Logs that a route answers again after failures that may have been an outage.
@@ -129,6 +171,14 @@
         text += ", ".join(f"{host.id} {host.state} {host.failure_share:.2f}" for host in hosts)
         state.actions.append(interface.LogMessage(text))
 
+    def _return_route(self, endpoint: Endpoint) -> None:
+        """Begins slow start of the endpoint, and of those that were ejected with its route only."""
+        self._begin_slow_start(endpoint)
+        for host in self.state.destination_of(endpoint).endpoints:
+            is_failing = host.failure_share > EJECTION_FAILURE_SHARE
+            if host.limiter is endpoint.limiter and host.state is EJECTED and not is_failing:
+                self._begin_slow_start(host)
+
     def _begin_slow_start(self, endpoint: Endpoint) -> None:
         """Limits the endpoint to the rate of slow start until it is warm."""
         endpoint.state, endpoint.state_since = SLOW_START, self.state.now
@@ -182,7 +232,7 @@
         endpoint.failure_share += (failure - endpoint.failure_share) * FAILURE_SMOOTHING
         if succeeded:
             if endpoint.state is EJECTED and sent_at >= endpoint.state_since:
-                self._begin_slow_start(endpoint)
+                self._return_route(endpoint)
             return
         limiter = endpoint.limiter
         if limiter.bad_rounds > 1:
@@ -219,4 +269,25 @@
         slow_start_time = state.settings.slow_start_time or 0
         if endpoint.state is SLOW_START and state.now - endpoint.state_since >= slow_start_time:
             endpoint.state = HEALTHY
-        return endpoint.state is not EJECTED or endpoint.calls_in_flight == 0
+        if endpoint.state is HEALTHY:
+            self._eject_failing_route(endpoint)
+        if endpoint.state is not EJECTED:
+            return True
+        return endpoint.calls_in_flight == 0 and self._may_probe_route(endpoint)
+
+    def _may_probe_route(self, endpoint: Endpoint) -> bool:
+        """Whether a route that fails as a whole may get one more probe beside those in flight.
+
+        A probe may hang until its timeout, so the next ones do not wait for it, but they are no
+        denser than calls to a returning route.
+        """
+        state, limiter = self.state, endpoint.limiter
+        if limiter.calls_in_flight == 0 or not self._fails_as_route(endpoint):
+            return True
+        destination = state.destination_of(endpoint)
+        next_probe_at = limiter.last_used_at + slow_start.route_call_interval(
+            state.settings, endpoint, destination, state.now
+        )
+        if next_probe_at > state.now:
+            state.check_destination_at(endpoint.destination, next_probe_at)
+        return next_probe_at <= state.now
--- a/molehill/decisions/endpoint_list.py
+++ b/molehill/decisions/endpoint_list.py
@@ -1,7 +1,8 @@
 """The endpoints as listed by discovery: which ones serve, and when those that left are removed."""
 
 from molehill import interface
-from molehill.decisions.endpoint import EJECTED, HEALTHY, Destination, Endpoint
+from molehill.decisions import slow_start
+from molehill.decisions.endpoint import EJECTED, HEALTHY, SLOW_START, Destination, Endpoint
 from molehill.decisions.limiter import SECOND, Limiter
 from molehill.decisions.state import State
 
@@ -36,11 +37,43 @@
             listed_ids = {entry.host for entry in update.entries}
             for endpoint in [e for e in state.endpoints.values() if e.id not in listed_ids]:
                 self._set_serving(endpoint, False)
+        newly_serving = []
         for entry in update.entries:
             endpoint = state.endpoints.get(entry.host) or self._add_endpoint(entry)
             if state.settings.weights_are_rates:
                 endpoint.limiter.advertised_rate = entry.weight
+            was_serving = endpoint.is_serving
             self._set_serving(endpoint, entry.condition is interface.Condition.UP)
+            if endpoint.is_serving and not was_serving:
+                newly_serving.append(endpoint)
+        if update.scope is not interface.ListScope.RESTORED:
+            for endpoint in newly_serving:
+                self._share_health_of_route(endpoint)
+
+    def _share_health_of_route(self, endpoint: Endpoint) -> None:
+        """Rule 4: a host that joins a destination without a healthy host is limited as the others.
+
+        A destination in an outage, or in slow start after it, is cold with all its hosts.
+        """
+        state = self.state
+        destination = state.destination_of(endpoint)
+        others = [
+            host
+            for host in destination.endpoints
+            if host is not endpoint and host.limiter is endpoint.limiter
+        ]
+        if endpoint.state is not HEALTHY or not others:
+            return
+        if any(host.state is HEALTHY for host in others):
+            return
+        warmest = min(others, key=lambda host: (host.state is EJECTED, host.state_since))
+        endpoint.state, endpoint.state_since = warmest.state, warmest.state_since
+        if endpoint.state is SLOW_START:
+            interval = slow_start.call_interval(state.settings, endpoint, destination, state.now)
+            endpoint.next_call_at = state.now + interval
+        is_ejected = endpoint.state is EJECTED
+        text = f"host {endpoint.id} joins destination {endpoint.destination}, which is cold"
+        state.actions.append(interface.ReportHealth(endpoint.id, is_ejected, text))
 
     def _watch_list(self, _: None) -> None:
         self.state.actions.append(interface.WatchHostList())
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -96,7 +96,7 @@
             [],
             [],
         )
-        self.list_requests = 0
+        self.list_requests, self.ejected_hosts = 0, set()
         self.step([self.list_news(interface.ListScope.RESTORED, entries)])
 
     def list_news(self, scope, entries):
@@ -214,6 +214,7 @@
 
     def on_reporthealth(self, action):
         self.health_messages.append(action.text)
+        (self.ejected_hosts.add if action.ejected else self.ejected_hosts.discard)(action.host)
 
     def on_logmessage(self, action):
         self.health_messages.append(action.text)
