Slow start: a time-out that the relay's own standstill explains is no outage

What callers saw: behind a standstill of the process of 1.5 s its healthy destinations got the ramp's few calls for ten seconds. Change: a time-out that is noticed over 0.1 s behind its time does not count for the route. What a host's own share of failures makes of it is as before. Test: test_standstill_of_the_relay_is_no_outage fails without the line.

--- a/molehill/decisions/call_scheduler.py
+++ b/molehill/decisions/call_scheduler.py
@@ -227,6 +227,7 @@
         callback.attempts += 1
         call.pending_callbacks += 1
         timeout = min(call.timeout, callback.deadline - CLIENT_DELAY - self.state.now)
+        call.time_limit = min(call.time_limit, timeout)
         self.state.actions.append(interface.StartAttempt(callback.id, call.endpoint.id, timeout))
 
     def _next_for_call(self, destination: Destination, call: Call) -> Optional[Callback]:
--- a/molehill/decisions/endpoint.py
+++ b/molehill/decisions/endpoint.py
@@ -106,6 +106,7 @@
         "sent_at",
         "outcome_counted",
         "timeout",
+        "time_limit",
         "idle_time",
     )
 
@@ -113,6 +114,7 @@
         self.endpoint = endpoint
         self.pending_callbacks = 0  # without an outcome yet
         self.sent_at, self.timeout = sent_at, timeout
+        self.time_limit = timeout  # its timeout, or less if a callback's deadline cuts it
         self.outcome_counted = False  # for the endpoint's health
         # how long its connection had been idle before it; 0: a new connection
         self.idle_time = idle_time
--- a/molehill/decisions/endpoint_health.py
+++ b/molehill/decisions/endpoint_health.py
@@ -19,6 +19,9 @@
 OUTAGE_FAILURES = 2  # since the last successful answer; a single one may concern only its call
 # smoothing, and the share of failures that ejects: three in a row, no fewer
 FAILURE_SMOOTHING, EJECTION_FAILURE_SHARE = 0.25, 0.5
+# A timeout that is noticed later than this says nothing about a route: the relay itself stood still,
+# and an answer may have come in time.
+LATE_TIMEOUT = SECOND // 10
 
 
 def _is_caused_by_host(call: Call, result: Result) -> bool:
@@ -119,6 +122,8 @@
         is_paced = result is Result.REFUSED and self._refusal_teaches_rate(endpoint)
         if is_paced or not _is_caused_by_host(call, result) or not _answer_was_due(call, event):
             return
+        if result is Result.TIMEOUT and event.duration > call.time_limit + LATE_TIMEOUT:
+            return
         run.count_failure(result, call.sent_at, now)
         self._eject_failing_route(endpoint)
         span = self.state.settings.overload_span
--- a/tests/test_returning_destination.py
+++ b/tests/test_returning_destination.py
@@ -165,3 +165,15 @@
     for _ in range(others_fail):
         run.count_failure(Result.RESET, SECOND, 2 * SECOND)
     assert run.shows_outage(3 * SECOND, FALL_SPAN) is is_outage
+
+
+def test_standstill_of_the_relay_is_no_outage():
+    """Guards against a slow start of destinations whose answers the relay itself read too late."""
+    destination = Destination(4)
+    harness = destination.harness
+    destination.run(8 * SECOND, interval=156 * MS)
+    number = harness.submit()
+    harness.now += 3 * SECOND  # longer than the timeout
+    harness.answer(number, Result.TIMEOUT)
+    destination.run(500 * MS)
+    assert not any("closed" in text for text in harness.health_messages)
