Slow start: two errors or refusals in a row show an outage of a destination

What callers saw: a destination of two or four hosts that refused two calls in the last second of its outage, or answered two with 500 in the last half, got its clump at full speed at its cold return: 3 to 5 calls more than it bears (module alone, trial). Cause: three failures were asked for whatever their kind, and the pauses behind refusals leave room for two in a second. An answer with an error or a refusal is the host's own word; a failed connect may be a lack of connections, and a reset the connection's. Change: two such answers are enough; a refusal that an advertised or learnt rate explains still does not count. Tests: three new kinds for one to four hosts in test_failures_spread_over_hosts_are_an_outage; REFUSED 1.1 s and ERROR 0.5 s before the return fail on the text before for two hosts and more.

--- a/molehill/decisions/failure_run.py
+++ b/molehill/decisions/failure_run.py
@@ -8,9 +8,10 @@
 
 from molehill.interface import Result
 
-# Failures without an answer in between that show an outage: one to which no answer came in time, or
-# this many of any kind, as single errors and failed connects are ordinary.
-OUTAGE_FAILURES = 3
+# Failures without a successful answer in between that show an outage: one to which no answer came in
+# time, or this many answered with an error or a refusal, or of any kind. Single errors are ordinary,
+# and two failed connects where hosts have few connections.
+OUTAGE_ERROR_ANSWERS, OUTAGE_FAILURES = 2, 3
 
 
 class FailureRun:
@@ -20,6 +21,7 @@
     HANDED_OVER = {
         "failed": "failures",
         "silent": "silent_failures",
+        "error_answers": "error_answers",
         "idle_resets": "idle_resets",
         "answered_at": "answered_at",
         "first_sent_at": "first_sent_at",
@@ -29,6 +31,7 @@
     def __init__(self) -> None:
         self.failures = 0  # without idle_resets
         self.silent_failures = 0  # those to which no answer came in time
+        self.error_answers = 0  # those that the host answered
         # calls lost with a connection that had been idle, which may concern the connection alone
         self.idle_resets = 0
         self.answered_at: Optional[int] = None  # the last successful answer; None: never
@@ -54,6 +57,7 @@
         self.last_failed_at = now
         self.failures += 1
         self.silent_failures += result is Result.TIMEOUT
+        self.error_answers += result in (Result.ERROR, Result.REFUSED)
 
     def count_idle_reset(self) -> None:
         """Counts a call lost with its connection, which had been idle."""
@@ -61,7 +65,7 @@
 
     def count_success(self, now: int) -> None:
         """Ends the run with a successful answer."""
-        self.failures = self.silent_failures = self.idle_resets = 0
+        self.failures = self.silent_failures = self.error_answers = self.idle_resets = 0
         self.answered_at = now
 
     def shows_outage(self, now: int, min_span: int) -> bool:
@@ -70,7 +74,11 @@
         Several hosts share a route's failures, so these may be too few at each of them.
         """
         lost_calls = self.failures + self.idle_resets if self.failures else 0
-        is_failing = self.silent_failures > 0 or lost_calls >= OUTAGE_FAILURES
+        is_failing = (
+            self.silent_failures > 0
+            or self.error_answers >= OUTAGE_ERROR_ANSWERS
+            or lost_calls >= OUTAGE_FAILURES
+        )
         return is_failing and self.unanswered_span(now) >= min_span
 
     def unanswered_span(self, now: int) -> int:
--- a/tests/test_returning_destination.py
+++ b/tests/test_returning_destination.py
@@ -24,6 +24,7 @@
             slow_start_time=SLOW_START_TIME,
             callback_classes=[callback_class(goal=2000, abandon=20000)],
             kinds=[interface.HostKind(kind_is_separate, 1)],
+            limits_are_advertised=True,  # a refusal without a limit teaches no rate
         )
         self.harness = DecisionHarness(
             given, hosts=[(n, 0, 0, 1) for n in range(1, host_count + 1)]
@@ -96,6 +97,9 @@
         (Result.NO_CONNECT, 9 * SECOND),
         (Result.ERROR, 9 * SECOND),
         (Result.RESET, 9 * SECOND),
+        (Result.ERROR, 500 * MS),
+        (Result.REFUSED, 9 * SECOND),
+        (Result.REFUSED, 1100 * MS),
     ],
 )
 @pytest.mark.parametrize("host_count", [1, 2, 3, 4])
