Slow start: a check of a failing route does not outlive its destination

Cause: the check that is scheduled for when a route's failures have lasted long enough looks its destination up; a host that left 30 s before, with calls that ended just then, is forgotten in between. Change: nothing is done for a destination that is not known any more. Test: test_route_that_is_forgotten_before_its_outage_shows, which failed with KeyError: 1.

--- a/molehill/decisions/endpoint_health.py
+++ b/molehill/decisions/endpoint_health.py
@@ -150,8 +150,11 @@
         if not self._fails_as_route(endpoint):
             return
         state, limiter = self.state, endpoint.limiter
+        destination = state.destinations.get(endpoint.destination)
+        if destination is None:
+            return  # all its hosts left, and were forgotten
         state.note_changes([endpoint.destination])
-        for host in state.destination_of(endpoint).endpoints:
+        for host in destination.endpoints:
             if host.limiter is limiter and host.state is HEALTHY:
                 host.state, host.state_since = EJECTED, state.now
                 text = f"host {host.id} closed: destination {host.destination} does not answer"
--- a/tests/test_returning_destination.py
+++ b/tests/test_returning_destination.py
@@ -181,3 +181,20 @@
     harness.answer(number, Result.TIMEOUT)
     destination.run(500 * MS)
     assert not any("closed" in text for text in harness.health_messages)
+
+
+def test_route_that_is_forgotten_before_its_outage_shows():
+    """Guards against a fault of the module when a check of the route outlives its destination."""
+    classes = [callback_class("exclusive", goal=60000, abandon=120000)]
+    harness = DecisionHarness(settings(callback_classes=classes), hosts=((1, 0, 0, 1),))
+    harness.answer(harness.submit())  # the window is three then
+    first, second, third = (harness.submit() for _ in range(3))
+    gone = interface.HostEntry(1, 0, 0, 1, interface.Condition.GONE, 1.0)
+    harness.step([harness.list_news(interface.ListScope.UPDATE, [gone])])
+    harness.advance(29500 * MS)
+    harness.answer(first)
+    harness.advance(300 * MS)
+    harness.answer(second, Result.ERROR)
+    harness.answer(third, Result.ERROR)
+    harness.advance(3 * SECOND)
+    assert not harness.dispatcher.state.destinations
