--- a/molehill/decisions/dispatcher.py
+++ b/molehill/decisions/dispatcher.py
@@ -129,7 +129,7 @@
             call.outcome_counted = True
             self.health.count_outcome(call, event)
         if is_first:
-            self.health.count_for_route(call, event)
+            self.health.routes.count_outcome(call, event)
 
     def _handle_withdrawn(self, event: interface.CallbackWithdrawn) -> None:
         callback = self.state.callbacks_by_id.get(event.callback)
