Upgrades: a copy is kept for a later hand-over only once all of it was received

Cause: whatever ended a copy midway but a broken connection or a time-out (a fault in this code, after which the task starts anew) left it as if it could be resumed, though rows had been taken from what is to be sent. Change: the copy is put aside while it is sent, and kept when the next process has confirmed it.

--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -301,7 +301,6 @@
                     copy = self.send_copy(channel, message) if message.get("parts") else None
                     self.hand_over(channel, copy)
             except (ConnectionBroken, TimedOut) as error:
-                self.copy = None  # part of it is lost
                 self.log.warning("no hand-over", error=repr(error))
             finally:
                 channel.close()
@@ -316,6 +315,7 @@
             # the time tells this copy from those of other processes of this relay
             self.copy = CopySource(self.process, self.clock())
         copy, started_at, sent = self.copy, self.clock(), 0
+        self.copy = None  # it is kept only if the next process has received all of it
         channel.send({"k": "copy", "number": copy.number}, self.clock() + MESSAGE_TIMEOUT)
         for _ in range(MAX_PASSES):
             for message in copy.take_messages():
@@ -329,6 +329,7 @@
         # The next process may still have to read what lies in the socket's buffer.
         if channel.receive(self.clock() + MESSAGE_TIMEOUT)[0].get("k") != "ready":
             raise ConnectionBroken("not ready")
+        self.copy = copy
         self.log.info("copied", messages=sent, ms=(self.clock() - started_at) // MS)
         return copy
 
