Changed items, refusals that teach a rate, received copies: one place each

Change: ChangedKeys serves both; Limiter.refusal_teaches_rate serves both; the copy is handed on when the lock has come; the failure run's constant has a name of its own. What an outcome says about a route is one function, by its result.

--- a/molehill/core/host_table.py
+++ b/molehill/core/host_table.py
@@ -10,6 +10,7 @@
 from molehill.config import SECOND
 from molehill.core import events as ev
 from molehill.core.metrics import Metrics
+from molehill.decisions.changed_keys import ChangedKeys
 
 # longer than any gap in the list: a host that returns sooner counts as the same host
 REMOVED_HOST_RETENTION = 60 * SECOND
@@ -36,8 +37,7 @@
         # Addresses at which nobody listened, since discovery last answered. The host may have left,
         # and another one, of another destination, may listen there soon.
         self.refused_addresses: set[tuple[str, int]] = set()
-        # hosts whose list entry changed, since they were last taken; None: not tracked
-        self.changed_ids: Optional[set[str]] = None
+        self.changed_entries: ChangedKeys[str] = ChangedKeys()  # hosts, in their list entry
 
     def __getitem__(self, host: str) -> ev.Host:
         return self.by_id[host]
@@ -94,32 +94,19 @@
             listed_ids = {host.id for host in hosts}
             for host in [host for host in self.by_id.values() if host.id not in listed_ids]:
                 host.condition = interface.Condition.GONE
-                self._note_change(host.id)
+                self.changed_entries.note([host.id])
                 self._update_gauges(host.id)
         hosts_with_stale_connections = []
         for host in hosts:
             before = self.by_id.get(host.id, host)
             if self.by_id.get(host.id) != host:
-                self._note_change(host.id)
+                self.changed_entries.note([host.id])
             self.by_id[host.id] = host
             if host.condition is interface.Condition.GONE or before.address != host.address:
                 hosts_with_stale_connections.append(host.id)
             self._update_gauges(host.id)
         return hosts_with_stale_connections
 
-    def track_changes(self) -> None:
-        """Starts to note which hosts' entries change."""
-        self.changed_ids = set()
-
-    def take_changes(self) -> set[str]:
-        """Returns the hosts whose entries changed since the last call."""
-        changed, self.changed_ids = self.changed_ids or set(), set()
-        return changed
-
-    def _note_change(self, host_id: str) -> None:
-        if self.changed_ids is not None:
-            self.changed_ids.add(host_id)
-
     def may_connect(self, address: tuple[str, int]) -> bool:
         """Returns whether a listed host is taken to be at its address, so that it may be called."""
         return address not in self.refused_addresses
--- a/molehill/decisions/admission.py
+++ b/molehill/decisions/admission.py
@@ -54,7 +54,7 @@
         else:
             self.lifecycle.set_state(callback, WAITING_FOR_KEY)
         state.ensure_destination(callback.destination).count_callback(state.now)
-        state.note_changes([callback.destination])
+        state.changed_destinations.note([callback.destination])
         callback.untried_at_restart = new_callback.already_accepted and not new_callback.attempts
         if not new_callback.already_accepted:
             self._make_room()
--- a/molehill/decisions/call_outcomes.py
+++ b/molehill/decisions/call_outcomes.py
@@ -13,8 +13,8 @@
 
 def is_caused_by_host(call: Call, result: Result) -> bool:
     """Whether the outcome tells anything about the host."""
-    unrelated = is_idle_reset(call, result) or result in (Result.NOT_SENT, Result.CANCELLED)
-    return not unrelated
+    is_local = result in (Result.NOT_SENT, Result.CANCELLED)
+    return not is_local and not is_idle_reset(call, result)
 
 
 def is_idle_reset(call: Call, result: Result) -> bool:
@@ -23,12 +23,10 @@
 
 
 def answer_was_due(call: Call, event: interface.Outcome) -> bool:
-    """Whether the call would have been answered by its end, had the host been well.
+    """Whether a call that timed out would have been answered, had the host been well.
 
     A callback's deadline cuts a timeout short, perhaps before an answer could be expected.
     """
-    if event.result is not Result.TIMEOUT:
-        return True
     limiter, expected_within = call.endpoint.limiter, slow_start.REFUSAL_BACKOFF
     if limiter.latency:
         expected_within = limiter.latency + TIMEOUT_DEVIATIONS * limiter.deviation
@@ -37,4 +35,4 @@
 
 def was_noticed_late(call: Call, event: interface.Outcome) -> bool:
     """Whether the relay noticed a timeout so late that the answer may have come in time."""
-    return event.result is Result.TIMEOUT and event.duration > call.time_limit + LATE_TIMEOUT
+    return event.duration > call.time_limit + LATE_TIMEOUT
--- a/molehill/decisions/call_scheduler.py
+++ b/molehill/decisions/call_scheduler.py
@@ -45,7 +45,7 @@
         state = self.state
         candidates = {**self.destinations_at_limit, **state.destinations_to_check}
         state.destinations_to_check = {}
-        state.note_changes(candidates)
+        state.changed_destinations.note(candidates)
         order = (
             sorted(candidates, key=self._value_per_time, reverse=True)
             if self.destinations_at_limit
--- a/molehill/decisions/dispatcher.py
+++ b/molehill/decisions/dispatcher.py
@@ -74,7 +74,7 @@
         if callback is None or callback.call is None:
             return
         call, callback.call = callback.call, None
-        self.state.note_changes([call.endpoint.destination])
+        self.state.changed_destinations.note([call.endpoint.destination])
         call.pending_callbacks -= 1
         if call.pending_callbacks == 0:
             self._complete_call(call, event)
@@ -187,16 +187,6 @@
             hosts.setdefault(endpoint.destination, []).append(endpoint)
         return hosts
 
-    def track_changes(self) -> None:
-        """Starts to note which destinations' learned state may have changed."""
-        self.state.changed_destinations = set()
-
-    def take_changes(self) -> set[int]:
-        """Returns the destinations whose rows may have changed since the last call."""
-        changed = self.state.changed_destinations or set()
-        self.state.changed_destinations = set()
-        return changed
-
     def _destination_row(self, number: int) -> dict:
         destination = self.state.destinations[number]
         return {
--- a/molehill/decisions/endpoint_list.py
+++ b/molehill/decisions/endpoint_list.py
@@ -44,7 +44,7 @@
                 state.settings.weights_are_rates
                 and endpoint.limiter.advertised_rate != entry.weight
             ):
-                state.note_changes([endpoint.destination])
+                state.changed_destinations.note([endpoint.destination])
                 endpoint.limiter.advertised_rate = entry.weight
             was_serving = endpoint.is_serving
             self._set_serving(endpoint, entry.condition is interface.Condition.UP)
@@ -86,7 +86,7 @@
         state = self.state
         destination = state.ensure_destination(entry.destination)
         destination.known_endpoint_count += 1
-        state.note_changes([entry.destination])
+        state.changed_destinations.note([entry.destination])
         kind = settings_of_kind(state.settings, entry.kind)
         endpoint = state.endpoints[entry.host] = Endpoint(
             entry,
--- a/molehill/decisions/failure_run.py
+++ b/molehill/decisions/failure_run.py
@@ -11,7 +11,7 @@
 # Failures without a successful answer in between that show an outage: one to which no answer came in
 # time, or this many answered with an error or a refusal, or of any kind. Single errors are ordinary,
 # and two failed connects where hosts have few connections.
-OUTAGE_ERROR_ANSWERS, OUTAGE_FAILURES = 2, 3
+OUTAGE_ERROR_ANSWERS, OUTAGE_LOST_CALLS = 2, 3
 
 
 class FailureRun:
@@ -77,7 +77,7 @@
         is_failing = (
             self.silent_failures > 0
             or self.error_answers >= OUTAGE_ERROR_ANSWERS
-            or lost_calls >= OUTAGE_FAILURES
+            or lost_calls >= OUTAGE_LOST_CALLS
         )
         return is_failing and self.unanswered_span(now) >= min_span
 
--- a/molehill/decisions/limiter.py
+++ b/molehill/decisions/limiter.py
@@ -159,19 +159,25 @@
     ) -> None:
         """Learns a rate from a refusal.
 
-        At a rate limit latency stays flat, so the served rate becomes the learned rate. Where
-        limits are advertised and this route's is not, the route has no limit: the refusal came from
-        a draining host or a full queue.
+        At a rate limit latency stays flat, so the served rate becomes the learned rate.
         """
         span = max(SECOND, now - self.served_since)
         served_rate = max(self.served_rate, self.served_count * SECOND / span)
-        if self.advertised_rate or not limits_are_advertised:
+        if self.refusal_teaches_rate(limits_are_advertised):
             lowered_rate = DECREASE_FACTOR * min(served_rate, self.learned_rate or served_rate)
             self.learned_rate = max(
                 MIN_LEARNED_RATE, self.advertised_rate / relay_count, lowered_rate
             )
         self.credit, self.credit_updated_at = 0.0, now
 
+    def refusal_teaches_rate(self, limits_are_advertised: bool) -> bool:
+        """Whether a refusal is due to a rate limit.
+
+        Where limits are advertised and this route's is not, the route has none: the refusal came
+        from a draining host or a full queue.
+        """
+        return bool(self.advertised_rate) or not limits_are_advertised
+
     def set_advertised(self, rate: float, share_left: Optional[float]) -> None:
         """Sets the limit that an answer advertises; zero and None if it advertises none.
 
--- a/molehill/decisions/route_health.py
+++ b/molehill/decisions/route_health.py
@@ -34,10 +34,7 @@
         if is_idle_reset(call, result):
             run.count_idle_reset()
             return
-        is_paced = result is Result.REFUSED and self._refusal_teaches_rate(endpoint)
-        if is_paced or not is_caused_by_host(call, result) or not answer_was_due(call, event):
-            return
-        if was_noticed_late(call, event):
+        if not self._shows_failure(call, event):
             return
         run.count_failure(result, call.sent_at, now)
         self.eject_if_failing(endpoint)
@@ -46,15 +43,20 @@
             # If no call follows until then, a restart has to find the hosts ejected.
             self.state.schedule(run.answered_at + span, self.eject_if_failing, endpoint)
 
-    def _refusal_teaches_rate(self, endpoint: Endpoint) -> bool:
-        """Whether refusals of its route are due to a rate, which then limits the calls."""
-        advertised = endpoint.limiter.advertised_rate > 0
-        return advertised or not self.state.settings.limits_are_advertised
+    def _shows_failure(self, call: Call, event: interface.Outcome) -> bool:
+        """Whether an outcome other than a delivery speaks against the route."""
+        if event.result is Result.REFUSED:
+            limits_are_advertised = self.state.settings.limits_are_advertised
+            # A rate that was learned from refusals, or is advertised, limits the calls by itself.
+            return not call.endpoint.limiter.refusal_teaches_rate(limits_are_advertised)
+        if event.result is Result.TIMEOUT:
+            return answer_was_due(call, event) and not was_noticed_late(call, event)
+        return is_caused_by_host(call, event.result)
 
     def is_failing(self, endpoint: Endpoint) -> bool:
         """Whether its route as a whole seems to be in an outage."""
         span, run = self.state.settings.overload_span, endpoint.limiter.failure_run
-        return bool(span and run.failures and run.shows_outage(self.state.now, span))
+        return bool(span and run.shows_outage(self.state.now, span))
 
     def eject_if_failing(self, endpoint: Endpoint) -> None:
         """Rule 4: ejects the healthy hosts of a route that fails, as all may return cold.
@@ -68,7 +70,7 @@
         destination = state.destinations.get(endpoint.destination)
         if destination is None:
             return  # all its hosts left, and were forgotten
-        state.note_changes([endpoint.destination])
+        state.changed_destinations.note([endpoint.destination])
         for host in destination.endpoints:
             if host.limiter is limiter and host.state is HEALTHY:
                 host.state, host.state_since = EJECTED, state.now
--- a/molehill/decisions/state.py
+++ b/molehill/decisions/state.py
@@ -1,10 +1,11 @@
 """State shared by the modules of this package: settings, time of the step, pending callbacks."""
 
 from random import Random
-from typing import Any, Iterable, Optional
+from typing import Any
 
 from molehill import interface
 from molehill.decisions.callback import Callback
+from molehill.decisions.changed_keys import ChangedKeys
 from molehill.decisions.endpoint import Destination, Endpoint
 from molehill.decisions.timers import Task, Timers
 
@@ -24,9 +25,7 @@
         self.destinations: dict[int, Destination] = {}
         # an ordered set, as keys: destinations where a call may be started
         self.destinations_to_check: dict[int, Any] = {}
-        # destinations whose learned state may have changed since they were last taken; None: not
-        # tracked
-        self.changed_destinations: Optional[set[int]] = None
+        self.changed_destinations: ChangedKeys[int] = ChangedKeys()  # in their learned state
         self.calls_in_flight = 0
         self.stops_at = float("inf")  # when the relay stops
 
@@ -38,11 +37,6 @@
         """Has the destination checked at that time for calls that may be started."""
         self.timers.schedule(when, None, destination)
 
-    def note_changes(self, destinations: Iterable[int]) -> None:
-        """Notes, if changes are tracked, that learned state of these destinations may change."""
-        if self.changed_destinations is not None:
-            self.changed_destinations.update(destinations)
-
     def ensure_destination(self, number: int) -> Destination:
         """Returns the destination of this number, and adds it if it is not known."""
         destination = self.destinations.get(number)
--- a/molehill/state_copy.py
+++ b/molehill/state_copy.py
@@ -10,8 +10,8 @@
 
 from molehill.http.host_list_format import list_entry
 
-ROWS_PER_MESSAGE = 32  # some 20 KB: encoding them stops the loop for a millisecond or two
-# The passes end once so little has changed during one: it passes within some milliseconds.
+ROWS_PER_MESSAGE = 32  # encoding a message stops the loop
+# The passes end once so little has changed during one that it fits in the pause.
 FEW_DESTINATIONS, FEW_HOSTS = 32, 32
 MAX_PASSES = 8  # a relay that changes faster than it is copied hands over what is left
 
@@ -32,22 +32,23 @@
         # ordered sets, as keys
         self.pending_hosts: dict[str, None] = {}
         self.pending_destinations: dict[int, None] = {}
-        self.process.core.hosts.track_changes()
+        process.core.hosts.changed_entries.track()
         self.pending_hosts.update(dict.fromkeys(process.core.hosts))
         self.collect_changes()
 
     def collect_changes(self) -> None:
         """Adds what has changed since the last call to what is to be sent."""
         core = self.process.core
-        self.pending_hosts.update(dict.fromkeys(core.hosts.take_changes()))
+        self.pending_hosts.update(dict.fromkeys(core.hosts.changed_entries.take()))
         if core.module is not self.module:  # it was rebuilt after a fault
             self.module = core.module
-            self.module.track_changes()
+            self.module.state.changed_destinations.track()
             self.pending_destinations.update(dict.fromkeys(self.module.state.destinations))
-        self.pending_destinations.update(dict.fromkeys(self.module.take_changes()))
+        changed = self.module.state.changed_destinations.take()
+        self.pending_destinations.update(dict.fromkeys(changed))
 
     def is_nearly_complete(self) -> bool:
-        """Whether what is left passes within some milliseconds."""
+        """Whether what is left fits in the pause."""
         few_destinations = len(self.pending_destinations) <= FEW_DESTINATIONS
         return few_destinations and len(self.pending_hosts) <= FEW_HOSTS
 
--- a/molehill/upgrade.py
+++ b/molehill/upgrade.py
@@ -162,7 +162,7 @@
 
     def request_handover(self) -> bool:
         """Asks the serving process to hand over; returns whether a handover began and broke off."""
-        handover, channel = Handover(copy=self.copy), None
+        handover, channel = Handover(), None
         try:
             channel = MessageChannel(
                 self.scheduler, self.machine.connect_to_predecessor(self.config.state)
@@ -180,6 +180,7 @@
             if self.stop_requested:
                 raise ConnectionBroken("told to end")
             channel.send({"k": "mine"}, self.clock() + MESSAGE_TIMEOUT)
+            handover.copy = self.copy
             self.handover, self.startup.lock = handover, handover.lock
         except (ConnectionBroken, TimedOut, OSError, KeyError, TypeError, ValueError) as error:
             # Includes this process's copy of the lock's descriptor; the old process keeps the lock.
@@ -211,16 +212,16 @@
             handover.state = message
         elif kind == "copy":
             if message["number"] != self.copy.number or not self.copy.is_whole:
-                self.copy = handover.copy = ReceivedCopy(message["number"])
+                self.copy = ReceivedCopy(message["number"])
         elif kind == "copied":
-            handover.copy.is_whole = True
+            self.copy.is_whole = True
         elif kind == "rows":
-            handover.copy.add_hosts(message["hosts"])
-            handover.copy.add_learned(message["learned"])
+            self.copy.add_hosts(message["hosts"])
+            self.copy.add_learned(message["learned"])
         elif kind == "host":  # of an earlier release, like the next one
-            handover.copy.add_hosts([message["row"]])
+            self.copy.add_hosts([message["row"]])
         elif kind == "learnt":
-            handover.copy.add_learned([message["row"]])
+            self.copy.add_learned([message["row"]])
         else:
             raise ValueError(f"{kind}: {message.get('why', 'not a row that is known')}")
         return True
--- a/tests/test_upgrade_copy.py
+++ b/tests/test_upgrade_copy.py
@@ -102,7 +102,7 @@
 
     def change_and_prepare(*given):
         made.destinations[100].limiter.window = 17.0
-        made.note_changes([100])
+        made.changed_destinations.note([100])
         return prepare_handover(*given)
 
     harness.old.prepare_handover = change_and_prepare
@@ -157,7 +157,7 @@
     )
     harness = DecisionHarness(given, hosts=hosts, seed=seed)
     module = harness.dispatcher
-    module.track_changes()
+    module.state.changed_destinations.track()
     copy = rows_by_name(module)
     results = [Result.DELIVERED] * 5 + [Result.ERROR, Result.NO_CONNECT, Result.RESET]
     results.append(Result.TIMEOUT)
@@ -181,7 +181,8 @@
             entry = interface.HostEntry(*row, condition, random.choice([1.0, 30.0]))
             harness.step([harness.list_news(interface.ListScope.UPDATE, [entry])])
         if random.random() < 0.2:
-            changed = module.learned_rows(module.take_changes(), module.hosts_by_destination())
+            taken = module.state.changed_destinations.take()
+            changed = module.learned_rows(taken, module.hosts_by_destination())
             copy.update((row_name(row), row) for row in changed)
             assert copy.items() >= rows_by_name(module).items()
 
