Benchmark of upgrades: settings and address come from the soak's rig

Cause: it wrote out the settings of a relay once more, 50 lines that stand in the rigs, and looked for free ports by itself. Change: `settings` and `loopback_address` of molehill/soak/rig.py; the ports are fixed, as each process of the benchmark has an address of its own.

--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -1,6 +1,6 @@
 """How long an upgrade takes, and how long nobody is served, by the number of listed hosts.
 
-    python benchmarks/upgrade.py --hosts 100 1000 3200 10000 --cores 1
+    PYTHONPATH=. python benchmarks/upgrade.py --hosts 100 1000 3200 10000 --cores 1
 
 Two processes of one relay on this machine, started as the platform starts them; no discovery and no
 clients. `--cores 1` binds both to one core. Not part of CI. Absolute times depend on the machine;
@@ -8,6 +8,7 @@
 """
 
 import argparse
+import itertools
 import json
 import os
 import re
@@ -19,101 +20,42 @@
 import urllib.request
 from datetime import datetime
 from pathlib import Path
-from socket import socket
+
+from molehill.soak.rig import loopback_address, settings
 
 CHECKOUT = Path(__file__).resolve().parents[1]
 HOSTS_PER_DESTINATION = 1.5
 START_LIMIT = 30.0  # seconds for a process to get ready
 POLL_INTERVAL = 0.01  # seconds
-SETTINGS = {
-    "allowed": {
-        "cancel": True,
-        "connIdleMs": 10000.0,
-        "connectTimeoutMs": 1500.0,
-        "maxAttempts": 8,
-        "maxOpen": 600,
-        "maxRetryAfterMs": 2000.0,
-        "parallelTries": False,
-        "peers": False,
-        "probing": False,
-        "retryAfter": True,
-        "streamsPerConn": 1,
-    },
-    "azs": ["zone-1"],
-    "balancers": 1,
-    "discovery": "on_request",
-    "clientHabits": {"marksRetry": True},
-    "extra": {
-        "fades": "linear",
-        "kindApart": [False],
-        "perCall": [1],
-        "maxCalls": 12,
-        "refusalCost": 0.0,
-        "feeByZone": [0.0],
-    },
-    "grades": [
-        {
-            "name": "update",
-            "aimMs": 3000.0,
-            "deadlineMs": 12000.0,
-            "lateShare": 0.5,
-            "semantics": "idempotent",
-            "stream": False,
-            "worth": 1.0,
-        }
-    ],
-    "guarantees": {
-        "answerSlackMs": 20.0,
-        "askWithinMs": 10000.0,
-        "coldFrom": 0.17,
-        "drainGraceMs": 1000.0,
-        "fallMs": 1500.0,
-        "rampTimeMs": 10000.0,
-        "settleAfterDoubtMs": 100.0,
-        "tipMultiple": 2.0,
-    },
-    "machineTypes": ["hosts"],
-    "me": 0,
-    "overShareWorth": 0.1,
-    "parties": [],
-    "periodMs": 5.0,
-    "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"},
-    "weightSource": "silent",
-    "workload": "deliver",
-    "worthBy": "request",
-}
-
-
-def free_address() -> str:
-    """Returns an address of loopback that was free a moment ago."""
-    with socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % sock.getsockname()[1]
+ADDRESS = loopback_address(0)
+LISTEN_PORT, DISCOVERY_PORT, FIRST_HOST_PORT = 8081, 8500, 20000
+ADMIN_PORTS = itertools.count(9000)  # one for each process
 
 
 def write_config(folder: Path, host_count: int) -> Path:
     """Writes the configuration of a relay that knows that many hosts."""
+    relay_settings = settings()
+    zone, kind = relay_settings["azs"][0], relay_settings["machineTypes"][0]
     hosts = [
         {
             "name": f"host-{n:08x}",
-            "address": f"127.0.0.1:{20000 + n}",
-            "zone": "zone-1",
-            "type": "hosts",
+            "address": f"{ADDRESS}:{FIRST_HOST_PORT + n}",
+            "zone": zone,
+            "type": kind,
             "group": 1 + int(n / HOSTS_PER_DESTINATION),
             "status": "active",
             "weight": 1.0,
-            "since_ms": 0,
         }
         for n in range(host_count)
     ]
     config = {
         "name": "relay",
-        "listen": free_address(),
-        "discovery": free_address(),
+        "listen": f"{ADDRESS}:{LISTEN_PORT}",
+        "discovery": f"{ADDRESS}:{DISCOVERY_PORT}",
         "state": str(folder / "state"),
         "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 12},
         "known": {"index": 1, "snapshot": True, "endpoints": hosts},
-        "settings": SETTINGS,
+        "settings": relay_settings,
     }
     path = folder / "config.json"
     path.write_text(json.dumps(config), encoding="utf-8")
@@ -124,7 +66,8 @@
     """A process of the relay; `log` is the file with its log lines."""
 
     def __init__(self, folder: Path, config: Path, cores: int):
-        self.admin, self.log = free_address(), folder / f"{time.monotonic_ns()}.log"
+        self.admin = f"{ADDRESS}:{next(ADMIN_PORTS)}"
+        self.log = folder / f"{self.admin}.log"
         environment = {**os.environ, "ROUTER_CONFIG": str(config), "ROUTER_ADMIN": self.admin}
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
